--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks."""
--- /dev/null
+++ b/src/galenatack/__init__.py
@@ -0,0 +1,1 @@
+"""Configuration distribution for a service mesh."""
--- /dev/null
+++ b/src/galenatack/app/__init__.py
@@ -0,0 +1,1 @@
+"""Application object, composition root, daemon and command-line tool."""
--- /dev/null
+++ b/src/galenatack/config/__init__.py
@@ -0,0 +1,1 @@
+"""Accepted configuration: checks, log state, hold and run, reader."""
--- /dev/null
+++ b/src/galenatack/interfaces/__init__.py
@@ -0,0 +1,1 @@
+"""Typed interfaces to everything outside a process."""
--- /dev/null
+++ b/src/galenatack/invariants/__init__.py
@@ -0,0 +1,1 @@
+"""The ten invariants, one module each."""
--- /dev/null
+++ b/src/galenatack/links/__init__.py
@@ -0,0 +1,1 @@
+"""Connections to peers, targets, callers, operators and the platform."""
--- /dev/null
+++ b/src/galenatack/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Member records, overlay ring, duties by rank, suspicion."""
--- /dev/null
+++ b/src/galenatack/messages/__init__.py
@@ -0,0 +1,1 @@
+"""Messages between nodes, one type a module."""
--- /dev/null
+++ b/src/galenatack/messages/heartbeat.py
@@ -0,0 +1,17 @@
+"""Sent on each link every second; carries the digests for anti-entropy."""
+
+import typing
+
+
+class Heartbeat(typing.NamedTuple):
+    """Sent on each link every second; carries the digests for anti-entropy.
+
+    Attributes:
+        held_seq: Highest seq that the sender holds.
+        member_digest: 64-bit digest of the sender's member table.
+        hlc: The sender's hybrid logical time.
+    """
+
+    held_seq: int
+    member_digest: int
+    hlc: int
--- /dev/null
+++ b/src/galenatack/model/__init__.py
@@ -0,0 +1,1 @@
+"""Data types shared by all packages."""
--- /dev/null
+++ b/src/galenatack/model/event_id.py
@@ -0,0 +1,17 @@
+"""Identifier of a time line event."""
+
+import typing
+
+
+class EventId(typing.NamedTuple):
+    """Identifier of a time line event.
+
+    Attributes:
+        node_id: Process that recorded the event.
+        incarnation: Incarnation of that process.
+        number: Position in the process's own order.
+    """
+
+    node_id: str
+    incarnation: int
+    number: int
--- /dev/null
+++ b/src/galenatack/model/member_record.py
@@ -0,0 +1,42 @@
+"""What a node announces about itself."""
+
+import typing
+
+from galenatack.model import rejection
+
+
+class MemberRecord(typing.NamedTuple):
+    """What a node announces about itself.
+
+    Attributes:
+        node_id: Identifier of the node.
+        incarnation: Start time in milliseconds; grows when a suspicion is
+            refuted.
+        status: `joining`, `serving`, `leaving`, `suspect` or `dead`.
+        data_centre: Data centre of the instance.
+        region: Region of the data centre.
+        service: Service of the node's target.
+        version: Version of the node's target.
+        peer_address: host:port of the peer listener.
+        call_address: host:port of the caller listener.
+        admin_address: host:port of the admin listener.
+        slots: Calls that the target runs at once.
+        running_seq: Highest seq in force on the node.
+        rejections: Profile versions that the node could not run.
+        beat: Grows with each change of the record within an incarnation.
+    """
+
+    node_id: str
+    incarnation: int
+    status: str
+    data_centre: str
+    region: str
+    service: str
+    version: str
+    peer_address: str
+    call_address: str
+    admin_address: str
+    slots: int
+    running_seq: int = 0
+    rejections: tuple[rejection.Rejection, ...] = ()
+    beat: int = 0
--- /dev/null
+++ b/src/galenatack/model/profile.py
@@ -0,0 +1,33 @@
+"""A complete description of how traffic reaches a service."""
+
+import typing
+
+from galenatack.model import limits
+from galenatack.model import move_policy
+from galenatack.model import pool
+from galenatack.model import retry_policy
+from galenatack.model import route
+
+
+class Profile(typing.NamedTuple):
+    """A complete description of how traffic reaches a service.
+
+    Attributes:
+        name: Name, unique in the deployment.
+        service: The service that may choose this profile.
+        versions: Target versions that the profile knows.
+        pools: Pools that routes refer to.
+        retry_policies: Retry policies that routes refer to.
+        routes: Routes; the longest matching prefix wins.
+        limits: Limits of calls.
+        move_policy: How moves are judged.
+    """
+
+    name: str
+    service: str
+    versions: tuple[str, ...]
+    pools: tuple[pool.Pool, ...]
+    retry_policies: tuple[retry_policy.RetryPolicy, ...]
+    routes: tuple[route.Route, ...]
+    limits: limits.Limits
+    move_policy: move_policy.MovePolicy
--- /dev/null
+++ b/src/galenatack/moves/__init__.py
@@ -0,0 +1,1 @@
+"""Evidence, evaluation, driver and withdrawal of moves."""
--- /dev/null
+++ b/src/galenatack/postings/__init__.py
@@ -0,0 +1,1 @@
+"""Tickets, claims and the posting registry."""
--- /dev/null
+++ b/src/galenatack/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Routing snapshots, balancing, limits and budgets."""
--- /dev/null
+++ b/src/galenatack/settings/__init__.py
@@ -0,0 +1,1 @@
+"""Settings types and the checked YAML loader."""
--- /dev/null
+++ b/src/galenatack/timeline/__init__.py
@@ -0,0 +1,1 @@
+"""Event ring, hybrid logical clock and merge."""
--- /dev/null
+++ b/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins of the platform, targets and callers."""
--- /dev/null
+++ b/tests/fakes/__init__.py
@@ -0,0 +1,1 @@
+"""Fakes of the interfaces."""
--- /dev/null
+++ b/tests/fakes/memory_network.py
@@ -0,0 +1,129 @@
+"""Peer networks of several nodes in one process, with cuts and delays."""
+
+import random
+import typing
+
+import anyio
+import anyio.abc
+
+from galenatack import exceptions
+from galenatack.interfaces import peer_network
+
+
+class MemoryNetwork:
+    """Connects `MemoryPeers`; delivers with delay, honours cuts.
+
+    Attributes:
+        cuts: Pairs of node ids (both orders) that cannot reach each other.
+    """
+
+    def __init__(
+        self,
+        tasks: anyio.abc.TaskGroup,
+        *,
+        rng: random.Random,
+        delay_s: tuple[float, float] = (0.001, 0.005),
+    ):
+        self._tasks = tasks
+        self._rng = rng
+        self._delay_s = delay_s
+        self.cuts: set[tuple[str, str]] = set()
+        self.peers: dict[str, MemoryPeers] = {}
+
+    def join(self, node_id: str) -> "MemoryPeers":
+        """Adds a node, or replaces it after a restart."""
+        peers = MemoryPeers(self, node_id)
+        self.peers[node_id] = peers
+        return peers
+
+    def leave(self, node_id: str) -> None:
+        """Removes a node; nothing is delivered to it any more."""
+        self.peers.pop(node_id, None)
+
+    def cut(self, left: str, right: str) -> None:
+        """Cuts two nodes off from each other."""
+        self.cuts |= {(left, right), (right, left)}
+
+    def heal(self) -> None:
+        """Removes all cuts."""
+        self.cuts.clear()
+
+    def reachable(self, sender: str, receiver: str) -> bool:
+        """Tells whether a message between the two would arrive."""
+        return receiver in self.peers and (sender, receiver) not in self.cuts
+
+    def spawn(self, sender: str, receiver: str, message: typing.Any) -> None:
+        """Delivers a message later, in a task of its own."""
+        self._tasks.start_soon(self._deliver, sender, receiver, message)
+
+    async def _deliver(
+        self, sender: str, receiver: str, message: typing.Any
+    ) -> typing.Any:
+        await anyio.sleep(self._rng.uniform(*self._delay_s))
+        if not self.reachable(sender, receiver):
+            return None
+        return await self.peers[receiver].dispatch(sender, message)
+
+    async def ask(
+        self, sender: str, receiver: str, message: typing.Any, timeout_s: float
+    ) -> typing.Any:
+        """Delivers a request and returns the reply, or times out."""
+        with anyio.move_on_after(timeout_s):
+            reply = await self._deliver(sender, receiver, message)
+            await anyio.sleep(self._rng.uniform(*self._delay_s))
+            if reply is not None and self.reachable(receiver, sender):
+                return reply
+        raise exceptions.PeerTimeoutError(f"no reply from {receiver}")
+
+
+class MemoryPeers:
+    """Implements `interfaces.peer_network.PeerNetwork` for one node."""
+
+    def __init__(self, network: MemoryNetwork, node_id: str):
+        self._network = network
+        self.node_id = node_id
+        self._handlers: dict[type, peer_network.Handler] = {}
+
+    def on(self, message_type: type, handler: peer_network.Handler) -> None:
+        """Registers the handler of a message type."""
+        self._handlers[message_type] = handler
+
+    async def dispatch(self, sender: str, message: typing.Any) -> typing.Any:
+        """Hands a message to its handler."""
+        handler = self._handlers.get(type(message))
+        return await handler(sender, message) if handler else None
+
+    async def broadcast(
+        self, message: typing.Any, *, exclude: str | None = None
+    ) -> None:
+        """Sends to all reachable nodes but `exclude`."""
+        for node_id in sorted(self.neighbours()):
+            if node_id != exclude:
+                self._network.spawn(self.node_id, node_id, message)
+
+    async def send(self, node_id: str, message: typing.Any) -> None:
+        """Sends to one node."""
+        self._require(node_id)
+        self._network.spawn(self.node_id, node_id, message)
+
+    async def request(
+        self, node_id: str, message: typing.Any, *, timeout_s: float
+    ) -> typing.Any:
+        """Sends to one node and returns its reply."""
+        self._require(node_id)
+        return await self._network.ask(
+            self.node_id, node_id, message, timeout_s
+        )
+
+    def neighbours(self) -> frozenset[str]:
+        """Returns all reachable nodes."""
+        return frozenset(
+            node_id
+            for node_id in self._network.peers
+            if node_id != self.node_id
+            and self._network.reachable(self.node_id, node_id)
+        )
+
+    def _require(self, node_id: str) -> None:
+        if not self._network.reachable(self.node_id, node_id):
+            raise exceptions.PeerUnreachableError(f"cannot reach {node_id}")
