Discover tests instead of loading the runner's own module

Ruled out: the file pattern, as the plain nose2 command found all tests. Conclusion: nose2.discover is the right entry point.

--- a/tests/__main__.py
+++ b/tests/__main__.py
@@ -10,7 +10,7 @@
 def main() -> int:
     """Runs nose2 over `tests/` and returns the exit status."""
     argv = ["nose2", "-s", "tests", "-t", ".", *sys.argv[1:]]
-    nose2.main(argv=argv, exit=False, plugins=["tests.outcome_counter"])
+    nose2.discover(argv=argv, exit=False, plugins=["tests.outcome_counter"])
     for test_id in outcome_counter.known_red:
         print(f"known red: {test_id}")
     passed = len(outcome_counter.passed)
