--- a/src/galenatack/exceptions.py
+++ b/src/galenatack/exceptions.py
@@ -43,6 +43,24 @@
     code = "not-found"
 
 
+class AdminRequestError(GalenatackError):
+    """An operator's request is malformed."""
+
+    code = "bad-request"
+
+
+class NotAuthenticatedError(GalenatackError):
+    """An operator's request has no known bearer token."""
+
+    code = "not-authenticated"
+
+
+class NotPermittedError(GalenatackError):
+    """The role of the bearer token does not allow the request."""
+
+    code = "not-permitted"
+
+
 class MoveError(GalenatackError):
     """A move cannot be started or changed."""
 
--- /dev/null
+++ b/standins/demo/__init__.py
@@ -0,0 +1,1 @@
+"""The demo: one deployment on loopback, as separate processes."""
