Add the configuration path: accept, hold, run, read, rebuild

Profiles and entries are checked as a whole, accepted by one conditional transaction, spread as deltas, held before they run, and rebuilt from peers or the platform after a start. Invariants 1, 3 and 10 are checked where steps run.

--- /dev/null
+++ b/src/galenatack/config/_operation.py
@@ -0,0 +1,209 @@
+"""One accept: a conditional transaction whose lost answer is resolved."""
+
+import collections.abc
+import typing
+
+from galenatack import exceptions
+from galenatack.config import backoff
+from galenatack.config import canonical_json
+from galenatack.config import entry_rows
+from galenatack.config import row_keys
+from galenatack.interfaces import clock
+from galenatack.interfaces import random_source
+from galenatack.interfaces import table
+from galenatack.model import entry
+from galenatack.model import row
+from galenatack.model import row_check
+from galenatack.model import transaction
+
+# Readers poll twice a second, so a reader that is further behind than this
+# has missed days of changes and reads the full state.
+LOG_ROWS_KEPT = 10_000
+# Conflicts on `head` and lost answers are retried this often; at 2,300
+# changes a day more than two in a row show a fault.
+MAX_ATTEMPTS = 40
+_RETRY_BASE_S = 0.02
+_RETRY_CAP_S = 1.0
+_OPERATION_ID_BITS = 128
+
+
+class Prepared(typing.NamedTuple):
+    """What an accept writes, decided on the present rows.
+
+    Attributes:
+        body: Canonical JSON; the same in all attempts of one accept.
+        checks: Conditions beyond those of the accept itself.
+    """
+
+    body: bytes
+    checks: tuple[row_check.RowCheck, ...] = ()
+
+
+Prepare = collections.abc.Callable[
+    [row.Row | None], collections.abc.Awaitable[Prepared]
+]
+
+
+class Operation:
+    """Runs one accept until its outcome is known.
+
+    Args:
+        table: The table service.
+        clock: Time for the waits between attempts.
+        rng: Source of the operation id and of jitter.
+        key: Key of the entry, such as `profile/prices`.
+        extra_puts: Rows written together with the change.
+    """
+
+    def __init__(
+        self,
+        *,
+        table: table.Table,
+        clock: clock.Clock,
+        rng: random_source.RandomSource,
+        key: str,
+        extra_puts: tuple[tuple[str, object], ...] = (),
+    ):
+        self._table = table
+        self._clock = clock
+        self._key = key
+        self._extra_puts = extra_puts
+        self._id = f"{rng.getrandbits(_OPERATION_ID_BITS):032x}"
+        self._backoff = backoff.Backoff(
+            rng=rng, base_s=_RETRY_BASE_S, cap_s=_RETRY_CAP_S
+        )
+        self._is_uncertain = False
+        self._body = b""
+
+    async def run(self, prepare: Prepare) -> entry.Entry:
+        """Repeats attempts until one is known to have taken effect.
+
+        Args:
+            prepare: Gets the present entry row; may raise to give up.
+
+        Raises:
+            exceptions.TransactionConflictError: A check of `prepare` on
+                another row than those of the accept itself failed.
+            exceptions.PlatformUnavailableError: Nothing was written.
+            exceptions.OutcomeUnknownError: It may have been written, and
+                the table did not tell within the attempts.
+        """
+        for _ in range(MAX_ATTEMPTS):
+            try:
+                done = await self._attempt(prepare)
+                if done is not None:
+                    return done
+            except exceptions.OutcomeUnknownError:
+                self._is_uncertain = True
+            except exceptions.PlatformUnavailableError:
+                if not self._is_uncertain:
+                    raise
+            await self._clock.sleep_s(self._backoff.next_s())
+        if self._is_uncertain:
+            raise exceptions.OutcomeUnknownError(
+                f"outcome of the change of {self._key} is not known"
+            )
+        raise exceptions.PlatformUnavailableError(
+            f"{self._key}: too many conflicting changes"
+        )
+
+    async def _attempt(self, prepare: Prepare) -> entry.Entry | None:
+        head = await self._table.get(row_keys.HEAD)
+        current = await self._table.get(row_keys.entry(self._key))
+        # Read after the entry row: when that row is already this operation's
+        # own write, the operation row is there too.
+        if self._is_uncertain:
+            done = await self._read_back()
+            if done is not None:
+                return done
+        prepared = await prepare(current)
+        self._body = prepared.body
+        item = self._entry(head, current)
+        change = await self._transaction(item, head, current, prepared)
+        try:
+            await self._table.commit(change)
+        except exceptions.TransactionConflictError as conflict:
+            self._judge(conflict, prepared)
+            return None
+        return item
+
+    def _judge(
+        self,
+        conflict: exceptions.TransactionConflictError,
+        prepared: Prepared,
+    ) -> None:
+        own = {row_keys.HEAD, row_keys.entry(self._key), self._op_key()}
+        own -= {check.key for check in prepared.checks}
+        if not own.intersection(conflict.keys):
+            raise conflict
+        if self._op_key() in conflict.keys:
+            self._is_uncertain = True
+
+    def _entry(
+        self, head: row.Row | None, current: row.Row | None
+    ) -> entry.Entry:
+        version = _fields(current)["version"] if current else 0
+        seq = _fields(head)["seq"] if head else 0
+        digest = canonical_json.digest(self._body)
+        return entry.Entry(self._key, seq + 1, version + 1, digest, self._body)
+
+    async def _transaction(
+        self,
+        item: entry.Entry,
+        head: row.Row | None,
+        current: row.Row | None,
+        prepared: Prepared,
+    ) -> transaction.Transaction:
+        entry_key = row_keys.entry(self._key)
+        checks = {
+            row_keys.HEAD: head.revision if head else 0,
+            entry_key: current.revision if current else 0,
+            self._op_key(): 0,
+        }
+        own = tuple(
+            row_check.RowCheck(key, revision)
+            for key, revision in checks.items()
+            if key not in {check.key for check in prepared.checks}
+        )
+        value = entry_rows.value(item, operation_id=self._id)
+        puts = (
+            (row_keys.HEAD, {"seq": item.seq}),
+            (row_keys.log(item.seq), value),
+            (entry_key, value),
+            (self._op_key(), {"seq": item.seq, "version": item.version}),
+        )
+        return transaction.Transaction(
+            checks=own + prepared.checks,
+            puts=puts + self._extra_puts,
+            deletes=await self._expired_keys(item.seq),
+        )
+
+    async def _expired_keys(self, seq: int) -> tuple[str, ...]:
+        if seq <= LOG_ROWS_KEPT:
+            return ()
+        key = row_keys.log(seq - LOG_ROWS_KEPT)
+        expired = await self._table.get(key)
+        if expired is None:
+            return ()
+        operation_id = _fields(expired)["operation"]
+        return (key, row_keys.operation(operation_id))
+
+    def _op_key(self) -> str:
+        return row_keys.operation(self._id)
+
+    async def _read_back(self) -> entry.Entry | None:
+        found = await self._table.get(self._op_key())
+        if found is None:
+            return None
+        fields = _fields(found)
+        return entry.Entry(
+            self._key,
+            fields["seq"],
+            fields["version"],
+            canonical_json.digest(self._body),
+            self._body,
+        )
+
+
+def _fields(found: row.Row) -> dict[str, typing.Any]:
+    return typing.cast(dict[str, typing.Any], found.value)
--- /dev/null
+++ b/src/galenatack/config/entry_rows.py
@@ -0,0 +1,63 @@
+"""The rows that carry configuration entries.
+
+The log row and the entry row of a change have the same value. Choices and
+moves are small and stand in the row itself; profile bodies are objects named
+by their SHA-256.
+"""
+
+import typing
+
+from galenatack import exceptions
+from galenatack.config import canonical_json
+from galenatack.config import row_keys
+from galenatack.interfaces import object_store
+from galenatack.model import entry
+from galenatack.model import row
+
+
+def value(item: entry.Entry, *, operation_id: str) -> dict[str, typing.Any]:
+    """Returns the JSON value of the rows of an entry."""
+    result = {
+        "key": item.key,
+        "seq": item.seq,
+        "version": item.version,
+        "digest": item.digest,
+        "operation": operation_id,
+    }
+    if not item.key.startswith(row_keys.PROFILE):
+        result["body"] = item.body.decode()
+    return result
+
+
+async def load(
+    found: row.Row,
+    objects: object_store.ObjectStore,
+    *,
+    known: entry.Entry | None = None,
+) -> entry.Entry:
+    """Builds the entry of a row, reading the object store when needed.
+
+    Args:
+        found: A log row or an entry row.
+        objects: Store of the profile bodies.
+        known: Entry whose body is used when the digest is the same.
+
+    Raises:
+        exceptions.ObjectCorruptError: The body differs from its digest.
+        exceptions.PlatformUnavailableError: The store refused.
+    """
+    fields = typing.cast(dict[str, typing.Any], found.value)
+    digest = fields["digest"]
+    if known is not None and known.digest == digest:
+        body = known.body
+    elif "body" in fields:
+        body = fields["body"].encode()
+    else:
+        body = await objects.get(digest)
+    if body is None or canonical_json.digest(body) != digest:
+        raise exceptions.ObjectCorruptError(
+            f"body of {fields['key']} differs from {digest}"
+        )
+    return entry.Entry(
+        fields["key"], fields["seq"], fields["version"], digest, body
+    )
--- /dev/null
+++ b/src/galenatack/config/log_state.py
@@ -0,0 +1,161 @@
+"""The configuration entries that a node holds and runs."""
+
+import collections
+import collections.abc
+import types
+
+from galenatack.config import row_keys
+from galenatack.invariants import atomic_apply
+from galenatack.invariants import version_order
+from galenatack.messages import delta as delta_message
+from galenatack.model import entry
+
+CanRun = collections.abc.Callable[
+    [entry.Entry, collections.abc.Mapping[str, entry.Entry]], str
+]
+
+
+class LogState:
+    """Held and running entries of one node.
+
+    A held delta is kept as one step until it runs. Steps are the only
+    points where the running state may stop: the entries of a delta are
+    compacted, so that its inner points are incomplete.
+
+    Args:
+        node_id: Node that owns the state, for violations.
+        can_run: Gets an entry and the running entries of the step; returns
+            why the node cannot run it, or an empty string.
+
+    Attributes:
+        held_seq: Highest seq that the node holds.
+        running_seq: Highest seq in force.
+        rejected: Reasons by (key, version) of the entries that the node
+            could not run.
+    """
+
+    def __init__(self, *, node_id: str, can_run: CanRun | None = None):
+        self._node_id = node_id
+        self._can_run = can_run or (lambda item, step: "")
+        self._held: dict[str, entry.Entry] = {}
+        self._running: collections.abc.Mapping[str, entry.Entry] = (
+            types.MappingProxyType({})
+        )
+        self._steps: collections.deque[tuple[int, tuple[entry.Entry, ...]]] = (
+            collections.deque()
+        )
+        self.held_seq = 0
+        self.running_seq = 0
+        self.rejected: dict[tuple[str, int], str] = {}
+
+    def hold(self, delta: delta_message.Delta) -> bool:
+        """Keeps a delta without running it.
+
+        Returns:
+            True when the node now holds more than before; False when the
+            delta brings nothing new or starts after the held seq.
+        """
+        if delta.from_seq > self.held_seq or delta.to_seq <= self.held_seq:
+            return False
+        fresh = tuple(
+            item
+            for item in delta.entries
+            if self.held_seq < item.seq <= delta.to_seq
+        )
+        self._held.update({item.key: item for item in fresh})
+        self._steps.append((delta.to_seq, fresh))
+        self.held_seq = delta.to_seq
+        return True
+
+    def delta_since(self, seq: int) -> delta_message.Delta:
+        """Returns the latest entry of each key that changed after `seq`."""
+        changed = sorted(
+            (item for item in self._held.values() if item.seq > seq),
+            key=lambda item: item.seq,
+        )
+        return delta_message.Delta(seq, self.held_seq, tuple(changed), None)
+
+    def held_entry(self, key: str) -> entry.Entry | None:
+        """Returns the latest held entry of a key."""
+        return self._held.get(key)
+
+    def run_up_to(self, seq: int) -> tuple[entry.Entry, ...]:
+        """Runs all held steps that end at or before `seq`, as one step.
+
+        Returns:
+            The entries that came into force; empty when no step ends there
+            or all of its entries were rejected.
+        """
+        target_seq, latest = self._take_steps(seq)
+        if target_seq == self.running_seq:
+            return ()
+        rejected = self._rejected_keys(latest)
+        applied = tuple(
+            item for item in latest.values() if item.key not in rejected
+        )
+        new = dict(self._running)
+        new.update({item.key: item for item in applied})
+        self._check(target_seq, latest, rejected, new)
+        self._running = types.MappingProxyType(new)
+        self.running_seq = target_seq
+        return applied
+
+    def running(self) -> collections.abc.Mapping[str, entry.Entry]:
+        """Returns the entries in force by key; the mapping never changes."""
+        return self._running
+
+    def next_step_seq(self, seq: int) -> int:
+        """Returns the running seq that `run_up_to(seq)` would lead to."""
+        ends = [end for end, _ in self._steps if end <= seq]
+        return ends[-1] if ends else self.running_seq
+
+    def _take_steps(self, seq: int) -> tuple[int, dict[str, entry.Entry]]:
+        target_seq = self.running_seq
+        latest: dict[str, entry.Entry] = {}
+        while self._steps and self._steps[0][0] <= seq:
+            target_seq, entries = self._steps.popleft()
+            latest.update({item.key: item for item in entries})
+        return target_seq, latest
+
+    def _rejected_keys(self, latest: dict[str, entry.Entry]) -> frozenset[str]:
+        candidate = {**self._running, **latest}
+        rejected = set()
+        # Profiles come first, so that a choice is judged against the
+        # profile that will run and not against a rejected one.
+        for key in sorted(latest, key=_profiles_first):
+            item = latest[key]
+            reason = self._can_run(item, candidate)
+            if not reason:
+                continue
+            rejected.add(key)
+            self.rejected[key, item.version] = reason
+            candidate.pop(key)
+            if key in self._running:
+                candidate[key] = self._running[key]
+        return frozenset(rejected)
+
+    def _check(
+        self,
+        target_seq: int,
+        latest: dict[str, entry.Entry],
+        rejected: frozenset[str],
+        new: dict[str, entry.Entry],
+    ) -> None:
+        version_order.check(
+            node_id=self._node_id,
+            old_seq=self.running_seq,
+            new_seq=target_seq,
+            old=self._running,
+            new=new,
+        )
+        atomic_apply.check(
+            node_id=self._node_id,
+            step=latest.values(),
+            rejected=rejected,
+            old=self._running,
+            new=new,
+        )
+
+
+def _profiles_first(key: str) -> tuple[bool, str]:
+    return (not key.startswith(row_keys.PROFILE), key)
--- /dev/null
+++ b/src/galenatack/config/propagation.py
@@ -0,0 +1,268 @@
+"""Spreads deltas between nodes; holds them first and then runs them."""
+
+import collections.abc
+
+import anyio
+
+from galenatack import exceptions
+from galenatack.config import backoff
+from galenatack.config import held_book
+from galenatack.config import log_state
+from galenatack.config import row_keys
+from galenatack.config import transfer_slots
+from galenatack.interfaces import clock as clock_interface
+from galenatack.interfaces import event_sink
+from galenatack.interfaces import peer_network
+from galenatack.interfaces import random_source
+from galenatack.invariants import convergence
+from galenatack.messages import busy
+from galenatack.messages import delta as delta_message
+from galenatack.messages import held
+from galenatack.messages import pull_delta
+from galenatack.model import entry
+from galenatack.model import rejection
+
+# Also the delay until a change of the live nodes has an effect.
+TICK_S = 0.25
+PULL_TIMEOUT_S = 2.0
+# A push usually arrives before this; then the pull is not sent.
+_PULL_DELAY_S = (0.02, 0.1)
+_PULL_BACKOFF_BASE_S = 0.1
+_PULL_BACKOFF_CAP_S = 1.0
+# Larger deltas come from a long absence; neighbours pull what they lack.
+MAX_PUSH_ENTRIES = 64
+
+Live = collections.abc.Callable[[], collections.abc.Collection[str]]
+OnRunning = collections.abc.Callable[[tuple[entry.Entry, ...]], None]
+OnRejection = collections.abc.Callable[[rejection.Rejection], None]
+
+
+class Propagation:
+    """Handles `Delta`, `PullDelta` and `Held` of one node.
+
+    Args:
+        node_id: This node.
+        state: Held and running entries.
+        peers: The links; the handlers are registered here.
+        clock: Time.
+        rng: Source of jitter.
+        events: Sink of held, running and rejected changes.
+        live: Returns the live node ids of this data centre.
+        on_running: Gets the entries of each atomic step.
+        on_rejection: Gets each entry that the node could not run.
+
+    Attributes:
+        is_settled: True when the node knows the state that it ran before a
+            restart, or one that is newer. Until then it runs nothing and
+            does not count as a holder.
+    """
+
+    def __init__(
+        self,
+        *,
+        node_id: str,
+        state: log_state.LogState,
+        peers: peer_network.PeerNetwork,
+        clock: clock_interface.Clock,
+        rng: random_source.RandomSource,
+        events: event_sink.EventSink,
+        live: Live,
+        on_running: OnRunning,
+        on_rejection: OnRejection | None = None,
+    ):
+        self._node_id = node_id
+        self._state = state
+        self._peers = peers
+        self._clock = clock
+        self._rng = rng
+        self._events = events
+        self._live = live
+        self._on_running = on_running
+        self._on_rejection = on_rejection or (lambda refused: None)
+        self._book = held_book.HeldBook()
+        self._slots = transfer_slots.TransferSlots(clock=clock, rng=rng)
+        self._behind = anyio.Event()
+        self._due: tuple[int, float] | None = None
+        self._reported = 0
+        self.is_settled = False
+        peers.on(delta_message.Delta, self._on_delta)
+        peers.on(pull_delta.PullDelta, self._on_pull_delta)
+        peers.on(held.Held, self._on_held)
+
+    @property
+    def announced_seq(self) -> int:
+        """The held seq to put into heartbeats."""
+        return self._state.held_seq if self.is_settled else 0
+
+    async def run(self) -> None:
+        """Pulls what the node lacks and runs what enough nodes hold."""
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._tick)
+            tasks.start_soon(self._pull_when_behind)
+
+    async def settle(self) -> None:
+        """Ends the rebuild after a start; the node may run and serve."""
+        self.is_settled = True
+        self._events.record("settled", held_seq=self._state.held_seq)
+        await self._report_held()
+        self.try_run()
+
+    async def offer(
+        self, delta: delta_message.Delta, *, sender: str | None = None
+    ) -> bool:
+        """Holds a delta and passes it on.
+
+        Args:
+            delta: From the reader, the acceptor or a peer.
+            sender: The peer that sent it.
+
+        Returns:
+            True when it was new.
+        """
+        if not self._state.hold(delta):
+            return False
+        self._events.record("change-held", cause=delta.cause, seq=delta.to_seq)
+        if self.is_settled:
+            if len(delta.entries) <= MAX_PUSH_ENTRIES:
+                await self._peers.broadcast(delta, exclude=sender)
+            await self._report_held()
+            self.try_run()
+        return True
+
+    def on_heartbeat(self, peer_id: str, held_seq: int) -> None:
+        """Compares a peer's held seq with the own one."""
+        self._book.set_to(peer_id, held_seq)
+        self._wake_when_behind(held_seq)
+        self.try_run()
+
+    def forget_peer(self, peer_id: str) -> None:
+        """Drops the reports of a peer that died or restarted."""
+        self._book.forget(peer_id)
+
+    async def pull_from(self, peer_id: str) -> None:
+        """Asks a peer for what this node lacks and waits for its answer.
+
+        Raises:
+            exceptions.PeerError: It did not answer, or is busy.
+        """
+        reply = await self._peers.request(
+            peer_id,
+            pull_delta.PullDelta(self._state.held_seq),
+            timeout_s=PULL_TIMEOUT_S,
+        )
+        if isinstance(reply, busy.Busy):
+            raise exceptions.PeerBusyError(
+                f"{peer_id} is busy", retry_after_ms=reply.retry_after_ms
+            )
+        if not isinstance(reply, delta_message.Delta):
+            raise exceptions.ProtocolError(
+                f"{peer_id} answered with {type(reply).__name__}"
+            )
+        self._book.raise_to(peer_id, reply.to_seq)
+        await self.offer(reply, sender=peer_id)
+        self.try_run()
+
+    def try_run(self) -> None:
+        """Runs what enough nodes hold, as one atomic step."""
+        if not self.is_settled:
+            return
+        safe_seq = self._safe_seq()
+        due_seq = self._state.next_step_seq(safe_seq)
+        if due_seq <= self._state.running_seq:
+            self._due = None
+            return
+        if self._due is None:
+            self._due = (due_seq, self._clock.monotonic_s())
+        applied = self._state.run_up_to(safe_seq)
+        self._events.record("change-running", seq=self._state.running_seq)
+        self._report_rejections()
+        self._on_running(applied)
+
+    def _safe_seq(self) -> int:
+        others = set(self._live()) - {self._node_id}
+        return self._book.safe_seq(self._state.held_seq, others)
+
+    def _report_rejections(self) -> None:
+        found = list(self._state.rejected.items())
+        for (key, version), reason in found[self._reported :]:
+            name = key.removeprefix(row_keys.PROFILE)
+            self._events.record(
+                "profile-rejected", profile=name, version=version, why=reason
+            )
+            self._on_rejection(rejection.Rejection(name, version, reason))
+        self._reported = len(found)
+
+    async def _report_held(self) -> None:
+        await self._peers.broadcast(
+            held.Held(self._node_id, self._state.held_seq)
+        )
+
+    async def _on_delta(self, sender: str, delta: delta_message.Delta) -> None:
+        self._book.raise_to(sender, delta.to_seq)
+        if not await self.offer(delta, sender=sender):
+            self._wake_when_behind(delta.to_seq)
+            self.try_run()
+
+    async def _on_held(self, sender: str, message: held.Held) -> None:
+        del sender
+        self._book.raise_to(message.node_id, message.held_seq)
+        self._wake_when_behind(message.held_seq)
+        self.try_run()
+
+    async def _on_pull_delta(
+        self, sender: str, message: pull_delta.PullDelta
+    ) -> delta_message.Delta | busy.Busy:
+        del sender
+        if not self.is_settled:
+            return self._slots.busy()
+        return self._slots.admit(self._state.delta_since(message.from_seq))
+
+    def _wake_when_behind(self, seq: int) -> None:
+        if seq > self._state.held_seq:
+            self._behind.set()
+
+    async def _tick(self) -> None:
+        while True:
+            await self._clock.sleep_s(TICK_S)
+            self.try_run()
+            if self._due is not None:
+                seq, since_s = self._due
+                convergence.check(
+                    node_id=self._node_id,
+                    seq=seq,
+                    running_seq=self._state.running_seq,
+                    since_s=since_s,
+                    now_s=self._clock.monotonic_s(),
+                )
+
+    async def _pull_when_behind(self) -> None:
+        waits = backoff.Backoff(
+            rng=self._rng,
+            base_s=_PULL_BACKOFF_BASE_S,
+            cap_s=_PULL_BACKOFF_CAP_S,
+        )
+        while True:
+            await self._behind.wait()
+            self._behind = anyio.Event()
+            await self._clock.sleep_s(self._rng.uniform(*_PULL_DELAY_S))
+            ahead = self._book.ahead_of(self._state.held_seq)
+            if not ahead or not self.is_settled:
+                continue
+            peer_id = self._rng.choice(ahead)
+            try:
+                await self.pull_from(peer_id)
+                waits.reset()
+            except exceptions.PeerError as error:
+                self._book.forget(peer_id)
+                await self._clock.sleep_s(_wait_s(error, waits))
+            self._wake_again()
+
+    def _wake_again(self) -> None:
+        if self._book.ahead_of(self._state.held_seq):
+            self._behind.set()
+
+
+def _wait_s(error: exceptions.PeerError, waits: backoff.Backoff) -> float:
+    if isinstance(error, exceptions.PeerBusyError):
+        return error.retry_after_ms / backoff.MS_PER_S
+    return waits.next_s()
--- a/src/galenatack/exceptions.py
+++ b/src/galenatack/exceptions.py
@@ -236,3 +236,9 @@
         details = " ".join(f"{key}={value!r}" for key, value in facts.items())
         super().__init__(f"{message} {details}".strip())
         self.facts = facts
+
+
+class ObjectCorruptError(PlatformError):
+    """An object is missing or its body differs from its content hash."""
+
+    code = "object-corrupt"
--- /dev/null
+++ b/src/galenatack/invariants/atomic_apply.py
@@ -0,0 +1,52 @@
+"""Invariant 3: a step of the log is applied whole or not at all."""
+
+import collections.abc
+
+from galenatack import exceptions
+from galenatack.invariants import reaction
+from galenatack.model import entry
+
+
+class AtomicApplyError(exceptions.InvariantViolationError):
+    """Part of a step is missing from the running state."""
+
+    code = "invariant-atomic-apply"
+
+
+def check(
+    *,
+    node_id: str,
+    step: collections.abc.Iterable[entry.Entry],
+    rejected: collections.abc.Container[str],
+    old: collections.abc.Mapping[str, entry.Entry],
+    new: collections.abc.Mapping[str, entry.Entry],
+) -> None:
+    """Checks that a step replaced exactly its entries.
+
+    Args:
+        node_id: Node that takes the step.
+        step: All entries of the step, the latest of each key.
+        rejected: Keys of the entries that the node could not run.
+        old: Running entries by key before the step.
+        new: Running entries by key after the step.
+
+    Raises:
+        AtomicApplyError: An entry differs from both (mode `raise`).
+    """
+    expected = dict(old)
+    expected.update(
+        {item.key: item for item in step if item.key not in rejected}
+    )
+    differing = sorted(
+        key
+        for key in expected.keys() | new.keys()
+        if expected.get(key) != new.get(key)
+    )
+    if differing:
+        reaction.report(
+            AtomicApplyError(
+                "running state is not the whole step",
+                node_id=node_id,
+                keys=tuple(differing),
+            )
+        )
