--- /dev/null
+++ b/src/galenatack/links/_field_checks.py
@@ -0,0 +1,109 @@
+"""Checks of decoded values, built once from the annotations of a type."""
+
+import collections.abc
+import functools
+import types
+import typing
+
+Check = collections.abc.Callable[[typing.Any], typing.Any]
+
+MAX_TEXT_CHARACTERS = 64 * 1024
+"""Longest string: the longest field is a path with its query."""
+
+MAX_ITEMS = 16 * 1024
+"""Longest array: four times the member table of the design scale."""
+
+MIN_INTEGER = -(1 << 63)
+MAX_INTEGER = (1 << 64) - 1
+
+
+def _text(value: typing.Any) -> str:
+    if type(value) is not str or len(value) > MAX_TEXT_CHARACTERS:
+        raise ValueError("text expected")
+    return value
+
+
+def _integer(value: typing.Any) -> int:
+    if type(value) is not int or not MIN_INTEGER <= value <= MAX_INTEGER:
+        raise ValueError("64-bit integer expected")
+    return value
+
+
+def _exact(kind: type, value: typing.Any) -> typing.Any:
+    if type(value) is not kind:
+        raise ValueError(f"{kind.__name__} expected")
+    return value
+
+
+def _optional(check: Check, value: typing.Any) -> typing.Any:
+    return None if value is None else check(value)
+
+
+def _array(check: Check, value: typing.Any) -> tuple[typing.Any, ...]:
+    if type(value) is not list or len(value) > MAX_ITEMS:
+        raise ValueError("array expected")
+    return tuple([check(item) for item in value])
+
+
+def _fixed(
+    checks: tuple[Check, ...], value: typing.Any
+) -> tuple[typing.Any, ...]:
+    if type(value) is not list or len(value) != len(checks):
+        raise ValueError(f"array of {len(checks)} expected")
+    return tuple(
+        [check(item) for check, item in zip(checks, value, strict=True)]
+    )
+
+
+def _record(
+    kind: type,
+    checks: tuple[Check, ...],
+    required: int,
+    value: typing.Any,
+) -> typing.Any:
+    if type(value) is not list or not required <= len(value) <= len(checks):
+        raise ValueError(f"fields of {kind.__name__} expected")
+    # An older peer leaves out fields that were added at the end.
+    return kind(
+        *[check(item) for check, item in zip(checks, value, strict=False)]
+    )
+
+
+def _generic(hint: typing.Any) -> Check:
+    arguments = typing.get_args(hint)
+    origin = typing.get_origin(hint)
+    if origin in (types.UnionType, typing.Union):
+        inner = next(item for item in arguments if item is not type(None))
+        return functools.partial(_optional, build(inner))
+    if origin is tuple and arguments[-1] is Ellipsis:
+        return functools.partial(_array, build(arguments[0]))
+    if origin is tuple:
+        return functools.partial(
+            _fixed, tuple(build(item) for item in arguments)
+        )
+    raise TypeError(f"no check for {hint}")
+
+
+@functools.cache
+def build(hint: typing.Any) -> Check:
+    """Returns the check of an annotation.
+
+    The check returns the value with arrays turned into the annotated tuples,
+    or raises ValueError.
+
+    Args:
+        hint: `str`, `int`, `bool`, `bytes`, a NamedTuple type, a tuple or
+            an optional of these.
+    """
+    if hint is str:
+        return _text
+    if hint is int:
+        return _integer
+    if hint in (bool, bytes):
+        return functools.partial(_exact, hint)
+    if not hasattr(hint, "_fields"):
+        return _generic(hint)
+    hints = typing.get_type_hints(hint)
+    checks = tuple(build(hints[name]) for name in hint._fields)
+    required = len(checks) - len(hint._field_defaults)
+    return functools.partial(_record, hint, checks, required)
--- /dev/null
+++ b/src/galenatack/links/message_tags.py
@@ -0,0 +1,42 @@
+"""Numbers that stand for the message types on the wire."""
+
+from galenatack.messages import ask_posting
+from galenatack.messages import busy
+from galenatack.messages import call
+from galenatack.messages import call_answer
+from galenatack.messages import cancel_call
+from galenatack.messages import delta
+from galenatack.messages import evidence
+from galenatack.messages import heartbeat
+from galenatack.messages import held
+from galenatack.messages import hello
+from galenatack.messages import members
+from galenatack.messages import posting_status
+from galenatack.messages import protocol_failure
+from galenatack.messages import pull_delta
+from galenatack.messages import pull_members
+from galenatack.messages import withdraw
+
+# A number is part of the protocol: it is never reused for another type.
+TYPES: dict[int, type] = {
+    1: hello.Hello,
+    2: heartbeat.Heartbeat,
+    3: members.Members,
+    4: pull_members.PullMembers,
+    5: delta.Delta,
+    6: pull_delta.PullDelta,
+    7: busy.Busy,
+    8: held.Held,
+    9: evidence.Evidence,
+    10: withdraw.Withdraw,
+    11: call.Call,
+    12: call_answer.CallAnswer,
+    13: cancel_call.CancelCall,
+    14: ask_posting.AskPosting,
+    15: posting_status.PostingStatus,
+    16: protocol_failure.ProtocolFailure,
+}
+"""Message type by tag."""
+
+TAGS: dict[type, int] = {kind: tag for tag, kind in TYPES.items()}
+"""Tag by message type."""
--- /dev/null
+++ b/src/galenatack/membership/duties.py
@@ -0,0 +1,137 @@
+"""Duties that rotate over nodes, assigned by rendezvous hash."""
+
+import collections.abc
+import hashlib
+
+from galenatack.membership import member_table
+from galenatack.model import member_record
+from galenatack.model import member_status
+
+READERS_PER_DATA_CENTRE = 2
+CARRIERS_PER_REGION = 2
+CARRIERS_PER_DATA_CENTRE = 2
+
+EPOCH_MS = 3_600_000
+"""Duties move to other nodes each hour, so that their cost is spread."""
+
+_Records = collections.abc.Iterable[member_record.MemberRecord]
+
+# A leaving node gives up its duties before it stops; a joining node has not
+# caught up yet and takes them only when there is no other.
+_PREFERRED = (
+    member_status.MemberStatus.SERVING,
+    member_status.MemberStatus.SUSPECT,
+)
+
+
+def epoch(wall_ms: int) -> int:
+    """Returns the number of the hour."""
+    return wall_ms // EPOCH_MS
+
+
+def rank(node_ids: collections.abc.Iterable[str], salt: str) -> list[str]:
+    """Returns the nodes in the order of their claim to a duty."""
+
+    def weight(node_id: str) -> bytes:
+        text = f"{salt}\0{node_id}".encode()
+        return hashlib.blake2b(text, digest_size=8).digest()
+
+    return sorted(node_ids, key=lambda node_id: (weight(node_id), node_id))
+
+
+def is_reader(table: member_table.MemberTable, epoch_number: int) -> bool:
+    """Tells whether this node reads the platform for its data centre."""
+    own = table.own
+    node_ids = _eligible(
+        record
+        for record in table.live()
+        if record.data_centre == own.data_centre
+    )
+    ranked = rank(node_ids, f"reader/{own.data_centre}/{epoch_number}")
+    return own.node_id in ranked[:READERS_PER_DATA_CENTRE]
+
+
+def carriers(
+    table: member_table.MemberTable, region: str, epoch_number: int
+) -> tuple[str, ...]:
+    """Returns the carriers of a region, from different data centres.
+
+    A region with one data centre has both carriers in it.
+    """
+    records = {
+        record.node_id: record
+        for record in table.live()
+        if record.region == region
+    }
+    ranked = rank(
+        _eligible(records.values()), f"carrier/{region}/{epoch_number}"
+    )
+    first_of = {
+        records[node_id].data_centre: node_id for node_id in reversed(ranked)
+    }
+    firsts = [n for n in ranked if n in first_of.values()]
+    others = [n for n in ranked if n not in first_of.values()]
+    return tuple((firsts + others)[:CARRIERS_PER_REGION])
+
+
+def data_centre_carriers(
+    table: member_table.MemberTable, data_centre: str, epoch_number: int
+) -> tuple[str, ...]:
+    """Returns the nodes that link a data centre to others of its region."""
+    node_ids = _eligible(
+        record for record in table.live() if record.data_centre == data_centre
+    )
+    ranked = rank(node_ids, f"join/{data_centre}/{epoch_number}")
+    return tuple(ranked[:CARRIERS_PER_DATA_CENTRE])
+
+
+def carrier_peers(
+    table: member_table.MemberTable, epoch_number: int
+) -> frozenset[str]:
+    """Returns the nodes to which this node holds carrier links.
+
+    The carriers of the same rank hold one link. A side with fewer carriers
+    uses its last one for the rest.
+    """
+    own = table.own
+    groups = [
+        carriers(table, region, epoch_number)
+        for region in sorted({r.region for r in table.live()} - {own.region})
+    ]
+    mine = carriers(table, own.region, epoch_number)
+    pairs = _pairs(own.node_id, mine, groups)
+    centres = {r.data_centre for r in table.live() if r.region == own.region}
+    joined = [
+        data_centre_carriers(table, name, epoch_number)
+        for name in sorted(centres - {own.data_centre})
+    ]
+    mine = data_centre_carriers(table, own.data_centre, epoch_number)
+    return pairs | _pairs(own.node_id, mine, joined)
+
+
+def is_first_carrier(
+    table: member_table.MemberTable, epoch_number: int
+) -> bool:
+    """Tells whether this node sends the stream of its region to others."""
+    own = table.own
+    return own.node_id in carriers(table, own.region, epoch_number)[:1]
+
+
+def _pairs(
+    own_id: str,
+    mine: tuple[str, ...],
+    groups: list[tuple[str, ...]],
+) -> frozenset[str]:
+    chosen = set()
+    for theirs in groups:
+        for index in range(max(len(mine), len(theirs))):
+            here = mine[min(index, len(mine) - 1)] if mine else ""
+            if here == own_id and theirs:
+                chosen.add(theirs[min(index, len(theirs) - 1)])
+    return frozenset(chosen)
+
+
+def _eligible(records: _Records) -> list[str]:
+    kept = list(records)
+    preferred = [r.node_id for r in kept if r.status in _PREFERRED]
+    return preferred or [r.node_id for r in kept]
--- /dev/null
+++ b/src/galenatack/membership/member_table.py
@@ -0,0 +1,200 @@
+"""What a node knows of all members."""
+
+import collections
+import collections.abc
+import hashlib
+
+from galenatack.interfaces import clock as clock_interface
+from galenatack.model import member_record
+from galenatack.model import member_status
+
+Record = member_record.MemberRecord
+Callback = collections.abc.Callable[[tuple[Record, ...]], None]
+
+DROP_DEAD_AFTER_S = 600.0
+"""Dead records are shown this long."""
+
+KEEP_TOMBSTONE_S = 86_400.0
+"""A dropped record still beats older ones this long."""
+
+REMEMBERED_PER_DATA_CENTRE = 4
+"""Records kept of a data centre without live ones, to find it again."""
+
+_RANKS = {
+    status: rank for rank, status in enumerate(member_status.MemberStatus)
+}
+
+
+def precedence(record: Record) -> tuple[object, ...]:
+    """Returns the key by which records of one node are compared.
+
+    The record itself comes last, so that merging is commutative even when
+    a faulty peer sends two records with equal numbers.
+    """
+    rank = _RANKS.get(record.status, -1)
+    return (record.incarnation, rank, record.beat, record)
+
+
+def _hash64(record: Record) -> int:
+    digest = hashlib.blake2b(repr(tuple(record)).encode(), digest_size=8)
+    return int.from_bytes(digest.digest(), "big")
+
+
+def _is_dead(record: Record) -> bool:
+    return record.status == member_status.MemberStatus.DEAD
+
+
+class MemberTable:
+    """Records by node; merging is commutative and idempotent.
+
+    Args:
+        own: Record of this node.
+        clock: Clock for dropping dead records.
+    """
+
+    def __init__(self, *, own: Record, clock: clock_interface.Clock):
+        self._own_id = own.node_id
+        self._clock = clock
+        self._records: dict[str, Record] = {}
+        self._died_s: dict[str, float] = {}
+        self._digest = 0
+        self._live: tuple[Record, ...] | None = None
+        self._callbacks: list[Callback] = []
+        self._remembered: dict[str, dict[str, Record]] = (
+            collections.defaultdict(dict)
+        )
+        self._store(own)
+
+    @property
+    def own(self) -> Record:
+        """Record of this node."""
+        return self._records[self._own_id]
+
+    def get(self, node_id: str) -> Record | None:
+        """Returns the record of a node, or None."""
+        record = self._records.get(node_id)
+        return None if record is None or self._is_dropped(record) else record
+
+    def records(self) -> tuple[Record, ...]:
+        """Returns all records that are not dropped, by node id."""
+        return tuple(
+            record
+            for _, record in sorted(self._records.items())
+            if not self._is_dropped(record)
+        )
+
+    def live(self) -> tuple[Record, ...]:
+        """Returns all records that are not dead, by node id."""
+        if self._live is None:
+            self._live = tuple(
+                record
+                for _, record in sorted(self._records.items())
+                if not _is_dead(record)
+            )
+        return self._live
+
+    def digest(self) -> int:
+        """Returns 64 bits that are equal for equal live records.
+
+        Dead records do not count, because each node drops them at a time of
+        its own.
+        """
+        return self._digest
+
+    def remembered(self, data_centre: str) -> tuple[Record, ...]:
+        """Returns the last live records of a data centre, newest last."""
+        return tuple(self._remembered[data_centre].values())
+
+    def data_centres(self) -> frozenset[str]:
+        """Returns the data centres that had a live member at any time."""
+        return frozenset(self._remembered)
+
+    def subscribe(self, callback: Callback) -> None:
+        """Calls `callback` with the changed records after each change."""
+        self._callbacks.append(callback)
+
+    def update_own(self, **changes: object) -> Record:
+        """Changes fields of the own record and returns it."""
+        record = self.own._replace(beat=self.own.beat + 1, **changes)
+        self._store(record)
+        self._notify((record,))
+        return record
+
+    def merge(
+        self, records: collections.abc.Iterable[Record]
+    ) -> tuple[Record, ...]:
+        """Takes over records that win and returns the changed ones.
+
+        A record of this node itself that wins is refuted with a higher
+        incarnation; the own record is then among the changed ones.
+        """
+        changed: dict[str, Record] = {}
+        for record in records:
+            winner = self._winner(record)
+            if winner is not None:
+                self._store(winner)
+                changed[winner.node_id] = winner
+        result = tuple(changed.values())
+        if result:
+            self._notify(result)
+        return result
+
+    def newer_than(
+        self, records: collections.abc.Iterable[Record]
+    ) -> tuple[Record, ...]:
+        """Returns the known records that beat the given ones."""
+        known = (
+            (record, self._records.get(record.node_id)) for record in records
+        )
+        return tuple(
+            mine
+            for record, mine in known
+            if mine is not None and precedence(mine) > precedence(record)
+        )
+
+    def drop_dead(self) -> None:
+        """Forgets tombstones whose time is over."""
+        now_s = self._clock.monotonic_s()
+        for node_id, died_s in list(self._died_s.items()):
+            if now_s - died_s >= KEEP_TOMBSTONE_S:
+                del self._died_s[node_id]
+                del self._records[node_id]
+
+    def _winner(self, record: Record) -> Record | None:
+        known = self._records.get(record.node_id)
+        if known is not None and precedence(record) <= precedence(known):
+            return None
+        if record.node_id == self._own_id:
+            return self.own._replace(incarnation=record.incarnation + 1)
+        return record
+
+    def _store(self, record: Record) -> None:
+        known = self._records.get(record.node_id)
+        if known is not None and not _is_dead(known):
+            self._digest ^= _hash64(known)
+        self._records[record.node_id] = record
+        self._live = None
+        if _is_dead(record):
+            now_s = self._clock.monotonic_s()
+            self._died_s.setdefault(record.node_id, now_s)
+            return
+        self._died_s.pop(record.node_id, None)
+        self._digest ^= _hash64(record)
+        self._remember(record)
+
+    def _remember(self, record: Record) -> None:
+        group = self._remembered[record.data_centre]
+        group.pop(record.node_id, None)
+        group[record.node_id] = record
+        if len(group) > REMEMBERED_PER_DATA_CENTRE:
+            del group[next(iter(group))]
+
+    def _is_dropped(self, record: Record) -> bool:
+        died_s = self._died_s.get(record.node_id)
+        if died_s is None:
+            return False
+        return self._clock.monotonic_s() - died_s >= DROP_DEAD_AFTER_S
+
+    def _notify(self, changed: tuple[Record, ...]) -> None:
+        for callback in self._callbacks:
+            callback(changed)
