Add peer links over websockets and the membership service

The overlay, carrier, direct and calls links and the flooding of member records come together, because neither runs without the other.

--- /dev/null
+++ b/src/galenatack/links/handshake.py
@@ -0,0 +1,146 @@
+"""The first exchange on a connection."""
+
+import typing
+
+import anyio
+from websockets import exceptions as websockets_exceptions
+from websockets.asyncio import connection as websockets_connection
+
+from galenatack import exceptions
+from galenatack.links import link_purpose
+from galenatack.links import message_codec
+from galenatack.messages import hello
+from galenatack.messages import protocol_failure
+from galenatack.model import member_record
+
+PROTOCOL = 1
+"""Protocol version of this release."""
+
+OLDEST_PROTOCOL = 1
+"""Oldest protocol version that this release speaks."""
+
+TIMEOUT_S = 2.0
+"""Same bound as for a silent link."""
+
+_CLOSE_PROTOCOL_ERROR = 1002
+
+
+class Handshake:
+    """Exchanges and checks `Hello`.
+
+    Args:
+        deployment: Name that both sides must give.
+        own_id: This node; a link to itself is refused.
+    """
+
+    def __init__(self, *, deployment: str, own_id: str):
+        self._deployment = deployment
+        self._own_id = own_id
+
+    async def dial(
+        self,
+        connection: websockets_connection.Connection,
+        *,
+        record: member_record.MemberRecord,
+        purpose: link_purpose.LinkPurpose,
+    ) -> hello.Hello:
+        """Sends Hello and returns the checked Hello of the peer.
+
+        Raises:
+            exceptions.ProtocolError: Either side refused.
+            exceptions.PeerUnreachableError: The peer went away.
+        """
+        own = self._hello(record, purpose)
+        await _send(connection, own)
+        answer = await _receive(connection)
+        return await self._checked(connection, answer)
+
+    async def accept(
+        self,
+        connection: websockets_connection.Connection,
+        *,
+        record: member_record.MemberRecord,
+    ) -> hello.Hello:
+        """Returns the checked Hello of a dialling peer and answers it.
+
+        Raises:
+            exceptions.ProtocolError: The peer was refused.
+            exceptions.PeerUnreachableError: The peer went away.
+        """
+        theirs = await self._checked(connection, await _receive(connection))
+        purpose = link_purpose.LinkPurpose(theirs.purpose)
+        await _send(connection, self._hello(record, purpose))
+        return theirs
+
+    def _hello(
+        self,
+        record: member_record.MemberRecord,
+        purpose: link_purpose.LinkPurpose,
+    ) -> hello.Hello:
+        return hello.Hello(
+            PROTOCOL, OLDEST_PROTOCOL, self._deployment, purpose.value, record
+        )
+
+    async def _checked(
+        self,
+        connection: websockets_connection.Connection,
+        message: typing.Any,
+    ) -> hello.Hello:
+        fault = self._fault(message)
+        if fault is None:
+            return message
+        if not isinstance(message, protocol_failure.ProtocolFailure):
+            await _send(connection, fault)
+        await connection.close(_CLOSE_PROTOCOL_ERROR)
+        raise exceptions.ProtocolError(f"{fault.code}: {fault.detail}")
+
+    def _fault(
+        self, message: typing.Any
+    ) -> protocol_failure.ProtocolFailure | None:
+        failure = protocol_failure.ProtocolFailure
+        if isinstance(message, failure):
+            return message
+        if not isinstance(message, hello.Hello):
+            return failure("protocol", "Hello expected")
+        if (
+            message.protocol < OLDEST_PROTOCOL
+            or message.oldest_protocol > PROTOCOL
+        ):
+            return failure(
+                "protocol-version",
+                f"versions {OLDEST_PROTOCOL} to {PROTOCOL} are spoken here",
+            )
+        if message.deployment != self._deployment:
+            return failure("deployment", f"this is {self._deployment}")
+        if message.purpose not in list(link_purpose.LinkPurpose):
+            return failure("protocol", "unknown purpose of the link")
+        if message.record.node_id == self._own_id:
+            return failure("self", "the node dialled itself")
+        return None
+
+
+async def _send(
+    connection: websockets_connection.Connection, message: typing.Any
+) -> None:
+    try:
+        await connection.send(message_codec.encode(message))
+    except websockets_exceptions.ConnectionClosed as error:
+        raise exceptions.PeerUnreachableError(str(error)) from error
+
+
+async def _receive(
+    connection: websockets_connection.Connection,
+) -> typing.Any:
+    try:
+        with anyio.fail_after(TIMEOUT_S):
+            frame = await connection.recv()
+        return message_codec.decode(frame).message
+    except exceptions.ProtocolError as error:
+        failure = protocol_failure.ProtocolFailure(error.code, str(error))
+        await _send(connection, failure)
+        await connection.close(_CLOSE_PROTOCOL_ERROR)
+        raise
+    except (websockets_exceptions.ConnectionClosed, TimeoutError) as error:
+        raise exceptions.PeerUnreachableError(
+            f"no Hello from the peer: {error}"
+        ) from error
--- /dev/null
+++ b/src/galenatack/links/link_factory.py
@@ -0,0 +1,163 @@
+"""Opens and accepts connections."""
+
+import collections.abc
+
+from websockets import exceptions as websockets_exceptions
+from websockets.asyncio import client as websockets_client
+from websockets.asyncio import connection as websockets_connection
+from websockets.asyncio import server as websockets_server
+
+from galenatack import exceptions
+from galenatack.interfaces import clock as clock_interface
+from galenatack.links import fault_injector
+from galenatack.links import handshake
+from galenatack.links import link_purpose
+from galenatack.links import message_codec
+from galenatack.links import peer_link
+from galenatack.links import tls
+from galenatack.links import traffic_counter
+from galenatack.membership import member_table
+from galenatack.messages import hello
+
+OPEN_TIMEOUT_S = 2.0
+CLOSE_TIMEOUT_S = 1.0
+
+# The links have heartbeats of their own. Compression costs CPU and about
+# 64 KB a connection, and the frames are small.
+_OPTIONS = {
+    "compression": None,
+    "max_size": message_codec.MAX_FRAME_BYTES,
+    "open_timeout": OPEN_TIMEOUT_S,
+    "close_timeout": CLOSE_TIMEOUT_S,
+    "ping_interval": None,
+}
+
+
+Accepted = collections.abc.Callable[
+    [websockets_connection.Connection], collections.abc.Awaitable[None]
+]
+
+
+class LinkFactory:
+    """Makes links out of connections.
+
+    Args:
+        deployment: Name of the deployment.
+        table: Members; gives the own record.
+        clock: Clock of the links.
+        faults: Cuts and delays.
+        traffic: Counters of all links.
+        peer_tls: TLS contexts.
+    """
+
+    def __init__(
+        self,
+        *,
+        deployment: str,
+        table: member_table.MemberTable,
+        clock: clock_interface.Clock,
+        faults: fault_injector.FaultInjector,
+        traffic: traffic_counter.TrafficCounter,
+        peer_tls: tls.PeerTls,
+    ):
+        self._table = table
+        self._clock = clock
+        self._faults = faults
+        self._traffic = traffic
+        self._tls = peer_tls
+        self._handshake = handshake.Handshake(
+            deployment=deployment, own_id=table.own.node_id
+        )
+
+    def listen(
+        self, address: str, accepted: Accepted
+    ) -> websockets_server.serve:
+        """Returns the server of an address as an async context manager.
+
+        Args:
+            address: host:port; port 0 takes a free one.
+            accepted: Coroutine function that gets each connection.
+        """
+        host, _, port = address.rpartition(":")
+        return websockets_server.serve(
+            accepted, host, int(port), ssl=self._tls.server, **_OPTIONS
+        )
+
+    async def dial(
+        self, address: str, purpose: link_purpose.LinkPurpose
+    ) -> tuple[peer_link.PeerLink, hello.Hello]:
+        """Opens a link.
+
+        Raises:
+            exceptions.PeerUnreachableError: No connection.
+            exceptions.ProtocolError: The handshake was refused.
+        """
+        connection = await self._connect(address)
+        try:
+            greeting = await self._handshake.dial(
+                connection, record=self._table.own, purpose=purpose
+            )
+            self._check_cut(greeting)
+        except BaseException:
+            connection.transport.abort()
+            raise
+        return self._link(connection, greeting, purpose, True), greeting
+
+    async def accept(
+        self, connection: websockets_connection.Connection
+    ) -> tuple[peer_link.PeerLink, hello.Hello]:
+        """Makes a link of a connection that a peer opened.
+
+        Raises:
+            exceptions.PeerUnreachableError: The peer went away.
+            exceptions.ProtocolError: The peer was refused.
+        """
+        greeting = await self._handshake.accept(
+            connection, record=self._table.own
+        )
+        self._check_cut(greeting)
+        purpose = link_purpose.LinkPurpose(greeting.purpose)
+        return self._link(connection, greeting, purpose, False), greeting
+
+    async def _connect(self, address: str) -> websockets_connection.Connection:
+        scheme = "wss" if self._tls.client else "ws"
+        try:
+            return await websockets_client.connect(
+                f"{scheme}://{address}/",
+                ssl=self._tls.client,
+                proxy=None,
+                user_agent_header=None,
+                **_OPTIONS,
+            )
+        except (
+            OSError,
+            TimeoutError,
+            ValueError,
+            websockets_exceptions.WebSocketException,
+        ) as error:
+            raise exceptions.PeerUnreachableError(
+                f"cannot connect to {address}: {error}"
+            ) from error
+
+    def _check_cut(self, greeting: hello.Hello) -> None:
+        if self._faults.is_cut(greeting.record.data_centre):
+            raise exceptions.PeerUnreachableError(
+                f"{greeting.record.data_centre} is cut off"
+            )
+
+    def _link(
+        self,
+        connection: websockets_connection.Connection,
+        greeting: hello.Hello,
+        purpose: link_purpose.LinkPurpose,
+        dialled: bool,
+    ) -> peer_link.PeerLink:
+        return peer_link.PeerLink(
+            connection=connection,
+            record=greeting.record,
+            purpose=purpose,
+            dialled=dialled,
+            clock=self._clock,
+            faults=self._faults,
+            traffic=self._traffic,
+        )
--- /dev/null
+++ b/src/galenatack/links/link_keeper.py
@@ -0,0 +1,131 @@
+"""Keeps the overlay and carrier links that membership asks for."""
+
+import collections.abc
+import logging
+
+import anyio
+import anyio.abc
+
+from galenatack import exceptions
+from galenatack.interfaces import clock as clock_interface
+from galenatack.interfaces import random_source
+from galenatack.links import backoff
+from galenatack.links import link_book
+from galenatack.links import link_purpose
+from galenatack.links import peer_link
+from galenatack.membership import duties
+from galenatack.membership import member_table
+from galenatack.membership import ring
+from galenatack.model import member_record
+
+YIELD_S = 0.5
+"""How long the node with the higher id waits for the other side's dial."""
+
+_LOGGER = logging.getLogger(__name__)
+
+Open = collections.abc.Callable[
+    [str, link_purpose.LinkPurpose],
+    collections.abc.Awaitable[peer_link.PeerLink],
+]
+
+
+class LinkKeeper:
+    """One task for each wanted link.
+
+    Args:
+        table: Members.
+        clock: Clock for the duty epoch.
+        rng: Jitter of the backoff.
+        book: The open links.
+        open_link: Opens a link to a node.
+    """
+
+    def __init__(
+        self,
+        *,
+        table: member_table.MemberTable,
+        clock: clock_interface.Clock,
+        rng: random_source.RandomSource,
+        book: link_book.LinkBook,
+        open_link: Open,
+    ):
+        self._table = table
+        self._clock = clock
+        self._rng = rng
+        self._book = book
+        self._open = open_link
+        self._scopes: dict[str, anyio.CancelScope] = {}
+        self._stale = True
+        self._epoch = -1
+        self._stream_peers: frozenset[str] = frozenset()
+        table.subscribe(self._on_changed)
+
+    def is_stream_peer(self, node_id: str) -> bool:
+        """Tells whether this node sends its region's stream to a peer."""
+        return node_id in self._stream_peers
+
+    def refresh(self, tasks: anyio.abc.TaskGroup) -> None:
+        """Starts and stops tasks after a change of the membership."""
+        self._close_unwanted(tasks)
+        epoch = duties.epoch(self._clock.wall_ms())
+        if not self._stale and epoch == self._epoch:
+            return
+        self._stale = False
+        self._epoch = epoch
+        wanted = self._wanted()
+        self._stream_peers = duties.stream_peers(self._table, epoch)
+        for node_id in self._scopes.keys() - wanted.keys():
+            self._scopes.pop(node_id).cancel()
+        for node_id in sorted(wanted.keys() - self._scopes.keys()):
+            scope = anyio.CancelScope()
+            self._scopes[node_id] = scope
+            tasks.start_soon(self._keep, node_id, wanted[node_id], scope)
+
+    def _on_changed(
+        self, changed: tuple[member_record.MemberRecord, ...]
+    ) -> None:
+        del changed
+        self._stale = True
+
+    def _wanted(self) -> dict[str, link_purpose.LinkPurpose]:
+        own = self._table.own
+        neighbours = ring.successors(
+            own.node_id,
+            (
+                record.node_id
+                for record in self._table.live()
+                if record.data_centre == own.data_centre
+            ),
+        )
+        carried = duties.carrier_peers(self._table, self._epoch)
+        return dict.fromkeys(
+            carried, link_purpose.LinkPurpose.CARRIER
+        ) | dict.fromkeys(neighbours, link_purpose.LinkPurpose.OVERLAY)
+
+    async def _keep(
+        self,
+        node_id: str,
+        purpose: link_purpose.LinkPurpose,
+        scope: anyio.CancelScope,
+    ) -> None:
+        delays = backoff.Backoff(rng=self._rng)
+        with scope:
+            if self._table.own.node_id > node_id:
+                await self._clock.sleep_s(YIELD_S)
+            while True:
+                link = self._book.find_kept(node_id)
+                try:
+                    link = link or await self._open(node_id, purpose)
+                    delays.reset()
+                    await link.closed.wait()
+                except exceptions.PeerError as error:
+                    _LOGGER.debug(
+                        "event=dial-failed peer=%s error=%s", node_id, error
+                    )
+                await self._clock.sleep_s(delays.next_s())
+
+    def _close_unwanted(self, tasks: anyio.abc.TaskGroup) -> None:
+        for link in self._book.links():
+            is_kept = link.dialled and link.purpose in link_purpose.KEPT
+            if is_kept and link.node_id not in self._scopes:
+                link.close_soon(tasks)
--- /dev/null
+++ b/src/galenatack/links/link_monitor.py
@@ -0,0 +1,92 @@
+"""Heartbeats, and the end of silent and idle links."""
+
+import collections.abc
+import logging
+
+import anyio.abc
+
+from galenatack import exceptions
+from galenatack.interfaces import clock as clock_interface
+from galenatack.links import link_book
+from galenatack.links import link_purpose
+from galenatack.links import message_codec
+from galenatack.links import peer_link
+from galenatack.messages import heartbeat
+
+TICK_S = 0.25
+HEARTBEAT_S = 1.0
+SILENT_S = 2.0
+IDLE_S = 30.0
+
+STALL_S = 1.0
+"""A tick this late means that this process stood still, not its peers."""
+
+_LOGGER = logging.getLogger(__name__)
+
+HeartbeatSource = collections.abc.Callable[[], heartbeat.Heartbeat]
+
+
+class LinkMonitor:
+    """Watches all links with one timer.
+
+    Args:
+        book: The open links.
+        clock: Clock of the links.
+        heartbeat_source: Returns the heartbeat to send.
+    """
+
+    def __init__(
+        self,
+        *,
+        book: link_book.LinkBook,
+        clock: clock_interface.Clock,
+        heartbeat_source: HeartbeatSource,
+    ):
+        self._book = book
+        self._clock = clock
+        self._heartbeat_source = heartbeat_source
+        self._ticked_s = clock.monotonic_s()
+
+    def tick(self, tasks: anyio.abc.TaskGroup) -> None:
+        """Does what is due on each link.
+
+        Args:
+            tasks: Where the closing handshakes run.
+        """
+        now_s = self._clock.monotonic_s()
+        if now_s - self._ticked_s > TICK_S + STALL_S:
+            for link in self._book.links():
+                link.received_s = now_s
+        self._ticked_s = now_s
+        self._send_heartbeats(now_s)
+        for link in self._book.links():
+            if now_s - link.received_s > SILENT_S:
+                _LOGGER.info("event=link-silent peer=%s", link.node_id)
+                link.abort()
+            elif self._is_idle(link, now_s):
+                link.close_soon(tasks)
+        for link in self._book.surplus_direct():
+            link.close_soon(tasks)
+
+    def _send_heartbeats(self, now_s: float) -> None:
+        # Half a tick of slack keeps the mean interval at one second.
+        due_s = now_s - HEARTBEAT_S + TICK_S / 2
+        due = [link for link in self._book.links() if link.beat_s <= due_s]
+        if not due:
+            return
+        message = self._heartbeat_source()
+        frame = message_codec.encode(message)
+        for link in due:
+            link.beat_s = now_s
+            try:
+                link.post_frame(frame, heartbeat.Heartbeat)
+            except exceptions.PeerUnreachableError:
+                continue
+
+    def _is_idle(self, link: peer_link.PeerLink, now_s: float) -> bool:
+        return (
+            link.dialled
+            and link.purpose not in link_purpose.KEPT
+            and not link.pending_requests
+            and now_s - link.used_s > IDLE_S
+        )
--- /dev/null
+++ b/src/galenatack/links/message_server.py
@@ -0,0 +1,118 @@
+"""Hands received messages to their handlers."""
+
+import logging
+import typing
+
+import anyio.abc
+
+from galenatack import exceptions
+from galenatack.interfaces import peer_network
+from galenatack.links import envelope
+from galenatack.links import peer_link
+from galenatack.messages import busy
+from galenatack.messages import hello
+from galenatack.messages import protocol_failure
+
+MAX_SERVING = 1024
+"""Handlers that run at once for one link; a faulty peer is refused."""
+
+BUSY_RETRY_MS = 200
+NOT_READY_RETRY_MS = 1000
+
+_LOGGER = logging.getLogger(__name__)
+
+
+class MessageServer:
+    """One task for each received message.
+
+    Attributes:
+        tasks: Task group of the handlers; None while the node does not run.
+    """
+
+    def __init__(self):
+        self._handlers: dict[type, peer_network.Handler] = {}
+        self.tasks: anyio.abc.TaskGroup | None = None
+
+    def on(self, message_type: type, handler: peer_network.Handler) -> None:
+        """Registers the handler of a message type."""
+        self._handlers[message_type] = handler
+
+    def greet(self, link: peer_link.PeerLink, greeting: hello.Hello) -> None:
+        """Hands over the Hello of a new link."""
+        self._start(link, envelope.Envelope(greeting))
+
+    def receive(
+        self, link: peer_link.PeerLink, received: envelope.Envelope
+    ) -> None:
+        """Starts the handler of a message that is no reply.
+
+        Raises:
+            exceptions.ProtocolError: The message is not allowed here.
+        """
+        message = received.message
+        if isinstance(message, hello.Hello):
+            raise exceptions.ProtocolError("second Hello")
+        if isinstance(message, protocol_failure.ProtocolFailure):
+            _LOGGER.warning(
+                "event=refused-by-peer peer=%s code=%s detail=%r",
+                link.node_id,
+                message.code,
+                message.detail,
+            )
+            return
+        if link.serving >= MAX_SERVING:
+            self._refuse(link, received, BUSY_RETRY_MS)
+        else:
+            self._start(link, received)
+
+    def _start(
+        self, link: peer_link.PeerLink, received: envelope.Envelope
+    ) -> None:
+        handler = self._handlers.get(type(received.message))
+        if handler is None or self.tasks is None:
+            self._refuse(link, received, NOT_READY_RETRY_MS)
+            return
+        link.serving += 1
+        self.tasks.start_soon(self._serve, link, received, handler)
+
+    def _refuse(
+        self,
+        link: peer_link.PeerLink,
+        received: envelope.Envelope,
+        retry_after_ms: int,
+    ) -> None:
+        if received.request_id:
+            _reply(link, received, busy.Busy(retry_after_ms))
+
+    async def _serve(
+        self,
+        link: peer_link.PeerLink,
+        received: envelope.Envelope,
+        handler: peer_network.Handler,
+    ) -> None:
+        try:
+            answer = await handler(link.node_id, received.message)
+        except exceptions.PeerBusyError as error:
+            answer = busy.Busy(error.retry_after_ms)
+        except exceptions.GalenatackError as error:
+            answer = protocol_failure.ProtocolFailure(error.code, str(error))
+            _LOGGER.warning(
+                "event=handler-failed peer=%s error=%s", link.node_id, error
+            )
+        # A fault in one handler must not end all links of the node.
+        except Exception:
+            answer = protocol_failure.ProtocolFailure("internal", "")
+            _LOGGER.exception("event=handler-failed peer=%s", link.node_id)
+        finally:
+            link.serving -= 1
+        if received.request_id and answer is not None:
+            _reply(link, received, answer)
+
+
+def _reply(
+    link: peer_link.PeerLink, received: envelope.Envelope, answer: typing.Any
+) -> None:
+    try:
+        link.post(answer, reply_id=received.request_id)
+    except exceptions.PeerUnreachableError:
+        _LOGGER.debug("event=reply-dropped peer=%s", link.node_id)
--- /dev/null
+++ b/src/galenatack/links/peer_link.py
@@ -0,0 +1,249 @@
+"""One open connection to a peer."""
+
+import asyncio
+import collections
+import collections.abc
+import math
+import socket
+import typing
+
+import anyio
+import anyio.abc
+from websockets import exceptions as websockets_exceptions
+from websockets.asyncio import connection as websockets_connection
+
+from galenatack import exceptions
+from galenatack.interfaces import clock as clock_interface
+from galenatack.links import envelope
+from galenatack.links import fault_injector
+from galenatack.links import link_purpose
+from galenatack.links import message_codec
+from galenatack.links import traffic_counter
+from galenatack.messages import busy
+from galenatack.messages import heartbeat
+from galenatack.messages import protocol_failure
+from galenatack.model import member_record
+
+MAX_UNSENT_BYTES = 2 * message_codec.MAX_FRAME_BYTES
+"""A peer that reads more slowly than this allows is dropped."""
+
+MAX_REQUEST_ID = (1 << 32) - 1
+
+CLOSE_NORMAL = 1000
+CLOSE_PROTOCOL_ERROR = 1002
+
+OnMessage = collections.abc.Callable[["PeerLink", envelope.Envelope], None]
+
+
+class PeerLink:
+    """Frames, requests and replies over one connection.
+
+    Writing never waits: the transport buffers up to `MAX_UNSENT_BYTES`, then
+    the link is dropped. So a slow peer delays no other one.
+
+    Attributes:
+        record: The peer's record, as its Hello gave it.
+        purpose: What the link is for.
+        dialled: True when this node opened it.
+        used_s: When a frame other than a heartbeat last passed.
+        beat_s: When a heartbeat was last sent.
+        received_s: When a frame last came.
+        serving: Messages whose handlers run.
+        closed: Set when the connection is gone.
+    """
+
+    def __init__(
+        self,
+        *,
+        connection: websockets_connection.Connection,
+        record: member_record.MemberRecord,
+        purpose: link_purpose.LinkPurpose,
+        dialled: bool,
+        clock: clock_interface.Clock,
+        faults: fault_injector.FaultInjector,
+        traffic: traffic_counter.TrafficCounter,
+    ):
+        self._connection = connection
+        self.record = record
+        self.purpose = purpose
+        self.dialled = dialled
+        self.serving = 0
+        self._clock = clock
+        self._faults = faults
+        self._traffic = traffic
+        self._delay_s = faults.delay_s(record.region)
+        self._delayed: collections.deque[bytes] = collections.deque()
+        self._delayed_bytes = 0
+        self._pending: dict[int, asyncio.Future[typing.Any]] = {}
+        self._last_id = 0
+        self._planned = False
+        now_s = clock.monotonic_s()
+        self.used_s = self.received_s = now_s
+        # The first heartbeat goes out at once and starts the anti-entropy.
+        self.beat_s = -math.inf
+        self.closed = asyncio.Event()
+        _disable_nagle(connection)
+
+    @property
+    def node_id(self) -> str:
+        """The peer."""
+        return self.record.node_id
+
+    @property
+    def is_planned_close(self) -> bool:
+        """True when either side closed the link on purpose."""
+        return self._planned or self._connection.close_code == CLOSE_NORMAL
+
+    @property
+    def pending_requests(self) -> int:
+        """Requests without a reply so far."""
+        return len(self._pending)
+
+    def post(
+        self, message: typing.Any, *, request_id: int = 0, reply_id: int = 0
+    ) -> None:
+        """Sends a message without waiting.
+
+        Raises:
+            exceptions.PeerUnreachableError: The link is closed.
+            exceptions.ProtocolError: The message is too large.
+        """
+        frame = message_codec.encode(
+            message, request_id=request_id, reply_id=reply_id
+        )
+        self.post_frame(frame, type(message))
+
+    def post_frame(self, frame: bytes, message_type: type) -> None:
+        """Sends an encoded message without waiting.
+
+        Raises:
+            exceptions.PeerUnreachableError: The link is closed.
+        """
+        if self.closed.is_set():
+            raise exceptions.PeerUnreachableError(
+                f"link to {self.node_id} is closed"
+            )
+        if message_type is not heartbeat.Heartbeat:
+            self.used_s = self._clock.monotonic_s()
+        if self._faults.is_cut(self.record.data_centre):
+            return
+        self._traffic.count_sent(message_type, len(frame), self.record.region)
+        if not self._delay_s:
+            self._write(frame)
+            return
+        self._delayed.append(frame)
+        self._delayed_bytes += len(frame)
+        loop = asyncio.get_running_loop()
+        loop.call_later(self._delay_s, self._release)
+
+    async def request(
+        self, message: typing.Any, *, timeout_s: float
+    ) -> typing.Any:
+        """Sends a request and returns its reply.
+
+        Raises:
+            exceptions.PeerUnreachableError: Nothing was sent.
+            exceptions.PeerTimeoutError: The reply did not arrive.
+            exceptions.PeerBusyError: The peer refused for now.
+        """
+        self._last_id = self._last_id % MAX_REQUEST_ID + 1
+        request_id = self._last_id
+        future = asyncio.get_running_loop().create_future()
+        self._pending[request_id] = future
+        try:
+            self.post(message, request_id=request_id)
+            with anyio.move_on_after(timeout_s):
+                return _accept(await future)
+        finally:
+            self._pending.pop(request_id, None)
+        raise exceptions.PeerTimeoutError(
+            f"no reply from {self.node_id} in {timeout_s:.3f} s"
+        )
+
+    async def run(self, on_message: OnMessage) -> None:
+        """Reads frames until the connection is closed."""
+        try:
+            async for frame in self._connection:
+                self._receive(frame, on_message)
+        except exceptions.ProtocolError as error:
+            await self._refuse(error)
+        except websockets_exceptions.ConnectionClosed:
+            pass
+        finally:
+            self._finish()
+
+    def close_soon(self, tasks: anyio.abc.TaskGroup) -> None:
+        """Closes the link on purpose; the handshake runs in a task."""
+        if self._planned or self.closed.is_set():
+            return
+        self._planned = True
+        # Nothing is posted any more; a caller takes or opens another link.
+        self.closed.set()
+        tasks.start_soon(self._connection.close, CLOSE_NORMAL)
+
+    def abort(self) -> None:
+        """Drops the connection without a closing handshake."""
+        self._connection.transport.abort()
+        self._finish()
+
+    def _receive(self, frame: bytes | str, on_message: OnMessage) -> None:
+        if self._faults.is_cut(self.record.data_centre):
+            return
+        received = message_codec.decode(frame)
+        kind = type(received.message)
+        self._traffic.count_received(kind, len(frame), self.record.region)
+        self.received_s = self._clock.monotonic_s()
+        if kind is not heartbeat.Heartbeat:
+            self.used_s = self.received_s
+        if not received.reply_id:
+            on_message(self, received)
+            return
+        future = self._pending.get(received.reply_id)
+        if future is not None and not future.done():
+            future.set_result(received.message)
+
+    async def _refuse(self, error: exceptions.ProtocolError) -> None:
+        failure = protocol_failure.ProtocolFailure(error.code, str(error))
+        if not self.closed.is_set():
+            self.post(failure)
+        # The failure is on its way before the close; nothing follows it.
+        await self._connection.close(CLOSE_PROTOCOL_ERROR)
+
+    def _release(self) -> None:
+        # Timers of one delay fire in the order of their frames only by
+        # chance when they are equal, so each sends the oldest frame.
+        frame = self._delayed.popleft()
+        self._delayed_bytes -= len(frame)
+        cut = self._faults.is_cut(self.record.data_centre)
+        if not self.closed.is_set() and not cut:
+            self._write(frame)
+
+    def _write(self, frame: bytes) -> None:
+        websockets_connection.broadcast((self._connection,), frame)
+        unsent = self._connection.transport.get_write_buffer_size()
+        if unsent + self._delayed_bytes > MAX_UNSENT_BYTES:
+            self.abort()
+
+    def _finish(self) -> None:
+        self.closed.set()
+        for future in self._pending.values():
+            if not future.done():
+                future.set_result(None)
+
+
+def _accept(reply: typing.Any) -> typing.Any:
+    if isinstance(reply, busy.Busy):
+        raise exceptions.PeerBusyError(
+            "peer is busy", retry_after_ms=reply.retry_after_ms
+        )
+    if reply is None:
+        raise exceptions.PeerTimeoutError("link lost before the reply")
+    if isinstance(reply, protocol_failure.ProtocolFailure):
+        raise exceptions.PeerTimeoutError(f"peer failed: {reply.detail}")
+    return reply
+
+
+def _disable_nagle(connection: websockets_connection.Connection) -> None:
+    raw = connection.transport.get_extra_info("socket")
+    if raw is not None:
+        raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
--- /dev/null
+++ b/src/galenatack/links/peer_network.py
@@ -0,0 +1,289 @@
+"""Links to peers over websockets."""
+
+import collections.abc
+import logging
+import typing
+
+import anyio
+import anyio.abc
+from websockets.asyncio import connection as websockets_connection
+
+from galenatack import exceptions
+from galenatack.interfaces import clock as clock_interface
+from galenatack.interfaces import peer_network
+from galenatack.interfaces import random_source
+from galenatack.links import fault_injector
+from galenatack.links import link_book
+from galenatack.links import link_factory
+from galenatack.links import link_keeper
+from galenatack.links import link_monitor
+from galenatack.links import link_opener
+from galenatack.links import link_purpose
+from galenatack.links import message_codec
+from galenatack.links import message_server
+from galenatack.links import peer_link
+from galenatack.links import rejoiner
+from galenatack.links import tls
+from galenatack.links import traffic_counter
+from galenatack.membership import member_table
+from galenatack.messages import call
+from galenatack.messages import cancel_call
+from galenatack.messages import delta
+from galenatack.messages import hello
+from galenatack.messages import members
+
+RELOAD_TLS_S = 30.0
+
+_STREAMED = frozenset({delta.Delta, members.Members})
+"""Types that anti-entropy repairs; they cross to a region only once."""
+
+_LOGGER = logging.getLogger(__name__)
+
+OnLost = collections.abc.Callable[[str], None]
+
+
+class WebsocketPeers:
+    """Implements `interfaces.peer_network.PeerNetwork`.
+
+    Args:
+        deployment: Name of the deployment; links to others are refused.
+        listen_address: host:port of the listener; port 0 takes a free one,
+            which then goes into the own record.
+        seeds: Addresses to dial at start.
+        table: Members; tells which links to keep.
+        clock: Clock of the links.
+        rng: Jitter.
+        heartbeat_source: Returns the heartbeat to send.
+        peer_tls: TLS contexts.
+        faults: Cuts and delays, for tests.
+    """
+
+    def __init__(
+        self,
+        *,
+        deployment: str,
+        listen_address: str,
+        seeds: tuple[str, ...],
+        table: member_table.MemberTable,
+        clock: clock_interface.Clock,
+        rng: random_source.RandomSource,
+        heartbeat_source: link_monitor.HeartbeatSource,
+        peer_tls: tls.PeerTls,
+        faults: fault_injector.FaultInjector | None = None,
+    ):
+        own = table.own
+        self._listen_address = listen_address
+        self._table = table
+        self._clock = clock
+        self._tls = peer_tls
+        self.fault_injector = faults or fault_injector.FaultInjector(
+            own_region=own.region
+        )
+        self._traffic = traffic_counter.TrafficCounter(own_region=own.region)
+        self._book = link_book.LinkBook()
+        self._server = message_server.MessageServer()
+        self._on_lost: list[OnLost] = []
+        self._tasks: anyio.abc.TaskGroup | None = None
+        self._factory = link_factory.LinkFactory(
+            deployment=deployment,
+            table=table,
+            clock=clock,
+            faults=self.fault_injector,
+            traffic=self._traffic,
+            peer_tls=peer_tls,
+        )
+        self._opener = link_opener.LinkOpener(
+            factory=self._factory,
+            table=table,
+            faults=self.fault_injector,
+            started=self._start_link,
+        )
+        self._keeper = link_keeper.LinkKeeper(
+            table=table,
+            clock=clock,
+            rng=rng,
+            book=self._book,
+            open_link=self._opener.open,
+        )
+        self._rejoiner = rejoiner.Rejoiner(
+            table=table,
+            clock=clock,
+            rng=rng,
+            book=self._book,
+            seeds=seeds,
+            dial=self._opener.open_address,
+        )
+        self._monitor = link_monitor.LinkMonitor(
+            book=self._book, clock=clock, heartbeat_source=heartbeat_source
+        )
+
+    def on(self, message_type: type, handler: peer_network.Handler) -> None:
+        """Registers the handler of a message type.
+
+        `Hello` is handed over once for each opened link.
+        """
+        self._server.on(message_type, handler)
+
+    def on_lost(self, callback: OnLost) -> None:
+        """Calls back with a node whose last kept link broke."""
+        self._on_lost.append(callback)
+
+    def traffic(self) -> traffic_counter.Traffic:
+        """Returns frames and bytes by type, direction and boundary."""
+        return self._traffic.traffic()
+
+    def neighbours(self) -> frozenset[str]:
+        """Returns the node ids of all open overlay and carrier links."""
+        return frozenset(link.node_id for link in self._book.kept())
+
+    async def run(
+        self,
+        *,
+        task_status: anyio.abc.TaskStatus[str] = anyio.TASK_STATUS_IGNORED,
+    ) -> None:
+        """Listens and keeps links until cancelled.
+
+        Args:
+            task_status: Gets the address of the listener once it is open.
+
+        Raises:
+            OSError: The listener's address cannot be used.
+        """
+        listener = self._factory.listen(self._listen_address, self._accepted)
+        async with anyio.create_task_group() as tasks, listener as server:
+            self._set_tasks(tasks)
+            host, port = next(iter(server.sockets)).getsockname()[:2]
+            if self._table.own.peer_address != f"{host}:{port}":
+                self._own_address(f"{host}:{port}")
+            task_status.started(f"{host}:{port}")
+            tasks.start_soon(self._rejoiner.run)
+            tasks.start_soon(self._reload_tls)
+            try:
+                await self._tick(tasks)
+            finally:
+                self._set_tasks(None)
+                for link in self._book.links():
+                    link.abort()
+
+    async def broadcast(
+        self, message: typing.Any, *, exclude: str | None = None
+    ) -> None:
+        """Sends to all overlay and carrier links but the one to `exclude`."""
+        kind = type(message)
+        own_region = self._table.own.region
+        frame: bytes | None = None
+        for link in self._book.kept():
+            is_standby = (
+                link.record.region != own_region
+                and kind in _STREAMED
+                and not self._keeper.is_stream_peer(link.node_id)
+            )
+            if link.node_id == exclude or is_standby:
+                continue
+            frame = frame or message_codec.encode(message)
+            try:
+                link.post_frame(frame, kind)
+            except exceptions.PeerUnreachableError:
+                continue
+
+    async def send(self, node_id: str, message: typing.Any) -> None:
+        """Sends to one node, over a link that is dialled when needed."""
+        link = await self._link(
+            node_id, for_calls=isinstance(message, cancel_call.CancelCall)
+        )
+        link.post(message)
+
+    async def request(
+        self, node_id: str, message: typing.Any, *, timeout_s: float
+    ) -> typing.Any:
+        """Sends to one node and returns its reply."""
+        for_calls = isinstance(message, call.Call)
+        link = self._book.find(node_id, for_calls=for_calls)
+        if link is not None:
+            return await link.request(message, timeout_s=timeout_s)
+        started_s = self._clock.monotonic_s()
+        with anyio.move_on_after(timeout_s):
+            link = await self._link(node_id, for_calls=for_calls)
+        left_s = timeout_s - (self._clock.monotonic_s() - started_s)
+        if link is None or left_s <= 0:
+            raise exceptions.PeerUnreachableError(
+                f"no link to {node_id} in {timeout_s:.3f} s"
+            )
+        return await link.request(message, timeout_s=left_s)
+
+    async def _link(
+        self, node_id: str, *, for_calls: bool
+    ) -> peer_link.PeerLink:
+        link = self._book.find(node_id, for_calls=for_calls)
+        if link is not None:
+            return link
+        purposes = link_purpose.LinkPurpose
+        purpose = purposes.CALLS if for_calls else purposes.DIRECT
+        return await self._opener.open(node_id, purpose)
+
+    def _set_tasks(self, tasks: anyio.abc.TaskGroup | None) -> None:
+        self._tasks = tasks
+        self._opener.tasks = tasks
+        self._server.tasks = tasks
+
+    def _own_address(self, address: str) -> None:
+        self._table.update_own(peer_address=address)
+
+    async def _accepted(
+        self, connection: websockets_connection.Connection
+    ) -> None:
+        try:
+            link, greeting = await self._factory.accept(connection)
+        except exceptions.PeerError as error:
+            _LOGGER.info("event=peer-refused error=%s", error)
+            connection.transport.abort()
+            return
+        await self._run_link(link, greeting)
+
+    def _start_link(
+        self, link: peer_link.PeerLink, greeting: hello.Hello
+    ) -> None:
+        if self._tasks is None:
+            link.abort()
+            return
+        self._book.add(link)
+        self._tasks.start_soon(self._read_link, link, greeting)
+
+    async def _run_link(
+        self, link: peer_link.PeerLink, greeting: hello.Hello
+    ) -> None:
+        self._book.add(link)
+        await self._read_link(link, greeting)
+
+    async def _read_link(
+        self, link: peer_link.PeerLink, greeting: hello.Hello
+    ) -> None:
+        self._server.greet(link, greeting)
+        try:
+            await link.run(self._server.receive)
+        finally:
+            self._book.remove(link)
+            self._report_lost(link)
+
+    def _report_lost(self, link: peer_link.PeerLink) -> None:
+        is_kept = link.purpose in link_purpose.KEPT
+        if not is_kept or link.is_planned_close or self._tasks is None:
+            return
+        if self._book.find_kept(link.node_id) is None:
+            for callback in self._on_lost:
+                callback(link.node_id)
+
+    async def _tick(self, tasks: anyio.abc.TaskGroup) -> None:
+        while True:
+            self._keeper.refresh(tasks)
+            self._monitor.tick(tasks)
+            await self._clock.sleep_s(link_monitor.TICK_S)
+
+    async def _reload_tls(self) -> None:
+        while True:
+            await self._clock.sleep_s(RELOAD_TLS_S)
+            try:
+                if self._tls.reload_if_changed():
+                    _LOGGER.info("event=certificates-reloaded")
+            except (OSError, ValueError) as error:
+                _LOGGER.warning("event=certificates-bad error=%s", error)
--- /dev/null
+++ b/src/galenatack/links/rejoiner.py
@@ -0,0 +1,109 @@
+"""Finds nodes again that no link leads to."""
+
+import collections.abc
+import logging
+
+from galenatack import exceptions
+from galenatack.interfaces import clock as clock_interface
+from galenatack.interfaces import random_source
+from galenatack.links import backoff
+from galenatack.links import link_book
+from galenatack.membership import duties
+from galenatack.membership import member_table
+
+SEED_FIRST_S = 0.5
+SEED_LONGEST_S = 5.0
+
+LOST_INTERVAL_S = 4.0
+"""Mean time between attempts to find a lost data centre or node."""
+
+_LOGGER = logging.getLogger(__name__)
+
+DialAddress = collections.abc.Callable[[str], collections.abc.Awaitable[object]]
+
+
+class Rejoiner:
+    """Dials seeds at start, and lost members later.
+
+    After a partition both sides hold the other's records as dead, so neither
+    has a reason to dial. The carriers therefore keep trying seeds and the
+    last known addresses.
+
+    Args:
+        table: Members.
+        clock: Clock.
+        rng: Jitter and choice.
+        book: The open links.
+        seeds: Addresses from the settings.
+        dial: Opens a direct link to an address.
+    """
+
+    def __init__(
+        self,
+        *,
+        table: member_table.MemberTable,
+        clock: clock_interface.Clock,
+        rng: random_source.RandomSource,
+        book: link_book.LinkBook,
+        seeds: tuple[str, ...],
+        dial: DialAddress,
+    ):
+        self._table = table
+        self._clock = clock
+        self._rng = rng
+        self._book = book
+        self._seeds = seeds
+        self._dial = dial
+
+    async def run(self) -> None:
+        """Dials for as long as the node runs."""
+        delays = backoff.Backoff(
+            rng=self._rng, first_s=SEED_FIRST_S, longest_s=SEED_LONGEST_S
+        )
+        while True:
+            if self._book.links():
+                delays.reset()
+                await self._find_lost()
+                pause_s = self._rng.uniform(0.5, 1.5) * LOST_INTERVAL_S
+            else:
+                await self._dial_seeds()
+                pause_s = delays.next_s()
+            await self._clock.sleep_s(pause_s)
+
+    def lost_addresses(self) -> tuple[str, ...]:
+        """Returns addresses that no live record covers."""
+        own = self._table.own
+        live = self._table.live()
+        reached = {record.peer_address for record in live}
+        populated = {r.data_centre for r in live if r.node_id != own.node_id}
+        lost = {
+            record.peer_address
+            for name in self._table.data_centres() - populated
+            for record in self._table.remembered(name)
+        }
+        dead = {
+            record.peer_address
+            for record in self._table.records()
+            if record.region == own.region
+        }
+        return tuple(sorted((lost | dead | set(self._seeds)) - reached))
+
+    async def _find_lost(self) -> None:
+        epoch = duties.epoch(self._clock.wall_ms())
+        if not duties.is_carrier(self._table, epoch):
+            return
+        lost = self.lost_addresses()
+        if lost:
+            await self._try(self._rng.choice(lost))
+
+    async def _dial_seeds(self) -> None:
+        own_address = self._table.own.peer_address
+        for address in self._seeds:
+            if address != own_address:
+                await self._try(address)
+
+    async def _try(self, address: str) -> None:
+        try:
+            await self._dial(address)
+        except exceptions.PeerError as error:
+            _LOGGER.debug("event=dial-failed peer=%s error=%s", address, error)
--- /dev/null
+++ b/src/galenatack/links/tls.py
@@ -0,0 +1,88 @@
+"""TLS contexts for links between nodes."""
+
+import logging
+import os
+import ssl
+
+from galenatack import exceptions
+from galenatack.settings import trust_settings
+
+_LOGGER = logging.getLogger(__name__)
+
+MODE_NONE = "none"
+
+
+class PeerTls:
+    """Contexts for mutual TLS; follows changes of the certificate files.
+
+    Args:
+        trust: Files and mode.
+
+    Raises:
+        exceptions.SettingsError: A file is missing or not valid.
+    """
+
+    def __init__(self, *, trust: trust_settings.TrustSettings):
+        self._trust = trust
+        self._loaded: tuple[tuple[int, int], ...] = ()
+        self.client: ssl.SSLContext | None = None
+        self.server: ssl.SSLContext | None = None
+        if trust.mode == MODE_NONE:
+            _LOGGER.warning(
+                "event=trust-none links between nodes are neither"
+                " authenticated nor encrypted"
+            )
+            return
+        self.client = _context(ssl.PROTOCOL_TLS_CLIENT)
+        self.server = _context(ssl.PROTOCOL_TLS_SERVER)
+        try:
+            self.reload_if_changed()
+        except (OSError, ValueError) as error:
+            raise exceptions.SettingsError(f"trust: {error}") from error
+
+    def reload_if_changed(self) -> bool:
+        """Loads the files into the same contexts when they changed.
+
+        New handshakes use the new files; open links stay as they are.
+
+        Returns:
+            True when the files were loaded.
+
+        Raises:
+            OSError: A file is missing or not valid; `ssl.SSLError` is one.
+        """
+        if self.client is None or self.server is None:
+            return False
+        found = self._fingerprint()
+        if found == self._loaded:
+            return False
+        # A trial context first: a certificate without its key, as seen in
+        # the middle of a renewal, must not spoil the contexts in use.
+        for context in (
+            _context(ssl.PROTOCOL_TLS_CLIENT),
+            self.client,
+            self.server,
+        ):
+            context.load_verify_locations(cafile=self._trust.ca_file)
+            context.load_cert_chain(self._trust.cert_file, self._trust.key_file)
+        self._loaded = found
+        return True
+
+    def _fingerprint(self) -> tuple[tuple[int, int], ...]:
+        files = (
+            self._trust.ca_file,
+            self._trust.cert_file,
+            self._trust.key_file,
+        )
+        stats = [os.stat(name) for name in files]
+        return tuple((stat.st_mtime_ns, stat.st_ino) for stat in stats)
+
+
+def _context(protocol: int) -> ssl.SSLContext:
+    context = ssl.SSLContext(protocol)
+    context.minimum_version = ssl.TLSVersion.TLSv1_3
+    # Nodes are dialled by IP address; the deployment's own authority, not
+    # the name, decides who is a member.
+    context.check_hostname = False
+    context.verify_mode = ssl.CERT_REQUIRED
+    return context
--- a/src/galenatack/membership/duties.py
+++ b/src/galenatack/membership/duties.py
@@ -90,45 +90,51 @@
 ) -> frozenset[str]:
     """Returns the nodes to which this node holds carrier links.
 
-    The carriers of the same rank hold one link. A side with fewer carriers
-    uses its last one for the rest.
+    Each carrier links to both carriers of the other side, so that losing all
+    links to a side is evidence against the side and not against one node.
     """
     own = table.own
-    groups = [
-        carriers(table, region, epoch_number)
-        for region in sorted({r.region for r in table.live()} - {own.region})
-    ]
-    mine = carriers(table, own.region, epoch_number)
-    pairs = _pairs(own.node_id, mine, groups)
-    centres = {r.data_centre for r in table.live() if r.region == own.region}
-    joined = [
-        data_centre_carriers(table, name, epoch_number)
-        for name in sorted(centres - {own.data_centre})
-    ]
-    mine = data_centre_carriers(table, own.data_centre, epoch_number)
-    return pairs | _pairs(own.node_id, mine, joined)
-
-
-def is_first_carrier(
+    chosen: set[str] = set()
+    if own.node_id in carriers(table, own.region, epoch_number):
+        for region in {r.region for r in table.live()} - {own.region}:
+            chosen.update(carriers(table, region, epoch_number))
+    joining = data_centre_carriers(table, own.data_centre, epoch_number)
+    if own.node_id in joining:
+        for name in _other_data_centres(table):
+            chosen.update(data_centre_carriers(table, name, epoch_number))
+    return frozenset(chosen)
+
+
+def stream_peers(
     table: member_table.MemberTable, epoch_number: int
-) -> bool:
-    """Tells whether this node sends the stream of its region to others."""
+) -> frozenset[str]:
+    """Returns the peers in other regions to which this node sends streams.
+
+    Only the first carriers of two regions exchange them. The second ones
+    repair by digest, so that each change crosses the boundary once each way.
+    """
+    own = table.own
+    if own.node_id not in carriers(table, own.region, epoch_number)[:1]:
+        return frozenset()
+    regions = {record.region for record in table.live()} - {own.region}
+    return frozenset(
+        carriers(table, region, epoch_number)[0] for region in regions
+    )
+
+
+def is_carrier(table: member_table.MemberTable, epoch_number: int) -> bool:
+    """Tells whether this node links its data centre or region to others."""
     own = table.own
-    return own.node_id in carriers(table, own.region, epoch_number)[:1]
+    return own.node_id in (
+        *carriers(table, own.region, epoch_number),
+        *data_centre_carriers(table, own.data_centre, epoch_number),
+    )
 
 
-def _pairs(
-    own_id: str,
-    mine: tuple[str, ...],
-    groups: list[tuple[str, ...]],
-) -> frozenset[str]:
-    chosen = set()
-    for theirs in groups:
-        for index in range(max(len(mine), len(theirs))):
-            here = mine[min(index, len(mine) - 1)] if mine else ""
-            if here == own_id and theirs:
-                chosen.add(theirs[min(index, len(theirs) - 1)])
-    return frozenset(chosen)
+def _other_data_centres(table: member_table.MemberTable) -> frozenset[str]:
+    own = table.own
+    names = {r.data_centre for r in table.live() if r.region == own.region}
+    return frozenset(names - {own.data_centre})
 
 
 def _eligible(records: _Records) -> list[str]:
