--- a/src/galenatack/exceptions.py
+++ b/src/galenatack/exceptions.py
@@ -236,3 +236,41 @@
         details = " ".join(f"{key}={value!r}" for key, value in facts.items())
         super().__init__(f"{message} {details}".strip())
         self.facts = facts
+
+
+class SnapshotError(GalenatackError):
+    """Entries have references that do not resolve; one line for each."""
+
+    code = "snapshot"
+
+
+class BadCallError(CallError):
+    """The call is malformed or exceeds a limit.
+
+    Attributes:
+        status: HTTP status that describes it.
+    """
+
+    code = "bad-call"
+
+    def __init__(self, message: str, *, status: int = 400):
+        super().__init__(message)
+        self.status = status
+
+
+class LeavingError(CallError):
+    """The target is leaving, or its version is withdrawn."""
+
+    code = "leaving"
+
+
+class CancelledCallError(CallError):
+    """The call was cancelled before it started."""
+
+    code = "cancelled"
+
+
+class TicketGoneError(CallError):
+    """The incarnation that issued the ticket is gone."""
+
+    code = "ticket-gone"
--- a/src/galenatack/invariants/__init__.py
+++ b/src/galenatack/invariants/__init__.py
@@ -1,1 +1,1 @@
-"""The ten invariants, one module each."""
+"""Invariants, one module each, checked where the product decides."""
--- /dev/null
+++ b/src/galenatack/invariants/graceful_stop.py
@@ -0,0 +1,34 @@
+"""Invariant 9: a planned stop drops no in-flight request."""
+
+from galenatack import exceptions
+from galenatack.invariants import reaction
+
+
+class CutCallError(exceptions.InvariantViolationError):
+    """A planned stop went on while calls were in flight."""
+
+    code = "invariant-graceful-stop"
+
+
+def check(*, node_id: str, call_ids: tuple[str, ...], drain_s: float) -> bool:
+    """Returns True when no call is in flight at the end of a drain.
+
+    Args:
+        node_id: Node that stops.
+        call_ids: Calls in flight or queued.
+        drain_s: Time that the drain was given, in seconds.
+
+    Raises:
+        CutCallError: Calls would be cut, in mode `raise`.
+    """
+    if not call_ids:
+        return True
+    reaction.report(
+        CutCallError(
+            "planned stop cuts calls",
+            node_id=node_id,
+            call_ids=call_ids,
+            drain_s=drain_s,
+        )
+    )
+    return False
--- /dev/null
+++ b/src/galenatack/invariants/leaving.py
@@ -0,0 +1,38 @@
+"""Invariant 8: a leaving target gets no new work after 3 s."""
+
+from galenatack import exceptions
+from galenatack.invariants import reaction
+
+LEAVE_BOUND_S = 3.0
+
+
+class WorkAfterLeavingError(exceptions.InvariantViolationError):
+    """A target got new work after it announced that it leaves."""
+
+    code = "invariant-leaving"
+
+
+def check(*, node_id: str, call_id: str, left_s: float, now_s: float) -> bool:
+    """Returns True when a dispatch to a leaving target is in bounds.
+
+    Args:
+        node_id: Node of the target.
+        call_id: The call that is about to be dispatched.
+        left_s: Monotonic time of the announcement.
+        now_s: Monotonic time of the dispatch.
+
+    Raises:
+        WorkAfterLeavingError: It is not, in mode `raise`.
+    """
+    since_s = now_s - left_s
+    if since_s <= LEAVE_BOUND_S:
+        return True
+    reaction.report(
+        WorkAfterLeavingError(
+            "new work for a leaving target",
+            node_id=node_id,
+            call_id=call_id,
+            since_s=round(since_s, 3),
+        )
+    )
+    return False
--- a/src/galenatack/routing/__init__.py
+++ b/src/galenatack/routing/__init__.py
@@ -1,1 +1,1 @@
-"""Routing snapshots, balancing, limits and budgets."""
+"""The path of a call: routing, limits and the inbound gate."""
--- /dev/null
+++ b/src/galenatack/routing/builder.py
@@ -0,0 +1,186 @@
+"""Builds routing snapshots from decoded entries and members."""
+
+import collections
+import collections.abc
+import types
+
+from galenatack import exceptions
+from galenatack.model import member_record
+from galenatack.model import member_status
+from galenatack.model import move_phase
+from galenatack.model import move_state
+from galenatack.model import profile as profile_module
+from galenatack.model import service_choice
+from galenatack.routing import service_table
+from galenatack.routing import snapshot
+from galenatack.routing import target_member
+
+# (service, version, move id)
+Withdrawn = collections.abc.Collection[tuple[str, str, str]]
+
+_ROUTABLE = (member_status.MemberStatus.SERVING,)
+# A suspect may be alive; it is used when nothing better is left.
+_LAST_RESORT = (member_status.MemberStatus.SUSPECT,)
+
+
+def build(
+    *,
+    profiles: collections.abc.Iterable[profile_module.Profile],
+    choices: collections.abc.Iterable[service_choice.ServiceChoice],
+    moves: collections.abc.Iterable[move_state.MoveState],
+    members: collections.abc.Iterable[member_record.MemberRecord],
+    withdrawn: Withdrawn,
+    own: member_record.MemberRecord,
+) -> snapshot.RoutingSnapshot:
+    """Builds a snapshot in which every reference resolves.
+
+    Args:
+        profiles: All profiles.
+        choices: The choice of each service.
+        moves: The latest move of each service, running or not.
+        members: Records of all members, the own one included.
+        withdrawn: Versions that get no calls while their move stands.
+        own: The own record; its data centre decides the tiers.
+
+    Raises:
+        exceptions.SnapshotError: A reference does not resolve; the message
+            has one line for each.
+    """
+    by_name = {profile.name: profile for profile in profiles}
+    moves_by_service = {move.service: move for move in moves}
+    groups = _group(members, own)
+    errors: list[str] = []
+    tables = {}
+    for choice in choices:
+        profile = by_name.get(choice.profile)
+        move = moves_by_service.get(choice.service)
+        problems = _problems(choice, profile, move)
+        errors.extend(problems)
+        if profile is not None and not problems:
+            tables[choice.service] = _table(
+                choice, profile, move, groups, withdrawn
+            )
+    if errors:
+        raise exceptions.SnapshotError("\n".join(errors))
+    return snapshot.RoutingSnapshot(types.MappingProxyType(tables))
+
+
+def _problems(
+    choice: service_choice.ServiceChoice,
+    profile: profile_module.Profile | None,
+    move: move_state.MoveState | None,
+) -> list[str]:
+    where = f"service {choice.service}"
+    if profile is None:
+        return [f"{where}: profile {choice.profile} is missing"]
+    wanted = [choice.version]
+    if _is_running(move):
+        wanted += [move.from_version, move.to_version]
+    wanted += [
+        pool.version
+        for pool in profile.pools
+        if pool.version != service_table.CURRENT
+    ]
+    problems = [
+        f"{where}: version {version} is not in profile {profile.name}"
+        for version in dict.fromkeys(wanted)
+        if version not in profile.versions
+    ]
+    pools = {pool.name for pool in profile.pools}
+    policies = {policy.name for policy in profile.retry_policies}
+    for route in profile.routes:
+        if route.pool not in pools:
+            problems.append(
+                f"{where}: route {route.name}: pool {route.pool} is missing"
+            )
+        if route.retry_policy not in policies:
+            problems.append(
+                f"{where}: route {route.name}: retry policy"
+                f" {route.retry_policy} is missing"
+            )
+    return problems
+
+
+def _is_running(move: move_state.MoveState | None) -> bool:
+    return move is not None and move.phase == move_phase.MovePhase.RUNNING
+
+
+def _table(
+    choice: service_choice.ServiceChoice,
+    profile: profile_module.Profile,
+    move: move_state.MoveState | None,
+    groups: dict[tuple[str, str], list[target_member.TargetMember]],
+    withdrawn: Withdrawn,
+) -> service_table.ServiceTable:
+    members = {
+        version: tuple(groups.get((choice.service, version), ()))
+        for version in profile.versions
+    }
+    if move is not None:
+        _apply_move(members, move, withdrawn)
+    pools = {
+        pool.name: pool._replace(version=choice.version)
+        if pool.version == service_table.CURRENT
+        else pool
+        for pool in profile.pools
+    }
+    moving = frozenset(
+        pool.name
+        for pool in profile.pools
+        if pool.version == service_table.CURRENT
+    )
+    routes = sorted(profile.routes, key=lambda route: -len(route.prefix))
+    return service_table.ServiceTable(
+        service=choice.service,
+        profile=profile.name,
+        version=choice.version,
+        routes=tuple(routes),
+        pools=types.MappingProxyType(pools),
+        moving_pools=moving,
+        retry_policies=types.MappingProxyType(
+            {policy.name: policy for policy in profile.retry_policies}
+        ),
+        members=types.MappingProxyType(members),
+        limits=profile.limits,
+        move=move if _is_running(move) else None,
+    )
+
+
+def _apply_move(
+    members: dict[str, tuple[target_member.TargetMember, ...]],
+    move: move_state.MoveState,
+    withdrawn: Withdrawn,
+) -> None:
+    new = move.to_version
+    if (move.service, new, move.move_id) in withdrawn:
+        members[new] = ()
+    elif _is_running(move) and move.active_targets and new in members:
+        # All nodes order by node id, so that they agree on the few.
+        members[new] = members[new][: move.active_targets]
+
+
+def _group(
+    members: collections.abc.Iterable[member_record.MemberRecord],
+    own: member_record.MemberRecord,
+) -> dict[tuple[str, str], list[target_member.TargetMember]]:
+    preferred = collections.defaultdict(list)
+    fallback = collections.defaultdict(list)
+    for record in sorted(members, key=lambda member: member.node_id):
+        target = target_member.TargetMember(
+            record.node_id, record.incarnation, record.slots, _tier(record, own)
+        )
+        if record.status in _ROUTABLE:
+            preferred[record.service, record.version].append(target)
+        elif record.status in _LAST_RESORT:
+            fallback[record.service, record.version].append(target)
+    return {**fallback, **preferred}
+
+
+def _tier(
+    record: member_record.MemberRecord, own: member_record.MemberRecord
+) -> int:
+    if record.data_centre == own.data_centre:
+        return target_member.OWN_DATA_CENTRE
+    if record.region == own.region:
+        return target_member.OWN_REGION
+    return target_member.OTHER_REGION
--- /dev/null
+++ b/src/galenatack/routing/results.py
@@ -0,0 +1,49 @@
+"""Final answers that galenatack itself gives."""
+
+from galenatack import exceptions
+from galenatack.model import call_result
+from galenatack.model import outcome
+
+DEFAULT_RETRY_AFTER_MS = 1000
+_STATUS = {
+    exceptions.OverloadedError.code: 503,
+    exceptions.NoTargetError.code: 503,
+    exceptions.LeavingError.code: 503,
+    exceptions.TargetConnectError.code: 503,
+    exceptions.TargetShedError.code: 503,
+    exceptions.PeerUnreachableError.code: 503,
+    exceptions.PeerBusyError.code: 503,
+    exceptions.CancelledCallError.code: 503,
+    exceptions.NoRouteError.code: 404,
+    exceptions.NotFoundError.code: 404,
+    exceptions.DeadlineExceededError.code: 504,
+    exceptions.PeerTimeoutError.code: 504,
+    exceptions.TargetAnswerLostError.code: 502,
+    exceptions.TicketGoneError.code: 409,
+}
+_BAD_GATEWAY = 502
+
+
+def not_run(error: exceptions.GalenatackError) -> call_result.CallResult:
+    """Returns the result of a call that provably did not run."""
+    return _failed(outcome.Outcome.NOT_RUN, error)
+
+
+def unknown(error: exceptions.GalenatackError) -> call_result.CallResult:
+    """Returns the result of a call that may have run."""
+    return _failed(outcome.Outcome.UNKNOWN, error)
+
+
+def _failed(
+    told: outcome.Outcome, error: exceptions.GalenatackError
+) -> call_result.CallResult:
+    status = getattr(error, "status", 0)
+    retry_after_ms = getattr(error, "retry_after_ms", DEFAULT_RETRY_AFTER_MS)
+    return call_result.CallResult(
+        outcome=told.value,
+        status=status or _STATUS.get(error.code, _BAD_GATEWAY),
+        headers=(("content-type", "text/plain; charset=utf-8"),),
+        body=f"{error.code}: {error}\n".encode(),
+        retry_after_ms=0 if status else retry_after_ms,
+        failure=error.code,
+    )
--- /dev/null
+++ b/src/galenatack/routing/running_call.py
@@ -0,0 +1,20 @@
+"""A call at the target."""
+
+import dataclasses
+
+import anyio
+
+
+@dataclasses.dataclass(slots=True)
+class RunningCall:
+    """A call at the target.
+
+    Attributes:
+        scope: Ends the wait for the answer.
+        is_posting: Whether the call runs at most once.
+        is_cancel_confirmed: The target confirmed that it never ran.
+    """
+
+    scope: anyio.CancelScope
+    is_posting: bool
+    is_cancel_confirmed: bool = False
--- /dev/null
+++ b/src/galenatack/routing/service_table.py
@@ -0,0 +1,43 @@
+"""The routing table of one service."""
+
+import collections.abc
+import typing
+
+from galenatack.model import limits
+from galenatack.model import move_state
+from galenatack.model import pool
+from galenatack.model import retry_policy
+from galenatack.model import route
+from galenatack.routing import target_member
+
+CURRENT = "current"
+
+
+class ServiceTable(typing.NamedTuple):
+    """The routing table of one service.
+
+    Attributes:
+        service: Name of the service.
+        profile: Name of the profile in force.
+        version: Target version outside of a move.
+        routes: Routes, longest prefix first.
+        pools: Pools by name; `current` is resolved to a version.
+        moving_pools: Names of the pools that a move shifts.
+        retry_policies: Retry policies by name.
+        members: Targets by version; every version has an item.
+        limits: Limits of calls.
+        move: The move that is running, or None.
+    """
+
+    service: str
+    profile: str
+    version: str
+    routes: tuple[route.Route, ...]
+    pools: collections.abc.Mapping[str, pool.Pool]
+    moving_pools: frozenset[str]
+    retry_policies: collections.abc.Mapping[str, retry_policy.RetryPolicy]
+    members: collections.abc.Mapping[
+        str, tuple[target_member.TargetMember, ...]
+    ]
+    limits: limits.Limits
+    move: move_state.MoveState | None
--- /dev/null
+++ b/src/galenatack/routing/token_bucket.py
@@ -0,0 +1,49 @@
+"""A token bucket on the monotonic clock."""
+
+from galenatack.interfaces import clock as clock_module
+
+
+class TokenBucket:
+    """Holds up to `capacity` tokens, refilled at `rate_per_s`.
+
+    Args:
+        clock: Source of time.
+        rate_per_s: Tokens added each second.
+        capacity: Most tokens; the bucket starts full.
+    """
+
+    def __init__(
+        self,
+        *,
+        clock: clock_module.Clock,
+        rate_per_s: float,
+        capacity: float,
+    ):
+        self._clock = clock
+        self._rate_per_s = rate_per_s
+        self._capacity = capacity
+        self._tokens = capacity
+        self._refilled_s = clock.monotonic_s()
+
+    def has(self, tokens: float) -> bool:
+        """Tells whether so many tokens are there."""
+        self._refill()
+        return self._tokens >= min(tokens, self._capacity)
+
+    def take(self, tokens: float) -> bool:
+        """Takes tokens if they are there; returns whether it did."""
+        if not self.has(tokens):
+            return False
+        self._tokens -= tokens
+        return True
+
+    def charge(self, tokens: float) -> None:
+        """Takes tokens even into debt."""
+        self._refill()
+        self._tokens -= tokens
+
+    def _refill(self) -> None:
+        now_s = self._clock.monotonic_s()
+        gained = (now_s - self._refilled_s) * self._rate_per_s
+        self._tokens = min(self._capacity, self._tokens + gained)
+        self._refilled_s = now_s
--- /dev/null
+++ b/tests/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the path of a call."""
