--- /dev/null
+++ b/bench/one_node.py
@@ -0,0 +1,183 @@
+"""A single node for benchmarks: caller side, proxy, gate and target link."""
+
+import random
+import signal
+import time
+
+import anyio
+import click
+
+from galenatack.links import caller_side
+from galenatack.links import http_server
+from galenatack.links import target_link
+from galenatack.model import limits
+from galenatack.model import member_record
+from galenatack.model import move_policy
+from galenatack.model import pool
+from galenatack.model import profile
+from galenatack.model import retry_policy
+from galenatack.model import route
+from galenatack.model import service_choice
+from galenatack.routing import balancer
+from galenatack.routing import builder
+from galenatack.routing import byte_budget
+from galenatack.routing import call_planner
+from galenatack.routing import inbound_gate
+from galenatack.routing import outbound_proxy
+from galenatack.routing import retry_budget
+from galenatack.routing import snapshot_holder
+from galenatack.routing import target_chooser
+
+SERVICE = "prices"
+_SLOTS = 18
+
+
+class _SystemClock:
+    """Implements `interfaces.clock.Clock`."""
+
+    def monotonic_s(self) -> float:
+        """Returns the monotonic clock."""
+        return time.monotonic()
+
+    def wall_ms(self) -> int:
+        """Returns the wall clock."""
+        return time.time_ns() // 1_000_000
+
+    async def sleep_s(self, duration_s: float) -> None:
+        """Sleeps."""
+        await anyio.sleep(duration_s)
+
+
+class _PlainGuard:
+    """Dispatches every posting; the benchmark sends each key once."""
+
+    async def run_once(self, request, dispatch):
+        """Dispatches."""
+        del request
+        return await dispatch()
+
+
+class _NoPeers:
+    """A peer network without peers."""
+
+    def on(self, message_type, handler) -> None:
+        """Registers nothing."""
+
+
+def own_record() -> member_record.MemberRecord:
+    """Returns the record of the only node."""
+    return member_record.MemberRecord(
+        node_id="n0",
+        incarnation=1,
+        status="serving",
+        data_centre="a",
+        region="r",
+        service=SERVICE,
+        version="v1",
+        peer_address="",
+        call_address="",
+        admin_address="",
+        slots=_SLOTS,
+    )
+
+
+def bench_profile() -> profile.Profile:
+    """Returns a profile with a read and a posting route."""
+    return profile.Profile(
+        name="bench",
+        service=SERVICE,
+        versions=("v1",),
+        pools=(pool.Pool("main", "current"),),
+        retry_policies=(retry_policy.RetryPolicy("two"),),
+        routes=(
+            route.Route("read", "/", ("GET",), "main", "two"),
+            route.Route(
+                "offers", "/offers", ("POST",), "main", "two", posting=True
+            ),
+        ),
+        limits=limits.Limits(queue_entries=_SLOTS),
+        move_policy=move_policy.MovePolicy(),
+    )
+
+
+def compose(target_url: str) -> caller_side.CallerSide:
+    """Builds a node without peers in front of one target."""
+    clock = _SystemClock()
+    rng = random.Random(1)
+    own = own_record()
+    holder = snapshot_holder.SnapshotHolder()
+    holder.swap(
+        builder.build(
+            profiles=[bench_profile()],
+            choices=[service_choice.ServiceChoice(SERVICE, "bench", "v1")],
+            moves=[],
+            members=[own],
+            withdrawn=(),
+            own=own,
+        )
+    )
+    loads = balancer.Balancer(clock=clock, rng=rng)
+    bytes_left = byte_budget.ByteBudget(clock=clock)
+    gate = inbound_gate.InboundGate(
+        node_id=own.node_id,
+        incarnation=1,
+        link=target_link.HttpTargetLink(base_url=target_url),
+        clock=clock,
+        slots=_SLOTS,
+        queue_entries=_SLOTS,
+        posting_guard=_PlainGuard(),
+        on_outcome=lambda route, is_error, latency_ms, is_warm: None,
+    )
+    proxy = outbound_proxy.OutboundProxy(
+        node_id=own.node_id,
+        planner=call_planner.CallPlanner(holder=holder, clock=clock),
+        chooser=target_chooser.TargetChooser(
+            balancer=loads,
+            bytes_left=bytes_left,
+            version_picker=lambda move, counts: move.from_version,
+            place=lambda key, node_ids: min(node_ids),
+        ),
+        balancer=loads,
+        bytes_left=bytes_left,
+        retries=retry_budget.RetryBudget(),
+        peers=_NoPeers(),
+        gate=gate,
+        clock=clock,
+        rng=rng,
+    )
+    return caller_side.CallerSide(handler=proxy)
+
+
+@click.command()
+@click.option("--address", required=True)
+@click.option("--target-url", required=True)
+@click.option("--uvloop/--no-uvloop", default=True)
+def main(address: str, target_url: str, uvloop: bool) -> None:
+    """Runs the node until SIGTERM."""
+    anyio.run(
+        _serve,
+        address,
+        target_url,
+        backend_options={"use_uvloop": uvloop},
+    )
+
+
+async def _serve(address: str, target_url: str) -> None:
+    shutdown = anyio.Event()
+    async with anyio.create_task_group() as tasks:
+
+        async def wait_for_signal() -> None:
+            with anyio.open_signal_receiver(signal.SIGTERM) as signals:
+                async for _ in signals:
+                    shutdown.set()
+                    return
+
+        tasks.start_soon(wait_for_signal)
+        await http_server.serve(
+            compose(target_url), address=address, shutdown=shutdown
+        )
+        tasks.cancel_scope.cancel()
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/src/galenatack/links/caller_side.py
@@ -0,0 +1,171 @@
+"""The listener for callers, as an ASGI application."""
+
+import collections.abc
+import math
+import typing
+
+import anyio
+
+from galenatack import exceptions
+from galenatack.interfaces import caller_handler
+from galenatack.model import call_result
+from galenatack.model import outcome
+from galenatack.routing import results
+
+Scope = dict[str, typing.Any]
+Receive = collections.abc.Callable[
+    [], collections.abc.Awaitable[dict[str, typing.Any]]
+]
+Send = collections.abc.Callable[
+    [dict[str, typing.Any]], collections.abc.Awaitable[None]
+]
+IssueTicket = collections.abc.Callable[[str], str]
+
+TICKET_PREFIX = "/_galenatack/ticket/"
+OUTCOME_HEADER = b"galenatack-outcome"
+_MS_PER_S = 1000
+_BODY_TOO_LARGE = 413
+_NO_CONTENT = 204
+_NOT_MODIFIED = 304
+
+
+class CallerSide:
+    """Hands calls to a handler and returns whole answers.
+
+    Args:
+        handler: Routes the calls.
+        issue_ticket: Returns a ticket key for a service; raises a
+            `exceptions.CallError` when it cannot.
+        max_body_bytes: Largest body that is read.
+    """
+
+    def __init__(
+        self,
+        *,
+        handler: caller_handler.CallerHandler,
+        issue_ticket: IssueTicket | None = None,
+        max_body_bytes: int = 4_194_304,
+    ):
+        self._handler = handler
+        self._issue_ticket = issue_ticket
+        self._max_body_bytes = max_body_bytes
+
+    async def __call__(
+        self, scope: Scope, receive: Receive, send: Send
+    ) -> None:
+        """Serves one ASGI connection scope."""
+        if scope["type"] == "http":
+            await self._serve(scope, receive, send)
+        elif scope["type"] == "lifespan":
+            await _serve_lifespan(receive, send)
+        else:
+            await send({"type": "websocket.close", "code": 1000})
+
+    async def _serve(self, scope: Scope, receive: Receive, send: Send) -> None:
+        try:
+            body = await self._read_body(receive)
+        except exceptions.BadCallError as error:
+            await _answer(send, scope["method"], results.not_run(error))
+            return
+        if body is None:
+            return
+        path = scope["raw_path"].decode("latin-1")
+        if path.startswith(TICKET_PREFIX):
+            result = self._ticket(scope["method"], path)
+        else:
+            result = await self._call(scope, path, body, receive)
+        if result is not None:
+            await _answer(send, scope["method"], result)
+
+    async def _read_body(self, receive: Receive) -> bytes | None:
+        """Returns the body, or None when the caller went away."""
+        parts = []
+        size = 0
+        while True:
+            message = await receive()
+            if message["type"] == "http.disconnect":
+                return None
+            part = message.get("body", b"")
+            size += len(part)
+            if size > self._max_body_bytes:
+                raise exceptions.BadCallError(
+                    "body too large", status=_BODY_TOO_LARGE
+                )
+            parts.append(part)
+            if not message.get("more_body", False):
+                return b"".join(parts)
+
+    def _ticket(self, method: str, path: str) -> call_result.CallResult:
+        if self._issue_ticket is None or method != "POST":
+            return results.not_run(exceptions.NoRouteError("no tickets here"))
+        try:
+            key = self._issue_ticket(path.removeprefix(TICKET_PREFIX))
+        except exceptions.CallError as error:
+            return results.not_run(error)
+        return call_result.CallResult(
+            outcome=outcome.Outcome.ANSWER.value,
+            status=200,
+            headers=(("content-type", "text/plain; charset=utf-8"),),
+            body=key.encode(),
+        )
+
+    async def _call(
+        self, scope: Scope, path: str, body: bytes, receive: Receive
+    ) -> call_result.CallResult | None:
+        """Returns the result, or None when the caller went away."""
+        query = scope["query_string"].decode("latin-1")
+        headers = tuple(
+            (name.decode("latin-1"), value.decode("latin-1"))
+            for name, value in scope["headers"]
+        )
+        result = None
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(_cancel_on_disconnect, receive, tasks.cancel_scope)
+            result = await self._handler.handle(
+                method=scope["method"],
+                path=f"{path}?{query}" if query else path,
+                headers=headers,
+                body=body,
+            )
+            tasks.cancel_scope.cancel()
+        return result
+
+
+async def _cancel_on_disconnect(
+    receive: Receive, scope: anyio.CancelScope
+) -> None:
+    while (await receive())["type"] != "http.disconnect":
+        pass
+    scope.cancel()
+
+
+async def _serve_lifespan(receive: Receive, send: Send) -> None:
+    while True:
+        message = await receive()
+        await send({"type": f"{message['type']}.complete"})
+        if message["type"] == "lifespan.shutdown":
+            return
+
+
+async def _answer(
+    send: Send, method: str, result: call_result.CallResult
+) -> None:
+    headers = [
+        (name.encode("latin-1"), value.encode("latin-1"))
+        for name, value in result.headers
+    ]
+    headers.append((OUTCOME_HEADER, result.outcome.encode()))
+    if result.status not in (_NO_CONTENT, _NOT_MODIFIED):
+        headers.append((b"content-length", b"%d" % len(result.body)))
+    if result.retry_after_ms:
+        seconds = math.ceil(result.retry_after_ms / _MS_PER_S)
+        headers.append((b"retry-after", b"%d" % seconds))
+    await send(
+        {
+            "type": "http.response.start",
+            "status": result.status,
+            "headers": headers,
+        }
+    )
+    body = b"" if method == "HEAD" else result.body
+    await send({"type": "http.response.body", "body": body})
--- /dev/null
+++ b/src/galenatack/links/target_link.py
@@ -0,0 +1,184 @@
+"""HTTP connection to the node's own target."""
+
+import json
+import typing
+
+import httpcore
+
+from galenatack import exceptions
+from galenatack.model import call_request
+from galenatack.model import target_answer
+from galenatack.routing import call_parser
+
+MAX_CONNECTIONS = 100
+# Cancels must not wait behind the calls that they cancel.
+_CANCEL_CONNECTIONS = 4
+_KEEP_ALIVE_S = 60.0
+_CONNECT_TIMEOUT_S = 1.0
+_UNAVAILABLE = 503
+_RETRY_AFTER = "retry-after"
+_MS_PER_S = 1000
+CALL_ID_HEADER = "galenatack-call-id"
+CALLS_PATH = "/_target/calls/"
+
+_NOT_SENT = (
+    httpcore.ConnectError,
+    httpcore.ConnectTimeout,
+    httpcore.PoolTimeout,
+    httpcore.UnsupportedProtocol,
+    httpcore.LocalProtocolError,
+)
+_MAYBE_SENT = (
+    httpcore.NetworkError,
+    httpcore.TimeoutException,
+    httpcore.ProtocolError,
+)
+
+
+class HttpTargetLink:
+    """Implements `interfaces.target_link.TargetLink` over HTTP/1.1.
+
+    A 503 with `Retry-After` is a target's way to shed a call before its
+    start; a target must not answer so after it has started one.
+
+    Args:
+        base_url: Base URL of the target, such as http://127.0.0.1:8000.
+        max_connections: Most connections to the target.
+        max_answer_bytes: Largest body of an answer.
+    """
+
+    def __init__(
+        self,
+        *,
+        base_url: str,
+        max_connections: int = MAX_CONNECTIONS,
+        max_answer_bytes: int = 4_194_304,
+    ):
+        url = httpcore.URL(base_url)
+        self._scheme = url.scheme
+        self._host = url.host
+        self._port = url.port
+        self._host_header = url.host + b":%d" % (url.port or 80)
+        self._max_answer_bytes = max_answer_bytes
+        self._calls = _pool(max_connections)
+        self._cancels = _pool(_CANCEL_CONNECTIONS)
+
+    async def call(
+        self, request: call_request.CallRequest
+    ) -> target_answer.TargetAnswer:
+        """Sends a call with its deadline and returns the whole answer.
+
+        Raises:
+            exceptions.TargetConnectError: The call did not start.
+            exceptions.TargetShedError: The target refused before the start.
+            exceptions.TargetAnswerLostError: It may have run.
+        """
+        sent = httpcore.Request(
+            request.method,
+            self._url(request.path),
+            headers=self._headers(request),
+            content=request.body,
+            extensions=_timeouts(request.deadline_ms / _MS_PER_S),
+        )
+        try:
+            answer = await self._exchange(self._calls, sent)
+        except _NOT_SENT as error:
+            raise exceptions.TargetConnectError(str(error)) from error
+        except _MAYBE_SENT as error:
+            raise exceptions.TargetAnswerLostError(str(error)) from error
+        if answer.status == _UNAVAILABLE:
+            _raise_if_shed(answer)
+        return answer
+
+    async def cancel(self, call_id: str) -> bool:
+        """Asks the target to drop a call; True when it never starts."""
+        sent = httpcore.Request(
+            "DELETE",
+            self._url(CALLS_PATH + call_id),
+            headers=[(b"host", self._host_header)],
+            extensions=_timeouts(_CONNECT_TIMEOUT_S),
+        )
+        try:
+            answer = await self._exchange(self._cancels, sent)
+            body = json.loads(answer.body)
+        except (*_NOT_SENT, *_MAYBE_SENT, ValueError):
+            return False
+        return isinstance(body, dict) and body.get("cancelled") is True
+
+    async def close(self) -> None:
+        """Closes all connections."""
+        await self._calls.aclose()
+        await self._cancels.aclose()
+
+    def _url(self, path: str) -> httpcore.URL:
+        return httpcore.URL(
+            scheme=self._scheme,
+            host=self._host,
+            port=self._port,
+            target=path.encode("ascii"),
+        )
+
+    def _headers(
+        self, request: call_request.CallRequest
+    ) -> list[tuple[bytes, bytes]]:
+        headers = [
+            (b"host", self._host_header),
+            (CALL_ID_HEADER.encode(), request.call_id.encode()),
+            (
+                call_parser.DEADLINE_HEADER.encode(),
+                b"%d" % request.deadline_ms,
+            ),
+        ]
+        if request.body or request.posting:
+            headers.append((b"content-length", b"%d" % len(request.body)))
+        for name, value in request.headers:
+            headers.append((name.encode("latin-1"), value.encode("latin-1")))
+        return headers
+
+    async def _exchange(
+        self, pool: httpcore.AsyncConnectionPool, request: httpcore.Request
+    ) -> target_answer.TargetAnswer:
+        response = await pool.handle_async_request(request)
+        try:
+            body = await self._read(response)
+        finally:
+            await response.aclose()
+        headers = tuple(
+            (name.decode("latin-1").lower(), value.decode("latin-1"))
+            for name, value in response.headers
+        )
+        return target_answer.TargetAnswer(
+            response.status, call_parser.forwarded(headers), body
+        )
+
+    async def _read(self, response: httpcore.Response) -> bytes:
+        parts = []
+        size = 0
+        async for part in response.aiter_stream():
+            parts.append(part)
+            size += len(part)
+            if size > self._max_answer_bytes:
+                raise exceptions.TargetAnswerLostError("answer too large")
+        return b"".join(parts)
+
+
+def _pool(max_connections: int) -> httpcore.AsyncConnectionPool:
+    return httpcore.AsyncConnectionPool(
+        max_connections=max_connections,
+        max_keepalive_connections=max_connections,
+        keepalive_expiry=_KEEP_ALIVE_S,
+    )
+
+
+def _timeouts(limit_s: float) -> dict[str, typing.Any]:
+    connect_s = min(_CONNECT_TIMEOUT_S, limit_s)
+    return {"timeout": {"connect": connect_s, "pool": limit_s}}
+
+
+def _raise_if_shed(answer: target_answer.TargetAnswer) -> None:
+    for name, value in answer.headers:
+        if name == _RETRY_AFTER:
+            seconds = int(value) if value.isdecimal() else 1
+            raise exceptions.TargetShedError(
+                "target sheds load", retry_after_ms=seconds * _MS_PER_S
+            )
--- /dev/null
+++ b/standins/target/__init__.py
@@ -0,0 +1,1 @@
+"""A stand-in for a target instance with switchable faults."""
--- /dev/null
+++ b/standins/target/worker.py
@@ -0,0 +1,134 @@
+"""Runs the calls of the stand-in target in its slots."""
+
+import math
+import random
+import typing
+
+import anyio
+
+from standins.target import faults as faults_module
+from standins.target import ledger as ledger_module
+from standins.target import options as options_module
+
+_MS_PER_S = 1000
+_PERMILLE = 1000
+
+
+class Work(typing.NamedTuple):
+    """One call.
+
+    Attributes:
+        call_id: Identifier for a cancel; may be empty.
+        key: Idempotency key; may be empty.
+        path: Path.
+        deadline_s: Time that is left for it; infinite when none was given.
+    """
+
+    call_id: str
+    key: str
+    path: str
+    deadline_s: float
+
+
+class Worker:
+    """Runs calls in slots, with service times from a seeded generator.
+
+    Attributes:
+        faults: The present faults.
+        ledger: What ran.
+        is_draining: Whether the target announced that it leaves.
+    """
+
+    def __init__(self, options: options_module.TargetOptions):
+        self._options = options
+        self._rng = random.Random(options.seed)
+        self._slots = anyio.Semaphore(options.slots)
+        self._waiting: dict[str, anyio.CancelScope] = {}
+        self._fault_since_s = 0.0
+        self._drain_since_s = 0.0
+        self.in_flight = 0
+        self.faults = faults_module.Faults()
+        self.ledger = ledger_module.Ledger()
+        self.is_draining = False
+
+    def switch(self, faults: faults_module.Faults) -> None:
+        """Switches faults; their `after_s` counts from now."""
+        self.faults = faults
+        self._fault_since_s = anyio.current_time()
+
+    def drain(self) -> None:
+        """Announces that the target leaves."""
+        if not self.is_draining:
+            self.is_draining = True
+            self._drain_since_s = anyio.current_time()
+
+    def cancel(self, call_id: str) -> bool:
+        """Drops a call that waits for a slot; False when it does not."""
+        scope = self._waiting.pop(call_id, None)
+        if scope is None:
+            return False
+        scope.cancel()
+        self.ledger.cancelled += 1
+        return True
+
+    async def run(self, work: Work) -> int:
+        """Runs a call and returns its HTTP status."""
+        if self.in_flight >= self._options.connections:
+            self.ledger.shed += 1
+            return 503
+        self.in_flight += 1
+        try:
+            return await self._run_in_slot(work)
+        finally:
+            self.in_flight -= 1
+
+    async def _run_in_slot(self, work: Work) -> int:
+        if not await self._take_slot(work):
+            self.ledger.shed += 1
+            return 503
+        try:
+            self._count_start(work)
+            return await self._serve(work)
+        finally:
+            self._slots.release()
+
+    async def _take_slot(self, work: Work) -> bool:
+        try:
+            self._slots.acquire_nowait()
+        except anyio.WouldBlock:
+            pass
+        else:
+            return True
+        taken = False
+        with anyio.move_on_after(work.deadline_s) as scope:
+            self._waiting[work.call_id] = scope
+            await self._slots.acquire()
+            taken = True
+        self._waiting.pop(work.call_id, None)
+        return taken
+
+    def _count_start(self, work: Work) -> None:
+        self.ledger.start(work.key)
+        if self.is_draining:
+            since_s = anyio.current_time() - self._drain_since_s
+            since_ms = math.ceil(since_s * _MS_PER_S)
+            self.ledger.late_ms = max(self.ledger.late_ms, since_ms)
+
+    async def _serve(self, work: Work) -> int:
+        options = self._options
+        duration_ms = options.service_ms * math.exp(
+            self._rng.gauss(0, options.spread)
+        )
+        if self.ledger.started <= options.cold_calls:
+            duration_ms *= options.cold_factor
+        is_faulty = self.faults.applies(
+            path=work.path,
+            since_s=anyio.current_time() - self._fault_since_s,
+            in_flight=self.in_flight,
+        )
+        if is_faulty:
+            duration_ms += self.faults.slow_ms
+        if duration_ms > 0:
+            await anyio.sleep(duration_ms / _MS_PER_S)
+        fails = self._rng.randrange(_PERMILLE) < self.faults.error_permille
+        return 500 if is_faulty and fails else 200
