--- a/src/galenatack/invariants/reaction.py
+++ b/src/galenatack/invariants/reaction.py
@@ -1,4 +1,4 @@
-"""What happens when a check finds a violation."""
+"""What happens when a check finds a violated invariant."""
 
 import collections
 import logging
@@ -10,31 +10,38 @@
 
 _log = logging.getLogger(__name__)
 _mode = RAISE
-counts: collections.Counter[str] = collections.Counter()
+_counts: collections.Counter[str] = collections.Counter()
 
 
 def set_mode(mode: str) -> None:
     """Selects the reaction.
 
     Args:
-        mode: `raise` or `count`.
+        mode: `raise` for tests and the demo, `count` for production.
 
     Raises:
         exceptions.SettingsError: The mode is unknown.
     """
     global _mode
     if mode not in (RAISE, COUNT):
-        raise exceptions.SettingsError(f"invariants: unknown mode {mode!r}")
+        raise exceptions.SettingsError(
+            f"invariants: expected raise or count, got {mode!r}"
+        )
     _mode = mode
 
 
 def report(violation: exceptions.InvariantViolationError) -> None:
-    """Raises the violation, or counts and logs it.
+    """Counts and logs the violation, and raises it in mode `raise`.
 
     Raises:
         exceptions.InvariantViolationError: The mode is `raise`.
     """
-    counts[violation.code] += 1
+    _counts[violation.code] += 1
     if _mode == RAISE:
         raise violation
-    _log.error("kind=invariant-violated code=%s %s", violation.code, violation)
+    _log.error("event=invariant-violated code=%s %s", violation.code, violation)
+
+
+def counts() -> dict[str, int]:
+    """Returns the number of violations by code."""
+    return dict(_counts)
