--- a/src/galenatack/moves/__init__.py
+++ b/src/galenatack/moves/__init__.py
@@ -1,1 +1,1 @@
-"""Evidence, evaluation, driver and withdrawal of moves."""
+"""Moves: evidence, evaluation, withdrawal, driver and operator interface."""
--- /dev/null
+++ b/src/galenatack/moves/evidence_sender.py
@@ -0,0 +1,80 @@
+"""Sends the reports of one gate to the nodes of its service."""
+
+import collections.abc
+
+from galenatack import exceptions
+from galenatack.interfaces import clock as clock_interface
+from galenatack.interfaces import peer_network
+from galenatack.messages import evidence
+from galenatack.model import move_state
+from galenatack.moves import evidence_book
+from galenatack.moves import fault_watch
+
+REPORT_MS = 500
+MS_PER_S = 1000.0
+
+
+class EvidenceSender:
+    """Sends `Evidence` every 500 ms while a move runs.
+
+    Reports leave at multiples of 500 ms of the wall clock, and their number
+    counts these from the start of the move, so that reports of one number
+    cover the same period on all gates.
+
+    Args:
+        book: Counts of this move; must be new with the move.
+        watch: The node's own fault watch, which gets the report directly.
+        targets: Returns the other nodes of the service.
+    """
+
+    def __init__(
+        self,
+        *,
+        move: move_state.MoveState,
+        book: evidence_book.EvidenceBook,
+        watch: fault_watch.FaultWatch,
+        clock: clock_interface.Clock,
+        peers: peer_network.PeerNetwork,
+        node_id: str,
+        incarnation: int,
+        data_centre: str,
+        targets: collections.abc.Callable[[], collections.abc.Iterable[str]],
+    ):
+        self._move = move
+        self._book = book
+        self._watch = watch
+        self._clock = clock
+        self._peers = peers
+        self._node_id = node_id
+        self._incarnation = incarnation
+        self._data_centre = data_centre
+        self._targets = targets
+
+    async def run(self) -> None:
+        """Sends reports until cancelled."""
+        while True:
+            rest_ms = REPORT_MS - self._clock.wall_ms() % REPORT_MS
+            await self._clock.sleep_s(rest_ms / MS_PER_S)
+            await self.send_once()
+
+    async def send_once(self) -> None:
+        """Sends one report; nodes that cannot be reached are left out."""
+        report = self.report()
+        self._watch.add(report)
+        for node_id in self._targets():
+            try:
+                await self._peers.send(node_id, report)
+            except exceptions.PeerUnreachableError:
+                continue
+
+    def report(self) -> evidence.Evidence:
+        """Returns the report of the present time."""
+        elapsed_ms = self._clock.wall_ms() - self._move.started_ms
+        return evidence.Evidence(
+            self._move.move_id,
+            self._node_id,
+            self._incarnation,
+            max(1, elapsed_ms // REPORT_MS),
+            self._data_centre,
+            self._book.report(),
+        )
--- /dev/null
+++ b/src/galenatack/moves/evidence_store.py
@@ -0,0 +1,138 @@
+"""Latest reports of all gates of a service; windows by differencing."""
+
+import collections
+
+from galenatack.messages import evidence
+from galenatack.model import route_evidence
+from galenatack.moves import route_window
+
+_GateKey = tuple[str, int]
+_Snapshot = dict[tuple[str, str], route_evidence.RouteEvidence]
+
+# Reports of one number leave the gates together. A gate that misses this
+# long is counted with its next report, so that it cannot delay the others.
+STRAGGLER_WAIT_S = 0.4
+GATE_SILENT_S = 2.0
+
+
+class _Gate:
+    """Reports of one incarnation of a gate."""
+
+    def __init__(self, report: evidence.Evidence, now_s: float):
+        self.data_centre = report.data_centre
+        self.number = report.number
+        self.seen_s = now_s
+        self.latest: _Snapshot = {}
+        self.consumed: _Snapshot = {}
+
+
+class EvidenceStore:
+    """Keeps the latest report by (node, incarnation) for one move.
+
+    Counts of a restarted gate begin at zero under its new incarnation, and
+    reports that arrive out of order are dropped by their number.
+
+    Args:
+        move_id: The move; reports of other moves are ignored.
+        is_late: True when the observer starts within the move. The first
+            report of each gate is then a baseline, because its counts span
+            periods of different shares.
+    """
+
+    def __init__(self, *, move_id: str, is_late: bool = False):
+        self._move_id = move_id
+        self._is_late = is_late
+        self._gates: dict[_GateKey, _Gate] = {}
+        self._newest = 0
+        self._newest_s = 0.0
+        self._taken = 0
+
+    def add(self, report: evidence.Evidence, *, now_s: float) -> bool:
+        """Takes a report; returns False when it is old or foreign."""
+        if report.move_id != self._move_id:
+            return False
+        key = (report.node_id, report.incarnation)
+        gate = self._gates.get(key)
+        if gate is None:
+            gate = self._gates[key] = _Gate(report, now_s)
+            if self._is_late:
+                gate.consumed = _by_route(report)
+        elif report.number <= gate.number:
+            return False
+        gate.number = report.number
+        gate.seen_s = now_s
+        gate.latest = _by_route(report)
+        if report.number > self._newest:
+            self._newest = report.number
+            self._newest_s = now_s
+        return True
+
+    def take(self, *, now_s: float) -> tuple[route_window.RouteWindow, ...]:
+        """Returns what is new since the last call, over the same period.
+
+        Empty until all gates have reported the newest number, or until
+        those that have not are late.
+        """
+        if self._newest <= self._taken or not self._is_complete(now_s):
+            return ()
+        self._taken = self._newest
+        sums: dict[tuple[str, str, str], _Sum] = {}
+        for gate in self._gates.values():
+            _add_difference(gate, sums)
+            gate.consumed = gate.latest
+        return tuple(sums[key].window(key) for key in sorted(sums))
+
+    def _is_complete(self, now_s: float) -> bool:
+        if now_s - self._newest_s >= STRAGGLER_WAIT_S:
+            return True
+        return all(
+            gate.number >= self._newest
+            for gate in self._gates.values()
+            if now_s - gate.seen_s < GATE_SILENT_S
+        )
+
+
+class _Sum:
+    """Sum of differences of several gates."""
+
+    def __init__(self):
+        self.calls = 0
+        self.errors = 0
+        self.warm_calls = 0
+        self.buckets: collections.Counter[int] = collections.Counter()
+
+    def window(self, key: tuple[str, str, str]) -> route_window.RouteWindow:
+        """Returns the sum as a window of (route, version, data centre)."""
+        route, version, data_centre = key
+        return route_window.RouteWindow(
+            route,
+            version,
+            data_centre,
+            self.calls,
+            self.errors,
+            self.warm_calls,
+            dict(self.buckets),
+        )
+
+
+def _by_route(report: evidence.Evidence) -> _Snapshot:
+    return {(entry.route, entry.version): entry for entry in report.routes}
+
+
+def _add_difference(
+    gate: _Gate, sums: dict[tuple[str, str, str], _Sum]
+) -> None:
+    for (route, version), entry in gate.latest.items():
+        before = gate.consumed.get((route, version))
+        if before == entry:
+            continue
+        total = sums.setdefault((route, version, gate.data_centre), _Sum())
+        total.calls += entry.calls
+        total.errors += entry.errors
+        total.warm_calls += entry.warm_calls
+        total.buckets.update(dict(entry.latency_buckets))
+        if before is not None:
+            total.calls -= before.calls
+            total.errors -= before.errors
+            total.warm_calls -= before.warm_calls
+            total.buckets.subtract(dict(before.latency_buckets))
--- /dev/null
+++ b/src/galenatack/moves/lease.py
@@ -0,0 +1,148 @@
+"""The lease on driving a move, kept as a row of the table."""
+
+from galenatack import exceptions
+from galenatack.interfaces import clock as clock_interface
+from galenatack.interfaces import table as table_interface
+from galenatack.model import row
+from galenatack.model import row_check
+from galenatack.model import transaction
+
+LEASE_S = 5.0
+RENEW_S = 1.0
+# A lower rank waits longer, so that candidates do not race each other.
+RANK_STAGGER_S = 1.0
+
+
+class Lease:
+    """Holds or observes the lease of one service.
+
+    Expiry is decided by the observer: a row whose revision has not changed
+    for 5 s on the observer's own monotonic clock may be taken over. The
+    holder's clock is of no importance, because each of its writes checks
+    the revision of the lease row.
+    """
+
+    def __init__(
+        self,
+        *,
+        service: str,
+        node_id: str,
+        incarnation: int,
+        table: table_interface.Table,
+        clock: clock_interface.Clock,
+    ):
+        self._key = f"lease/move/{service}"
+        self._node_id = node_id
+        self._incarnation = incarnation
+        self._table = table
+        self._clock = clock
+        self._beat = 0
+        self._held_revision: int | None = None
+        self._renewed_s = 0.0
+        self._seen_revision: int | None = None
+        self._seen_s = 0.0
+
+    @property
+    def is_held(self) -> bool:
+        """Tells whether this node held the lease when it last looked."""
+        return self._held_revision is not None
+
+    def check(self) -> row_check.RowCheck:
+        """Returns the condition that fences every write of the driver.
+
+        Raises:
+            exceptions.LeaseLostError: This node does not hold the lease.
+        """
+        if self._held_revision is None:
+            raise exceptions.LeaseLostError(f"{self._key} is not held")
+        return row_check.RowCheck(self._key, self._held_revision)
+
+    def drop(self) -> None:
+        """Forgets the lease after a write was refused because of it."""
+        self._held_revision = None
+        self._seen_revision = None
+
+    async def acquire(self, *, rank: int) -> bool:
+        """Looks at the row and takes it when it is free or expired.
+
+        Args:
+            rank: Place of this node among the candidates, 0 for the first.
+
+        Raises:
+            exceptions.PlatformError: The table did not answer.
+        """
+        found = await self._table.get(self._key)
+        revision = found.revision if found else 0
+        now_s = self._clock.monotonic_s()
+        if revision != self._seen_revision:
+            self._seen_revision = revision
+            self._seen_s = now_s
+        lease_s = LEASE_S if self._is_foreign(found) else 0.0
+        if now_s - self._seen_s < lease_s + rank * RANK_STAGGER_S:
+            return False
+        return await self._write(revision)
+
+    async def renew(self) -> bool:
+        """Renews the lease when it is due; False when it was lost.
+
+        Raises:
+            exceptions.PlatformError: The table did not answer.
+        """
+        if self._held_revision is None:
+            return False
+        if self._clock.monotonic_s() - self._renewed_s < RENEW_S:
+            return True
+        return await self._write(self._held_revision)
+
+    async def release(self) -> None:
+        """Deletes the row, so that the next move need not wait for it."""
+        if self._held_revision is None:
+            return
+        check = self.check()
+        self._held_revision = None
+        try:
+            await self._table.commit(
+                transaction.Transaction(checks=(check,), deletes=(self._key,))
+            )
+        except exceptions.PlatformError:
+            return
+
+    def _is_foreign(self, found: row.Row | None) -> bool:
+        if found is None:
+            return False
+        holder = (found.value["holder"], found.value["incarnation"])
+        return holder != (self._node_id, self._incarnation)
+
+    async def _write(self, revision: int) -> bool:
+        self._beat += 1
+        value = {
+            "holder": self._node_id,
+            "incarnation": self._incarnation,
+            "beat": self._beat,
+        }
+        change = transaction.Transaction(
+            checks=(row_check.RowCheck(self._key, revision),),
+            puts=((self._key, value),),
+        )
+        try:
+            written = await self._table.commit(change)
+        except exceptions.TransactionConflictError:
+            self.drop()
+            return False
+        except exceptions.OutcomeUnknownError:
+            return await self._resolve(value)
+        self._hold(written)
+        return True
+
+    async def _resolve(self, value: dict[str, object]) -> bool:
+        """Finds out whether a write with a lost answer took effect."""
+        found = await self._table.get(self._key)
+        if found is None or found.value != value:
+            self.drop()
+            return False
+        self._hold(found.revision)
+        return True
+
+    def _hold(self, revision: int) -> None:
+        self._held_revision = revision
+        self._renewed_s = self._clock.monotonic_s()
--- /dev/null
+++ b/src/galenatack/moves/move_driver.py
@@ -0,0 +1,201 @@
+"""Drives one open move; at most one driver's writes take effect."""
+
+import collections.abc
+
+from galenatack import exceptions
+from galenatack.interfaces import clock as clock_interface
+from galenatack.interfaces import event_sink
+from galenatack.invariants import verdict_once
+from galenatack.model import move_phase
+from galenatack.model import move_policy
+from galenatack.model import move_state
+from galenatack.model import row_check
+from galenatack.moves import fault_watch
+from galenatack.moves import lease as lease_module
+from galenatack.moves import move_codec
+from galenatack.moves import move_writer
+from galenatack.moves import step_policy
+from galenatack.moves import withdrawals as withdrawals_module
+
+LOOP_S = 0.5
+FRESH_S = 3.0
+# Only the first candidates look at the lease row, which bounds the reads.
+MAX_CANDIDATES = 3
+
+
+class MoveDriver:
+    """One task for one open move on one node of the service.
+
+    Args:
+        move: The move as it was seen first.
+        policy: Policy of the profile.
+        watch: The fault watch of this node, which holds the evidence.
+        withdrawals: Withdrawals known to this node.
+        lease: The lease of the service.
+        writer: The write path of move states.
+        clock: Time.
+        events: Time line.
+        rank: Returns the rank of this node among the candidates; None when
+            it is none.
+    """
+
+    def __init__(
+        self,
+        *,
+        move: move_state.MoveState,
+        policy: move_policy.MovePolicy,
+        watch: fault_watch.FaultWatch,
+        withdrawals: withdrawals_module.Withdrawals,
+        lease: lease_module.Lease,
+        writer: move_writer.MoveWriter,
+        clock: clock_interface.Clock,
+        events: event_sink.EventSink,
+        rank: collections.abc.Callable[[], int | None],
+    ):
+        self._move = move
+        self._policy = policy
+        self._watch = watch
+        self._withdrawals = withdrawals
+        self._lease = lease
+        self._writer = writer
+        self._clock = clock
+        self._events = events
+        self._rank = rank
+        self._revision: int | None = None
+        self._step_since_ms = move.started_ms
+
+    async def run(self) -> move_state.MoveState:
+        """Drives until the move has its verdict, and returns its state."""
+        while not await self._is_finished():
+            await self._clock.sleep_s(LOOP_S)
+        return self._move
+
+    def on_running(self, move: move_state.MoveState) -> None:
+        """Takes a state that came into force on this node."""
+        if move.move_id == self._move.move_id:
+            self._adopt(move)
+
+    async def _is_finished(self) -> bool:
+        if self._has_verdict():
+            await self._lease.release()
+            return True
+        rank = self._rank()
+        if rank is None or rank >= MAX_CANDIDATES:
+            return False
+        try:
+            await self._drive(rank)
+        except exceptions.PlatformError as error:
+            self._revision = None
+            if isinstance(error, exceptions.TransactionConflictError):
+                self._on_conflict(error)
+        return False
+
+    async def _drive(self, rank: int) -> None:
+        if not self._lease.is_held:
+            self._revision = None
+            if not await self._lease.acquire(rank=rank):
+                return
+            self._record("move-driver-started", rank=rank)
+        elif not await self._lease.renew():
+            self._record("move-lease-lost")
+            return
+        if self._revision is None:
+            await self._read()
+        if not self._has_verdict():
+            await self._decide()
+
+    async def _read(self) -> None:
+        found = await self._writer.read_entry(f"move/{self._move.service}")
+        if found is None:
+            return
+        entry, revision = found
+        state = move_codec.parse_move(entry.body)
+        if state.move_id == self._move.move_id:
+            self._adopt(state)
+            self._revision = revision
+        else:
+            # A later move stands in the row, so this one has its verdict.
+            self._adopt(
+                self._move._replace(phase=str(move_phase.MovePhase.TAKEN_BACK))
+            )
+
+    async def _decide(self) -> None:
+        if self._revision is None:
+            return
+        decision = step_policy.decide(
+            self._move,
+            policy=self._policy,
+            evaluator=self._watch.evaluator,
+            withdrawn=self._withdrawals.get(
+                self._move.service, self._move.to_version, self._move.move_id
+            ),
+            now_ms=self._clock.wall_ms(),
+            step_since_ms=self._step_since_ms,
+            is_fresh=self._watch.age_s() <= FRESH_S,
+        )
+        if decision is not None:
+            await self._write(decision)
+
+    async def _write(self, decision: step_policy.Decision) -> None:
+        verdict_once.check(self._move, decision.state)
+        service = self._move.service
+        checks = (
+            row_check.RowCheck(f"entry/move/{service}", self._revision),
+            self._lease.check(),
+        )
+        extra_puts: tuple[tuple[str, object], ...] = ()
+        if decision.needs_choice:
+            choice, check = await self._choice()
+            checks = (*checks, check)
+            extra_puts = ((f"service/{service}", choice),)
+        self._revision = None
+        await self._writer.write_move(
+            decision.state, checks=checks, extra_puts=extra_puts
+        )
+        self._adopt(decision.state)
+        self._record(
+            "move-written",
+            phase=decision.state.phase,
+            step=decision.state.step,
+            share_permille=decision.state.share_permille,
+            reason=decision.state.reason,
+        )
+
+    async def _choice(self) -> tuple[object, row_check.RowCheck]:
+        """Returns the choice that names the new version, and its check."""
+        key = f"service/{self._move.service}"
+        found = await self._writer.read_entry(key)
+        if found is None:
+            raise exceptions.NotFoundError(f"no entry {key}")
+        entry, revision = found
+        choice = move_codec.parse_choice(entry.body)
+        return (
+            choice._replace(version=self._move.to_version),
+            row_check.RowCheck(f"entry/{key}", revision),
+        )
+
+    def _on_conflict(self, error: exceptions.TransactionConflictError) -> None:
+        if any(key.startswith("lease/") for key in error.keys):
+            self._lease.drop()
+            self._record("move-lease-lost")
+
+    def _adopt(self, state: move_state.MoveState) -> None:
+        if self._has_verdict():
+            return
+        is_verdict = state.phase != move_phase.MovePhase.RUNNING
+        if state.step > self._move.step:
+            self._step_since_ms = self._clock.wall_ms()
+        elif not is_verdict:
+            return
+        self._move = state
+
+    def _has_verdict(self) -> bool:
+        return self._move.phase != move_phase.MovePhase.RUNNING
+
+    def _record(self, kind: str, **facts: object) -> None:
+        self._events.record(
+            kind,
+            service=self._move.service,
+            move_id=self._move.move_id,
+            **facts,
+        )
--- /dev/null
+++ b/src/galenatack/moves/step_policy.py
@@ -0,0 +1,146 @@
+"""Decides the next state of a move from the evidence and the time."""
+
+import typing
+
+from galenatack.messages import withdraw
+from galenatack.model import move_phase
+from galenatack.model import move_policy
+from galenatack.model import move_state
+from galenatack.moves import evaluator as evaluator_module
+from galenatack.moves import plan
+from galenatack.moves import route_verdict
+
+# `done` is tried this long before its latest time: enough for a lease to
+# expire (5 s), for the next rank to take it (1 s) and for some retries.
+VERDICT_LEAD_MS = 15_000
+LOW_TRAFFIC_DONE = "done"
+
+
+class Decision(typing.NamedTuple):
+    """What to write next.
+
+    Attributes:
+        state: New state of the move.
+        needs_choice: True when the service choice changes with it.
+    """
+
+    state: move_state.MoveState
+    needs_choice: bool
+
+
+def decide(
+    move: move_state.MoveState,
+    *,
+    policy: move_policy.MovePolicy,
+    evaluator: evaluator_module.Evaluator,
+    withdrawn: withdraw.Withdraw | None,
+    now_ms: int,
+    step_since_ms: int,
+    is_fresh: bool,
+) -> Decision | None:
+    """Returns the next state, or None to wait.
+
+    Args:
+        move: The present state, in phase `running`.
+        policy: The policy of the profile.
+        evaluator: Evidence so far.
+        withdrawn: The withdrawal of the new version, if there is one.
+        now_ms: Wall clock.
+        step_since_ms: Wall clock when the present step was seen first.
+        is_fresh: True when evidence arrived lately.
+    """
+    if withdrawn is not None:
+        return _taken_back(move, policy, evaluator, withdrawn.reason)
+    if now_ms >= move.by_ms:
+        reason = "no verdict was written by the promised time"
+        return _taken_back(move, policy, evaluator, reason)
+    latest_ms = move.by_ms - plan.VERDICT_MARGIN_MS
+    if now_ms > latest_ms:
+        return None
+    is_clear = is_fresh and evaluator.is_clear(step=move.step)
+    if now_ms >= latest_ms - VERDICT_LEAD_MS:
+        return _final(move, policy, evaluator, is_clear=is_clear)
+    dwell_ms = plan.dwell_ms(started_ms=move.started_ms, by_ms=move.by_ms)
+    last_step = len(plan.STEPS_PERMILLE) - 1
+    if not is_clear or now_ms - step_since_ms < dwell_ms:
+        return None
+    if move.step >= last_step:
+        return None
+    step = move.step + 1
+    return Decision(
+        move._replace(
+            step=step,
+            share_permille=plan.STEPS_PERMILLE[step],
+            active_targets=0,
+            figures=figures(evaluator),
+        ),
+        False,
+    )
+
+
+def figures(
+    evaluator: evaluator_module.Evaluator,
+) -> tuple[tuple[str, float], ...]:
+    """Returns the figures of each route, for status and verdict."""
+    found = []
+    for verdict in evaluator.verdicts():
+        found.append((f"{verdict.route}.calls", float(verdict.new_calls)))
+        found.append((f"{verdict.route}.errors", float(verdict.new_errors)))
+        found.append((f"{verdict.route}.evidence", verdict.evidence_log))
+    return tuple(found)
+
+
+def _final(
+    move: move_state.MoveState,
+    policy: move_policy.MovePolicy,
+    evaluator: evaluator_module.Evaluator,
+    *,
+    is_clear: bool,
+) -> Decision:
+    if is_clear:
+        return _done(move, policy, evaluator, "every route is clear")
+    if evaluator.is_suspected():
+        reason = "a route is suspected at the time of the verdict"
+        return _taken_back(move, policy, evaluator, reason)
+    lacking = ", ".join(
+        verdict.route
+        for verdict in evaluator.verdicts()
+        if verdict.judgement != route_verdict.Judgement.CLEAR
+    )
+    reason = f"not enough evidence on {lacking or 'any route'}"
+    if policy.on_low_traffic == LOW_TRAFFIC_DONE:
+        return _done(move, policy, evaluator, reason)
+    return _taken_back(move, policy, evaluator, reason)
+
+
+def _done(
+    move: move_state.MoveState,
+    policy: move_policy.MovePolicy,
+    evaluator: evaluator_module.Evaluator,
+    reason: str,
+) -> Decision:
+    state = move._replace(
+        phase=str(move_phase.MovePhase.DONE),
+        share_permille=plan.STEPS_PERMILLE[-1],
+        active_targets=0,
+        reason=reason,
+        figures=figures(evaluator),
+        warm_until_ms=move.by_ms + policy.warm_ms,
+    )
+    return Decision(state, True)
+
+
+def _taken_back(
+    move: move_state.MoveState,
+    policy: move_policy.MovePolicy,
+    evaluator: evaluator_module.Evaluator,
+    reason: str,
+) -> Decision:
+    state = move._replace(
+        phase=str(move_phase.MovePhase.TAKEN_BACK),
+        share_permille=0,
+        reason=reason,
+        figures=figures(evaluator),
+        warm_until_ms=move.by_ms + policy.warm_ms,
+    )
+    return Decision(state, False)
--- /dev/null
+++ b/tests/moves/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of `galenatack.moves`."""
