--- a/src/galenatack/exceptions.py
+++ b/src/galenatack/exceptions.py
@@ -191,6 +191,36 @@
     code = "deadline-exceeded"
 
 
+class PostingError(CallError):
+    """A posting was refused before any dispatch.
+
+    Attributes:
+        status: HTTP status for the caller.
+    """
+
+    code = "posting"
+    status = 400
+
+
+class PostingKeyMissingError(PostingError):
+    """A posting carries no Idempotency-Key, or one that is too long."""
+
+    code = "posting-key-missing"
+
+
+class TicketMalformedError(PostingError):
+    """A key has the form of a ticket but this deployment did not sign it."""
+
+    code = "ticket-malformed"
+
+
+class PostingKeyReusedError(PostingError):
+    """The key belongs to a request with another method, path or body."""
+
+    code = "posting-key-reused"
+    status = 422
+
+
 class TargetError(CallError):
     """Base class of failures at the target."""
 
--- a/src/galenatack/messages/ask_posting.py
+++ b/src/galenatack/messages/ask_posting.py
@@ -9,7 +9,9 @@
     Attributes:
         service: Service.
         idempotency_key: The caller's key.
+        attempt: Attempt that the claim row names; the reply is about it.
     """
 
     service: str
     idempotency_key: str
+    attempt: str = ""
--- /dev/null
+++ b/src/galenatack/postings/flight.py
@@ -0,0 +1,28 @@
+"""The result that all repeats of a running attempt share."""
+
+import anyio
+
+from galenatack.model import call_result
+
+
+class Flight:
+    """The result that all repeats of a running attempt share.
+
+    Attributes:
+        result: The result; None until the attempt has ended.
+    """
+
+    def __init__(self):
+        self.result: call_result.CallResult | None = None
+        self._ended = anyio.Event()
+
+    def end(self, result: call_result.CallResult) -> None:
+        """Hands the result to all that wait."""
+        self.result = result
+        self._ended.set()
+
+    async def wait(self, timeout_s: float) -> call_result.CallResult | None:
+        """Returns the result, or None after `timeout_s` seconds."""
+        with anyio.move_on_after(timeout_s):
+            await self._ended.wait()
+        return self.result
--- /dev/null
+++ b/src/galenatack/postings/posting_record.py
@@ -0,0 +1,68 @@
+"""What a gate remembers of a posting."""
+
+from galenatack.model import call_result
+from galenatack.postings import flight
+from galenatack.postings import posting_state
+
+FIXED_BYTES = 300
+
+
+class PostingRecord:
+    """What a gate remembers of a posting.
+
+    Attributes:
+        service: Service of the posting.
+        key: The caller's key.
+        attempt: Identifier of the attempt, unique in the deployment.
+        fingerprint: Identifies method, path and body.
+        ticket_expires_ms: Expiry of the ticket; 0 for a plain key.
+        state: Where the posting stands.
+        is_claimed: True when the attempt has the right to run.
+        has_row: True when the attempt's claim row may be in the table.
+        is_closed: True when the attempt must not be dispatched any more.
+        dispatches: How often it was dispatched.
+        is_start_denied: True when the dispatch ended with proof that the
+            target did not start the posting.
+        result: The target's answer, when it is kept.
+        flight: What repeats wait for; None when the attempt has ended.
+        answer_bytes: Memory that the kept result takes.
+    """
+
+    def __init__(
+        self,
+        *,
+        service: str,
+        key: str,
+        attempt: str,
+        fingerprint: str,
+        ticket_expires_ms: int = 0,
+    ):
+        self.service = service
+        self.key = key
+        self.attempt = attempt
+        self.fingerprint = fingerprint
+        self.ticket_expires_ms = ticket_expires_ms
+        self.state = posting_state.PostingState.NOT_DISPATCHED
+        self.is_claimed = False
+        self.has_row = False
+        self.is_closed = False
+        self.dispatches = 0
+        self.result: call_result.CallResult | None = None
+        self.is_start_denied = False
+        self.flight: flight.Flight | None = flight.Flight()
+        self.answer_bytes = 0
+
+    def close(self) -> bool:
+        """Makes a later dispatch of this attempt impossible.
+
+        Returns:
+            True when the attempt was not dispatched and never will be.
+        """
+        if self.state != posting_state.PostingState.NOT_DISPATCHED:
+            return False
+        self.is_closed = True
+        return True
+
+    def fixed_bytes(self) -> int:
+        """Returns the memory of the record without its result, in bytes."""
+        return FIXED_BYTES + len(self.service) + len(self.key)
--- /dev/null
+++ b/tests/postings/random_run.py
@@ -0,0 +1,158 @@
+"""A seeded run of callers against nodes that fail."""
+
+import collections
+import functools
+import random
+
+import anyio
+import anyio.abc
+
+from galenatack import exceptions
+from galenatack.model import call_result
+from tests.fakes import memory_network
+from tests.fakes import memory_table
+from tests.fakes import slow_table
+from tests.fakes import virtual_clock
+from tests.fakes import virtual_run
+from tests.postings import node
+
+NODE_IDS = ("n1", "n2", "n3", "n4")
+KEYS = 60
+MAX_REPEATS = 6
+RUN_S = 60.0
+
+
+class RandomRun:
+    """Callers repeat postings while nodes and the table fail.
+
+    Attributes:
+        runs: Call ids of the starts at a target, by key.
+        told: Outcomes told, by (outcome, failure).
+        wrong: What contradicts the contract.
+    """
+
+    def __init__(self, seed: int):
+        self._rng = random.Random(seed)
+        self._seed = seed
+        self.runs: dict[str, list[str]] = collections.defaultdict(list)
+        self.told: collections.Counter[tuple[str, str]] = collections.Counter()
+        self.wrong: list[str] = []
+        self.restarts = 0
+
+    def execute(self) -> None:
+        """Runs all callers to their end."""
+        virtual_run.run(self._main, seed=self._seed)
+        for key, starts in self.runs.items():
+            if len(starts) > 1:
+                self.wrong.append(f"{key} ran {len(starts)} times: {starts}")
+
+    async def _main(self) -> None:
+        async with anyio.create_task_group() as tasks:
+            self._tasks = tasks
+            self._inner = memory_table.MemoryTable()
+            self._table = slow_table.SlowTable(
+                self._inner, tasks, rng=self._rng, lost_share=0.1
+            )
+            self._network = memory_network.MemoryNetwork(tasks, rng=self._rng)
+            self._nodes = {n: self._start(n) for n in NODE_IDS}
+            tasks.start_soon(self._fail_table)
+            tasks.start_soon(self._fail_nodes)
+            async with anyio.create_task_group() as callers:
+                for number in range(KEYS):
+                    callers.start_soon(self._caller, number)
+            tasks.cancel_scope.cancel()
+
+    def _start(self, node_id: str) -> node.Node:
+        clock = virtual_clock.VirtualClock()
+        started = node.Node(
+            node_id,
+            clock.wall_ms(),
+            table=self._table,
+            peers=self._network.join(node_id),
+            rng=self._rng,
+        )
+        self._tasks.start_soon(started.run)
+        return started
+
+    async def _fail_table(self) -> None:
+        while True:
+            await anyio.sleep(self._rng.expovariate(0.5))
+            self._inner.down = True
+            await anyio.sleep(self._rng.uniform(0.005, 1.5))
+            self._inner.down = False
+
+    async def _fail_nodes(self) -> None:
+        while True:
+            await anyio.sleep(self._rng.expovariate(0.7))
+            is_herd = self._rng.random() < 0.1
+            victims = NODE_IDS if is_herd else (self._rng.choice(NODE_IDS),)
+            for node_id in victims:
+                self._nodes[node_id].kill()
+                self._network.leave(node_id)
+            await anyio.sleep(self._rng.uniform(0.05, 1.0))
+            for node_id in victims:
+                self._nodes[node_id] = self._start(node_id)
+                self.restarts += 1
+
+    async def _caller(self, number: int) -> None:
+        await anyio.sleep(self._rng.uniform(0, RUN_S))
+        key = f"plain-{number}"
+        if number % 3 == 0:
+            issuer = self._nodes[self._rng.choice(NODE_IDS)]
+            key = issuer.tickets.issue(issuer.node_id, issuer.incarnation)
+        is_sure_not_run = True
+        for repeat in range(MAX_REPEATS):
+            call_id = f"{number}/{repeat}"
+            result = await self._attempt(key, call_id)
+            if result is None or result.outcome != "not-run":
+                is_sure_not_run = False
+            elif is_sure_not_run and self.runs[key]:
+                self.wrong.append(f"{key}: {result.failure} after a run")
+            await anyio.sleep(self._rng.uniform(0, 1.0))
+
+    async def _attempt(
+        self, key: str, call_id: str
+    ) -> call_result.CallResult | None:
+        """Sends once; a caller that leaves early sends again elsewhere."""
+        target = self._nodes[self._pick(key)]
+        request = node.request(key, call_id=call_id)
+        dispatch = functools.partial(self._target, key, call_id)
+        send = functools.partial(target.call, request, dispatch)
+        if self._rng.random() < 0.2:
+            self._tasks.start_soon(self._judged, key, call_id, send)
+            return None
+        with anyio.move_on_after(self._rng.uniform(0.01, 4.0)):
+            return await self._judged(key, call_id, send)
+        return None
+
+    def _pick(self, key: str) -> str:
+        if key.startswith("gt1.") and self._rng.random() < 0.8:
+            return key.split(".")[1]
+        return self._rng.choice(NODE_IDS)
+
+    async def _judged(self, key, call_id, send):
+        result = await send()
+        if result is None:
+            self.told["none", ""] += 1
+            return None
+        self.told[result.outcome, result.failure] += 1
+        starts = self.runs[key]
+        if result.outcome == "not-run" and call_id in starts:
+            self.wrong.append(f"{key}: not-run told for its own run")
+        if result.failure == "claim-released" and starts:
+            self.wrong.append(f"{key}: claim-released after a run")
+        if result.outcome == "answer":
+            expected = f"{key} by {starts[0]}" if starts else "no run"
+            if result.body.decode() != expected:
+                self.wrong.append(f"{key}: {result.body!r} not {expected}")
+        return result
+
+    async def _target(self, key: str, call_id: str) -> call_result.CallResult:
+        await anyio.sleep(self._rng.uniform(0, 0.05))
+        if self._rng.random() < 0.1:
+            raise exceptions.TargetShedError("shed")
+        self.runs[key].append(call_id)
+        await anyio.sleep(self._rng.choice([0.01, 0.1, 1.0, 3.0]))
+        if self._rng.random() < 0.1:
+            raise exceptions.TargetAnswerLostError("answer lost")
+        return node.answer(f"{key} by {call_id}")
