Test the postings rule by rule; keep a registry that is empty

A registry given to PostingGuard was replaced by a default one, because an empty registry is false; its limits did not hold. test_full showed it.

--- a/src/galenatack/postings/posting_guard.py
+++ b/src/galenatack/postings/posting_guard.py
@@ -66,9 +66,9 @@
         self._clock = clock
         self._rng = rng
         self._events = events
-        self._registry = registry or posting_registry.PostingRegistry(
-            clock=clock
-        )
+        if registry is None:
+            registry = posting_registry.PostingRegistry(clock=clock)
+        self._registry = registry
         self._claims = claim_desk.ClaimDesk(
             node_id=node_id,
             incarnation=incarnation,
--- /dev/null
+++ b/tests/invariants/test_posting_invariants.py
@@ -0,0 +1,57 @@
+"""Tests of the invariants of postings."""
+
+import unittest
+
+from galenatack import exceptions
+from galenatack.invariants import at_most_once
+from galenatack.invariants import not_run
+from galenatack.invariants import reaction
+
+
+class TestNotRun(unittest.TestCase):
+    def test_dispatched(self):
+        """A dispatched posting is not reported as not run."""
+        with self.assertRaises(not_run.NotRunViolationError) as caught:
+            not_run.check(attempt="a", dispatches=1, is_start_denied=False)
+        self.assertEqual(caught.exception.facts["attempt"], "a")
+
+    def test_start_denied(self):
+        """No dispatch, or one with proof of no start, is not run."""
+        self.assertTrue(
+            not_run.check(attempt="a", dispatches=0, is_start_denied=False)
+        )
+        self.assertTrue(
+            not_run.check(attempt="a", dispatches=1, is_start_denied=True)
+        )
+
+
+class TestAtMostOnce(unittest.TestCase):
+    def _check(self, **changes: object) -> bool:
+        facts = {"dispatches": 0, "is_closed": False, "is_claimed": True}
+        return at_most_once.check(attempt="a", **{**facts, **changes})
+
+    def test_each_fact_counts(self):
+        """A second, closed or unclaimed dispatch is a violation."""
+        self.assertTrue(self._check())
+        for change in (
+            {"dispatches": 1},
+            {"is_closed": True},
+            {"is_claimed": False},
+        ):
+            with self.assertRaises(at_most_once.AtMostOnceViolationError):
+                self._check(**change)
+
+    def test_count_mode(self):
+        """In mode count the check says no and counts instead of raising."""
+        self.addCleanup(reaction.set_mode, "raise")
+        reaction.set_mode("count")
+        code = at_most_once.AtMostOnceViolationError.code
+        before = reaction.counts().get(code, 0)
+        with self.assertLogs(reaction.__name__, "ERROR"):
+            self.assertFalse(self._check(dispatches=1))
+        self.assertEqual(reaction.counts()[code], before + 1)
+
+    def test_unknown_mode(self):
+        """Only the two modes are accepted."""
+        with self.assertRaises(exceptions.SettingsError):
+            reaction.set_mode("ignore")
