--- /dev/null
+++ b/src/galenatack/settings/unique_loader.py
@@ -0,0 +1,26 @@
+"""A YAML loader that refuses repeated keys."""
+
+import yaml
+
+
+class UniqueLoader(yaml.SafeLoader):
+    """Safe loader; a key that stands twice in a mapping is an error."""
+
+    def construct_mapping(
+        self, node: yaml.MappingNode, deep: bool = False
+    ) -> dict:
+        """Builds a mapping.
+
+        Raises:
+            yaml.constructor.ConstructorError: A key stands twice.
+        """
+        seen = set()
+        for key_node, _ in node.value:
+            key = self.construct_object(key_node, deep=True)
+            if isinstance(key, str) and key in seen:
+                raise yaml.constructor.ConstructorError(
+                    None, None, f"key {key!r} stands twice", key_node.start_mark
+                )
+            if isinstance(key, str):
+                seen.add(key)
+        return super().construct_mapping(node, deep=deep)
