Wire a node: composition root, application object, daemon, admin calls

Cause: the parts ran only in tests; nothing served a request as a process. Found on the first real run: (1) all nodes of a fresh data centre waited up to 30 s for their turn at the platform, since the reader duty counts only serving nodes; (2) a stopped node exited 1, because hypercorn raises InvalidStateError when it is cancelled while it closes; (3) a verdict of done needed two entries in one change. Ruled out for (1): a shorter window, which would multiply the reads of 4,400 nodes. Now the first joining nodes of a data centre read for the others. For (3) the version in force is derived from the later of choice and move.

--- /dev/null
+++ b/src/galenatack/app/admin_operations.py
@@ -0,0 +1,277 @@
+"""What operators' calls do."""
+
+import collections.abc
+import json
+import typing
+
+from galenatack import exceptions
+from galenatack.app import member_survey
+from galenatack.app import metrics
+from galenatack.app import parts as parts_module
+from galenatack.config import effective_choice
+from galenatack.config import entry_codec
+from galenatack.config import row_keys
+from galenatack.links import plain_json
+from galenatack.links import plain_text
+from galenatack.model import move_phase
+from galenatack.model import move_state
+
+_Json = dict[str, typing.Any]
+
+
+class AdminOperations:
+    """Operators' calls on one node.
+
+    Args:
+        parts: The node's parts.
+        is_ready: Tells whether the node serves.
+    """
+
+    def __init__(
+        self,
+        *,
+        parts: parts_module.Parts,
+        is_ready: collections.abc.Callable[[], bool],
+    ):
+        self._parts = parts
+        self._is_ready = is_ready
+        self._survey = member_survey.MemberSurvey(
+            trust=parts.settings.trust, peer_tls=parts.peer_tls
+        )
+
+    async def healthz(self, query, body) -> plain_text.PlainText:
+        """Tells that the process answers."""
+        del query, body
+        return plain_text.PlainText("ok\n")
+
+    async def readyz(self, query, body) -> plain_text.PlainText:
+        """Tells whether the node serves calls."""
+        del query, body
+        if self._is_ready():
+            return plain_text.PlainText("ready\n")
+        return plain_text.PlainText("not ready\n", 503)
+
+    async def metrics(self, query, body) -> plain_text.PlainText:
+        """Returns all metrics as text."""
+        del query, body
+        return plain_text.PlainText(metrics.render(self._parts))
+
+    async def node(self, query, body) -> _Json:
+        """Returns the state of this node alone."""
+        del query, body
+        state = self._parts.state
+        return {
+            "node_id": self._parts.settings.node_id,
+            "held_seq": state.held_seq,
+            "running_seq": state.running_seq,
+            "is_settled": self._parts.propagation.is_settled,
+            "is_ready": self._is_ready(),
+            "in_flight": self._parts.gate.in_flight,
+            "traffic": [
+                plain_json.to_plain(key) | plain_json.to_plain(count)
+                for key, count in self._parts.peers.traffic().items()
+            ],
+        }
+
+    async def status(self, query, body) -> _Json:
+        """Returns all members with the seq that each one runs."""
+        del query, body
+        records = self._parts.members.records()
+        states = await self._survey.run(records)
+        members = []
+        for record in records:
+            item = plain_json.to_plain(record)
+            state = states.get(record.node_id)
+            item["running_seq"] = state.running_seq if state else None
+            item["held_seq"] = state.held_seq if state else None
+            members.append(item)
+        return {
+            "node_id": self._parts.settings.node_id,
+            "held_seq": self._parts.state.held_seq,
+            "running_seq": self._parts.state.running_seq,
+            "members": members,
+            "platform": await self._platform_state(),
+            "moves": [plain_json.to_plain(move) for move in self._moves()],
+        }
+
+    async def profiles(self, query, body) -> _Json:
+        """Lists the profiles in the table."""
+        del query, body
+        found = await self._parts.acceptor.list_entries(row_keys.PROFILE)
+        return {
+            "profiles": [
+                {
+                    "name": item.key.removeprefix(row_keys.PROFILE),
+                    "version": item.version,
+                    "seq": item.seq,
+                    "service": json.loads(item.body)["service"],
+                    "digest": item.digest,
+                }
+                for item in found
+            ]
+        }
+
+    async def profile(self, query, body, *, name: str) -> _Json:
+        """Returns a profile as it stands in the table."""
+        del query, body
+        found = await self._parts.acceptor.read_entry(row_keys.PROFILE + name)
+        if found is None:
+            raise exceptions.NotFoundError(f"no profile {name}")
+        item, _ = found
+        return {
+            "name": name,
+            "version": item.version,
+            "seq": item.seq,
+            "profile": json.loads(item.body),
+        }
+
+    async def publish(self, query, body) -> _Json:
+        """Accepts a new version of a profile."""
+        del query
+        expect = body.get("expect")
+        if expect is not None and not isinstance(expect, int):
+            raise exceptions.AdminRequestError("expect: an integer or null")
+        text = json.dumps(body.get("profile")).encode()
+        item = await self._parts.acceptor.publish(text, expect=expect)
+        return {
+            "name": item.key.removeprefix(row_keys.PROFILE),
+            "version": item.version,
+            "seq": item.seq,
+        }
+
+    async def services(self, query, body) -> _Json:
+        """Lists the services with profile and version in force here."""
+        del query, body
+        entries = self._parts.state.running()
+        return {
+            "services": [
+                plain_json.to_plain(
+                    effective_choice.effective_choice(
+                        item,
+                        entries.get(
+                            row_keys.MOVE + key.removeprefix(row_keys.SERVICE)
+                        ),
+                    )
+                )
+                for key, item in sorted(entries.items())
+                if key.startswith(row_keys.SERVICE)
+            ]
+        }
+
+    async def choose(self, query, body, *, service: str) -> _Json:
+        """Accepts the profile and target version of a service."""
+        del query
+        item = await self._parts.acceptor.choose(
+            service,
+            profile=_text(body, "profile"),
+            version=_text(body, "version"),
+        )
+        choice = entry_codec.parse_choice(item.body)
+        return plain_json.to_plain(choice) | {"seq": item.seq}
+
+    async def start_move(self, query, body) -> _Json:
+        """Starts a move."""
+        del query
+        by_ms = body.get("by_ms")
+        if not isinstance(by_ms, int):
+            raise exceptions.AdminRequestError("by_ms: milliseconds as integer")
+        move = await self._parts.moves.start(
+            _text(body, "service"), to_version=_text(body, "to"), by_ms=by_ms
+        )
+        return plain_json.to_plain(move)
+
+    async def move(self, query, body, *, service: str) -> _Json:
+        """Returns a move as it stands in the table.
+
+        While the table is out of reach the state in force on this node is
+        returned, which is not final unless it has a verdict.
+        """
+        del query, body
+        try:
+            move = await self._parts.moves.verdict(service)
+        except exceptions.PlatformError as error:
+            return self._move_from_memory(service, error)
+        return _move_answer(move, "")
+
+    async def cancel_move(self, query, body, *, service: str) -> _Json:
+        """Takes the traffic back."""
+        del query, body
+        move = await self._parts.moves.cancel(service)
+        return _move_answer(move, "")
+
+    async def events(self, query, body) -> _Json:
+        """Returns the events of this process after a number."""
+        del body
+        after = query.get("after", "0")
+        if not after.isdecimal():
+            raise exceptions.AdminRequestError("after: a number of an event")
+        return {
+            "node_id": self._parts.settings.node_id,
+            "events": [
+                plain_json.to_plain(item)
+                for item in self._parts.events.events()
+                if item.event_id.number > int(after)
+            ],
+        }
+
+    async def target_leaving(self, query, body) -> _Json:
+        """Takes the target's announcement that it leaves."""
+        del query, body
+        self._parts.events.record("target-leaving")
+        self._parts.gate.leave()
+        await self._parts.membership.leave()
+        return {"in_flight": self._parts.gate.in_flight}
+
+    async def inject_faults(self, query, body) -> _Json:
+        """Cuts data centres off; allowed by a setting, for tests."""
+        del query
+        if not self._parts.settings.fault_injection:
+            raise exceptions.NotPermittedError(
+                "fault_injection is off in the settings of this node"
+            )
+        names = body.get("cut", [])
+        self._parts.faults.cut(names)
+        self._parts.events.record("fault-injected", cut=",".join(names))
+        return {"cut": sorted(self._parts.faults.cut_data_centres)}
+
+    def _move_from_memory(
+        self, service: str, error: exceptions.PlatformError
+    ) -> _Json:
+        for move in self._moves():
+            if move.service == service:
+                note = (
+                    "the platform is out of reach and the verdict row cannot"
+                    f" be read yet ({error}); this is the state of one node"
+                )
+                return _move_answer(move, note)
+        raise error
+
+    def _moves(self) -> list[move_state.MoveState]:
+        return [
+            entry_codec.parse_move(item.body)
+            for key, item in sorted(self._parts.state.running().items())
+            if key.startswith(row_keys.MOVE)
+        ]
+
+    async def _platform_state(self) -> str:
+        try:
+            await self._parts.table.get(row_keys.HEAD)
+        except exceptions.PlatformError:
+            return "unavailable"
+        return "ok"
+
+
+def _move_answer(move: move_state.MoveState, note: str) -> _Json:
+    is_final = move.phase != move_phase.MovePhase.RUNNING
+    return {
+        "move": plain_json.to_plain(move),
+        "final": is_final,
+        "note": "" if is_final else note,
+    }
+
+
+def _text(body: _Json, name: str) -> str:
+    value = body.get(name)
+    if not isinstance(value, str) or not value:
+        raise exceptions.AdminRequestError(f"{name}: a non-empty text")
+    return value
--- /dev/null
+++ b/src/galenatack/app/node_callbacks.py
@@ -0,0 +1,167 @@
+"""Callbacks between the parts of a node.
+
+Parts need each other in circles: a heartbeat carries the held seq, and the
+held seq is compared with heartbeats. The callbacks are made first and get the
+parts afterwards.
+"""
+
+from galenatack.config import entry_codec
+from galenatack.config import log_state
+from galenatack.config import profile_codec
+from galenatack.config import propagation as propagation_module
+from galenatack.config import row_keys
+from galenatack.config import state_rebuild
+from galenatack.interfaces import clock as clock_interface
+from galenatack.interfaces import event_sink
+from galenatack.interfaces import peer_network
+from galenatack.membership import duties
+from galenatack.membership import member_table
+from galenatack.messages import heartbeat as heartbeat_message
+from galenatack.model import entry
+from galenatack.model import member_status
+from galenatack.model import rejection
+from galenatack.moves import move_runner as move_runner_module
+from galenatack.moves import withdrawals as withdrawals_module
+from galenatack.routing import snapshot_updater
+from galenatack.timeline import hybrid_clock
+
+MAX_SHOWN_REJECTIONS = 16
+"""Rejections in a member record; the time line has all of them."""
+
+
+class NodeCallbacks:
+    """Callbacks of one node; `connect` must come before `run`.
+
+    Args:
+        clock: Time; decides the epoch of duties.
+    """
+
+    def __init__(self, *, clock: clock_interface.Clock):
+        self._clock = clock
+        self._greeted: set[str] = set()
+
+    def connect(
+        self,
+        *,
+        hlc: hybrid_clock.HybridClock,
+        members: member_table.MemberTable,
+        peers: peer_network.PeerNetwork,
+        state: log_state.LogState,
+        propagation: propagation_module.Propagation,
+        updater: snapshot_updater.SnapshotUpdater,
+        move_runner: move_runner_module.MoveRunner,
+        withdrawals: withdrawals_module.Withdrawals,
+        events: event_sink.EventSink,
+    ) -> None:
+        """Gives the callbacks the parts that they lead to."""
+        self._hlc = hlc
+        self._members = members
+        self._peers = peers
+        self._state = state
+        self._propagation = propagation
+        self._updater = updater
+        self._move_runner = move_runner
+        self._withdrawals = withdrawals
+        self._events = events
+        members.subscribe(self._on_members)
+
+    def heartbeat(self) -> heartbeat_message.Heartbeat:
+        """Returns the heartbeat to send."""
+        return heartbeat_message.Heartbeat(
+            self._propagation.announced_seq,
+            self._members.digest(),
+            self._hlc.now(),
+        )
+
+    async def on_heartbeat(
+        self, peer_id: str, beat: heartbeat_message.Heartbeat
+    ) -> None:
+        """Takes a peer's heartbeat; a new peer gets all withdrawals."""
+        self._hlc.observe(beat.hlc)
+        self._propagation.on_heartbeat(peer_id, beat.held_seq)
+        if peer_id in self._greeted:
+            return
+        self._greeted = {peer_id, *(self._greeted & self._peers.neighbours())}
+        for message in self._withdrawals.all():
+            await self._peers.send(peer_id, message)
+
+    def live_in_data_centre(self) -> list[str]:
+        """Returns the live node ids of the own data centre."""
+        own = self._members.own
+        return [
+            record.node_id
+            for record in self._members.live()
+            if record.data_centre == own.data_centre
+        ]
+
+    def is_reader(self) -> bool:
+        """Tells whether this node reads the platform."""
+        return duties.is_reader(self._members, self._epoch())
+
+    def is_rebuild_reader(self) -> bool:
+        """Tells whether this fresh node reads the platform for others.
+
+        Fresh nodes need the answers of a few settled ones. When a whole data
+        centre starts, a few of its nodes read the platform and the others
+        ask them.
+        """
+        own = self._members.own
+        statuses = {
+            record.node_id: record.status
+            for record in self._members.live()
+            if record.data_centre == own.data_centre
+        }
+        joining = [
+            node_id
+            for node_id, status in statuses.items()
+            if status == member_status.MemberStatus.JOINING
+        ]
+        settled = len(statuses) - len(joining)
+        missing = max(0, state_rebuild.ENOUGH_PEERS - settled)
+        return own.node_id in duties.rank(joining, "rebuild")[:missing]
+
+    def is_cleaner(self) -> bool:
+        """Tells whether this node deletes old claim rows."""
+        node_ids = [
+            record.node_id
+            for record in self._members.live()
+            if record.status == member_status.MemberStatus.SERVING
+        ]
+        ranked = duties.rank(node_ids, f"claim-cleanup/{self._epoch()}")
+        return ranked[:1] == [self._members.own.node_id]
+
+    def on_running(self, entries: tuple[entry.Entry, ...]) -> None:
+        """Takes the entries of an atomic step."""
+        self._updater.rebuild()
+        self._events.record("change-running", seq=self._state.running_seq)
+        service = self._members.own.service
+        keys = {item.key for item in entries}
+        if row_keys.MOVE + service in keys:
+            self._update_move(service)
+
+    def on_rejection(self, refused: rejection.Rejection) -> None:
+        """Shows a rejected version to operators."""
+        shown = (*self._members.own.rejections, refused)
+        self._members.update_own(rejections=shown[-MAX_SHOWN_REJECTIONS:])
+
+    def _update_move(self, service: str) -> None:
+        running = self._state.running()
+        move = entry_codec.parse_move(running[row_keys.MOVE + service].body)
+        choice = running.get(row_keys.SERVICE + service)
+        if choice is None:
+            return
+        name = entry_codec.parse_choice(choice.body).profile
+        profile = profile_codec.parse(running[row_keys.PROFILE + name].body)
+        self._move_runner.on_running(move, profile.move_policy)
+
+    def _on_members(self, records) -> None:
+        for record in records:
+            if record.status in (
+                member_status.MemberStatus.DEAD,
+                member_status.MemberStatus.JOINING,
+            ):
+                self._propagation.forget_peer(record.node_id)
+                self._greeted.discard(record.node_id)
+
+    def _epoch(self) -> int:
+        return duties.epoch(self._clock.wall_ms())
--- /dev/null
+++ b/src/galenatack/app/settled_handler.py
@@ -0,0 +1,46 @@
+"""Refuses calls until the node knows its configuration."""
+
+from galenatack import exceptions
+from galenatack.config import propagation as propagation_module
+from galenatack.interfaces import caller_handler
+from galenatack.model import call_result
+from galenatack.routing import results
+
+
+class SettledHandler:
+    """Implements `interfaces.caller_handler.CallerHandler`.
+
+    Args:
+        handler: Takes the calls once the node has settled.
+        propagation: Tells whether it has.
+    """
+
+    def __init__(
+        self,
+        *,
+        handler: caller_handler.CallerHandler,
+        propagation: propagation_module.Propagation,
+    ):
+        self._handler = handler
+        self._propagation = propagation
+
+    async def handle(
+        self,
+        *,
+        method: str,
+        path: str,
+        headers: tuple[tuple[str, str], ...],
+        body: bytes,
+    ) -> call_result.CallResult:
+        """Handles one call, or answers `not-run` while the node starts.
+
+        Without its configuration the node cannot tell an unknown service
+        from one that it has not heard of yet.
+        """
+        if not self._propagation.is_settled:
+            return results.not_run(
+                exceptions.NoTargetError("the node has no configuration yet")
+            )
+        return await self._handler.handle(
+            method=method, path=path, headers=headers, body=body
+        )
--- /dev/null
+++ b/src/galenatack/app/ticket_issuer.py
@@ -0,0 +1,55 @@
+"""Issues tickets for a service."""
+
+from galenatack import exceptions
+from galenatack.postings import tickets as tickets_module
+from galenatack.routing import balancer as balancer_module
+from galenatack.routing import snapshot_holder
+from galenatack.routing import target_chooser
+
+
+class TicketIssuer:
+    """Binds each ticket to one target, chosen as for a call.
+
+    Args:
+        holder: Holds the snapshot.
+        balancer: Chooses among the targets of one version.
+        version_picker: Picks the version during a move.
+        tickets: Signs the tickets.
+    """
+
+    def __init__(
+        self,
+        *,
+        holder: snapshot_holder.SnapshotHolder,
+        balancer: balancer_module.Balancer,
+        version_picker: target_chooser.VersionPicker,
+        tickets: tickets_module.Tickets,
+    ):
+        self._holder = holder
+        self._balancer = balancer
+        self._version_picker = version_picker
+        self._tickets = tickets
+
+    def issue(self, service: str) -> str:
+        """Returns a ticket key for one posting.
+
+        Raises:
+            exceptions.NoRouteError: The service is not known.
+            exceptions.CallError: No target can take a posting now.
+        """
+        table = self._holder.current.services.get(service)
+        if table is None:
+            raise exceptions.NoRouteError(f"no service {service}")
+        version = table.version
+        if table.move is not None:
+            counts = {
+                version: len(members)
+                for version, members in table.members.items()
+            }
+            version = self._version_picker(table.move, counts)
+        member = self._balancer.choose(
+            table.members[version],
+            slow_start_ms=table.limits.slow_start_ms,
+            may_cross=True,
+        )
+        return self._tickets.issue(member.node_id, member.incarnation)
--- a/src/galenatack/config/acceptor.py
+++ b/src/galenatack/config/acceptor.py
@@ -5,6 +5,7 @@
 from galenatack import exceptions
 from galenatack.config import _operation
 from galenatack.config import canonical_json
+from galenatack.config import effective_choice
 from galenatack.config import entry_codec
 from galenatack.config import entry_rows
 from galenatack.config import profile_codec
@@ -16,6 +17,7 @@
 from galenatack.interfaces import table
 from galenatack.messages import delta
 from galenatack.model import entry
+from galenatack.model import move_phase
 from galenatack.model import move_state
 from galenatack.model import profile
 from galenatack.model import row
@@ -98,6 +100,7 @@
             exceptions.ProfileInvalidError: A name is malformed.
             exceptions.NotFoundError: The profile does not exist, belongs to
                 another service, or does not know the version.
+            exceptions.MoveActiveError: The service has an open move.
             exceptions.PlatformUnavailableError: Nothing was written.
             exceptions.OutcomeUnknownError: It may have been written.
         """
@@ -107,8 +110,11 @@
 
         async def prepare(current: row.Row | None) -> _operation.Prepared:
             del current
-            check = await self._check_profile(choice)
-            return _operation.Prepared(body, (check,))
+            checks = (
+                await self._check_profile(choice),
+                await self._check_no_move(service),
+            )
+            return _operation.Prepared(body, checks)
 
         return await self._accept(row_keys.SERVICE + service, prepare)
 
@@ -218,13 +224,48 @@
             return (row_check.RowCheck(key, 0),)
         item = await entry_rows.load(found, self._objects)
         choice = entry_codec.parse_choice(item.body)
-        is_chosen = choice.profile == value.name
-        if is_chosen and choice.version not in value.versions:
+        if choice.profile != value.name:
+            return (row_check.RowCheck(key, found.revision),)
+        needed, move_check = await self._versions_in_use(item)
+        missing = sorted(needed - set(value.versions))
+        if missing:
             raise exceptions.ProfileInvalidError(
-                f"$.versions: lacks {choice.version!r}, which service"
+                f"$.versions: lacks {', '.join(missing)}, which service"
                 f" {value.service!r} runs"
             )
-        return (row_check.RowCheck(key, found.revision),)
+        return (row_check.RowCheck(key, found.revision), move_check)
+
+    async def _versions_in_use(
+        self, choice_entry: entry.Entry
+    ) -> tuple[set[str], row_check.RowCheck]:
+        """Returns the versions that calls may go to, and a check of that."""
+        service = choice_entry.key.removeprefix(row_keys.SERVICE)
+        key = row_keys.entry(row_keys.MOVE + service)
+        found = await self._table.get(key)
+        if found is None:
+            choice = entry_codec.parse_choice(choice_entry.body)
+            return {choice.version}, row_check.RowCheck(key, 0)
+        item = await entry_rows.load(found, self._objects)
+        move = entry_codec.parse_move(item.body)
+        choice = effective_choice.effective_choice(choice_entry, item)
+        needed = {choice.version}
+        if move.phase == move_phase.MovePhase.RUNNING:
+            needed |= {move.from_version, move.to_version}
+        return needed, row_check.RowCheck(key, found.revision)
+
+    async def _check_no_move(self, service: str) -> row_check.RowCheck:
+        key = row_keys.entry(row_keys.MOVE + service)
+        found = await self._table.get(key)
+        if found is None:
+            return row_check.RowCheck(key, 0)
+        item = await entry_rows.load(found, self._objects)
+        move = entry_codec.parse_move(item.body)
+        if move.phase == move_phase.MovePhase.RUNNING:
+            raise exceptions.MoveActiveError(
+                f"service {service!r} moves to {move.to_version!r}; cancel"
+                " the move or wait for its verdict"
+            )
+        return row_check.RowCheck(key, found.revision)
 
     async def _check_profile(
         self, choice: service_choice.ServiceChoice
--- a/src/galenatack/links/admin_errors.py
+++ b/src/galenatack/links/admin_errors.py
@@ -54,6 +54,12 @@
     return 409
 
 
+@status_of.register
+def _(error: exceptions.TransactionConflictError) -> int:
+    del error
+    return 409
+
+
 @status_of.register
 def _(error: exceptions.PlatformError) -> int:
     del error
--- a/src/galenatack/links/http_server.py
+++ b/src/galenatack/links/http_server.py
@@ -1,5 +1,6 @@
 """Serves an ASGI application with hypercorn."""
 
+import asyncio
 import ssl
 import typing
 
@@ -65,6 +66,12 @@
         if tls.ca_file:
             config.ca_certs = tls.ca_file
             config.verify_mode = ssl.CERT_REQUIRED
-    await hypercorn.asyncio.serve(
-        app, config, shutdown_trigger=shutdown.wait, mode="asgi"
-    )
+    try:
+        await hypercorn.asyncio.serve(
+            app, config, shutdown_trigger=shutdown.wait, mode="asgi"
+        )
+    except asyncio.InvalidStateError:
+        # Hypercorn 0.18 asks a cancelled future for its exception when its
+        # own task is cancelled while it stops; the stop itself is complete.
+        if not shutdown.is_set():
+            raise
--- a/src/galenatack/model/member_record.py
+++ b/src/galenatack/model/member_record.py
@@ -24,6 +24,9 @@
         running_seq: Highest seq in force on the node.
         rejections: Profile versions that the node could not run.
         beat: Grows with each change of the record within an incarnation.
+        boot_ms: Start of the process, wall clock in milliseconds. Unlike the
+            incarnation it does not grow when a suspicion is refuted, so
+            that tickets and claims stay valid.
     """
 
     node_id: str
@@ -40,3 +43,4 @@
     running_seq: int = 0
     rejections: tuple[rejection.Rejection, ...] = ()
     beat: int = 0
+    boot_ms: int = 0
--- a/src/galenatack/moves/move_driver.py
+++ b/src/galenatack/moves/move_driver.py
@@ -143,15 +143,8 @@
             row_check.RowCheck(f"entry/move/{service}", self._revision),
             self._lease.check(),
         )
-        extra_puts: tuple[tuple[str, object], ...] = ()
-        if decision.needs_choice:
-            choice, check = await self._choice()
-            checks = (*checks, check)
-            extra_puts = ((f"service/{service}", choice),)
         self._revision = None
-        await self._writer.write_move(
-            decision.state, checks=checks, extra_puts=extra_puts
-        )
+        await self._writer.write_move(decision.state, checks=checks)
         self._adopt(decision.state)
         self._record(
             "move-written",
@@ -161,19 +154,6 @@
             reason=decision.state.reason,
         )
 
-    async def _choice(self) -> tuple[object, row_check.RowCheck]:
-        """Returns the choice that names the new version, and its check."""
-        key = f"service/{self._move.service}"
-        found = await self._writer.read_entry(key)
-        if found is None:
-            raise exceptions.NotFoundError(f"no entry {key}")
-        entry, revision = found
-        choice = move_codec.parse_choice(entry.body)
-        return (
-            choice._replace(version=self._move.to_version),
-            row_check.RowCheck(f"entry/{key}", revision),
-        )
-
     def _on_conflict(self, error: exceptions.TransactionConflictError) -> None:
         if any(key.startswith("lease/") for key in error.keys):
             self._lease.drop()
--- /dev/null
+++ b/src/galenatack/moves/move_runner.py
@@ -0,0 +1,226 @@
+"""Runs a node's part in the moves of its own service."""
+
+import collections.abc
+
+import anyio
+
+from galenatack.interfaces import clock as clock_interface
+from galenatack.interfaces import event_sink
+from galenatack.interfaces import peer_network
+from galenatack.interfaces import table as table_interface
+from galenatack.membership import duties
+from galenatack.membership import member_table
+from galenatack.messages import evidence
+from galenatack.model import member_status
+from galenatack.model import move_phase
+from galenatack.model import move_policy
+from galenatack.model import move_state
+from galenatack.moves import evidence_book
+from galenatack.moves import evidence_sender
+from galenatack.moves import fault_watch
+from galenatack.moves import lease
+from galenatack.moves import move_driver
+from galenatack.moves import move_writer
+from galenatack.moves import withdrawals as withdrawals_module
+
+# A node that sees a move this long after its start joins it late.
+LATE_MS = 3_000
+
+
+class MoveRunner:
+    """Counts evidence, watches for faults and is a candidate for driving.
+
+    Args:
+        members: Members; the own record names service and version.
+        lease_table: Table of the lease rows.
+        writer: The write path of move states.
+        withdrawals: Withdrawn versions.
+        peers: Links to the nodes of the service.
+        clock: Time.
+        events: Time line.
+    """
+
+    def __init__(
+        self,
+        *,
+        members: member_table.MemberTable,
+        lease_table: table_interface.Table,
+        writer: move_writer.MoveWriter,
+        withdrawals: withdrawals_module.Withdrawals,
+        peers: peer_network.PeerNetwork,
+        clock: clock_interface.Clock,
+        events: event_sink.EventSink,
+    ):
+        self._members = members
+        self._lease_table = lease_table
+        self._writer = writer
+        self._withdrawals = withdrawals
+        self._peers = peers
+        self._clock = clock
+        self._events = events
+        self._move: move_state.MoveState | None = None
+        self._policy = move_policy.MovePolicy()
+        self._book: evidence_book.EvidenceBook | None = None
+        self._watch: fault_watch.FaultWatch | None = None
+        self._driver: move_driver.MoveDriver | None = None
+        self._changed = anyio.Event()
+        peers.on(evidence.Evidence, self._on_evidence)
+
+    def on_running(
+        self, move: move_state.MoveState, policy: move_policy.MovePolicy
+    ) -> None:
+        """Takes the state of the own service's move that came into force."""
+        is_same = self._move is not None and self._move.move_id == move.move_id
+        self._move = move
+        self._policy = policy
+        if is_same and self._driver is not None:
+            self._driver.on_running(move)
+        self._changed.set()
+
+    def record_outcome(
+        self, route: str, is_error: bool, latency_ms: float, is_warm: bool
+    ) -> None:
+        """Counts a call that ended at the own target."""
+        if self._book is not None:
+            self._book.record(
+                route,
+                self._members.own.version,
+                is_error=is_error,
+                latency_ms=latency_ms,
+                is_warm=is_warm,
+            )
+
+    def is_own_version_withdrawn(self) -> bool:
+        """Tells whether the own target gets no new calls."""
+        own = self._members.own
+        return self._move is not None and self._withdrawals.is_withdrawn(
+            own.service, own.version, self._move.move_id
+        )
+
+    async def run(self) -> None:
+        """Takes part in one move after the other, until cancelled."""
+        while True:
+            await self._changed.wait()
+            self._changed = anyio.Event()
+            move = self._move
+            if move is None or move.phase != move_phase.MovePhase.RUNNING:
+                continue
+            await self._take_part(move)
+
+    async def _take_part(self, move: move_state.MoveState) -> None:
+        self._prepare(move)
+        self._events.record(
+            "move-joined", service=move.service, move_id=move.move_id
+        )
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._watch.run)
+            tasks.start_soon(self._sender(move).run)
+            tasks.start_soon(self._driver.run)
+            await self._wait_for_verdict(move)
+            tasks.cancel_scope.cancel()
+        self._book = None
+        self._watch = None
+        self._driver = None
+
+    async def _wait_for_verdict(self, move: move_state.MoveState) -> None:
+        while self._is_open(move):
+            self._changed = anyio.Event()
+            await self._changed.wait()
+        self._changed.set()
+
+    def _is_open(self, move: move_state.MoveState) -> bool:
+        now = self._move
+        is_same = now is not None and now.move_id == move.move_id
+        return is_same and now.phase == move_phase.MovePhase.RUNNING
+
+    def _prepare(self, move: move_state.MoveState) -> None:
+        own = self._members.own
+        self._book = evidence_book.EvidenceBook()
+        self._watch = fault_watch.FaultWatch(
+            move=move,
+            policy=self._policy,
+            node_id=own.node_id,
+            clock=self._clock,
+            events=self._events,
+            withdrawals=self._withdrawals,
+            is_late=self._clock.wall_ms() - move.started_ms > LATE_MS,
+        )
+        self._driver = move_driver.MoveDriver(
+            move=move,
+            policy=self._policy,
+            watch=self._watch,
+            withdrawals=self._withdrawals,
+            lease=lease.Lease(
+                service=move.service,
+                node_id=own.node_id,
+                incarnation=own.boot_ms,
+                table=self._lease_table,
+                clock=self._clock,
+            ),
+            writer=self._writer,
+            clock=self._clock,
+            events=self._events,
+            rank=lambda: self._rank(move.move_id),
+        )
+
+    def _sender(
+        self, move: move_state.MoveState
+    ) -> evidence_sender.EvidenceSender:
+        own = self._members.own
+        return evidence_sender.EvidenceSender(
+            move=move,
+            book=self._book,
+            watch=self._watch,
+            clock=self._clock,
+            peers=self._peers,
+            node_id=own.node_id,
+            incarnation=own.boot_ms,
+            data_centre=own.data_centre,
+            targets=self._others,
+        )
+
+    def _others(self) -> list[str]:
+        own = self._members.own
+        return [
+            record.node_id
+            for record in self._members.live()
+            if record.service == own.service and record.node_id != own.node_id
+        ]
+
+    def _rank(self, move_id: str) -> int | None:
+        """Ranks the nodes of the service, one of each data centre first.
+
+        Three candidates from one data centre would all lose the platform
+        together.
+        """
+        own = self._members.own
+        data_centres = {
+            record.node_id: record.data_centre
+            for record in self._members.live()
+            if record.service == own.service
+            and record.status == member_status.MemberStatus.SERVING
+        }
+        ordered = spread_order(duties.rank(data_centres, move_id), data_centres)
+        return ordered.index(own.node_id) if own.node_id in ordered else None
+
+    async def _on_evidence(
+        self, sender: str, report: evidence.Evidence
+    ) -> None:
+        del sender
+        if self._watch is not None:
+            self._watch.add(report)
+
+
+def spread_order(
+    ranked: collections.abc.Sequence[str],
+    data_centres: collections.abc.Mapping[str, str],
+) -> list[str]:
+    """Returns the nodes with the first of each data centre in front."""
+    seen: set[str] = set()
+    firsts = []
+    rest = []
+    for node_id in ranked:
+        is_first = data_centres[node_id] not in seen
+        seen.add(data_centres[node_id])
+        (firsts if is_first else rest).append(node_id)
+    return firsts + rest
--- a/src/galenatack/moves/move_service.py
+++ b/src/galenatack/moves/move_service.py
@@ -1,6 +1,8 @@
 """What operators do with moves: start, cancel and ask for the verdict."""
 
 from galenatack import exceptions
+from galenatack.config import effective_choice
+from galenatack.config import profile_codec
 from galenatack.interfaces import clock as clock_interface
 from galenatack.interfaces import random_source
 from galenatack.invariants import verdict_once
@@ -47,13 +49,15 @@
             active_targets: New targets that take calls in the first step.
 
         Raises:
-            exceptions.NotFoundError: The service has no choice.
+            exceptions.NotFoundError: The service has no choice, or its
+                profile does not know the version.
             exceptions.MoveError: The time is too short or the version is
                 the present one.
             exceptions.MoveActiveError: The service has an open move.
             exceptions.PlatformError: The table did not answer.
         """
         choice, choice_revision = await self._choice(service)
+        profile_check = await self._check_version(choice, to_version)
         move, revision = await self._read(service)
         if move is not None and _is_running(move):
             raise _active(service, move)
@@ -61,6 +65,7 @@
         checks = (
             row_check.RowCheck(f"entry/move/{service}", revision),
             row_check.RowCheck(f"entry/service/{service}", choice_revision),
+            profile_check,
         )
         try:
             await self._writer.write_move(state, checks=checks)
@@ -150,7 +155,27 @@
         if found is None:
             raise exceptions.NotFoundError(f"no service {service}")
         entry, revision = found
-        return move_codec.parse_choice(entry.body), revision
+        moved = await self._writer.read_entry(f"move/{service}")
+        choice = effective_choice.effective_choice(
+            entry, moved[0] if moved else None
+        )
+        return choice, revision
+
+    async def _check_version(
+        self, choice: service_choice.ServiceChoice, version: str
+    ) -> row_check.RowCheck:
+        """Returns a check that the profile still knows the version."""
+        key = f"profile/{choice.profile}"
+        found = await self._writer.read_entry(key)
+        if found is None:
+            raise exceptions.NotFoundError(f"no profile {choice.profile}")
+        entry, revision = found
+        if version not in profile_codec.parse(entry.body).versions:
+            raise exceptions.NotFoundError(
+                f"profile {choice.profile} does not know version {version};"
+                " publish it with that version first"
+            )
+        return row_check.RowCheck(f"entry/{key}", revision)
 
     async def _read(
         self, service: str
--- a/src/galenatack/routing/builder.py
+++ b/src/galenatack/routing/builder.py
@@ -167,7 +167,7 @@
     fallback = collections.defaultdict(list)
     for record in sorted(members, key=lambda member: member.node_id):
         target = target_member.TargetMember(
-            record.node_id, record.incarnation, record.slots, _tier(record, own)
+            record.node_id, record.boot_ms, record.slots, _tier(record, own)
         )
         if record.status in _ROUTABLE:
             preferred[record.service, record.version].append(target)
--- /dev/null
+++ b/src/galenatack/routing/snapshot_updater.py
@@ -0,0 +1,125 @@
+"""Keeps the routing snapshot up to date with entries and members."""
+
+import collections.abc
+
+import anyio
+
+from galenatack import exceptions
+from galenatack.config import effective_choice
+from galenatack.config import entry_codec
+from galenatack.config import profile_codec
+from galenatack.config import row_keys
+from galenatack.interfaces import clock as clock_interface
+from galenatack.interfaces import event_sink
+from galenatack.membership import member_table
+from galenatack.model import entry as entry_module
+from galenatack.model import profile
+from galenatack.moves import withdrawals as withdrawals_module
+from galenatack.routing import builder
+from galenatack.routing import snapshot_holder
+
+# A herd of restarts changes members many times a second; rebuilding for each
+# change would use a core at a few thousand members.
+MEMBER_REBUILD_INTERVAL_S = 0.1
+
+Running = collections.abc.Callable[
+    [], collections.abc.Mapping[str, entry_module.Entry]
+]
+
+
+class SnapshotUpdater:
+    """Rebuilds the snapshot after changes; a failed build changes nothing.
+
+    Args:
+        running: Returns the entries in force.
+        table: Members.
+        withdrawals: Withdrawn versions.
+        holder: Gets each new snapshot.
+        clock: Time.
+        events: Sink of failed builds.
+    """
+
+    def __init__(
+        self,
+        *,
+        running: Running,
+        table: member_table.MemberTable,
+        withdrawals: withdrawals_module.Withdrawals,
+        holder: snapshot_holder.SnapshotHolder,
+        clock: clock_interface.Clock,
+        events: event_sink.EventSink,
+    ):
+        self._running = running
+        self._table = table
+        self._withdrawals = withdrawals
+        self._holder = holder
+        self._clock = clock
+        self._events = events
+        self._changed = anyio.Event()
+        self._profiles: dict[str, tuple[str, profile.Profile]] = {}
+        table.subscribe(lambda records: self._changed.set())
+        withdrawals.subscribe(lambda message: self.rebuild())
+
+    async def run(self) -> None:
+        """Rebuilds after changes of members, until cancelled."""
+        while True:
+            await self._changed.wait()
+            self._changed = anyio.Event()
+            self.rebuild()
+            await self._clock.sleep_s(MEMBER_REBUILD_INTERVAL_S)
+
+    def rebuild(self) -> None:
+        """Builds a snapshot now and puts it in force as one step."""
+        entries = self._running()
+        withdrawn = {
+            (item.service, item.version, item.move_id)
+            for item in self._withdrawals.all()
+        }
+        try:
+            built = builder.build(
+                profiles=self._all_profiles(entries),
+                choices=_choices(entries),
+                moves=_moves(entries),
+                members=self._table.live(),
+                withdrawn=withdrawn,
+                own=self._table.own,
+            )
+        except exceptions.SnapshotError as error:
+            reason = "; ".join(str(error).splitlines())
+            self._events.record("snapshot-refused", reason=reason)
+            return
+        self._holder.swap(built)
+
+    def _all_profiles(
+        self, entries: collections.abc.Mapping[str, entry_module.Entry]
+    ) -> list[profile.Profile]:
+        """Returns the decoded profiles; unchanged ones are not parsed again."""
+        decoded = {}
+        for key, item in entries.items():
+            if not key.startswith(row_keys.PROFILE):
+                continue
+            known = self._profiles.get(key)
+            if known is None or known[0] != item.digest:
+                known = (item.digest, profile_codec.parse(item.body))
+            decoded[key] = known
+        self._profiles = decoded
+        return [value for _, value in decoded.values()]
+
+
+def _choices(entries):
+    return [
+        effective_choice.effective_choice(
+            item,
+            entries.get(row_keys.MOVE + key.removeprefix(row_keys.SERVICE)),
+        )
+        for key, item in entries.items()
+        if key.startswith(row_keys.SERVICE)
+    ]
+
+
+def _moves(entries):
+    return [
+        entry_codec.parse_move(item.body)
+        for key, item in entries.items()
+        if key.startswith(row_keys.MOVE)
+    ]
