--- /dev/null
+++ b/standins/callers/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-in callers: open-loop load that checks every answer."""
