--- /dev/null
+++ b/src/galenatack/app/commands/__init__.py
@@ -0,0 +1,1 @@
+"""Commands of the `galenatack` tool, one group each."""
--- /dev/null
+++ b/src/galenatack/app/commands/status.py
@@ -0,0 +1,57 @@
+"""The command `galenatack status`."""
+
+import click
+
+from galenatack.app import rejections
+from galenatack.app import tool
+from galenatack.app import waiting
+
+
+@click.command()
+@click.pass_obj
+def status(shared: tool.Tool) -> None:
+    """Shows the version in force on each node, and what lags or failed."""
+    answer = shared.client.get("/status")
+    behind = waiting.lagging(answer["members"], answer["held_seq"])
+    found = rejections.of(answer["members"])
+    data = {**answer, "lagging": behind, "rejections": found}
+    shared.show(data, _text(answer, behind, found))
+
+
+def _text(answer: dict, behind: list[str], found: list[dict]) -> str:
+    lines = [
+        f"answered by {answer['node_id']}: holds seq {answer['held_seq']},"
+        f" runs seq {answer['running_seq']}",
+        f"platform: {answer['platform']}",
+        _members(answer["members"]),
+        f"lagging: {', '.join(behind) or 'none'}",
+    ]
+    lines += [
+        f"rejected by {item['node_id']}: {item['profile']}"
+        f" version {item['version']}: {item['reason']}"
+        for item in found
+    ]
+    lines += [
+        f"move {move['service']}: {move['phase']}, {move['from_version']} to"
+        f" {move['to_version']}, {move['share_permille'] / 10:g}%"
+        for move in answer["moves"]
+    ]
+    return "\n".join(lines)
+
+
+def _members(members: list[dict]) -> str:
+    rows: list[tuple[object, ...]] = [
+        ("NODE", "STATUS", "DATA CENTRE", "SERVICE", "TARGET", "SEQ")
+    ]
+    rows += [
+        (
+            member["node_id"],
+            member["status"],
+            member["data_centre"],
+            member["service"],
+            member["version"],
+            member["running_seq"],
+        )
+        for member in sorted(members, key=lambda m: m["node_id"])
+    ]
+    return tool.columns(rows)
--- /dev/null
+++ b/src/galenatack/app/commands/timeline.py
@@ -0,0 +1,74 @@
+"""The command `galenatack timeline`."""
+
+import pathlib
+
+import click
+
+from galenatack import exceptions
+from galenatack.app import event_source
+from galenatack.app import time_option
+from galenatack.app import tool
+from galenatack.model import event
+
+HLC_COUNTER_BITS = 16
+
+
+@click.command()
+@click.option("--kind", "kinds", multiple=True, help="Only these kinds.")
+@click.option("--node", "nodes", multiple=True, help="Only these node ids.")
+@click.option("--service", "services", multiple=True, help="Only these.")
+@click.option(
+    "--svg",
+    "svg_file",
+    type=click.Path(dir_okay=False),
+    help="Draw the time line into a file instead.",
+)
+@click.pass_obj
+def timeline(
+    shared: tool.Tool,
+    kinds: tuple[str, ...],
+    nodes: tuple[str, ...],
+    services: tuple[str, ...],
+    svg_file: str | None,
+) -> None:
+    """Shows the events of all nodes in one causal order."""
+    events = [
+        found
+        for found in event_source.collect(shared)
+        if _is_one_of(found.kind, kinds)
+        and _is_one_of(found.event_id.node_id, nodes)
+        and _is_one_of(dict(found.facts).get("service"), services)
+    ]
+    if svg_file is None:
+        data = [_as_dict(found) for found in events]
+        shared.show(data, "\n".join(_line(found) for found in events))
+        return
+    try:
+        drawing = event_source.render_svg(events)
+        pathlib.Path(svg_file).write_text(drawing, encoding="utf-8")
+    except OSError as error:
+        raise exceptions.UsageError(f"--svg: {error}") from error
+    shared.show(
+        {"file": svg_file, "events": len(events)},
+        f"{svg_file}: {len(events)} events",
+    )
+
+
+def _is_one_of(value: str | None, wanted: tuple[str, ...]) -> bool:
+    return not wanted or value in wanted
+
+
+def _line(found: event.Event) -> str:
+    moment = time_option.shown(found.hlc >> HLC_COUNTER_BITS)
+    facts = " ".join(f"{name}={value}" for name, value in found.facts)
+    return f"{moment} {found.event_id.node_id} {found.kind} {facts}".rstrip()
+
+
+def _as_dict(found: event.Event) -> dict[str, object]:
+    return {
+        "event_id": found.event_id._asdict(),
+        "hlc": found.hlc,
+        "kind": found.kind,
+        "cause": found.cause._asdict() if found.cause else None,
+        "facts": dict(found.facts),
+    }
--- /dev/null
+++ b/src/galenatack/app/profile_file.py
@@ -0,0 +1,53 @@
+"""Reads profile files of operators."""
+
+import json
+import pathlib
+import typing
+
+import yaml
+
+from galenatack import exceptions
+from galenatack.settings import unique_loader
+
+
+def read(path: str) -> dict[str, typing.Any]:
+    """Reads a profile in YAML or JSON and checks it whole.
+
+    Raises:
+        exceptions.UsageError: The file cannot be read.
+        exceptions.ProfileInvalidError: One line for each error.
+    """
+    document = _document(path)
+    try:
+        check(json.dumps(document).encode())
+    except exceptions.ProfileInvalidError as error:
+        lines = str(error).splitlines()
+        raise exceptions.ProfileInvalidError(
+            "\n".join(f"{path}: {line}" for line in lines)
+        ) from error
+    return document
+
+
+def check(body: bytes) -> None:
+    """Checks the JSON of a profile whole.
+
+    Raises:
+        exceptions.ProfileInvalidError: One line for each error.
+    """
+    # Imported late: only some commands need the codec.
+    from galenatack.config import profile_codec
+
+    profile_codec.parse(body)
+
+
+def _document(path: str) -> dict[str, typing.Any]:
+    try:
+        text = pathlib.Path(path).read_text(encoding="utf-8")
+        # UniqueLoader is a SafeLoader; JSON is a subset of YAML.
+        document = yaml.load(text, Loader=unique_loader.UniqueLoader)
+        json.dumps(document)
+    except (OSError, ValueError, TypeError, yaml.YAMLError) as error:
+        raise exceptions.UsageError(f"{path}: {error}") from error
+    if not isinstance(document, dict):
+        raise exceptions.UsageError(f"{path}: expected a mapping")
+    return document
--- /dev/null
+++ b/src/galenatack/app/rejections.py
@@ -0,0 +1,21 @@
+"""Reads the rejected profile versions out of the members."""
+
+import typing
+
+DEAD = "dead"
+
+
+def of(members: list[dict]) -> list[dict[str, typing.Any]]:
+    """Returns the rejected profile versions of the live nodes."""
+    return [
+        {"node_id": member["node_id"], **_named(item)}
+        for member in members
+        if member["status"] != DEAD
+        for item in member.get("rejections", ())
+    ]
+
+
+def _named(item: typing.Any) -> dict[str, typing.Any]:
+    if isinstance(item, dict):
+        return item
+    return dict(zip(("profile", "version", "reason"), item, strict=True))
--- /dev/null
+++ b/tests/app/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the app package."""
