--- a/src/galenatack/postings/claim_desk.py
+++ b/src/galenatack/postings/claim_desk.py
@@ -163,12 +163,12 @@
             if not record.close():
                 return posting_status.PostingStatus(record.state, record.result)
         elif question.attempt not in self._abandoned:
-            return posting_status.PostingStatus(State.UNKNOWN, None)
+            return posting_status.PostingStatus(State.UNKNOWN.value, None)
         self._releaser.release(
             claim.row_key(question.service, question.idempotency_key),
             question.attempt,
         )
-        return posting_status.PostingStatus(State.NOT_DISPATCHED, None)
+        return posting_status.PostingStatus(State.NOT_DISPATCHED.value, None)
 
 
 def _claim_failed(error: Exception) -> call_result.CallResult:
--- a/src/galenatack/postings/results.py
+++ b/src/galenatack/postings/results.py
@@ -63,7 +63,7 @@
     retry_after_ms: int = 0,
 ) -> call_result.CallResult:
     return call_result.CallResult(
-        outcome=told,
+        outcome=told.value,
         status=status,
         headers=(("content-type", "application/json"),),
         body=json.dumps({"error": failure, "detail": detail}).encode(),
