Keep exit status 1 for a move taken back

A trial against a server of another kind ended with a traceback and status 1, which scripts read as a move taken back.

--- a/src/galenatack/app/admin_client.py
+++ b/src/galenatack/app/admin_client.py
@@ -49,10 +49,24 @@
         """Closes the connections."""
         self._http.close()
 
-    def get(self, path: str, *, node: str = "", **query: object) -> typing.Any:
+    def get(
+        self,
+        path: str,
+        *,
+        fields: tuple[str, ...],
+        node: str = "",
+        **query: object,
+    ) -> dict[str, typing.Any]:
         """Reads from one node, or from the first that answers.
 
+        Args:
+            path: Path after the prefix.
+            fields: Fields that the answer must have.
+            node: Admin address of the only node to ask.
+            **query: Query parameters.
+
         Raises:
+            exceptions.AdminAnswerError: The answer lacks fields.
             exceptions.AdminUnreachableError: No node answered.
             exceptions.AdminRefusedError: A node refused.
         """
@@ -60,17 +74,25 @@
         for address in (node,) if node else self._nodes:
             try:
                 response = self._send(address, "GET", path, query=query)
-                return _checked(response, address)
+                return _checked(response, address, fields)
             except httpx.TransportError as error:
                 failures.append(f"{address}: {_reason(error)}")
             except exceptions.AdminUnreachableError as error:
                 failures.append(str(error))
         raise exceptions.AdminUnreachableError("; ".join(failures))
 
-    def change(self, method: str, path: str, body: object = None) -> typing.Any:
+    def change(
+        self,
+        method: str,
+        path: str,
+        body: object = None,
+        *,
+        fields: tuple[str, ...],
+    ) -> dict[str, typing.Any]:
         """Sends a change to the first node that can be connected to.
 
         Raises:
+            exceptions.AdminAnswerError: The answer lacks fields.
             exceptions.AdminUnreachableError: Nothing was changed.
             exceptions.AdminTimeoutError: It may have taken effect.
             exceptions.AdminRefusedError: A node refused.
@@ -79,7 +101,7 @@
         for address in self._nodes:
             try:
                 response = self._send(address, method, path, body=body)
-                return _checked(response, address)
+                return _checked(response, address, fields)
             except (httpx.ConnectError, httpx.ConnectTimeout) as error:
                 failures.append(f"{address}: {_reason(error)}")
             except exceptions.AdminUnreachableError as error:
@@ -137,13 +159,15 @@
     return context
 
 
-def _checked(response: httpx.Response, address: str) -> typing.Any:
+def _checked(
+    response: httpx.Response, address: str, fields: tuple[str, ...]
+) -> dict[str, typing.Any]:
     try:
         answer = response.json()
     except ValueError:
         answer = None
-    if response.is_success and answer is not None:
-        return answer
+    if response.is_success:
+        return _complete(answer, address, fields)
     facts = dict(answer) if isinstance(answer, dict) else {}
     reason = str(facts.pop("error", "no-json"))
     detail = str(facts.pop("detail", "the answer is not of the admin API"))
@@ -157,5 +181,18 @@
     )
 
 
+def _complete(
+    answer: typing.Any, address: str, fields: tuple[str, ...]
+) -> dict[str, typing.Any]:
+    if not isinstance(answer, dict):
+        raise exceptions.AdminAnswerError(f"{address}: expected an object")
+    missing = [field for field in fields if field not in answer]
+    if missing:
+        raise exceptions.AdminAnswerError(
+            f"{address}: the answer lacks {', '.join(missing)}"
+        )
+    return answer
+
+
 def _reason(error: httpx.TransportError) -> str:
     return str(error) or type(error).__name__
--- a/src/galenatack/app/cli.py
+++ b/src/galenatack/app/cli.py
@@ -1,6 +1,7 @@
 """The `galenatack` command-line tool."""
 
 import json
+import traceback
 import typing
 
 import click
@@ -31,6 +32,14 @@
         except exceptions.GalenatackError as error:
             _tell(error, is_json=ctx.params.get("output") == "json")
             ctx.exit(exit_status.of(error))
+        except (click.ClickException, click.exceptions.Exit):
+            raise
+        except (KeyboardInterrupt, click.Abort, BrokenPipeError):
+            ctx.exit(exit_status.ExitStatus.INTERRUPTED)
+        except Exception:
+            # Python would exit with 1, which stands for a move taken back.
+            click.echo(traceback.format_exc(), err=True)
+            ctx.exit(exit_status.ExitStatus.INTERNAL)
 
 
 @click.group(cls=_Group, epilog=exit_status.HELP)
--- a/src/galenatack/app/commands/move.py
+++ b/src/galenatack/app/commands/move.py
@@ -40,6 +40,7 @@
         "POST",
         "/moves",
         {"service": service, "to": to_version, "by_ms": by_ms},
+        fields=("service", "phase", "by_ms", "to_version"),
     )
     if wait:
         shared.progress(_text(state))
@@ -53,7 +54,7 @@
 @click.pass_obj
 def status(shared: tool.Tool, service: str) -> None:
     """Shows the latest move of SERVICE."""
-    answer = shared.client.get(f"/moves/{admin_client.quoted(service)}")
+    answer = waiting.read_move(shared, service)
     shared.show(answer, _answer_text(answer))
 
 
@@ -63,7 +64,7 @@
 @click.pass_obj
 def verdict(shared: tool.Tool, service: str, wait: bool) -> None:
     """Tells the verdict of SERVICE's move: status 0 done, 1 taken back."""
-    answer = shared.client.get(f"/moves/{admin_client.quoted(service)}")
+    answer = waiting.read_move(shared, service)
     if wait and not answer["final"]:
         answer = _wait(shared, answer["move"])
     if not answer["final"]:
@@ -79,7 +80,9 @@
 def cancel(shared: tool.Tool, service: str) -> None:
     """Takes the open move of SERVICE back."""
     answer = shared.client.change(
-        "DELETE", f"/moves/{admin_client.quoted(service)}"
+        "DELETE",
+        f"/moves/{admin_client.quoted(service)}",
+        fields=waiting.MOVE_FIELDS,
     )
     shared.show(answer, _answer_text(answer))
 
--- a/src/galenatack/app/commands/profile.py
+++ b/src/galenatack/app/commands/profile.py
@@ -69,7 +69,10 @@
     """Publishes the profile in FILE as a new version."""
     document = profile_file.read(file)
     answer = shared.client.change(
-        "POST", "/profiles", {"profile": document, "expect": expect}
+        "POST",
+        "/profiles",
+        {"profile": document, "expect": expect},
+        fields=("name", "version", "seq"),
     )
     text = f"{answer['name']} version {answer['version']}, seq {answer['seq']}"
     if wait:
@@ -88,7 +91,7 @@
 @click.pass_obj
 def list_profiles(shared: tool.Tool) -> None:
     """Lists the profiles with the version in force."""
-    answer = shared.client.get("/profiles")
+    answer = shared.client.get("/profiles", fields=("profiles",))
     rows: list[tuple[object, ...]] = [("NAME", "VERSION", "SEQ", "SERVICE")]
     rows += [
         (item["name"], item["version"], item["seq"], item["service"])
@@ -102,7 +105,7 @@
 @click.pass_obj
 def show(shared: tool.Tool, name: str) -> None:
     """Shows the profile NAME."""
-    answer = shared.client.get(f"/profiles/{admin_client.quoted(name)}")
+    answer = _in_force(shared, name)
     shared.show(answer, _body(answer["profile"]).rstrip("\n"))
 
 
@@ -113,7 +116,7 @@
 def diff(shared: tool.Tool, name: str, file: str) -> None:
     """Shows what publishing FILE would change in the profile NAME."""
     document = profile_file.read(file)
-    answer = shared.client.get(f"/profiles/{admin_client.quoted(name)}")
+    answer = _in_force(shared, name)
     lines = difflib.unified_diff(
         _body(answer["profile"]).splitlines(),
         _body(document).splitlines(),
@@ -152,6 +155,7 @@
         "POST",
         f"/services/{admin_client.quoted(service)}",
         {"profile": name, "version": version},
+        fields=("seq",),
     )
     text = f"{service} runs under {name} with {version}, seq {answer['seq']}"
     if wait:
@@ -161,5 +165,12 @@
     shared.show(answer, text)
 
 
+def _in_force(shared: tool.Tool, name: str) -> dict[str, typing.Any]:
+    return shared.client.get(
+        f"/profiles/{admin_client.quoted(name)}",
+        fields=("version", "profile"),
+    )
+
+
 def _body(document: dict[str, typing.Any]) -> str:
     return json.dumps(document, indent=2, sort_keys=True) + "\n"
--- a/src/galenatack/app/commands/status.py
+++ b/src/galenatack/app/commands/status.py
@@ -6,12 +6,21 @@
 from galenatack.app import tool
 from galenatack.app import waiting
 
+FIELDS = (
+    "node_id",
+    "held_seq",
+    "running_seq",
+    "members",
+    "platform",
+    "moves",
+)
+
 
 @click.command()
 @click.pass_obj
 def status(shared: tool.Tool) -> None:
     """Shows the version in force on each node, and what lags or failed."""
-    answer = shared.client.get("/status")
+    answer = shared.client.get("/status", fields=FIELDS)
     behind = waiting.lagging(answer["members"], answer["held_seq"])
     found = rejections.of(answer["members"])
     data = {**answer, "lagging": behind, "rejections": found}
--- a/src/galenatack/app/event_source.py
+++ b/src/galenatack/app/event_source.py
@@ -17,7 +17,7 @@
 
     A node that cannot be reached is named on standard error and left out.
     """
-    status = shared.client.get("/status")
+    status = shared.client.get("/status", fields=("members",))
     events = []
     for member in status["members"]:
         if member["status"] == rejections.DEAD:
@@ -48,7 +48,9 @@
     events: list[event.Event] = []
     after = BEFORE_FIRST
     for _ in range(MAX_PAGES):
-        answer = shared.client.get("/events", node=address, after=after)
+        answer = shared.client.get(
+            "/events", fields=("events",), node=address, after=after
+        )
         page = [to_event(item) for item in answer["events"]]
         fresh = [e for e in page if e.event_id.number > after]
         if not fresh:
--- a/src/galenatack/app/exit_status.py
+++ b/src/galenatack/app/exit_status.py
@@ -16,6 +16,8 @@
     REFUSED = 3
     UNREACHABLE = 4
     TIMED_OUT = 5
+    INTERNAL = 70
+    INTERRUPTED = 130
 
 
 HELP = """\b
@@ -26,6 +28,8 @@
   3  refused, in conflict, or rejected by a node
   4  no node or no platform can be reached
   5  timed out, or not decided yet
+  70 fault of the tool itself
+  130 interrupted
 """
 
 
@@ -45,7 +49,8 @@
 
 
 @of.register(exceptions.AdminUnreachableError)
-def _unreachable(error: exceptions.AdminUnreachableError) -> ExitStatus:
+@of.register(exceptions.AdminAnswerError)
+def _unreachable(error: exceptions.ToolError) -> ExitStatus:
     del error
     return ExitStatus.UNREACHABLE
 
--- a/src/galenatack/app/next_steps.py
+++ b/src/galenatack/app/next_steps.py
@@ -38,6 +38,10 @@
         "check the address and --ca/--cert/--key, or name further nodes with"
         " --node"
     ),
+    exceptions.AdminAnswerError.code: (
+        "check that the address is a node's admin address, and that the tool"
+        " and the node are of one release"
+    ),
     exceptions.AdminTimeoutError.code: (
         "run `galenatack status` to see whether it took effect before you"
         " repeat it"
--- a/src/galenatack/app/waiting.py
+++ b/src/galenatack/app/waiting.py
@@ -9,6 +9,7 @@
 from galenatack.app import tool
 
 POLL_INTERVAL_S = 0.5
+MOVE_FIELDS = ("move", "final")
 
 
 def lagging(members: list[dict], seq: int) -> list[str]:
@@ -57,6 +58,13 @@
         shared.clock.sleep_s(POLL_INTERVAL_S)
 
 
+def read_move(shared: tool.Tool, service: str) -> dict[str, typing.Any]:
+    """Returns the latest move of a service as the admin API tells it."""
+    return shared.client.get(
+        f"/moves/{admin_client.quoted(service)}", fields=MOVE_FIELDS
+    )
+
+
 def verdict(
     shared: tool.Tool, *, service: str, timeout_ms: int
 ) -> dict[str, typing.Any]:
@@ -69,7 +77,7 @@
     shown = None
     while True:
         try:
-            answer = shared.client.get(f"/moves/{admin_client.quoted(service)}")
+            answer = read_move(shared, service)
         except exceptions.AdminUnreachableError as error:
             answer = None
             line = f"no node answers: {error}"
@@ -91,7 +99,7 @@
 
 def _members(shared: tool.Tool) -> list[dict]:
     try:
-        return shared.client.get("/status")["members"]
+        return shared.client.get("/status", fields=("members",))["members"]
     except exceptions.AdminUnreachableError:
         return []
 
--- a/src/galenatack/exceptions.py
+++ b/src/galenatack/exceptions.py
@@ -271,6 +271,12 @@
     code = "admin-unreachable"
 
 
+class AdminAnswerError(ToolError):
+    """An answer lacks fields; its sender is no node, or another release."""
+
+    code = "admin-answer"
+
+
 class AdminTimeoutError(ToolError):
     """The answer did not come in time; the change may have taken effect."""
 
--- a/tests/app/test_cli.py
+++ b/tests/app/test_cli.py
@@ -47,6 +47,17 @@
         """A wrong token is refused and the option is named."""
         self.assertIn("--token", self.expect(3, "status", token="wrong"))
 
+    def test_other_answers(self):
+        """What is no admin API, or a fault of the tool, is never status 1."""
+        self.admin.answers["GET /profiles"] = (200, {"hello": "world"})
+        self.expect(4, "profile", "list")
+        self.admin.answers["GET /profiles"] = (200, [1])
+        self.expect(4, "profile", "list")
+        self.admin.answers["GET /profiles"] = (200, {"profiles": [{}]})
+        self.assertIn("KeyError", self.expect(70, "profile", "list"))
+        self.admin.error = KeyboardInterrupt()
+        self.expect(130, "profile", "list")
+
     def test_usage(self):
         """Wrong options are status 2; the help lists all statuses."""
         self.expect(2, "move", "start", "jobs", "--to", "v2")
