--- a/src/galenatack/moves/fault_watch.py
+++ b/src/galenatack/moves/fault_watch.py
@@ -8,6 +8,7 @@
 from galenatack.model import move_state
 from galenatack.moves import evaluator
 from galenatack.moves import evidence_store
+from galenatack.moves import route_verdict
 from galenatack.moves import withdrawals as withdrawals_module
 
 EVALUATE_S = 0.25
@@ -64,16 +65,8 @@
 
     async def evaluate_once(self) -> None:
         """Evaluates what is new and withdraws the version if it is faulty."""
-        now_s = self._clock.monotonic_s()
-        windows = self._store.take(now_s=now_s)
-        if not windows:
-            return
-        self._observed_s = now_s
-        self.evaluator.observe(windows)
-        if self.is_withdrawn():
-            return
-        verdict = self.evaluator.faulty()
-        if verdict is None:
+        verdict = self.judge_new()
+        if verdict is None or self.is_withdrawn():
             return
         cause = self._events.record(
             "fault-found",
@@ -96,6 +89,16 @@
             )
         )
 
+    def judge_new(self) -> route_verdict.RouteVerdict | None:
+        """Evaluates what is new; returns the route that became faulty."""
+        now_s = self._clock.monotonic_s()
+        windows = self._store.take(now_s=now_s)
+        if not windows:
+            return None
+        self._observed_s = now_s
+        self.evaluator.observe(windows)
+        return self.evaluator.faulty()
+
     def is_withdrawn(self) -> bool:
         """Tells whether the new version is withdrawn on this node."""
         return self._withdrawals.is_withdrawn(
