--- a/tests/postings/node.py
+++ b/tests/postings/node.py
@@ -24,9 +24,17 @@
     """
 
     def __init__(
-        self, node_id: str, incarnation: int, *, table, peers, rng, **options
+        self,
+        node_id: str,
+        incarnation: int,
+        *,
+        table,
+        peers,
+        rng,
+        clock=None,
+        **options,
     ):
-        clock = virtual_clock.VirtualClock()
+        clock = clock or virtual_clock.VirtualClock()
         self.node_id = node_id
         self.incarnation = incarnation
         self.tickets = tickets.Tickets(
--- a/tests/postings/random_run.py
+++ b/tests/postings/random_run.py
@@ -9,6 +9,7 @@
 
 from galenatack import exceptions
 from galenatack.model import call_result
+from galenatack.postings import posting_registry
 from tests.fakes import memory_network
 from tests.fakes import memory_table
 from tests.fakes import slow_table
@@ -20,6 +21,14 @@
 KEYS = 60
 MAX_REPEATS = 6
 RUN_S = 60.0
+FAULTS_S = 90.0
+# The first node restarts only with the herd, so that its tickets get old.
+HERD_SHARE = 0.03
+MAX_SKEW_MS = 20_000
+# Fewer records than keys, so that the registry is full now and then.
+SMALL_REGISTRY = 8
+# Between the pauses lie the expiry of tickets and of records.
+PAUSES_S = (0.0, 0.05, 1.0, 1.0, 1.0, 300.0, 700.0)
 
 
 class RandomRun:
@@ -38,6 +47,7 @@
         self.told: collections.Counter[tuple[str, str]] = collections.Counter()
         self.wrong: list[str] = []
         self.restarts = 0
+        self._incarnations = 0
 
     def execute(self) -> None:
         """Runs all callers to their end."""
@@ -67,29 +77,37 @@
             tasks.cancel_scope.cancel()
 
     def _start(self, node_id: str) -> node.Node:
-        clock = virtual_clock.VirtualClock()
+        skew_ms = self._rng.randint(-MAX_SKEW_MS, MAX_SKEW_MS)
+        clock = virtual_clock.VirtualClock(skew_ms=skew_ms)
+        max_records = SMALL_REGISTRY if node_id == NODE_IDS[0] else 1000
+        self._incarnations += 1
         started = node.Node(
             node_id,
-            clock.wall_ms(),
+            self._incarnations,
+            clock=clock,
             table=self._table,
             peers=self._network.join(node_id),
             rng=self._rng,
+            registry=posting_registry.PostingRegistry(
+                clock=clock, max_records=max_records
+            ),
         )
         self._tasks.start_soon(started.run)
         return started
 
     async def _fail_table(self) -> None:
-        while True:
+        while anyio.current_time() < FAULTS_S:
             await anyio.sleep(self._rng.expovariate(0.5))
             self._inner.down = True
             await anyio.sleep(self._rng.uniform(0.005, 1.5))
             self._inner.down = False
 
     async def _fail_nodes(self) -> None:
-        while True:
+        while anyio.current_time() < FAULTS_S:
             await anyio.sleep(self._rng.expovariate(0.7))
-            is_herd = self._rng.random() < 0.1
-            victims = NODE_IDS if is_herd else (self._rng.choice(NODE_IDS),)
+            is_herd = self._rng.random() < HERD_SHARE
+            one = self._rng.choice(NODE_IDS[1:])
+            victims = NODE_IDS if is_herd else (one,)
             for node_id in victims:
                 self._nodes[node_id].kill()
                 self._network.leave(node_id)
@@ -112,7 +130,7 @@
                 is_sure_not_run = False
             elif is_sure_not_run and self.runs[key]:
                 self.wrong.append(f"{key}: {result.failure} after a run")
-            await anyio.sleep(self._rng.choice([0.0, 0.05, 1.0]))
+            await anyio.sleep(self._rng.choice(PAUSES_S))
 
     async def _attempt(
         self, key: str, call_id: str
--- a/tests/postings/test_random_run.py
+++ b/tests/postings/test_random_run.py
@@ -29,6 +29,8 @@
             "target-shed",
             "ticket-other-incarnation",
             "ticket-other-node",
+            "ticket-expired",
+            "postings-full",
             "peer-unreachable",
         ):
             seen = sum(n for (_, f), n in told.items() if f == failure)
