Bound the question to a claim's owner by the deadline

A dispatch that is cancelled may return not-run after a confirmed cancel; the key is free for a repeat then.

--- a/src/galenatack/postings/claim_desk.py
+++ b/src/galenatack/postings/claim_desk.py
@@ -20,8 +20,8 @@
 
 State = posting_state.PostingState
 
-CLAIM_TIMEOUT_S = 1.0
-ASK_TIMEOUT_S = 1.0
+# For the claim and again for asking its owner, or the deadline if shorter.
+STEP_TIMEOUT_S = 1.0
 REUSED = "the key belongs to a request with another method, path or body"
 
 
@@ -86,7 +86,7 @@
             made_ms=self._clock.wall_ms(),
         )
         row_key = claim.row_key(record.service, record.key)
-        timeout_s = min(CLAIM_TIMEOUT_S, deadline_ms / 1000)
+        timeout_s = min(STEP_TIMEOUT_S, deadline_ms / 1000)
         record.has_row = True
         try:
             with anyio.fail_after(timeout_s):
@@ -100,14 +100,18 @@
         if not is_made:
             record.close()
             record.has_row = False
-            return await self._ask_owner(record, standing)
+            return await self._ask_owner(record, standing, timeout_s=timeout_s)
         record.is_claimed = True
         if record.is_closed:
             return _released()
         return None
 
     async def _ask_owner(
-        self, record: posting_record.PostingRecord, standing: claim.Claim
+        self,
+        record: posting_record.PostingRecord,
+        standing: claim.Claim,
+        *,
+        timeout_s: float,
     ) -> call_result.CallResult:
         if not standing.attempt:
             return results.unknown("claim-damaged", "the claim is unreadable")
@@ -117,7 +121,9 @@
             record.service, record.key, standing.attempt
         )
         try:
-            status = await self._status(standing.node_id, question)
+            status = await self._status(
+                standing.node_id, question, timeout_s=timeout_s
+            )
         except exceptions.PeerError as error:
             return results.unknown(
                 error.code, f"{standing.node_id} holds the claim: {error}"
@@ -136,13 +142,15 @@
         )
 
     async def _status(
-        self, node_id: str, question: ask_posting.AskPosting
+        self,
+        node_id: str,
+        question: ask_posting.AskPosting,
+        *,
+        timeout_s: float,
     ) -> posting_status.PostingStatus:
         if node_id == self._node_id:
             return self._own_status(question)
-        return await self._peers.request(
-            node_id, question, timeout_s=ASK_TIMEOUT_S
-        )
+        return await self._peers.request(node_id, question, timeout_s=timeout_s)
 
     async def _on_ask_posting(
         self, sender: str, question: ask_posting.AskPosting
--- a/src/galenatack/postings/posting_guard.py
+++ b/src/galenatack/postings/posting_guard.py
@@ -94,7 +94,10 @@
         Args:
             request: The posting.
             dispatch: Sends it to the target; called at most once. It returns
-                outcome `not-run` only when the target did not start it.
+                outcome `not-run` only when the target did not start it. When
+                it is cancelled and the target confirms the cancel before
+                the start, it should return `not-run` instead of passing the
+                cancellation on, so that the key is free for a repeat.
 
         Returns:
             The answer, `not-run` or `unknown`. A missing or malformed key
@@ -114,6 +117,7 @@
     ) -> call_result.CallResult:
         key = _checked_key(request)
         held = self._tickets.parse(key)
+        self._registry.expire()
         record = self._registry.get(request.service, key)
         if record is not None:
             return await _repeat(record, request)
--- a/src/galenatack/postings/posting_registry.py
+++ b/src/galenatack/postings/posting_registry.py
@@ -59,7 +59,6 @@
         Returns:
             False when the registry is full; the posting must not run then.
         """
-        self.expire()
         size = record.fixed_bytes()
         if len(self._records) >= self._max_records:
             return False
@@ -93,7 +92,10 @@
             self.used_bytes -= record.fixed_bytes() + record.answer_bytes
 
     def expire(self) -> None:
-        """Drops the records whose keys cannot be accepted any more."""
+        """Drops the records whose keys cannot be accepted any more.
+
+        To be called before each look-up.
+        """
         now_s = self._clock.monotonic_s()
         while self._drops and self._drops[0][0] <= now_s:
             _, _, record = heapq.heappop(self._drops)
--- a/tests/postings/test_posting_guard.py
+++ b/tests/postings/test_posting_guard.py
@@ -7,6 +7,7 @@
 
 from galenatack import exceptions
 from galenatack.postings import posting_registry
+from galenatack.postings import results
 from tests.fakes import virtual_clock
 from tests.fakes import virtual_run
 from tests.postings import node
@@ -242,6 +243,24 @@
 
         self._run(scenario)
 
+    def test_confirmed_cancel(self):
+        """A cancel that the target confirmed before the start frees the key."""
+
+        async def scenario(at) -> None:
+            async def dispatch():
+                try:
+                    await anyio.sleep(10)
+                except anyio.get_cancelled_exc_class():
+                    return results.not_run("cancelled", "confirmed")
+
+            with anyio.move_on_after(0.1):
+                await at.a.call(node.request("k"), dispatch)
+            await anyio.sleep(0.1)
+            result = await at.send(at.b, "k")
+            self.assertEqual(result, node.answer("run 1"))
+
+        self._run(scenario)
+
     def test_full(self):
         """A full registry refuses new postings as not run."""
 
