Keep claims uncertain while an earlier insert may take effect

An outage after a lost answer was told as a refusal, so the attempt was not remembered as abandoned and a late row of it stayed unknown until the cleanup.

--- a/src/galenatack/postings/claim_batcher.py
+++ b/src/galenatack/postings/claim_batcher.py
@@ -14,6 +14,8 @@
 MAX_BATCH_ROWS = 50
 MAX_BATCH_DELAY_S = 0.005
 MAX_OPEN_BATCHES = 8
+# A table that hangs must not hold the open batches for longer than this.
+WRITE_TIMEOUT_S = 2.0
 MAX_LOST_ANSWERS = 2
 # Each round settles at least one conflicting row, but for rows that are
 # released between the conflict and the read.
@@ -118,11 +120,12 @@
 
     async def _write_and_free(self, batch: list[_Pending]) -> None:
         try:
-            await self._write(batch)
+            with anyio.fail_after(WRITE_TIMEOUT_S):
+                await self._write(batch)
         except exceptions.PlatformError as error:
-            for item in batch:
-                if not item.settled.is_set():
-                    item.fail(error)
+            _fail(batch, error)
+        except TimeoutError:
+            _fail(batch, exceptions.OutcomeUnknownError("no answer in time"))
         finally:
             self._open_batches -= 1
             self._slots.release()
@@ -139,6 +142,11 @@
                 if not conflicting:
                     raise
                 await self._read_back(conflicting)
+            except exceptions.PlatformUnavailableError as error:
+                if not lost_answers:
+                    raise
+                # An earlier insert of this batch may still take effect.
+                raise exceptions.OutcomeUnknownError(str(error)) from error
             except exceptions.OutcomeUnknownError:
                 lost_answers += 1
                 if lost_answers > MAX_LOST_ANSWERS:
@@ -171,6 +179,12 @@
             item.settle(found)
 
 
+def _fail(batch: list[_Pending], error: exceptions.PlatformError) -> None:
+    for item in batch:
+        if not item.settled.is_set():
+            item.fail(error)
+
+
 def _insert(batch: list[_Pending]) -> transaction.Transaction:
     return transaction.Transaction(
         checks=tuple(row_check.RowCheck(i.key, 0) for i in batch),
--- a/src/galenatack/postings/claim_desk.py
+++ b/src/galenatack/postings/claim_desk.py
@@ -78,19 +78,14 @@
             exceptions.PostingKeyReusedError: The claim that stands is for
                 another request.
         """
-        wanted = claim.Claim(
-            node_id=self._node_id,
-            incarnation=self._incarnation,
-            attempt=record.attempt,
-            fingerprint=record.fingerprint,
-            made_ms=self._clock.wall_ms(),
-        )
         row_key = claim.row_key(record.service, record.key)
         timeout_s = min(STEP_TIMEOUT_S, deadline_ms / 1000)
         record.has_row = True
         try:
             with anyio.fail_after(timeout_s):
-                is_made, standing = await self._batcher.insert(row_key, wanted)
+                is_made, standing = await self._batcher.insert(
+                    row_key, self._wanted(record)
+                )
         except (exceptions.PlatformError, TimeoutError) as error:
             record.close()
             record.has_row = not isinstance(
@@ -106,6 +101,15 @@
             return _released()
         return None
 
+    def _wanted(self, record: posting_record.PostingRecord) -> claim.Claim:
+        return claim.Claim(
+            node_id=self._node_id,
+            incarnation=self._incarnation,
+            attempt=record.attempt,
+            fingerprint=record.fingerprint,
+            made_ms=self._clock.wall_ms(),
+        )
+
     async def _ask_owner(
         self,
         record: posting_record.PostingRecord,
--- a/tests/postings/test_claims.py
+++ b/tests/postings/test_claims.py
@@ -102,6 +102,33 @@
         told = self._insert(table, {"k1": "a"})
         self.assertIsInstance(told["k1"], exceptions.OutcomeUnknownError)
 
+    def test_outage_after_lost_insert(self):
+        """An insert that may still take effect keeps the claim uncertain."""
+        table = _CountingTable()
+
+        async def refuse(change):
+            raise exceptions.PlatformUnavailableError("down")
+
+        async def lose(change):
+            table.commit = refuse
+            raise exceptions.OutcomeUnknownError("lost")
+
+        table.commit = lose
+        told = self._insert(table, {"k1": "a"})
+        self.assertIsInstance(told["k1"], exceptions.OutcomeUnknownError)
+
+    def test_hanging_table(self):
+        """A table that hangs frees its batches after 2 s."""
+        table = _CountingTable()
+
+        async def hang(change):
+            await anyio.sleep(3600)
+
+        table.commit = hang
+        told = self._insert(table, {f"k{n}": "a" for n in range(600)})
+        for error in told.values():
+            self.assertIsInstance(error, exceptions.OutcomeUnknownError)
+
     def test_damaged_row(self):
         """A row with a value of another form still stops the claim."""
         table = _CountingTable()
