Restart failed duties and keep figures of a move finite

Ruled out: accepting infinities in JSON, which other readers do not know. Conclusion: figures have a floor; a supervisor restarts duties, but lets a violated invariant end the process in mode raise.

--- a/src/galenatack/app/admin_operations.py
+++ b/src/galenatack/app/admin_operations.py
@@ -203,7 +203,7 @@
         """Returns the events of this process after a number."""
         del body
         after = query.get("after", "0")
-        if not after.isdecimal():
+        if not after.removeprefix("-").isdecimal():
             raise exceptions.AdminRequestError("after: a number of an event")
         return {
             "node_id": self._parts.settings.node_id,
--- a/src/galenatack/app/node.py
+++ b/src/galenatack/app/node.py
@@ -6,6 +6,7 @@
 from galenatack.app import admin_operations
 from galenatack.app import admin_routes
 from galenatack.app import parts as parts_module
+from galenatack.app import supervisor
 from galenatack.app import target_probe
 from galenatack.links import admin_api
 from galenatack.links import http_server
@@ -59,16 +60,17 @@
         parts = self._parts
         parts.events.record("node-started", version=parts.settings.version)
         await tasks.start(parts.peers.run)
-        for work in (
-            parts.membership.run,
-            parts.propagation.run,
-            parts.reader.run,
-            parts.updater.run,
-            parts.move_runner.run,
-            parts.guard.run,
-            parts.claim_cleanup.run,
+        keeper = supervisor.Supervisor(clock=parts.clock, events=parts.events)
+        for name, duty in (
+            ("membership", parts.membership.run),
+            ("propagation", parts.propagation.run),
+            ("reader", parts.reader.run),
+            ("snapshot", parts.updater.run),
+            ("moves", parts.move_runner.run),
+            ("postings", parts.guard.run),
+            ("claim-cleanup", parts.claim_cleanup.run),
         ):
-            tasks.start_soon(work)
+            tasks.start_soon(keeper.keep, name, duty)
         tasks.start_soon(self._serve_admin)
         tasks.start_soon(self._serve_callers)
 
--- /dev/null
+++ b/src/galenatack/app/supervisor.py
@@ -0,0 +1,63 @@
+"""Restarts a duty that failed, so that the node goes on serving calls."""
+
+import collections.abc
+import logging
+
+from galenatack import exceptions
+from galenatack.interfaces import clock as clock_interface
+from galenatack.interfaces import event_sink
+
+RESTART_S = 1.0
+
+_log = logging.getLogger(__name__)
+
+Duty = collections.abc.Callable[[], collections.abc.Awaitable[object]]
+
+
+class Supervisor:
+    """Runs duties until cancelled.
+
+    A violated invariant in mode `raise` still ends the process: that mode is
+    for tests, which must see it.
+
+    Args:
+        clock: Time until a restart.
+        events: Sink of failures.
+    """
+
+    def __init__(
+        self,
+        *,
+        clock: clock_interface.Clock,
+        events: event_sink.EventSink,
+    ):
+        self._clock = clock
+        self._events = events
+
+    async def keep(self, name: str, duty: Duty) -> None:
+        """Runs a duty and restarts it after a failure.
+
+        Args:
+            name: Name of the duty for the event.
+            duty: Coroutine function without arguments.
+        """
+        while True:
+            try:
+                await duty()
+            except Exception as error:
+                if has_violation(error):
+                    raise
+                _log.exception("event=duty-failed duty=%s", name)
+                self._events.record(
+                    "duty-failed", duty=name, error=type(error).__name__
+                )
+            else:
+                return
+            await self._clock.sleep_s(RESTART_S)
+
+
+def has_violation(error: BaseException) -> bool:
+    """Tells whether an error is, or contains, a violated invariant."""
+    if isinstance(error, BaseExceptionGroup):
+        return any(has_violation(item) for item in error.exceptions)
+    return isinstance(error, exceptions.InvariantViolationError)
--- a/src/galenatack/moves/move_runner.py
+++ b/src/galenatack/moves/move_runner.py
@@ -61,6 +61,7 @@
         self._move: move_state.MoveState | None = None
         self._policy = move_policy.MovePolicy()
         self._book: evidence_book.EvidenceBook | None = None
+        self._book_move_id = ""
         self._watch: fault_watch.FaultWatch | None = None
         self._driver: move_driver.MoveDriver | None = None
         self._changed = anyio.Event()
@@ -100,10 +101,10 @@
     async def run(self) -> None:
         """Takes part in one move after the other, until cancelled."""
         while True:
-            await self._changed.wait()
-            self._changed = anyio.Event()
             move = self._move
             if move is None or move.phase != move_phase.MovePhase.RUNNING:
+                self._changed = anyio.Event()
+                await self._changed.wait()
                 continue
             await self._take_part(move)
 
@@ -118,7 +119,6 @@
             tasks.start_soon(self._driver.run)
             await self._wait_for_verdict(move)
             tasks.cancel_scope.cancel()
-        self._book = None
         self._watch = None
         self._driver = None
 
@@ -126,7 +126,6 @@
         while self._is_open(move):
             self._changed = anyio.Event()
             await self._changed.wait()
-        self._changed.set()
 
     def _is_open(self, move: move_state.MoveState) -> bool:
         now = self._move
@@ -135,7 +134,11 @@
 
     def _prepare(self, move: move_state.MoveState) -> None:
         own = self._members.own
-        self._book = evidence_book.EvidenceBook()
+        # After a restart of this duty the counts must go on, because the
+        # other nodes take differences of them.
+        if move.move_id != self._book_move_id:
+            self._book = evidence_book.EvidenceBook()
+            self._book_move_id = move.move_id
         self._watch = fault_watch.FaultWatch(
             move=move,
             policy=self._policy,
--- a/src/galenatack/moves/step_policy.py
+++ b/src/galenatack/moves/step_policy.py
@@ -14,6 +14,7 @@
 # expire (5 s), for the next rank to take it (1 s) and for some retries.
 VERDICT_LEAD_MS = 15_000
 LOW_TRAFFIC_DONE = "done"
+LEAST_EVIDENCE_LOG = -1_000_000.0
 
 
 class Decision(typing.NamedTuple):
@@ -86,7 +87,9 @@
     for verdict in evaluator.verdicts():
         found.append((f"{verdict.route}.calls", float(verdict.new_calls)))
         found.append((f"{verdict.route}.errors", float(verdict.new_errors)))
-        found.append((f"{verdict.route}.evidence", verdict.evidence_log))
+        # Without any call the logarithm is minus infinity, which JSON lacks.
+        evidence = max(LEAST_EVIDENCE_LOG, verdict.evidence_log)
+        found.append((f"{verdict.route}.evidence", evidence))
     return tuple(found)
 
 
--- /dev/null
+++ b/standins/demo/scenario.py
@@ -0,0 +1,292 @@
+"""What the demo does, step by step."""
+
+import json
+import pathlib
+import signal
+import time
+import typing
+
+from standins.demo import admin as admin_module
+from standins.demo import convergence
+from standins.demo import deployment as deployment_module
+from standins.demo import instance as instance_module
+from standins.demo import processes as processes_module
+from standins.demo import traffic
+
+READY_TIMEOUT_S = 60.0
+MOVE_TIME = "+55s"
+VERDICT_TIMEOUT_S = 80.0
+RATE = 160
+POSTING_SHARE = 0.4
+LOAD_S = 58
+FAULT_ERROR_PERMILLE = 400
+TARGET_NOTICE_S = 1.0
+
+
+class Outcome(typing.NamedTuple):
+    """What came of the demo.
+
+    Attributes:
+        verdicts: Phase and reason of each move, by service.
+        changes: How each change spread.
+        rates: Control bytes.
+        callers: Summaries of the callers, by service.
+        repeated: Posting keys that ran more than once.
+        node_status: Exit status of the node that was stopped.
+        late_ms: Longest time after the leave at which the target started
+            a call.
+        problems: What failed, a sentence each.
+    """
+
+    verdicts: dict[str, tuple[str, str]]
+    changes: list[convergence.Change]
+    rates: traffic.Rates
+    callers: dict[str, dict[str, typing.Any]]
+    repeated: int
+    node_status: int
+    late_ms: int
+    problems: list[str]
+
+
+class Scenario:
+    """Runs one deployment.
+
+    Args:
+        whole: The deployment.
+        folder: Settings, logs and the time line go there.
+    """
+
+    def __init__(
+        self, whole: deployment_module.Deployment, folder: pathlib.Path
+    ):
+        self._whole = whole
+        self._folder = folder
+        self._instances = instance_module.plan(whole)
+        self._processes = processes_module.Processes(folder)
+        self._admin = admin_module.Admin(self._instances)
+        self._problems: list[str] = []
+
+    def run(self) -> Outcome:
+        """Runs all steps; always ends the processes that it started."""
+        try:
+            return self._steps()
+        finally:
+            self._processes.stop_all()
+
+    def _steps(self) -> Outcome:
+        self._start()
+        self._publish()
+        before = traffic.sample(self._admin, self._instances)
+        self._make_bad()
+        self._load()
+        for service in (self._whole.good_move, self._whole.bad_move):
+            _say(f"move {service} to v2 by {MOVE_TIME}")
+            self._admin.json_tool(
+                "move", "start", service, "--to", "v2", "--by", MOVE_TIME
+            )
+        killed = self._kill_node()
+        node_status = self._stop_instance()
+        verdicts = self._verdicts()
+        after = traffic.sample(self._admin, self._instances)
+        callers = self._callers()
+        events = self._events()
+        self._write_time_line()
+        repeated, late_ms = self._ledgers()
+        _say(f"killed on the way: {killed}")
+        return Outcome(
+            verdicts,
+            convergence.changes(events),
+            traffic.rates(before, after),
+            callers,
+            repeated,
+            node_status,
+            late_ms,
+            self._problems,
+        )
+
+    def _start(self) -> None:
+        _say(f"start {len(self._instances)} targets and nodes, one platform")
+        platform = instance_module.free_addresses(1)[0]
+        self._processes.start(
+            "platform", "standins.platform", "--address", platform
+        )
+        seeds = [item.peer_address for item in self._seed_instances()]
+        for number, item in enumerate(self._instances):
+            self._start_target(item, number)
+            path = instance_module.write_settings(
+                item,
+                whole=self._whole,
+                platform=platform,
+                seeds=seeds,
+                folder=self._folder,
+            )
+            self._processes.start(
+                item.node_id, "galenatack.app.daemon", "--settings", str(path)
+            )
+        late = self._admin.wait_until_ready(READY_TIMEOUT_S)
+        if late:
+            raise RuntimeError(f"not ready: {', '.join(late)}")
+
+    def _seed_instances(self) -> list[instance_module.Instance]:
+        """Returns one instance of each data centre."""
+        first = {}
+        for item in self._instances:
+            first.setdefault(item.data_centre, item)
+        return list(first.values())
+
+    def _start_target(
+        self, item: instance_module.Instance, number: int
+    ) -> None:
+        self._processes.start(
+            f"target-{item.node_id}",
+            "standins.target",
+            "--address",
+            item.target_address,
+            "--service",
+            item.service,
+            "--version",
+            item.version,
+            "--slots",
+            str(item.slots),
+            "--seed",
+            str(number),
+        )
+
+    def _publish(self) -> None:
+        for service in self._whole.services:
+            _say(f"publish and choose {service.profile_name}")
+            self._admin.json_tool(
+                "profile", "publish", str(service.profile_file), "--wait"
+            )
+            self._admin.json_tool(
+                "profile",
+                "choose",
+                service.name,
+                service.profile_name,
+                "--version",
+                service.versions[0],
+                "--wait",
+            )
+
+    def _make_bad(self) -> None:
+        """Lets one route of the bad version fail."""
+        service = self._service(self._whole.bad_move)
+        fault = {
+            "error_permille": FAULT_ERROR_PERMILLE,
+            "route": service.posting_path,
+        }
+        for item in self._of(service.name, "v2"):
+            self._admin.post(item.target_address, "/_target/faults", fault)
+
+    def _load(self) -> None:
+        nodes = ",".join(item.call_address for item in self._instances)
+        for number, service in enumerate(self._whole.services):
+            share = POSTING_SHARE if service.posting_path else 0.0
+            _say(f"call {service.name} at {RATE}/s")
+            self._processes.start(
+                f"callers-{service.name}",
+                "standins.callers",
+                "--nodes",
+                nodes,
+                "--service",
+                service.name,
+                "--rate",
+                str(RATE),
+                "--duration-s",
+                str(LOAD_S),
+                "--posting-share",
+                str(share),
+                "--read-path",
+                service.read_path,
+                "--posting-path",
+                service.posting_path or "/none",
+                "--seed",
+                str(number + 1),
+            )
+
+    def _kill_node(self) -> str:
+        """Kills a node that takes postings of the good move's service."""
+        time.sleep(3.0)
+        victim = self._of(self._whole.good_move, "v1")[-1]
+        _say(f"SIGKILL {victim.node_id}")
+        self._processes.kill(victim.node_id)
+        return victim.node_id
+
+    def _stop_instance(self) -> int:
+        """Stops one instance as its target leaves; returns the status."""
+        leaving = self._of(self._whole.bad_move, "v1")[1]
+        _say(f"stop {leaving.node_id} and its target gracefully")
+        self._admin.post(leaving.admin_address, "/admin/v1/target/leaving")
+        self._admin.post(leaving.target_address, "/_target/drain")
+        time.sleep(TARGET_NOTICE_S)
+        self._processes.send(leaving.node_id, signal.SIGTERM)
+        return self._processes.wait(leaving.node_id)
+
+    def _verdicts(self) -> dict[str, tuple[str, str]]:
+        verdicts = {}
+        for service in (self._whole.bad_move, self._whole.good_move):
+            verdicts[service] = self._verdict(service)
+            phase, reason = verdicts[service]
+            _say(f"verdict {service}: {phase} ({reason})")
+        return verdicts
+
+    def _verdict(self, service: str) -> tuple[str, str]:
+        end_s = time.monotonic() + VERDICT_TIMEOUT_S
+        address = self._instances[0].admin_address
+        while time.monotonic() < end_s:
+            found = self._admin.get(address, f"/admin/v1/moves/{service}")
+            if found and found["final"]:
+                return found["move"]["phase"], found["move"]["reason"]
+            time.sleep(admin_module.POLL_S)
+        return "none", "no verdict in time"
+
+    def _callers(self) -> dict[str, dict[str, typing.Any]]:
+        summaries = {}
+        for service in self._whole.services:
+            name = f"callers-{service.name}"
+            self._processes.wait(name, timeout_s=LOAD_S)
+            text = (self._folder / f"{name}.log").read_text()
+            summaries[service.name] = json.loads(text.splitlines()[-1])
+        return summaries
+
+    def _events(self) -> list[dict[str, typing.Any]]:
+        events = []
+        for item in self._instances:
+            found = self._admin.get(item.admin_address, "/admin/v1/events")
+            events += found["events"] if found else []
+        return events
+
+    def _write_time_line(self) -> None:
+        picture = self._folder / "timeline.svg"
+        self._admin.tool("timeline", "--svg", str(picture))
+        done = self._admin.tool("timeline")
+        (self._folder / "timeline.txt").write_text(done.stdout)
+        if not done.stdout:
+            self._problems.append(f"no time line: {done.stderr}")
+
+    def _ledgers(self) -> tuple[int, int]:
+        """Returns the keys that ran more than once, and the latest start."""
+        counts: dict[str, int] = {}
+        late_ms = 0
+        for item in self._instances:
+            ledger = self._admin.get(item.target_address, "/_target/ledger")
+            late_ms = max(late_ms, ledger["late_ms"])
+            for key, count in ledger["keys"].items():
+                counts[key] = counts.get(key, 0) + count
+        return sum(count > 1 for count in counts.values()), late_ms
+
+    def _of(self, service: str, version: str) -> list[instance_module.Instance]:
+        return [
+            item
+            for item in self._instances
+            if (item.service, item.version) == (service, version)
+        ]
+
+    def _service(self, name: str) -> deployment_module.Service:
+        return next(
+            service for service in self._whole.services if service.name == name
+        )
+
+
+def _say(text: str) -> None:
+    print(f"demo: {text}", flush=True)
