--- a/src/galenatack/config/log_state.py
+++ b/src/galenatack/config/log_state.py
@@ -30,6 +30,8 @@
     Attributes:
         held_seq: Highest seq that the node holds.
         running_seq: Highest seq in force.
+        pull_seq: Seq from which to ask for more; ahead of the held seq while
+            a large state arrives in parts.
         rejected: Reasons by (key, version) of the entries that the node
             could not run.
     """
@@ -47,33 +49,87 @@
         self.held_seq = 0
         self.running_seq = 0
         self.rejected: dict[tuple[str, int], str] = {}
+        self._parts: dict[str, entry.Entry] = {}
+        self._parts_seq = 0
+        self._parts_of_seq = 0
+
+    @property
+    def pull_seq(self) -> int:
+        """Seq from which to ask for more."""
+        return max(self.held_seq, self._parts_seq)
 
     def hold(self, delta: delta_message.Delta) -> bool:
         """Keeps a delta without running it.
 
         Returns:
             True when the node now holds more than before; False when the
-            delta brings nothing new or starts after the held seq.
+            delta brings nothing new, starts after the held seq, or is a part
+            that others must follow.
         """
-        if delta.from_seq > self.held_seq or delta.to_seq <= self.held_seq:
+        if delta.to_seq <= self.held_seq:
             return False
-        fresh = tuple(
-            item
-            for item in delta.entries
-            if self.held_seq < item.seq <= delta.to_seq
-        )
-        self._held.update({item.key: item for item in fresh})
-        self._steps.append((delta.to_seq, fresh))
-        self.held_seq = delta.to_seq
+        if delta.parts_of_seq:
+            self._keep_part(delta)
+            return False
+        entries = {item.key: item for item in delta.entries}
+        if delta.from_seq > self.held_seq:
+            if not self._ends_parts(delta):
+                return False
+            entries = {**self._parts, **entries}
+        self._hold_step(delta.to_seq, entries)
         return True
 
-    def delta_since(self, seq: int) -> delta_message.Delta:
-        """Returns the latest entry of each key that changed after `seq`."""
+    def drop_parts(self) -> None:
+        """Forgets the parts of a large state, to ask for it again."""
+        self._parts.clear()
+        self._parts_seq = 0
+        self._parts_of_seq = 0
+
+    def delta_since(
+        self, seq: int, *, max_bytes: int | None = None
+    ) -> delta_message.Delta:
+        """Returns the latest entry of each key that changed after `seq`.
+
+        Args:
+            seq: Seq that the receiver holds.
+            max_bytes: Bound of the bodies; a delta that exceeds it is cut
+                after some entry, at least one, and is then not complete.
+        """
         changed = sorted(
             (item for item in self._held.values() if item.seq > seq),
             key=lambda item: item.seq,
         )
-        return delta_message.Delta(seq, self.held_seq, tuple(changed), None)
+        kept = _prefix_within(changed, max_bytes)
+        if len(kept) == len(changed):
+            return delta_message.Delta(seq, self.held_seq, tuple(kept), None)
+        return delta_message.Delta(
+            seq, kept[-1].seq, tuple(kept), None, self.held_seq
+        )
+
+    def _keep_part(self, delta: delta_message.Delta) -> None:
+        if delta.from_seq <= self.pull_seq < delta.to_seq:
+            self._parts.update({item.key: item for item in delta.entries})
+            self._parts_seq = delta.to_seq
+            self._parts_of_seq = max(self._parts_of_seq, delta.parts_of_seq)
+
+    def _ends_parts(self, delta: delta_message.Delta) -> bool:
+        """Tells whether a delta and the parts make a complete state.
+
+        A part lacks the entries that its sender had replaced by newer ones.
+        They are newer up to the sender's seq, so only a delta that goes at
+        least that far brings all of them.
+        """
+        follows = delta.from_seq <= self._parts_seq
+        return follows and delta.to_seq >= self._parts_of_seq
+
+    def _hold_step(self, seq: int, entries: dict[str, entry.Entry]) -> None:
+        fresh = tuple(
+            item for item in entries.values() if self.held_seq < item.seq <= seq
+        )
+        self._held.update({item.key: item for item in fresh})
+        self._steps.append((seq, fresh))
+        self.held_seq = seq
+        self.drop_parts()
 
     def held_entry(self, key: str) -> entry.Entry | None:
         """Returns the latest held entry of a key."""
@@ -159,3 +215,16 @@
 
 def _profiles_first(key: str) -> tuple[bool, str]:
     return (not key.startswith(row_keys.PROFILE), key)
+
+
+def _prefix_within(
+    entries: list[entry.Entry], max_bytes: int | None
+) -> list[entry.Entry]:
+    if max_bytes is None:
+        return entries
+    size_bytes = 0
+    for index, item in enumerate(entries):
+        size_bytes += len(item.body)
+        if index and size_bytes > max_bytes:
+            return entries[:index]
+    return entries
--- a/src/galenatack/config/propagation.py
+++ b/src/galenatack/config/propagation.py
@@ -30,7 +30,9 @@
 _PULL_BACKOFF_BASE_S = 0.1
 _PULL_BACKOFF_CAP_S = 1.0
 # Larger deltas come from a long absence; neighbours pull what they lack.
-MAX_PUSH_ENTRIES = 64
+MAX_PUSH_BYTES = 262_144
+# Half of the frame limit of 4 MiB, for the largest entry on top.
+MAX_DELTA_BYTES = 2_097_152
 
 Live = collections.abc.Callable[[], collections.abc.Collection[str]]
 OnRunning = collections.abc.Callable[[tuple[entry.Entry, ...]], None]
@@ -123,7 +125,7 @@
             return False
         self._events.record("change-held", cause=delta.cause, seq=delta.to_seq)
         if self.is_settled:
-            if len(delta.entries) <= MAX_PUSH_ENTRIES:
+            if _is_pushed(delta):
                 await self._peers.broadcast(delta, exclude=sender)
             await self._report_held()
             self.try_run()
@@ -145,9 +147,28 @@
         Raises:
             exceptions.PeerError: It did not answer, or is busy.
         """
+        while True:
+            asked_seq = self._state.pull_seq
+            reply = await self._request_delta(peer_id)
+            is_stuck = reply.parts_of_seq and reply.to_seq <= asked_seq
+            if is_stuck or reply.from_seq > asked_seq:
+                raise exceptions.ProtocolError(
+                    f"{peer_id} answered {reply.from_seq} to {reply.to_seq}"
+                    f" when asked from {asked_seq}"
+                )
+            await self.offer(reply, sender=peer_id)
+            if reply.to_seq <= self._state.held_seq:
+                break
+            if not reply.parts_of_seq:
+                # The parts came from a peer that is ahead of this one.
+                self._state.drop_parts()
+        self._book.raise_to(peer_id, reply.to_seq)
+        self.try_run()
+
+    async def _request_delta(self, peer_id: str) -> delta_message.Delta:
         reply = await self._peers.request(
             peer_id,
-            pull_delta.PullDelta(self._state.held_seq),
+            pull_delta.PullDelta(self._state.pull_seq),
             timeout_s=PULL_TIMEOUT_S,
         )
         if isinstance(reply, busy.Busy):
@@ -158,9 +179,7 @@
             raise exceptions.ProtocolError(
                 f"{peer_id} answered with {type(reply).__name__}"
             )
-        self._book.raise_to(peer_id, reply.to_seq)
-        await self.offer(reply, sender=peer_id)
-        self.try_run()
+        return reply
 
     def try_run(self) -> None:
         """Runs what enough nodes hold, as one atomic step."""
@@ -215,7 +234,9 @@
         del sender
         if not self.is_settled:
             return self._slots.busy()
-        return self._slots.admit(self._state.delta_since(message.from_seq))
+        return self._slots.admit(
+            self._state.delta_since(message.from_seq, max_bytes=MAX_DELTA_BYTES)
+        )
 
     def _wake_when_behind(self, seq: int) -> None:
         if seq > self._state.held_seq:
@@ -262,6 +283,10 @@
             self._behind.set()
 
 
+def _is_pushed(delta: delta_message.Delta) -> bool:
+    return sum(len(item.body) for item in delta.entries) <= MAX_PUSH_BYTES
+
+
 def _wait_s(error: exceptions.PeerError, waits: backoff.Backoff) -> float:
     if isinstance(error, exceptions.PeerBusyError):
         return error.retry_after_ms / backoff.MS_PER_S
--- a/src/galenatack/config/reader.py
+++ b/src/galenatack/config/reader.py
@@ -56,7 +56,8 @@
         """Polls until it is cancelled."""
         while True:
             await self._clock.sleep_s(self._poll_s())
-            if self._is_reader():
+            # A fresh node takes every duty until it knows the others.
+            if self._propagation.is_settled and self._is_reader():
                 await self._poll()
 
     def _poll_s(self) -> float:
--- a/tests/config/test_log_state.py
+++ b/tests/config/test_log_state.py
@@ -89,3 +89,32 @@
         self.assertEqual(state.running()["profile/p"].version, 1)
         self.assertEqual(list(state.rejected), [("profile/p", 2)])
         self.assertEqual(state.running_seq, 4)
+
+
+class TestParts(unittest.TestCase):
+    def setUp(self):
+        """A sender whose state is sent in two parts."""
+        self.sender = log_state.LogState(node_id="s")
+        for seq, key in enumerate("abcb", start=1):
+            self.sender.hold(step(seq - 1, seq, item(key, seq, seq)))
+        self.state = log_state.LogState(node_id="n")
+        self.first = self.sender.delta_since(0, max_bytes=1)
+
+    def test_parts_are_held_together(self):
+        """Nothing is held before the last part, and then all of it."""
+        self.assertEqual((self.first.to_seq, self.first.parts_of_seq), (1, 4))
+        self.assertFalse(self.state.hold(self.first))
+        self.assertEqual((self.state.held_seq, self.state.pull_seq), (0, 1))
+        rest = self.sender.delta_since(self.state.pull_seq)
+        self.assertTrue(self.state.hold(rest))
+        self.assertEqual(self.state.delta_since(0), self.sender.delta_since(0))
+
+    def test_a_shorter_delta_does_not_end_the_parts(self):
+        """A peer that is behind cannot fill the gaps of a part."""
+        second = self.sender.delta_since(1, max_bytes=1)
+        self.state.hold(self.first)
+        self.state.hold(second)
+        self.assertEqual(self.state.pull_seq, 3)
+        behind = step(2, 3, item("c", 3, 3))
+        self.assertFalse(self.state.hold(behind))
+        self.assertEqual(self.state.held_seq, 0)
