--- a/src/galenatack/config/log_state.py
+++ b/src/galenatack/config/log_state.py
@@ -135,6 +135,16 @@
         """Returns the latest held entry of a key."""
         return self._held.get(key)
 
+    def merge_steps(self) -> None:
+        """Makes one step of all held steps that do not run yet.
+
+        After a restart the inner ones may end before the seq that this node
+        ran in its last life.
+        """
+        end_seq, latest = self._take_steps(self.held_seq)
+        if latest or end_seq > self.running_seq:
+            self._steps.append((end_seq, tuple(latest.values())))
+
     def run_up_to(self, seq: int) -> tuple[entry.Entry, ...]:
         """Runs all held steps that end at or before `seq`, as one step.
 
--- a/src/galenatack/config/propagation.py
+++ b/src/galenatack/config/propagation.py
@@ -104,6 +104,7 @@
 
     async def settle(self) -> None:
         """Ends the rebuild after a start; the node may run and serve."""
+        self._state.merge_steps()
         self.is_settled = True
         self._events.record("settled", held_seq=self._state.held_seq)
         await self._report_held()
--- a/tests/config/test_log_state.py
+++ b/tests/config/test_log_state.py
@@ -42,6 +42,15 @@
         self.assertEqual(len(self.state.run_up_to(4)), 2)
         self.assertEqual(self.state.running()["a"].version, 2)
 
+    def test_merged_steps_run_together(self):
+        """After a rebuild nothing before the newest answer runs."""
+        self.state.hold(step(0, 1, item("a", 1, 1)))
+        self.state.hold(step(1, 2, item("a", 2, 2)))
+        self.state.merge_steps()
+        self.assertEqual(self.state.run_up_to(1), ())
+        self.assertEqual(self.state.running_seq, 0)
+        self.assertEqual(self.state.run_up_to(2)[0].version, 2)
+
     def test_running_mapping_is_a_snapshot(self):
         """A mapping that was handed out does not change later."""
         self.state.hold(step(0, 1, item("a", 1, 1)))
--- a/tests/config/test_profile_codec.py
+++ b/tests/config/test_profile_codec.py
@@ -10,6 +10,40 @@
 from galenatack.config import profile_codec
 from tests.fakes import sample_profile
 
+ROUTE = {"name": "r2", "pool": "main", "retry_policy": "reads"}
+CASES = {
+    "$.surprise": lambda f: f.update(surprise=1),
+    "$.name": lambda f: f.update(name="No Name"),
+    "$.service": lambda f: f.pop("service"),
+    "$.versions[1]": lambda f: f.update(versions=["v1", "v1"]),
+    "$.versions": lambda f: f.update(versions=["v1", "current"]),
+    "$.pools": lambda f: f.update(pools="main"),
+    "$.pools[0].version": lambda f: f["pools"][0].update(version="x"),
+    "$.pools[1].name": lambda f: f["pools"].append(f["pools"][0]),
+    "$.retry_policies[0].max_attempts": lambda f: f["retry_policies"][0].update(
+        max_attempts=True
+    ),
+    "$.routes[0].pool": lambda f: f["routes"][0].update(pool="x"),
+    "$.routes[0].retry_policy": lambda f: f["routes"][0].update(
+        retry_policy="x"
+    ),
+    "$.routes[0].posting": lambda f: f["routes"][0].update(posting=True),
+    "$.routes[0].prefix": lambda f: f["routes"][0].update(prefix="/a/../b"),
+    "$.routes[0].timeout_ms": lambda f: f["routes"][0].update(timeout_ms=0),
+    "$.routes[0].methods[0]": lambda f: f["routes"][0].update(
+        methods=[["GET"]]
+    ),
+    "$.routes[2].prefix": lambda f: f["routes"].append(
+        {**ROUTE, "prefix": "/offers/", "methods": ["GET", "POST"]}
+    ),
+    "$.limits.queue_entries": lambda f: f.update(limits={"queue_entries": -1}),
+    "$.limits.typo": lambda f: f.update(limits={"typo": 1}),
+    "$.limits": lambda f: f.update(limits=None),
+    "$.move_policy.on_low_traffic": lambda f: f.update(
+        move_policy={"on_low_traffic": "maybe"}
+    ),
+}
+
 
 def errors_of(fields: object) -> list[str]:
     """Returns the lines of the error for a JSON value."""
@@ -38,48 +72,7 @@
 
     def test_each_field_is_checked(self):
         """A wrong field is named by its path."""
-        route = {"name": "r2", "pool": "main", "retry_policy": "reads"}
-        cases = {
-            "$.surprise": lambda f: f.update(surprise=1),
-            "$.name": lambda f: f.update(name="No Name"),
-            "$.service": lambda f: f.pop("service"),
-            "$.versions[1]": lambda f: f.update(versions=["v1", "v1"]),
-            "$.versions": lambda f: f.update(versions=["v1", "current"]),
-            "$.pools": lambda f: f.update(pools="main"),
-            "$.pools[0].version": lambda f: f["pools"][0].update(version="x"),
-            "$.pools[1].name": lambda f: f["pools"].append(f["pools"][0]),
-            "$.retry_policies[0].max_attempts": lambda f: f["retry_policies"][
-                0
-            ].update(max_attempts=True),
-            "$.routes[0].pool": lambda f: f["routes"][0].update(pool="x"),
-            "$.routes[0].retry_policy": lambda f: f["routes"][0].update(
-                retry_policy="x"
-            ),
-            "$.routes[0].posting": lambda f: f["routes"][0].update(
-                posting=True
-            ),
-            "$.routes[0].prefix": lambda f: f["routes"][0].update(
-                prefix="/a/../b"
-            ),
-            "$.routes[0].timeout_ms": lambda f: f["routes"][0].update(
-                timeout_ms=0
-            ),
-            "$.routes[0].methods[0]": lambda f: f["routes"][0].update(
-                methods=[["GET"]]
-            ),
-            "$.routes[2].prefix": lambda f: f["routes"].append(
-                {**route, "prefix": "/offers/", "methods": ["GET", "POST"]}
-            ),
-            "$.limits.queue_entries": lambda f: f.update(
-                limits={"queue_entries": -1}
-            ),
-            "$.limits.typo": lambda f: f.update(limits={"typo": 1}),
-            "$.limits": lambda f: f.update(limits=None),
-            "$.move_policy.on_low_traffic": lambda f: f.update(
-                move_policy={"on_low_traffic": "maybe"}
-            ),
-        }
-        for path, change in cases.items():
+        for path, change in CASES.items():
             self.assert_error(change, path)
 
     def test_all_errors_at_once(self):
