Answer no Hello across a cut and back off from links that break at once

A node that was cut off still got the Hello of the other side, so it took each dial for a success, and the backoff started over: it dialled in a loop and held the other side for alive, which hid that lost data centres were not searched for. The cut is checked before the answer, and only a link that lived for 5 s resets the backoff.

--- a/src/galenatack/links/handshake.py
+++ b/src/galenatack/links/handshake.py
@@ -7,6 +7,7 @@
 from websockets.asyncio import connection as websockets_connection
 
 from galenatack import exceptions
+from galenatack.links import fault_injector
 from galenatack.links import link_purpose
 from galenatack.links import message_codec
 from galenatack.messages import hello
@@ -31,11 +32,19 @@
     Args:
         deployment: Name that both sides must give.
         own_id: This node; a link to itself is refused.
+        faults: Cuts; a peer that is cut off gets no answer.
     """
 
-    def __init__(self, *, deployment: str, own_id: str):
+    def __init__(
+        self,
+        *,
+        deployment: str,
+        own_id: str,
+        faults: fault_injector.FaultInjector,
+    ):
         self._deployment = deployment
         self._own_id = own_id
+        self._faults = faults
 
     async def dial(
         self,
@@ -88,6 +97,11 @@
     ) -> hello.Hello:
         fault = self._fault(message)
         if fault is None:
+            data_centre = message.record.data_centre
+            if self._faults.is_cut(data_centre):
+                raise exceptions.PeerUnreachableError(
+                    f"{data_centre} is cut off"
+                )
             return message
         if not isinstance(message, protocol_failure.ProtocolFailure):
             await _send(connection, fault)
--- a/src/galenatack/links/link_factory.py
+++ b/src/galenatack/links/link_factory.py
@@ -66,7 +66,7 @@
         self._traffic = traffic
         self._tls = peer_tls
         self._handshake = handshake.Handshake(
-            deployment=deployment, own_id=table.own.node_id
+            deployment=deployment, own_id=table.own.node_id, faults=faults
         )
 
     def listen(
@@ -97,7 +97,6 @@
             greeting = await self._handshake.dial(
                 connection, record=self._table.own, purpose=purpose
             )
-            self._check_cut(greeting)
         except BaseException:
             connection.transport.abort()
             raise
@@ -115,7 +114,6 @@
         greeting = await self._handshake.accept(
             connection, record=self._table.own
         )
-        self._check_cut(greeting)
         purpose = link_purpose.LinkPurpose(greeting.purpose)
         return self._link(connection, greeting, purpose, False), greeting
 
@@ -139,12 +137,6 @@
                 f"cannot connect to {address}: {error}"
             ) from error
 
-    def _check_cut(self, greeting: hello.Hello) -> None:
-        if self._faults.is_cut(greeting.record.data_centre):
-            raise exceptions.PeerUnreachableError(
-                f"{greeting.record.data_centre} is cut off"
-            )
-
     def _link(
         self,
         connection: websockets_connection.Connection,
--- a/src/galenatack/links/link_keeper.py
+++ b/src/galenatack/links/link_keeper.py
@@ -21,6 +21,12 @@
 YIELD_S = 0.5
 """How long the node with the higher id waits for the other side's dial."""
 
+STABLE_S = 5.0
+"""A link that broke sooner counts as a failed attempt.
+
+A peer that accepts and drops links would otherwise be dialled in a loop.
+"""
+
 _LOGGER = logging.getLogger(__name__)
 
 Open = collections.abc.Callable[
@@ -116,8 +122,10 @@
                 link = self._book.find_kept(node_id)
                 try:
                     link = link or await self._open(node_id, purpose)
-                    delays.reset()
+                    opened_s = self._clock.monotonic_s()
                     await link.closed.wait()
+                    if self._clock.monotonic_s() - opened_s >= STABLE_S:
+                        delays.reset()
                 except exceptions.PeerError as error:
                     _LOGGER.debug(
                         "event=dial-failed peer=%s error=%s", node_id, error
--- a/src/galenatack/links/link_opener.py
+++ b/src/galenatack/links/link_opener.py
@@ -12,6 +12,7 @@
 from galenatack.links import peer_link
 from galenatack.membership import member_table
 from galenatack.messages import hello
+from galenatack.model import member_record
 
 Started = collections.abc.Callable[[peer_link.PeerLink, hello.Hello], None]
 
@@ -83,6 +84,9 @@
             exceptions.PeerUnreachableError: No connection.
             exceptions.ProtocolError: The handshake was refused.
         """
+        for record in self._table.records():
+            if record.peer_address == address:
+                self._refuse_cut(record)
         purpose = link_purpose.LinkPurpose.DIRECT
         link, greeting = await self._factory.dial(address, purpose)
         self._started(link, greeting)
@@ -105,10 +109,7 @@
         record = self._table.get(node_id)
         if record is None:
             raise exceptions.PeerUnreachableError("no such member")
-        if self._faults.is_cut(record.data_centre):
-            raise exceptions.PeerUnreachableError(
-                f"{record.data_centre} is cut off"
-            )
+        self._refuse_cut(record)
         link, greeting = await self._factory.dial(record.peer_address, purpose)
         if link.node_id != node_id:
             link.abort()
@@ -117,3 +118,9 @@
             )
         self._started(link, greeting)
         return link
+
+    def _refuse_cut(self, record: member_record.MemberRecord) -> None:
+        if self._faults.is_cut(record.data_centre):
+            raise exceptions.PeerUnreachableError(
+                f"{record.data_centre} is cut off"
+            )
