Watch only the groups that this node links to; stop with a close

A stopping node closes its links instead of aborting them, so that its leaving record arrives. Lost nodes of the region are searched for as long as their tombstones stand, so a partition inside a data centre may last hours.

--- a/src/galenatack/links/peer_link.py
+++ b/src/galenatack/links/peer_link.py
@@ -31,6 +31,7 @@
 MAX_REQUEST_ID = (1 << 32) - 1
 
 CLOSE_NORMAL = 1000
+CLOSE_GOING_AWAY = 1001
 CLOSE_PROTOCOL_ERROR = 1002
 
 OnMessage = collections.abc.Callable[["PeerLink", envelope.Envelope], None]
@@ -182,6 +183,14 @@
         self.closed.set()
         tasks.start_soon(self._connection.close, CLOSE_NORMAL)
 
+    async def go_away(self) -> None:
+        """Closes the link because this node stops.
+
+        What was posted before still arrives; an abort could discard it.
+        """
+        self.closed.set()
+        await self._connection.close(CLOSE_GOING_AWAY)
+
     def abort(self) -> None:
         """Drops the connection without a closing handshake."""
         self._connection.transport.abort()
--- a/src/galenatack/links/peer_network.py
+++ b/src/galenatack/links/peer_network.py
@@ -34,6 +34,9 @@
 
 RELOAD_TLS_S = 30.0
 
+STOP_S = 0.5
+"""Longest time for the closing handshakes of a node that stops."""
+
 _STREAMED = frozenset({delta.Delta, members.Members})
 """Types that anti-entropy repairs; they cross to a region only once."""
 
@@ -162,8 +165,7 @@
                 await self._tick(tasks)
             finally:
                 self._set_tasks(None)
-                for link in self._book.links():
-                    link.abort()
+                await self._go_away()
 
     async def broadcast(
         self, message: typing.Any, *, exclude: str | None = None
@@ -221,6 +223,14 @@
         purpose = purposes.CALLS if for_calls else purposes.DIRECT
         return await self._opener.open(node_id, purpose)
 
+    async def _go_away(self) -> None:
+        with anyio.move_on_after(STOP_S, shield=True):
+            async with anyio.create_task_group() as closing:
+                for link in self._book.links():
+                    closing.start_soon(link.go_away)
+        for link in self._book.links():
+            link.abort()
+
     def _set_tasks(self, tasks: anyio.abc.TaskGroup | None) -> None:
         self._tasks = tasks
         self._opener.tasks = tasks
--- a/src/galenatack/links/rejoiner.py
+++ b/src/galenatack/links/rejoiner.py
@@ -83,7 +83,7 @@
         }
         dead = {
             record.peer_address
-            for record in self._table.records()
+            for record in self._table.tombstones()
             if record.region == own.region
         }
         return tuple(sorted((lost | dead | set(self._seeds)) - reached))
--- a/src/galenatack/membership/duties.py
+++ b/src/galenatack/membership/duties.py
@@ -78,16 +78,10 @@
     Each carrier links to both carriers of the other side, so that losing all
     links to a side is evidence against the side and not against one node.
     """
-    own = table.own
-    chosen: set[str] = set()
-    if own.node_id in carriers(table, own.region, epoch_number):
-        for region in {r.region for r in table.live()} - {own.region}:
-            chosen.update(carriers(table, region, epoch_number))
-    joining = data_centre_carriers(table, own.data_centre, epoch_number)
-    if own.node_id in joining:
-        for name in _other_data_centres(table):
-            chosen.update(data_centre_carriers(table, name, epoch_number))
-    return frozenset(chosen)
+    return table.memo(
+        ("carrier-peers", epoch_number),
+        lambda: _carrier_peers(table, epoch_number),
+    )
 
 
 def stream_peers(
@@ -116,6 +110,21 @@
     )
 
 
+def _carrier_peers(
+    table: member_table.MemberTable, epoch_number: int
+) -> frozenset[str]:
+    own = table.own
+    chosen: set[str] = set()
+    if own.node_id in carriers(table, own.region, epoch_number):
+        for region in {r.region for r in table.live()} - {own.region}:
+            chosen.update(carriers(table, region, epoch_number))
+    joining = data_centre_carriers(table, own.data_centre, epoch_number)
+    if own.node_id in joining:
+        for name in _other_data_centres(table):
+            chosen.update(data_centre_carriers(table, name, epoch_number))
+    return frozenset(chosen)
+
+
 def _carriers(
     table: member_table.MemberTable, region: str, epoch_number: int
 ) -> tuple[str, ...]:
--- a/src/galenatack/membership/member_table.py
+++ b/src/galenatack/membership/member_table.py
@@ -97,6 +97,10 @@
             )
         return self._live
 
+    def tombstones(self) -> tuple[Record, ...]:
+        """Returns all dead records, with the dropped ones, by node id."""
+        return tuple(self._records[name] for name in sorted(self._died_s))
+
     def digest(self) -> int:
         """Returns 64 bits that are equal for equal live records.
 
--- a/src/galenatack/membership/suspicion.py
+++ b/src/galenatack/membership/suspicion.py
@@ -107,10 +107,7 @@
             record = self._table.get(node_id)
             if record is not None:
                 self._reached_s[self._group(record)] = now_s
-        epoch = duties.epoch(self._clock.wall_ms())
-        if not duties.is_carrier(self._table, epoch):
-            self._reached_s.clear()
-            return ()
+        self._forget_unwatched()
         lost = {
             group
             for group, reached_s in self._reached_s.items()
@@ -120,12 +117,25 @@
         # link has led there: its members may refute over another path.
         for group in lost:
             del self._reached_s[group]
+        if not lost:
+            return ()
         return self._raise(
             record
             for record in self._table.live()
             if self._group(record) in lost and record.status != _Status.SUSPECT
         )
 
+    def _forget_unwatched(self) -> None:
+        # A link that this node no longer has to keep says nothing about the
+        # other side when it is gone.
+        epoch = duties.epoch(self._clock.wall_ms())
+        watched = {
+            self._group(self._table.get(node_id))
+            for node_id in duties.carrier_peers(self._table, epoch)
+        }
+        for group in self._reached_s.keys() - watched:
+            del self._reached_s[group]
+
     def _group(self, record: _Record) -> tuple[str, str]:
         own = self._table.own
         if record.region != own.region:
--- /dev/null
+++ b/tests/links/test_link_keeper.py
@@ -0,0 +1,99 @@
+"""Tests of the tasks that keep links, in virtual time."""
+
+import random
+import unittest
+
+import anyio
+
+from galenatack.links import link_book
+from galenatack.links import link_keeper
+from galenatack.links import link_purpose
+from galenatack.membership import member_table
+from tests.fakes import member_records
+from tests.fakes import virtual_clock
+from tests.fakes import virtual_run
+
+MINUTE_S = 60.0
+
+
+class _Link:
+    """A link that breaks after a time."""
+
+    def __init__(self, node_id, purpose, life_s):
+        self.node_id = node_id
+        self.purpose = purpose
+        self.dialled = True
+        self.closed = anyio.Event()
+        self.life_s = life_s
+
+    async def live(self):
+        """Waits for the end of the link."""
+        await anyio.sleep(self.life_s)
+        self.closed.set()
+
+    def close_soon(self, tasks):
+        """Closes the link."""
+        self.closed.set()
+
+
+class TestLinkKeeper(unittest.TestCase):
+    def _dials(self, life_s, *, minutes=1):
+        async def main():
+            clock = virtual_clock.VirtualClock()
+            own = member_records.build("n0")
+            table = member_table.MemberTable(own=own, clock=clock)
+            table.merge((member_records.build("n1"),))
+            book = link_book.LinkBook()
+            dials = []
+
+            async def open_link(node_id, purpose):
+                link = _Link(node_id, purpose, life_s)
+                dials.append((node_id, purpose))
+                book.add(link)
+                tasks.start_soon(link.live)
+                return link
+
+            keeper = link_keeper.LinkKeeper(
+                table=table,
+                clock=clock,
+                rng=random.Random(3),
+                book=book,
+                open_link=open_link,
+            )
+            async with anyio.create_task_group() as tasks:
+                keeper.refresh(tasks)
+                await anyio.sleep(minutes * MINUTE_S)
+                dead = table.get("n1")._replace(status="dead")
+                table.merge((dead,))
+                keeper.refresh(tasks)
+                keeper.refresh(tasks)
+                count = len(dials)
+                open_links = [
+                    link for link in book.links() if not link.closed.is_set()
+                ]
+                await anyio.sleep(MINUTE_S)
+                tasks.cancel_scope.cancel()
+            return dials, len(dials) - count, open_links
+
+        return virtual_run.run(main, seed=5)
+
+    def test_stable_link(self):
+        """One link is dialled, and closed when its peer is dead."""
+        dials, after_death, open_links = self._dials(2 * MINUTE_S)
+        self.assertEqual(dials, [("n1", link_purpose.LinkPurpose.OVERLAY)])
+        self.assertEqual((after_death, open_links), (0, []))
+
+    def test_link_that_breaks_at_once(self):
+        """A peer that accepts and drops links is not dialled in a loop."""
+        dials, after_death, _ = self._dials(0)
+        self.assertGreater(len(dials), 3)
+        self.assertLess(len(dials), 40)
+        self.assertEqual(after_death, 0)
+
+    def test_link_that_breaks_now_and_then(self):
+        """A link that lived for a while is dialled again without long waits.
+
+        Sixty lives of 10 s fill ten minutes when no wait is long.
+        """
+        dials, _, _ = self._dials(MINUTE_S / 6, minutes=10)
+        self.assertIn(len(dials), range(56, 61))
--- a/tests/links/test_peer_network.py
+++ b/tests/links/test_peer_network.py
@@ -440,6 +440,31 @@
 
 
 class TestOverlay(unittest.TestCase):
+    def test_planned_stop(self):
+        """A node that announced its stop is dead without a suspicion."""
+
+        async def scenario(tasks):
+            nodes = await _start(tasks, "a1-0", "a1-1", "a1-2")
+            last = loopback.Node("a1-3", seeds=(nodes[0].record.peer_address,))
+            async with anyio.create_task_group() as stopping:
+                await last.start(stopping)
+                everyone = (*nodes, last)
+                await loopback.until(lambda: loopback.are_joined(everyone))
+                await loopback.until(lambda: len(last.peers.neighbours()) == 3)
+                await last.service.leave()
+                stopping.cancel_scope.cancel()
+            await loopback.until(lambda: loopback.are_joined(nodes))
+            return [
+                facts["status"]
+                for node in nodes
+                for _, facts in node.events.events
+                if facts.get("member") == "a1-3"
+            ]
+
+        statuses = loopback.run(scenario)
+        self.assertEqual(statuses.count("leaving"), 3)
+        self.assertNotIn("suspect", statuses)
+
     def test_several_data_centres(self):
         """Nodes that know one seed find each other; broadcasts reach all."""
 
