Tell a dropped call from a failed one, and test what postings are told

A read that its caller dropped was counted as an error of the target version, because the end of its scope looked like a deadline. It is now reported as cancelled, without evidence.

--- a/src/galenatack/exceptions.py
+++ b/src/galenatack/exceptions.py
@@ -265,10 +265,18 @@
 
 
 class CancelledCallError(CallError):
-    """The call was cancelled before it started."""
+    """The caller went away.
+
+    Attributes:
+        is_confirmed: True when the call did not start and never will.
+    """
 
     code = "cancelled"
 
+    def __init__(self, message: str, *, is_confirmed: bool):
+        super().__init__(message)
+        self.is_confirmed = is_confirmed
+
 
 class TicketGoneError(CallError):
     """The incarnation that issued the ticket is gone."""
--- a/src/galenatack/routing/inbound_gate.py
+++ b/src/galenatack/routing/inbound_gate.py
@@ -167,6 +167,7 @@
         confirmed = await self._confirm_cancel(call_id)
         running.is_cancel_confirmed |= confirmed
         if confirmed or not running.is_posting:
+            running.is_cancelled = True
             running.scope.cancel()
         return confirmed
 
@@ -268,7 +269,10 @@
             self._record(request, True, started_s, is_warm)
             return results.not_run(error)
         except exceptions.CancelledCallError as error:
-            return results.not_run(error)
+            # The target is not to blame: no evidence.
+            if error.is_confirmed:
+                return results.not_run(error)
+            return results.unknown(error)
         except exceptions.CallError as error:
             self._record(request, True, started_s, is_warm)
             return await self._settle(request, error)
@@ -297,8 +301,11 @@
                 raise
             finally:
                 del self._running[request.call_id]
-        if running.is_cancel_confirmed:
-            raise exceptions.CancelledCallError("cancelled before its start")
+        if running.is_cancelled:
+            raise exceptions.CancelledCallError(
+                "the caller went away",
+                is_confirmed=running.is_cancel_confirmed,
+            )
         raise exceptions.DeadlineExceededError("no answer by the deadline")
 
     async def _settle(
--- a/src/galenatack/routing/running_call.py
+++ b/src/galenatack/routing/running_call.py
@@ -12,9 +12,11 @@
     Attributes:
         scope: Ends the wait for the answer.
         is_posting: Whether the call runs at most once.
+        is_cancelled: The caller went away and the wait was ended.
         is_cancel_confirmed: The target confirmed that it never ran.
     """
 
     scope: anyio.CancelScope
     is_posting: bool
+    is_cancelled: bool = False
     is_cancel_confirmed: bool = False
--- a/src/galenatack/routing/slot_queue.py
+++ b/src/galenatack/routing/slot_queue.py
@@ -141,6 +141,8 @@
         if waiter.granted:
             return
         if waiter.event.is_set():
-            raise exceptions.CancelledCallError("cancelled in the queue")
+            raise exceptions.CancelledCallError(
+                "cancelled in the queue", is_confirmed=True
+            )
         self._waiters.remove(waiter)
         raise exceptions.DeadlineExceededError("deadline passed in the queue")
--- a/tests/links/test_loopback.py
+++ b/tests/links/test_loopback.py
@@ -11,6 +11,8 @@
 from galenatack.links import http_server
 from galenatack.links import target_link
 from galenatack.model import call_request
+from standins.callers import caller
+from standins.callers import options as caller_options
 from standins.target import app as target_app
 from standins.target import options as target_options
 from tests.links import open_port
@@ -208,6 +210,30 @@
 
         self._run(scenario, service_ms=1.0)
 
+    def test_stand_in_callers(self):
+        """The stand-in callers get a right answer to each of their calls."""
+
+        async def scenario(url, app, shutdown):
+            callers = caller.Callers(
+                caller_options.CallerOptions(
+                    nodes=(url.removeprefix("http://"),),
+                    service="prices",
+                    rate=200,
+                    duration_s=0.2,
+                    posting_share=0.5,
+                    ticket_share=0.0,
+                )
+            )
+            await callers.run()
+            summary = callers.record.as_json()
+            self.assertEqual(summary["statuses"], {200: 40})
+            self.assertEqual(summary["wrong"], 0)
+            keys = app.worker.ledger.as_json()["keys"]
+            self.assertEqual(set(keys), callers.record.answered_keys)
+            self.assertEqual(set(keys.values()), {1})
+
+        self._run(scenario, service_ms=2.0)
+
     def test_http2(self):
         """The same listener serves HTTP/2 with prior knowledge."""
 
--- a/tests/routing/test_outbound_proxy.py
+++ b/tests/routing/test_outbound_proxy.py
@@ -10,6 +10,7 @@
 from galenatack.messages import call_answer
 from galenatack.model import call_result
 from galenatack.routing import call_plan
+from tests.fakes import memory_guard
 from tests.fakes import virtual_run
 from tests.routing import mesh_rig
 
@@ -114,6 +115,19 @@
 
         run_rig(scenario)
 
+    def test_unknown_posting_is_not_sent_elsewhere(self):
+        """Even without a shared record, an unknown posting starts once."""
+
+        async def scenario(rig):
+            for node in rig.nodes:
+                node.gate._guard = memory_guard.MemoryGuard()
+                node.target.errors = [exceptions.TargetAnswerLostError("x")]
+            result = await rig.post("k", 0)
+            self.assertEqual(result.outcome, "unknown")
+            self.assertEqual(len(rig.started()), 1)
+
+        run_rig(scenario)
+
     def test_refused_posting_runs_elsewhere(self):
         """A posting that provably did not run is retried on another node."""
 
--- a/tests/routing/test_overload.py
+++ b/tests/routing/test_overload.py
@@ -9,6 +9,9 @@
 from galenatack.invariants import graceful_stop
 from galenatack.invariants import leaving
 from galenatack.invariants import reaction
+from galenatack.messages import call as call_message
+from galenatack.messages import cancel_call
+from galenatack.model import call_request
 from tests.routing import mesh_rig
 from tests.routing import test_outbound_proxy
 
@@ -188,6 +191,31 @@
 
         test_outbound_proxy.run_rig(scenario)
 
+    def test_cancelled_read_is_no_evidence(self):
+        """A read that its caller dropped is no error of the version."""
+
+        async def scenario(rig):
+            node = rig.nodes[0]
+            request = call_request.CallRequest(
+                "c1", "prices", "read", "GET", "/x", (), b"", 5000, False
+            )
+            results = []
+
+            async def one():
+                call = call_message.Call(request, 0)
+                results.append(await node.gate.handle(call))
+
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(one)
+                await anyio.sleep(0.01)
+                await rig.nodes[1].peers.send(
+                    "n0", cancel_call.CancelCall("c1")
+                )
+            self.assertEqual(results[0].failure, "cancelled")
+            self.assertEqual(node.outcomes, [])
+
+        test_outbound_proxy.run_rig(scenario)
+
     def test_abandoned_posting_is_recorded(self):
         """A posting that started is recorded although its caller left."""
 
--- /dev/null
+++ b/tests/routing/test_posting_truth.py
@@ -0,0 +1,74 @@
+"""Tests that postings run at most once and outcomes tell the truth."""
+
+import collections
+import random
+import unittest
+
+import anyio
+
+from tests.fakes import truthful_target
+from tests.routing import test_outbound_proxy
+
+_KEYS = 120
+
+
+class TestPostingTruth(unittest.TestCase):
+    def test_random_faults(self):
+        """Under random faults, cuts and repeats no key runs twice.
+
+        A key whose attempts were all told `not-run` never started. An answer
+        belongs to its key.
+        """
+        for seed in range(12):
+            self._run(seed)
+
+    def _run(self, seed: int) -> None:
+        rng = random.Random(seed)
+        told: dict[str, list[str]] = collections.defaultdict(list)
+
+        async def scenario(rig):
+            targets = []
+            for node in rig.nodes:
+                target = truthful_target.TruthfulTarget(rng)
+                node.gate._link = target
+                targets.append(target)
+
+            async def one(key):
+                for _ in range(3):
+                    result = await rig.post(
+                        key, rng.randrange(3), rng.choice((50, 200, 1000))
+                    )
+                    told[key].append(result.outcome)
+                    if result.outcome == "answer":
+                        self.assertEqual(result.body, f"/offers {key}".encode())
+                        return
+                    await anyio.sleep(rng.random())
+
+            async def cut_links():
+                while True:
+                    await anyio.sleep(rng.random() / 2)
+                    rig.network.cut("n0", f"n{rng.randrange(1, 3)}")
+                    await anyio.sleep(rng.random() / 4)
+                    rig.network.heal()
+
+            async with anyio.create_task_group() as cuts:
+                cuts.start_soon(cut_links)
+                async with anyio.create_task_group() as tasks:
+                    for number in range(_KEYS):
+                        tasks.start_soon(one, f"k{number}")
+                        await anyio.sleep(0.02)
+                cuts.cancel_scope.cancel()
+            await anyio.sleep(2)
+            return sum(
+                (target.ran for target in targets), collections.Counter()
+            )
+
+        ran = test_outbound_proxy.run_rig(scenario, seed=seed)
+        outcomes = collections.Counter(sum(told.values(), []))
+        self.assertEqual(len(outcomes), 3, outcomes)
+        for key, outcome in told.items():
+            self.assertLessEqual(ran[key], 1, f"{seed} {key} {outcome}")
+            if set(outcome) == {"not-run"}:
+                self.assertEqual(ran[key], 0, f"{seed} {key} {outcome}")
+            if "answer" in outcome:
+                self.assertEqual(ran[key], 1, f"{seed} {key}")
