--- a/bench/one_node.py
+++ b/bench/one_node.py
@@ -104,23 +104,8 @@
 def compose(target_url: str) -> caller_side.CallerSide:
     """Builds a node without peers in front of one target."""
     clock = _SystemClock()
-    rng = random.Random(1)
-    own = own_record()
-    holder = snapshot_holder.SnapshotHolder()
-    holder.swap(
-        builder.build(
-            profiles=[bench_profile()],
-            choices=[service_choice.ServiceChoice(SERVICE, "bench", "v1")],
-            moves=[],
-            members=[own],
-            withdrawn=(),
-            own=own,
-        )
-    )
-    loads = balancer.Balancer(clock=clock, rng=rng)
-    bytes_left = byte_budget.ByteBudget(clock=clock)
     gate = inbound_gate.InboundGate(
-        node_id=own.node_id,
+        node_id=own_record().node_id,
         incarnation=1,
         link=target_link.HttpTargetLink(base_url=target_url),
         clock=clock,
@@ -129,9 +114,18 @@
         posting_guard=_PlainGuard(),
         on_outcome=lambda route, is_error, latency_ms, is_warm: None,
     )
-    proxy = outbound_proxy.OutboundProxy(
-        node_id=own.node_id,
-        planner=call_planner.CallPlanner(holder=holder, clock=clock),
+    return caller_side.CallerSide(handler=_proxy(clock, gate))
+
+
+def _proxy(
+    clock: _SystemClock, gate: inbound_gate.InboundGate
+) -> outbound_proxy.OutboundProxy:
+    rng = random.Random(1)
+    loads = balancer.Balancer(clock=clock, rng=rng)
+    bytes_left = byte_budget.ByteBudget(clock=clock)
+    return outbound_proxy.OutboundProxy(
+        node_id=own_record().node_id,
+        planner=call_planner.CallPlanner(holder=_holder(), clock=clock),
         chooser=target_chooser.TargetChooser(
             balancer=loads,
             bytes_left=bytes_left,
@@ -146,7 +140,22 @@
         clock=clock,
         rng=rng,
     )
-    return caller_side.CallerSide(handler=proxy)
+
+
+def _holder() -> snapshot_holder.SnapshotHolder:
+    own = own_record()
+    holder = snapshot_holder.SnapshotHolder()
+    holder.swap(
+        builder.build(
+            profiles=[bench_profile()],
+            choices=[service_choice.ServiceChoice(SERVICE, "bench", "v1")],
+            moves=[],
+            members=[own],
+            withdrawn=(),
+            own=own,
+        )
+    )
+    return holder
 
 
 @click.command()
--- /dev/null
+++ b/src/galenatack/routing/dispatcher.py
@@ -0,0 +1,179 @@
+"""Starts, times, cancels and judges the calls at a target."""
+
+import typing
+
+import anyio
+
+from galenatack import exceptions
+from galenatack.interfaces import clock as clock_module
+from galenatack.interfaces import target_link
+from galenatack.model import call_request
+from galenatack.model import call_result
+from galenatack.model import outcome
+from galenatack.model import target_answer
+from galenatack.routing import results
+from galenatack.routing import running_call
+
+_MS_PER_S = 1000
+# The target confirms a cancel at once or not at all; the caller waits.
+CANCEL_TIMEOUT_S = 0.1
+# Calls on a cold target say nothing about its latency.
+COLD_TIME_S = 10.0
+COLD_CALLS = 20
+_SERVER_ERROR = 500
+
+
+class OnOutcome(typing.Protocol):
+    """Takes the evidence of one call."""
+
+    def __call__(
+        self, route: str, is_error: bool, latency_ms: float, is_warm: bool
+    ) -> None:
+        """Records one call that reached the target."""
+
+
+class Dispatcher:
+    """Starts, times, cancels and judges the calls at a target.
+
+    Args:
+        link: Connection to the target.
+        clock: Source of time.
+        on_outcome: Takes the evidence of each call.
+    """
+
+    def __init__(
+        self,
+        *,
+        link: target_link.TargetLink,
+        clock: clock_module.Clock,
+        on_outcome: OnOutcome,
+    ):
+        self._link = link
+        self._clock = clock
+        self._on_outcome = on_outcome
+        self._running: dict[str, running_call.RunningCall] = {}
+        self._first_call_s: float | None = None
+        self._calls = 0
+
+    async def cancel(self, call_id: str) -> bool:
+        """Drops a call at the target.
+
+        A posting that has started goes on, so that its answer is recorded.
+
+        Returns:
+            True when the call did not start and never will.
+        """
+        running = self._running.get(call_id)
+        if running is None:
+            return False
+        confirmed = await self._confirm_cancel(call_id)
+        running.is_cancel_confirmed |= confirmed
+        if confirmed or not running.is_posting:
+            running.is_cancelled = True
+            running.scope.cancel()
+        return confirmed
+
+    async def run(
+        self,
+        request: call_request.CallRequest,
+        started_s: float,
+        deadline_s: float,
+    ) -> call_result.CallResult:
+        """Runs a call at the target and returns its result.
+
+        Args:
+            request: The call.
+            started_s: Monotonic time of the dispatch.
+            deadline_s: Monotonic time by when it must have ended.
+        """
+        remaining_s = deadline_s - started_s
+        timed = request._replace(
+            deadline_ms=max(1, int(remaining_s * _MS_PER_S))
+        )
+        is_warm = self._count_call(started_s)
+        try:
+            answer = await self._call(timed, remaining_s)
+        except exceptions.TargetShedError as error:
+            # A target may shed load; that is no fault of its version.
+            return results.not_run(error)
+        except exceptions.CancelledCallError as error:
+            # The target is not to blame: no evidence.
+            return _cancelled(error)
+        except exceptions.CallError as error:
+            self._record(request, True, started_s, is_warm)
+            return await self._settle(request, error)
+        is_error = answer.status >= _SERVER_ERROR
+        self._record(request, is_error, started_s, is_warm)
+        return _answered(answer)
+
+    async def _call(
+        self, request: call_request.CallRequest, remaining_s: float
+    ) -> target_answer.TargetAnswer:
+        with anyio.move_on_after(remaining_s) as scope:
+            running = running_call.RunningCall(scope, request.posting)
+            self._running[request.call_id] = running
+            try:
+                return await self._link.call(request)
+            except anyio.get_cancelled_exc_class():
+                if not scope.cancel_called and not request.posting:
+                    # The caller of a read went away.
+                    with anyio.CancelScope(shield=True):
+                        await self._confirm_cancel(request.call_id)
+                raise
+            finally:
+                del self._running[request.call_id]
+        if running.is_cancelled:
+            raise exceptions.CancelledCallError(
+                "the caller went away",
+                is_confirmed=running.is_cancel_confirmed,
+            )
+        raise exceptions.DeadlineExceededError("no answer by the deadline")
+
+    async def _settle(
+        self,
+        request: call_request.CallRequest,
+        error: exceptions.CallError,
+    ) -> call_result.CallResult:
+        """Tells `not-run` only when the target never starts the call."""
+        if isinstance(error, exceptions.TargetConnectError):
+            return results.not_run(error)
+        if await self._confirm_cancel(request.call_id):
+            return results.not_run(error)
+        return results.unknown(error)
+
+    async def _confirm_cancel(self, call_id: str) -> bool:
+        with anyio.move_on_after(CANCEL_TIMEOUT_S):
+            return await self._link.cancel(call_id)
+        return False
+
+    def _count_call(self, now_s: float) -> bool:
+        if self._first_call_s is None:
+            self._first_call_s = now_s
+        self._calls += 1
+        is_aged = now_s - self._first_call_s >= COLD_TIME_S
+        return is_aged and self._calls > COLD_CALLS
+
+    def _record(
+        self,
+        request: call_request.CallRequest,
+        is_error: bool,
+        started_s: float,
+        is_warm: bool,
+    ) -> None:
+        latency_ms = (self._clock.monotonic_s() - started_s) * _MS_PER_S
+        self._on_outcome(request.route, is_error, latency_ms, is_warm)
+
+
+def _cancelled(error: exceptions.CancelledCallError) -> call_result.CallResult:
+    if error.is_confirmed:
+        return results.not_run(error)
+    return results.unknown(error)
+
+
+def _answered(answer: target_answer.TargetAnswer) -> call_result.CallResult:
+    return call_result.CallResult(
+        outcome=outcome.Outcome.ANSWER.value,
+        status=answer.status,
+        headers=answer.headers,
+        body=answer.body,
+    )
--- a/tests/routing/mesh_rig.py
+++ b/tests/routing/mesh_rig.py
@@ -101,9 +101,15 @@
         )
         call_server.CallServer(peers=self.peers, gate=self.gate)
         self.balancer = balancer.Balancer(clock=clock, rng=rng)
+        self.proxy = self._proxy(rig, rng)
+
+    def _proxy(
+        self, rig: "MeshRig", rng: random.Random
+    ) -> outbound_proxy.OutboundProxy:
+        clock = rig.clock
         bytes_left = byte_budget.ByteBudget(clock=clock)
-        self.proxy = outbound_proxy.OutboundProxy(
-            node_id=node_id,
+        return outbound_proxy.OutboundProxy(
+            node_id=self.node_id,
             planner=call_planner.CallPlanner(
                 holder=self.holder, clock=clock, ticket_of=rig.tickets.get
             ),
--- a/tests/routing/test_posting_truth.py
+++ b/tests/routing/test_posting_truth.py
@@ -25,45 +25,24 @@
     def _run(self, seed: int) -> None:
         rng = random.Random(seed)
         told: dict[str, list[str]] = collections.defaultdict(list)
+        targets = []
 
         async def scenario(rig):
-            targets = []
             for node in rig.nodes:
-                target = truthful_target.TruthfulTarget(rng)
-                node.gate._link = target
-                targets.append(target)
-
-            async def one(key):
-                for _ in range(3):
-                    result = await rig.post(
-                        key, rng.randrange(3), rng.choice((50, 200, 1000))
-                    )
-                    told[key].append(result.outcome)
-                    if result.outcome == "answer":
-                        self.assertEqual(result.body, f"/offers {key}".encode())
-                        return
-                    await anyio.sleep(rng.random())
-
-            async def cut_links():
-                while True:
-                    await anyio.sleep(rng.random() / 2)
-                    rig.network.cut("n0", f"n{rng.randrange(1, 3)}")
-                    await anyio.sleep(rng.random() / 4)
-                    rig.network.heal()
-
+                targets.append(truthful_target.TruthfulTarget(rng))
+                node.gate._dispatcher._link = targets[-1]
             async with anyio.create_task_group() as cuts:
-                cuts.start_soon(cut_links)
+                cuts.start_soon(_cut_links, rig, rng)
                 async with anyio.create_task_group() as tasks:
                     for number in range(_KEYS):
-                        tasks.start_soon(one, f"k{number}")
+                        key = f"k{number}"
+                        tasks.start_soon(self._post, rig, rng, key, told[key])
                         await anyio.sleep(0.02)
                 cuts.cancel_scope.cancel()
             await anyio.sleep(2)
-            return sum(
-                (target.ran for target in targets), collections.Counter()
-            )
 
-        ran = test_outbound_proxy.run_rig(scenario, seed=seed)
+        test_outbound_proxy.run_rig(scenario, seed=seed)
+        ran = sum((target.ran for target in targets), collections.Counter())
         outcomes = collections.Counter(sum(told.values(), []))
         self.assertEqual(len(outcomes), 3, outcomes)
         for key, outcome in told.items():
@@ -72,3 +51,21 @@
                 self.assertEqual(ran[key], 0, f"{seed} {key} {outcome}")
             if "answer" in outcome:
                 self.assertEqual(ran[key], 1, f"{seed} {key}")
+
+    async def _post(self, rig, rng, key: str, outcomes: list[str]) -> None:
+        for _ in range(3):
+            deadline_ms = rng.choice((50, 200, 1000))
+            result = await rig.post(key, rng.randrange(3), deadline_ms)
+            outcomes.append(result.outcome)
+            if result.outcome == "answer":
+                self.assertEqual(result.body, f"/offers {key}".encode())
+                return
+            await anyio.sleep(rng.random())
+
+
+async def _cut_links(rig, rng) -> None:
+    while True:
+        await anyio.sleep(rng.random() / 2)
+        rig.network.cut("n0", f"n{rng.randrange(1, 3)}")
+        await anyio.sleep(rng.random() / 4)
+        rig.network.heal()
