Compare with the old version's last seconds and keep a control group

An incident that strikes both versions reached the null rate late, at full share no call of the old version was left to show it, and a latency factor below the policy's tolerance counted as slow. The verdict also fixed the latency thresholds before there were latencies.

Now the null rate takes the upper bound of the old version's last window, 5% of the calls stay on the old version until the verdict, the last step comes late, slow begins at the policy's own tolerance, and active targets carry their normal load in each step.

Ruled out: one-window evidence from the new version alone, which cannot tell the two apart.

--- a/bench/moves_naive.py
+++ b/bench/moves_naive.py
@@ -31,7 +31,7 @@
             version = "v2" if rng.random() < share else "v1"
             target = rng.randrange(len(moves_world.DATA_CENTRES))
             outcome = world.call(now_s, version, target, world.route())
-            if version == "v1":
+            if version == "v1" or outcome is None:
                 continue
             last_new_s = now_s
             new_calls += 1
--- a/bench/moves_run.py
+++ b/bench/moves_run.py
@@ -157,6 +157,7 @@
             clock=self._clock,
             events=node.events,
             rank=lambda: 0,
+            targets=lambda: COUNTS["v2"],
         )
 
     async def _traffic(self) -> None:
@@ -183,8 +184,11 @@
         version = node.picker.pick(self._move, COUNTS)
         target = rng.randrange(COUNTS[version])
         if version == "v2" and self._move.active_targets:
-            target = self._active
+            chosen = rng.randrange(self._move.active_targets)
+            target = (self._active + chosen) % COUNTS["v2"]
         outcome = self._world.call(now_s, version, target, route)
+        if outcome is None:
+            return
         gate = self._gates[version, target]
         gate.book.record(
             route,
--- a/bench/moves_world.py
+++ b/bench/moves_world.py
@@ -16,6 +16,8 @@
 # Above this share of the normal load of a target, faults under load show.
 LOAD_ONSET = 0.7
 LOAD_DECAY_S = 1.0
+# Above this load the inbound gate refuses calls, which are no evidence.
+CAPACITY = 1.5
 TOLERATED_FACTOR = 1.08
 
 
@@ -83,10 +85,12 @@
 
     def call(
         self, now_s: float, version: str, target: int, route: str
-    ) -> Outcome:
-        """Returns the outcome of one call at a target."""
+    ) -> Outcome | None:
+        """Returns the outcome of one call; None if the gate refused it."""
         rng = self.rng
         load = self._add_load(now_s, version, target)
+        if load > CAPACITY:
+            return None
         error = BASE_ERROR
         factor = DATA_CENTRE_FACTORS[target] * max(1.0, 0.6 + 0.4 * load)
         for item in self._present:
@@ -128,12 +132,15 @@
 
     def _add_load(self, now_s: float, version: str, target: int) -> float:
         """Returns the load of a target, 1.0 being that of an old target."""
+        normal = self._case.rate_per_s / len(DATA_CENTRES) * LOAD_DECAY_S
+        normal = max(1.0, normal)
         value, then_s = self._load.get((version, target), (0.0, now_s))
         value *= math.exp(-(now_s - then_s) / LOAD_DECAY_S)
-        value += 1.0
+        is_refused = value + 1.0 > normal * CAPACITY + 1.0
+        if not is_refused:
+            value += 1.0
         self._load[version, target] = (value, now_s)
-        normal = self._case.rate_per_s / len(DATA_CENTRES) * LOAD_DECAY_S
-        return value / max(1.0, normal)
+        return CAPACITY + 1.0 if is_refused else min(CAPACITY, value / normal)
 
     def _make_disturbances(self) -> tuple[Disturbance, ...]:
         rng = self.rng
--- a/src/galenatack/moves/move_driver.py
+++ b/src/galenatack/moves/move_driver.py
@@ -37,6 +37,7 @@
         events: Time line.
         rank: Returns the rank of this node among the candidates; None when
             it is none.
+        targets: Returns the number of live targets of the new version.
     """
 
     def __init__(
@@ -51,6 +52,7 @@
         clock: clock_interface.Clock,
         events: event_sink.EventSink,
         rank: collections.abc.Callable[[], int | None],
+        targets: collections.abc.Callable[[], int],
     ):
         self._move = move
         self._policy = policy
@@ -61,6 +63,7 @@
         self._clock = clock
         self._events = events
         self._rank = rank
+        self._targets = targets
         self._revision: int | None = None
         self._step_since_ms = move.started_ms
 
@@ -132,6 +135,7 @@
             now_ms=self._clock.wall_ms(),
             step_since_ms=self._step_since_ms,
             is_fresh=self._watch.age_s() <= FRESH_S,
+            targets=self._targets(),
         )
         if decision is not None:
             await self._write(decision)
--- a/src/galenatack/moves/route_judge.py
+++ b/src/galenatack/moves/route_judge.py
@@ -20,6 +20,7 @@
 # the next step is the faster way to learn more.
 CLEAR_LOG_BY_STEP = (0.5, 1.0, 2.0, 3.0)
 PERMILLE = 1000.0
+MAX_RATE = 0.99
 
 _Windows = dict[str, tuple[route_window.RouteWindow, route_window.RouteWindow]]
 
@@ -36,11 +37,13 @@
     ):
         self._route = route
         self._policy = policy
+        self._margin = policy.error_margin_permille / PERMILLE
         self._strata: dict[str, stratum.Stratum] = {}
         self._new_calls = 0
         self._new_errors = 0
-        self._old_calls = 0
-        self._old_errors = 0
+        self._steady_calls = 0
+        self._steady_errors = 0
+        self._pooled = stratum.Rate()
         self._errors = sequential_test.SequentialTest(
             horizon_windows=horizon_windows
         )
@@ -54,20 +57,28 @@
 
     def observe(self, windows: _Windows) -> None:
         """Adds one window: (new, old) for each data centre."""
-        margin = self._policy.error_margin_permille / PERMILLE
+        self._count(windows)
         errors = []
         slow = {permille: [] for permille in self._slow}
         for data_centre, (new, old) in sorted(windows.items()):
-            self._count(new, old)
-            state = self._strata.setdefault(data_centre, stratum.Stratum())
-            errors.append(state.compare_errors(new, old, tolerance=margin / 2))
+            state = self._stratum(data_centre)
+            errors.append(state.compare_errors(new, old, pooled=self._pooled))
             for permille, parts in slow.items():
                 part = state.compare_latency(new, old, permille=permille)
                 if part is not None:
                     parts.append(part)
-            state.add_latency(new, old)
+            if not state.is_elevated():
+                state.add_latency(new, old)
         self._update(errors, slow)
 
+    def _stratum(self, data_centre: str) -> stratum.Stratum:
+        found = self._strata.get(data_centre)
+        if found is None:
+            ratio = self._policy.latency_ratio_permille / PERMILLE
+            found = stratum.Stratum(latency_ratio=ratio)
+            self._strata[data_centre] = found
+        return found
+
     def _update(
         self,
         errors: list[comparison.Comparison],
@@ -79,18 +90,25 @@
         if not self._faulty_reason:
             self._faulty_reason = self._find_fault()
 
-    def _count(
-        self, new: route_window.RouteWindow, old: route_window.RouteWindow
-    ) -> None:
-        self._new_calls += new.calls
-        self._new_errors += new.errors
-        self._old_calls += old.calls
-        self._old_errors += old.errors
+    def _count(self, windows: _Windows) -> None:
+        new_calls = sum(new.calls for new, _ in windows.values())
+        new_errors = sum(new.errors for new, _ in windows.values())
+        self._new_calls += new_calls
+        self._new_errors += new_errors
+        self._pooled.add(
+            sum(old.calls for _, old in windows.values()),
+            sum(old.errors for _, old in windows.values()),
+            new_calls=new_calls,
+        )
+        # Calls within an incident say nothing about the version.
+        if not self._pooled.is_elevated:
+            self._steady_calls += new_calls
+            self._steady_errors += new_errors
 
     def verdict(self, *, step: int = 0) -> route_verdict.RouteVerdict:
         """Returns the judgement of all windows so far, for a step."""
         evidence_log = max(
-            self._errors.log_value(),
+            self._error_log(),
             *(test.log_value() for test in self._slow.values()),
         )
         is_suspected = evidence_log >= SUSPECTED_LOG
@@ -115,35 +133,39 @@
         )
 
     def _is_enough(self, step: int) -> bool:
-        if self._new_calls < self._policy.min_calls_per_route:
+        if self._steady_calls < self._policy.min_calls_per_route:
             return False
-        old_rate = (self._old_errors + 0.5) / (self._old_calls + 1.0)
-        margin = self._policy.error_margin_permille / PERMILLE
-        bad_rate = min(0.99, old_rate + margin)
-        events, calls = self._new_errors, self._new_calls
+        needed_log = CLEAR_LOG_BY_STEP[step]
+        old_rate = self._pooled.rate()
+        bad_rate = min(MAX_RATE, old_rate + self._margin)
+        events, calls = self._steady_errors, self._steady_calls
         log_ratio = (calls - events) * math.log(
             (1 - old_rate) / (1 - bad_rate)
         ) + events * math.log(old_rate / bad_rate)
-        return (
-            log_ratio >= CLEAR_LOG_BY_STEP[step] and self._is_latency_enough()
+        if log_ratio < needed_log:
+            return False
+        slow_log = sum(
+            state.slow_log_ratio() for state in self._strata.values()
         )
+        return slow_log >= needed_log
 
-    def _is_latency_enough(self) -> bool:
-        warm = sum(
-            sum(state.new_buckets.values()) for state in self._strata.values()
-        )
-        return warm >= self._policy.min_calls_per_route
+    def _error_log(self) -> float:
+        """Returns the evidence of errors, if they are beyond tolerance.
+
+        With many calls even a difference that the policy tolerates becomes
+        certain, and must not count.
+        """
+        limit = self._pooled.rate() + self._margin / 2
+        if self._errors.recent_rate() < limit:
+            return -math.inf
+        return self._errors.log_value()
 
     def _find_fault(self) -> str:
-        margin = self._policy.error_margin_permille / PERMILLE
-        if self._errors.log_value() >= FAULTY_LOG:
-            rate = self._errors.recent_rate()
-            old_rate = self._old_errors / max(1, self._old_calls)
-            if rate >= old_rate + margin / 2:
-                return (
-                    f"route {self._route}: {rate:.1%} of calls fail, "
-                    f"{old_rate:.1%} on the old version"
-                )
+        if self._error_log() >= FAULTY_LOG:
+            return (
+                f"route {self._route}: {self._errors.recent_rate():.1%} of "
+                f"calls fail, {self._pooled.rate():.1%} on the old version"
+            )
         for permille, test in self._slow.items():
             if test.log_value() >= FAULTY_LOG:
                 return (
--- a/src/galenatack/moves/step_policy.py
+++ b/src/galenatack/moves/step_policy.py
@@ -37,6 +37,7 @@
     now_ms: int,
     step_since_ms: int,
     is_fresh: bool,
+    targets: int,
 ) -> Decision | None:
     """Returns the next state, or None to wait.
 
@@ -48,6 +49,7 @@
         now_ms: Wall clock.
         step_since_ms: Wall clock when the present step was seen first.
         is_fresh: True when evidence arrived lately.
+        targets: Live targets of the new version.
     """
     if withdrawn is not None:
         return _taken_back(move, policy, evaluator, withdrawn.reason)
@@ -67,11 +69,14 @@
     if move.step >= last_step:
         return None
     step = move.step + 1
+    if step == last_step and now_ms < latest_ms - VERDICT_LEAD_MS - dwell_ms:
+        return None
+    share_permille = plan.STEPS_PERMILLE[step]
     return Decision(
         move._replace(
             step=step,
-            share_permille=plan.STEPS_PERMILLE[step],
-            active_targets=0,
+            share_permille=share_permille,
+            active_targets=plan.active_targets(share_permille, targets),
             figures=figures(evaluator),
         ),
         False,
--- a/src/galenatack/moves/version_picker.py
+++ b/src/galenatack/moves/version_picker.py
@@ -11,6 +11,9 @@
 
 CAP_PERMILLE = 50
 FULL_PERMILLE = 1000
+# Calls that stay on the old version until the verdict: without them a fault
+# of the new version cannot be told from an incident that strikes both.
+CONTROL_PERMILLE = 50
 # Bursts start by the wall clock, so that those of all callers coincide and
 # the few active targets see the load that they will see after the move.
 BURST_PERIOD_MS = 10_000
@@ -83,7 +86,9 @@
             return False
         if move.step == 0:
             return self._is_first_share(move, version_counts)
-        return self._rng.random() * FULL_PERMILLE < move.share_permille
+        limit_permille = FULL_PERMILLE - CONTROL_PERMILLE
+        share_permille = min(move.share_permille, limit_permille)
+        return self._rng.random() * FULL_PERMILLE < share_permille
 
     def _is_first_share(
         self,
--- /dev/null
+++ b/tests/invariants/test_move_invariants.py
@@ -0,0 +1,55 @@
+"""Tests of the invariants of moves."""
+
+import unittest
+
+from galenatack.invariants import bad_version
+from galenatack.invariants import reaction
+from galenatack.invariants import verdict_once
+from galenatack.model import move_state
+
+MOVE = move_state.MoveState(
+    "m", "prices", "v1", "v2", 0, 600_000, "running", 50, 1, 0
+)
+
+
+class TestBadVersion(unittest.TestCase):
+    def test_share_above_the_cap(self):
+        """6 of 100 calls break the cap of 5% until the step is cleared."""
+        bad_version.check_share(MOVE, calls=100, new_calls=5, cap_permille=50)
+        with self.assertRaises(bad_version.BadVersionViolationError):
+            bad_version.check_share(
+                MOVE, calls=100, new_calls=6, cap_permille=50
+            )
+        bad_version.check_share(
+            MOVE._replace(step=1), calls=100, new_calls=6, cap_permille=50
+        )
+
+    def test_call_after_a_fault(self):
+        """A new call 3 s after the fault showed is a violation."""
+        facts = {"service": "s", "version": "v2", "move_id": "m"}
+        bad_version.check_new_call(shown_s=None, now_s=9.0, **facts)
+        bad_version.check_new_call(shown_s=1.0, now_s=4.0, **facts)
+        with self.assertRaises(bad_version.BadVersionViolationError):
+            bad_version.check_new_call(shown_s=1.0, now_s=4.1, **facts)
+
+    def test_count_mode(self):
+        """In mode `count` a violation is counted and nothing is raised."""
+        before = reaction.counts().get("invariant-bad-version", 0)
+        reaction.set_mode(reaction.COUNT)
+        self.addCleanup(reaction.set_mode, reaction.RAISE)
+        with self.assertLogs("galenatack.invariants.reaction", "ERROR"):
+            bad_version.check_share(MOVE, calls=1, new_calls=1, cap_permille=50)
+        after = reaction.counts()["invariant-bad-version"]
+        self.assertEqual(after, before + 1)
+
+
+class TestVerdictOnce(unittest.TestCase):
+    def test_verdict_does_not_change(self):
+        """After a verdict only the same state or another move is allowed."""
+        done = MOVE._replace(phase="done")
+        verdict_once.check(None, MOVE)
+        verdict_once.check(MOVE, done)
+        verdict_once.check(done, done)
+        verdict_once.check(done, MOVE._replace(move_id="m2"))
+        with self.assertRaises(verdict_once.VerdictOnceViolationError):
+            verdict_once.check(done, done._replace(phase="taken_back"))
--- /dev/null
+++ b/tests/moves/test_evaluator.py
@@ -0,0 +1,191 @@
+"""Tests of the judgement of routes."""
+
+import random
+import unittest
+
+from galenatack.model import move_policy
+from galenatack.moves import comparison
+from galenatack.moves import evaluator
+from galenatack.moves import latency_buckets
+from galenatack.moves import route_window
+from galenatack.moves import sequential_test
+
+
+def window(rng, route, version, calls, *, error, factor, data_centre="a"):
+    """Returns a window of random outcomes."""
+    buckets = {}
+    for _ in range(calls):
+        latency_ms = 20.0 * factor * rng.lognormvariate(0.0, 0.4)
+        index = latency_buckets.index_of(latency_ms)
+        buckets[index] = buckets.get(index, 0) + 1
+    errors = sum(rng.random() < error for _ in range(calls))
+    return route_window.RouteWindow(
+        route, version, data_centre, calls, errors, calls, buckets
+    )
+
+
+def judge(seed, *, windows, bad=None, incident=None, calls=(5, 60)):
+    """Feeds `windows` windows; returns the evaluator and when it ended.
+
+    Args:
+        seed: Seed.
+        windows: Number of windows of half a second.
+        bad: (first window, route, error rate, factor of latency).
+        incident: (first window, last window, error rate, factor), of both.
+        calls: Calls of the new and the old version in each window and route.
+    """
+    rng = random.Random(seed)
+    found = evaluator.Evaluator(
+        policy=move_policy.MovePolicy(),
+        from_version="v1",
+        to_version="v2",
+        duration_ms=windows * 500,
+    )
+    for number in range(windows):
+        base = (0.005, 1.0)
+        if incident and incident[0] <= number < incident[1]:
+            base = incident[2:]
+        batch = []
+        for route in ("big", "small"):
+            share = 1 if route == "big" else 4
+            new = base
+            if bad and number >= bad[0] and route == bad[1]:
+                new = (base[0] + bad[2], base[1] * bad[3])
+            for version, (error, factor), count in (
+                ("v1", base, calls[1] // share),
+                ("v2", new, max(1, calls[0] // share)),
+            ):
+                batch.append(
+                    window(
+                        rng, route, version, count, error=error, factor=factor
+                    )
+                )
+        found.observe(batch)
+        if found.faulty() is not None:
+            return found, number
+    return found, windows
+
+
+class TestSequentialTest(unittest.TestCase):
+    def test_repeated_looking_keeps_the_error_rate(self):
+        """Over 600 looks at equal versions few pass 1/20, none 1e-4.
+
+        Guards against a test of fixed level, which fails here in most runs.
+        """
+        passed = 0
+        for seed in range(60):
+            rng = random.Random(seed)
+            test = sequential_test.SequentialTest(horizon_windows=600)
+            highest = -100.0
+            for _ in range(600):
+                new = sum(rng.random() < 0.02 for _ in range(10))
+                old = sum(rng.random() < 0.02 for _ in range(40))
+                test.update((comparison.Comparison(10, new, 40, old, 1.0),))
+                highest = max(highest, test.log_value())
+            passed += highest >= 3.0
+            self.assertLess(highest, 9.2)
+        self.assertLessEqual(passed, 3)
+
+    def test_common_incident_cancels(self):
+        """Events of both versions are no evidence, at any common rate."""
+        part = comparison.Comparison(50, 25, 50, 25, 1.0)
+        for odds in sequential_test.ODDS_RATIOS:
+            self.assertLess(
+                sequential_test.same_period_log_ratio(part, odds), 0.0
+            )
+
+
+class TestEvaluator(unittest.TestCase):
+    def test_good_versions_are_never_faulty(self):
+        """Equal versions are not faulty over a move with an incident.
+
+        A route of 2 calls/s may lack evidence by chance, so one of the four
+        moves need not be clear.
+        """
+        clear = 0
+        for seed in range(4):
+            found, _ = judge(seed, windows=300, incident=(100, 130, 0.2, 1.8))
+            self.assertIsNone(found.faulty())
+            clear += found.is_clear()
+        self.assertGreaterEqual(clear, 3)
+
+    def test_fault_on_one_route_does_not_drown(self):
+        """A fault on a small route is found, and names that route."""
+        found, _ = judge(1, windows=300, bad=(0, "small", 0.3, 1.0))
+        self.assertEqual(found.faulty().route, "small")
+
+    def test_slow_version_without_errors(self):
+        """A version that is only slower is faulty."""
+        found, at = judge(2, windows=300, bad=(0, "big", 0.0, 2.5))
+        self.assertIn("slower", found.faulty().reason)
+        self.assertLess(at, 100)
+
+    def test_late_fault_is_not_outweighed(self):
+        """Good calls before do not delay a fault that shows later."""
+        _, early = judge(3, windows=400, bad=(60, "big", 0.3, 1.0))
+        _, late = judge(3, windows=400, bad=(300, "big", 0.3, 1.0))
+        self.assertLessEqual(early, 80)
+        self.assertLessEqual(late, 320)
+
+    def test_fault_at_high_share(self):
+        """With 10 control calls/s a fault at 95% is found within 6 s.
+
+        No rule is much faster without the belief that incidents are rare: a
+        window has 5 control calls, all of which succeed in an incident of
+        30% with a probability of 0.17.
+        """
+        _, at = judge(4, windows=200, bad=(150, "big", 0.3, 1.0), calls=(95, 5))
+        self.assertLessEqual(at, 162)
+
+    def test_few_calls_are_insufficient(self):
+        """Without enough calls a route is neither clear nor faulty."""
+        found, _ = judge(5, windows=10, calls=(1, 20))
+        self.assertFalse(found.is_clear())
+        self.assertIsNone(found.faulty())
+
+    def test_verdict_does_not_change_the_evidence(self):
+        """Asking for a verdict early leaves the thresholds open.
+
+        Guards against thresholds that were fixed by the first question,
+        before there were latencies.
+        """
+        found = evaluator.Evaluator(
+            policy=move_policy.MovePolicy(),
+            from_version="v1",
+            to_version="v2",
+            duration_ms=100_000,
+        )
+        rng = random.Random(6)
+        for _ in range(60):
+            found.verdicts()
+            found.observe(
+                [
+                    window(rng, "r", "v1", 30, error=0.0, factor=1.0),
+                    window(rng, "r", "v2", 10, error=0.0, factor=0.8),
+                ]
+            )
+        self.assertTrue(found.is_clear(step=3))
+
+    def test_latency_differs_by_data_centre(self):
+        """A new target in a slow data centre is compared there only."""
+        rng = random.Random(7)
+        found = evaluator.Evaluator(
+            policy=move_policy.MovePolicy(),
+            from_version="v1",
+            to_version="v2",
+            duration_ms=100_000,
+        )
+        for _ in range(200):
+            batch = [
+                window(
+                    rng, "r", "v1", 20, error=0.0, factor=f, data_centre=name
+                )
+                for name, f in (("a", 1.0), ("slow", 2.0))
+            ]
+            batch.append(
+                window(
+                    rng, "r", "v2", 5, error=0.0, factor=2.0, data_centre="slow"
+                )
+            )
+            found.observe(batch)
+        self.assertIsNone(found.faulty())
