--- a/tests/config/cluster.py
+++ b/tests/config/cluster.py
@@ -21,6 +21,7 @@
 from tests.fakes import memory_objects
 from tests.fakes import memory_table
 from tests.fakes import virtual_clock
+from tests.fakes import virtual_run
 
 HEARTBEAT_S = 1.0
 # How long a dead node still counts as live.
@@ -29,6 +30,9 @@
 FALLBACK_WINDOW_S = 5.0
 
 
+FOUR = {"x": ("x1", "x2", "x3", "x4")}
+
+
 class History:
     """What one node id ran, over all of its lives."""
 
@@ -240,3 +244,25 @@
             return self._can_run(node_id, item, step)
 
         return log_state.LogState(node_id=node_id, can_run=can_run)
+
+
+def run(
+    main: collections.abc.Callable,
+    *,
+    data_centres: dict[str, tuple[str, ...]] = FOUR,
+    seed: int = 1,
+) -> None:
+    """Runs `main(cluster)` on a cluster whose nodes are not started."""
+
+    async def start() -> None:
+        async with anyio.create_task_group() as tasks:
+            await main(
+                Cluster(
+                    tasks,
+                    rng=random.Random(seed),
+                    data_centres=data_centres,
+                )
+            )
+            tasks.cancel_scope.cancel()
+
+    virtual_run.run(start, seed=seed)
