Split the link tests and follow certificate files in one place

The own record keeps its configured address unless the port is 0, so that a wildcard listener does not announce itself.

--- a/src/galenatack/links/peer_network.py
+++ b/src/galenatack/links/peer_network.py
@@ -32,8 +32,6 @@
 from galenatack.messages import hello
 from galenatack.messages import members
 
-RELOAD_TLS_S = 30.0
-
 STOP_S = 0.5
 """Longest time for the closing handshakes of a node that stops."""
 
@@ -87,35 +85,15 @@
         self._server = message_server.MessageServer()
         self._on_lost: list[OnLost] = []
         self._tasks: anyio.abc.TaskGroup | None = None
-        self._factory = link_factory.LinkFactory(
-            deployment=deployment,
-            table=table,
-            clock=clock,
-            faults=self.fault_injector,
-            traffic=self._traffic,
-            peer_tls=peer_tls,
-        )
+        self._factory = self._make_factory(deployment)
         self._opener = link_opener.LinkOpener(
             factory=self._factory,
             table=table,
             faults=self.fault_injector,
             started=self._start_link,
         )
-        self._keeper = link_keeper.LinkKeeper(
-            table=table,
-            clock=clock,
-            rng=rng,
-            book=self._book,
-            open_link=self._opener.open,
-        )
-        self._rejoiner = rejoiner.Rejoiner(
-            table=table,
-            clock=clock,
-            rng=rng,
-            book=self._book,
-            seeds=seeds,
-            dial=self._opener.open_address,
-        )
+        self._keeper = self._make_keeper(rng)
+        self._rejoiner = self._make_rejoiner(rng, seeds)
         self._monitor = link_monitor.LinkMonitor(
             book=self._book, clock=clock, heartbeat_source=heartbeat_source
         )
@@ -156,11 +134,12 @@
         async with anyio.create_task_group() as tasks, listener as server:
             self._set_tasks(tasks)
             host, port = next(iter(server.sockets)).getsockname()[:2]
-            if self._table.own.peer_address != f"{host}:{port}":
-                self._own_address(f"{host}:{port}")
-            task_status.started(f"{host}:{port}")
+            address = f"{host}:{port}"
+            if self._table.own.peer_address.endswith(":0"):
+                self._table.update_own(peer_address=address)
+            task_status.started(address)
             tasks.start_soon(self._rejoiner.run)
-            tasks.start_soon(self._reload_tls)
+            tasks.start_soon(self._tls.follow_files, self._clock)
             try:
                 await self._tick(tasks)
             finally:
@@ -223,6 +202,39 @@
         purpose = purposes.CALLS if for_calls else purposes.DIRECT
         return await self._opener.open(node_id, purpose)
 
+    def _make_factory(self, deployment: str) -> link_factory.LinkFactory:
+        return link_factory.LinkFactory(
+            deployment=deployment,
+            table=self._table,
+            clock=self._clock,
+            faults=self.fault_injector,
+            traffic=self._traffic,
+            peer_tls=self._tls,
+        )
+
+    def _make_keeper(
+        self, rng: random_source.RandomSource
+    ) -> link_keeper.LinkKeeper:
+        return link_keeper.LinkKeeper(
+            table=self._table,
+            clock=self._clock,
+            rng=rng,
+            book=self._book,
+            open_link=self._opener.open,
+        )
+
+    def _make_rejoiner(
+        self, rng: random_source.RandomSource, seeds: tuple[str, ...]
+    ) -> rejoiner.Rejoiner:
+        return rejoiner.Rejoiner(
+            table=self._table,
+            clock=self._clock,
+            rng=rng,
+            book=self._book,
+            seeds=seeds,
+            dial=self._opener.open_address,
+        )
+
     async def _go_away(self) -> None:
         with anyio.move_on_after(STOP_S, shield=True):
             async with anyio.create_task_group() as closing:
@@ -236,9 +248,6 @@
         self._opener.tasks = tasks
         self._server.tasks = tasks
 
-    def _own_address(self, address: str) -> None:
-        self._table.update_own(peer_address=address)
-
     async def _accepted(
         self, connection: websockets_connection.Connection
     ) -> None:
@@ -248,7 +257,8 @@
             _LOGGER.info("event=peer-refused error=%s", error)
             connection.transport.abort()
             return
-        await self._run_link(link, greeting)
+        self._book.add(link)
+        await self._read_link(link, greeting)
 
     def _start_link(
         self, link: peer_link.PeerLink, greeting: hello.Hello
@@ -259,12 +269,6 @@
         self._book.add(link)
         self._tasks.start_soon(self._read_link, link, greeting)
 
-    async def _run_link(
-        self, link: peer_link.PeerLink, greeting: hello.Hello
-    ) -> None:
-        self._book.add(link)
-        await self._read_link(link, greeting)
-
     async def _read_link(
         self, link: peer_link.PeerLink, greeting: hello.Hello
     ) -> None:
@@ -288,12 +292,3 @@
             self._keeper.refresh(tasks)
             self._monitor.tick(tasks)
             await self._clock.sleep_s(link_monitor.TICK_S)
-
-    async def _reload_tls(self) -> None:
-        while True:
-            await self._clock.sleep_s(RELOAD_TLS_S)
-            try:
-                if self._tls.reload_if_changed():
-                    _LOGGER.info("event=certificates-reloaded")
-            except (OSError, ValueError) as error:
-                _LOGGER.warning("event=certificates-bad error=%s", error)
--- a/src/galenatack/links/tls.py
+++ b/src/galenatack/links/tls.py
@@ -5,12 +5,16 @@
 import ssl
 
 from galenatack import exceptions
+from galenatack.interfaces import clock as clock_interface
 from galenatack.settings import trust_settings
 
 _LOGGER = logging.getLogger(__name__)
 
 MODE_NONE = "none"
 
+RELOAD_S = 30.0
+"""How often the certificate files are looked at."""
+
 
 class PeerTls:
     """Contexts for mutual TLS; follows changes of the certificate files.
@@ -68,6 +72,16 @@
         self._loaded = found
         return True
 
+    async def follow_files(self, clock: clock_interface.Clock) -> None:
+        """Loads changed files until cancelled; bad ones are logged."""
+        while True:
+            await clock.sleep_s(RELOAD_S)
+            try:
+                if self.reload_if_changed():
+                    _LOGGER.info("event=certificates-reloaded")
+            except (OSError, ValueError) as error:
+                _LOGGER.warning("event=certificates-bad error=%s", error)
+
     def _fingerprint(self) -> tuple[tuple[int, int], ...]:
         files = (
             self._trust.ca_file,
--- a/tests/links/loopback.py
+++ b/tests/links/loopback.py
@@ -7,14 +7,21 @@
 
 import anyio
 import anyio.abc
+import websockets.asyncio.client
 
 from galenatack.links import fault_injector
+from galenatack.links import handshake
 from galenatack.links import message_codec
 from galenatack.links import peer_network
 from galenatack.links import tls
 from galenatack.membership import member_table
 from galenatack.membership import membership_service
+from galenatack.messages import call
+from galenatack.messages import call_answer
 from galenatack.messages import heartbeat
+from galenatack.messages import hello
+from galenatack.model import call_request
+from galenatack.model import call_result
 from galenatack.model import member_record
 from galenatack.settings import trust_settings
 from tests.fakes import event_list
@@ -149,3 +156,66 @@
 async def receive(connection: typing.Any) -> typing.Any:
     """Returns the next message of a raw connection."""
     return message_codec.decode(await connection.recv()).message
+
+
+def call_message(body: bytes = b"x") -> call.Call:
+    """A call message with plain values."""
+    request = call_request.CallRequest(
+        "c1", "prices", "list", "GET", "/", (), body, 1000, False
+    )
+    return call.Call(request, 0)
+
+
+async def answer_call(
+    sender: str, message: call.Call
+) -> call_answer.CallAnswer:
+    """Answers a call with its own body."""
+    result = call_result.CallResult("answer", 200, (), message.request.body)
+    return call_answer.CallAnswer(message.request.call_id, result)
+
+
+async def start_joined(tasks: anyio.abc.TaskGroup, *names: str) -> list[Node]:
+    """Starts nodes that know the first one; returns them joined."""
+    nodes = [await Node(names[0]).start(tasks)]
+    seeds = (nodes[0].record.peer_address,)
+    for name in names[1:]:
+        node = Node(name, seeds=seeds)
+        nodes.append(await node.start(tasks))
+    await until(lambda: are_joined(nodes))
+    return nodes
+
+
+async def start_pair(
+    tasks: anyio.abc.TaskGroup,
+    left: str = "a1-0",
+    right: str = "a1-1",
+    **options: typing.Any,
+) -> tuple[Node, Node]:
+    """Starts two nodes and returns them with links both ways."""
+    first = await Node(left, **options).start(tasks)
+    seeds = (first.record.peer_address,)
+    second = Node(right, seeds=seeds, **options)
+    await second.start(tasks)
+    await until(lambda: are_joined((first, second)))
+    await until(lambda: bool(first.peers.neighbours()))
+    await until(lambda: bool(second.peers.neighbours()))
+    return first, second
+
+
+def connect(node: Node) -> websockets.asyncio.client.connect:
+    """Returns a raw connection to a node."""
+    return websockets.asyncio.client.connect(
+        f"ws://{node.record.peer_address}/", proxy=None, max_size=None
+    )
+
+
+def hello_frame(**changes: typing.Any) -> bytes:
+    """Returns a frame with Hello that a node accepts, but for changes."""
+    greeting = hello.Hello(
+        handshake.PROTOCOL,
+        handshake.OLDEST_PROTOCOL,
+        DEPLOYMENT,
+        "direct",
+        member_records.build("a1-9"),
+    )
+    return message_codec.encode(greeting._replace(**changes))
--- /dev/null
+++ b/tests/links/test_handshake.py
@@ -0,0 +1,150 @@
+"""Tests of the handshake and of frames that are refused."""
+
+import unittest
+
+import anyio
+import anyio.lowlevel
+import websockets.asyncio.client
+import websockets.exceptions
+
+from galenatack import exceptions
+from galenatack.links import message_codec
+from galenatack.messages import busy
+from galenatack.messages import delta
+from galenatack.messages import hello
+from galenatack.messages import protocol_failure
+from galenatack.model import entry
+from tests.fakes import member_records
+from tests.links import loopback
+
+CLOSE_TOO_BIG = 1009
+"""Close code of websockets for a frame above the limit."""
+
+
+class TestHandshake(unittest.TestCase):
+    def _answers(self, first_frame):
+        async def scenario(tasks):
+            node = await loopback.Node("a1-0").start(tasks)
+            async with loopback.connect(node) as connection:
+                await connection.send(first_frame)
+                answer = await loopback.receive(connection)
+                if not isinstance(answer, hello.Hello):
+                    await connection.wait_closed()
+                return answer, connection.close_code, len(node.table.live())
+
+        return loopback.run(scenario)
+
+    def test_refusals(self):
+        """A peer that does not belong here is told why and closed."""
+        frames = [
+            ("deployment", loopback.hello_frame(deployment="other")),
+            (
+                "protocol-version",
+                loopback.hello_frame(protocol=9, oldest_protocol=9),
+            ),
+            (
+                "protocol-version",
+                loopback.hello_frame(protocol=0, oldest_protocol=0),
+            ),
+            ("self", loopback.hello_frame(record=member_records.build("a1-0"))),
+            ("protocol", loopback.hello_frame(purpose="other")),
+            ("protocol", message_codec.encode(busy.Busy(1))),
+        ]
+        for code, frame in frames:
+            with self.subTest(code, frame=frame):
+                answer, close_code, members = self._answers(frame)
+                self.assertIsInstance(answer, protocol_failure.ProtocolFailure)
+                self.assertEqual((answer.code, close_code), (code, 1002))
+                self.assertEqual(members, 1)
+
+    def test_bad_first_frame(self):
+        """A first frame that is no message is refused the same way."""
+        answer, close_code, _ = self._answers(b"\xff")
+        self.assertEqual((answer.code, close_code), ("protocol", 1002))
+
+    def test_accepts_newer_release(self):
+        """A newer peer that still speaks this protocol is let in."""
+        answer, _, _ = self._answers(loopback.hello_frame(protocol=9))
+        self.assertEqual(answer.record.node_id, "a1-0")
+
+    def test_nodes_of_two_deployments(self):
+        """A seed of another deployment never joins the two."""
+
+        async def scenario(tasks):
+            first = await loopback.Node("a1-0").start(tasks)
+            seeds = (first.record.peer_address,)
+            second = loopback.Node("a1-1", seeds=seeds, deployment="other")
+            await second.start(tasks)
+            with self.assertRaises(exceptions.ProtocolError):
+                await second.peers._opener.open_address(seeds[0])
+            return len(first.table.live()), len(second.table.live())
+
+        self.assertEqual(loopback.run(scenario), (1, 1))
+
+
+class TestFrames(unittest.TestCase):
+    def _after_hello(self, frame):
+        async def scenario(tasks):
+            node = await loopback.Node("a1-0").start(tasks)
+            async with loopback.connect(node) as connection:
+                await connection.send(loopback.hello_frame())
+                answers = [await loopback.receive(connection)]
+                try:
+                    await connection.send(frame)
+                    while True:
+                        answers.append(await loopback.receive(connection))
+                except websockets.exceptions.ConnectionClosed:
+                    return answers, connection.close_code
+
+        return loopback.run(scenario)
+
+    def test_bad_frame(self):
+        """A bad frame is answered by ProtocolFailure and a close."""
+        answers, close_code = self._after_hello(b"\x81\x00")
+        self.assertIsInstance(answers[-1], protocol_failure.ProtocolFailure)
+        self.assertEqual(close_code, 1002)
+
+    def test_big_frame(self):
+        """A frame above the limit is refused when its length is read."""
+        length = message_codec.MAX_FRAME_BYTES + 1
+
+        async def scenario(tasks):
+            node = await loopback.Node("a1-0").start(tasks)
+            async with loopback.connect(node) as connection:
+                await connection.send(loopback.hello_frame())
+                await loopback.receive(connection)
+                # Only the header of a masked binary frame: the node must
+                # not wait for the payload.
+                header = b"\x82\xff" + length.to_bytes(8, "big") + bytes(4)
+                connection.transport.write(header)
+                await connection.wait_closed()
+                return connection.close_code
+
+        self.assertEqual(loopback.run(scenario), CLOSE_TOO_BIG)
+
+    def test_second_hello(self):
+        """A peer cannot change its identity on an open link."""
+        answers, close_code = self._after_hello(loopback.hello_frame())
+        self.assertIsInstance(answers[-1], protocol_failure.ProtocolFailure)
+        self.assertEqual(close_code, 1002)
+
+    def test_slow_peer_is_dropped(self):
+        """A peer that does not read is dropped, not buffered for ever."""
+
+        async def scenario(tasks):
+            node = await loopback.Node("a1-0").start(tasks)
+            body = bytes(1 << 20)
+            big = delta.Delta(0, 1, (entry.Entry("p", 1, 1, "", body),), None)
+            async with loopback.connect(node) as connection:
+                await connection.send(loopback.hello_frame(purpose="overlay"))
+                connection.transport.pause_reading()
+                await loopback.until(lambda: bool(node.peers.neighbours()))
+                sent = 0
+                while node.peers.neighbours():
+                    await node.peers.broadcast(big)
+                    await anyio.lowlevel.checkpoint()
+                    sent += 1
+                connection.transport.abort()
+                return sent
+
+        self.assertLess(loopback.run(scenario), 64)
--- a/tests/links/test_tls.py
+++ b/tests/links/test_tls.py
@@ -7,6 +7,7 @@
 import tempfile
 import unittest
 
+import anyio
 from cryptography import x509
 from cryptography.hazmat.primitives import hashes
 from cryptography.hazmat.primitives import serialization
@@ -15,6 +16,8 @@
 from galenatack import exceptions
 from galenatack.links import tls
 from galenatack.settings import trust_settings
+from tests.fakes import virtual_clock
+from tests.fakes import virtual_run
 from tests.links import loopback
 
 VALID = datetime.timedelta(days=1)
@@ -142,6 +145,31 @@
             both[0].reload_if_changed()
         self.assertEqual(self._dial(*both), "a1-0")
 
+    def test_follows_files(self):
+        """Changed files are loaded while the node runs; bad ones are not."""
+        folder = self.folders[0]
+        peer_tls = tls.PeerTls(trust=self.ours.issue(folder))
+
+        def names():
+            found = peer_tls.client.get_ca_certs()
+            return {item["subject"][0][0][1] for item in found}
+
+        async def main():
+            clock = virtual_clock.VirtualClock()
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(peer_tls.follow_files, clock)
+                (folder / "key.pem").write_bytes(b"")
+                with self.assertLogs("galenatack.links.tls", "WARNING"):
+                    await anyio.sleep(tls.RELOAD_S + 1)
+                before = names()
+                self.theirs.issue(folder)
+                await anyio.sleep(tls.RELOAD_S)
+                tasks.cancel_scope.cancel()
+            return before, names()
+
+        before, after = virtual_run.run(main, seed=1)
+        self.assertEqual((before, after), ({"ours"}, {"ours", "theirs"}))
+
     def test_missing_file(self):
         """A wrong path is reported as an error of the settings."""
         trust = self.ours.issue(self.folders[0])._replace(ca_file="missing")
