Let tickets reach leaving nodes, and measure the bare round trip

A repeat of a ticket posting was told unknown as soon as its node left, although the node still had the answer.

--- a/bench/added_latency.py
+++ b/bench/added_latency.py
@@ -17,6 +17,7 @@
 import httpcore
 
 from bench import free_ports
+from bench import loopback
 
 _RATES = (20, 100, 200)
 _LONGEST_US = 10_000_000
@@ -129,6 +130,7 @@
 @click.option("--uvloop/--no-uvloop", default=True)
 def main(duration_s: float, rounds: int, uvloop: bool) -> None:
     """Prints one JSON line for each rate."""
+    print(json.dumps({"loopback_round_trip_ms": loopback.round_trip_ms()}))
     target, node = (f"127.0.0.1:{port}" for port in free_ports.free_ports(2))
     processes = [
         _start(
--- a/src/galenatack/links/joined_writer.py
+++ b/src/galenatack/links/joined_writer.py
@@ -59,4 +59,5 @@
         data = b"".join(self._parts)
         self._parts.clear()
         self._size = 0
-        self._writer.write(data)
+        if not self._writer.is_closing():
+            self._writer.write(data)
--- a/src/galenatack/routing/builder.py
+++ b/src/galenatack/routing/builder.py
@@ -21,6 +21,16 @@
 _ROUTABLE = (member_status.MemberStatus.SERVING,)
 # A suspect may be alive; it is used when nothing better is left.
 _LAST_RESORT = (member_status.MemberStatus.SUSPECT,)
+_ANSWERING = (
+    member_status.MemberStatus.SERVING,
+    member_status.MemberStatus.SUSPECT,
+    member_status.MemberStatus.LEAVING,
+)
+
+_Groups = collections.abc.Mapping[
+    tuple[str, str], list[target_member.TargetMember]
+]
+_Nodes = collections.abc.Mapping[str, dict[str, target_member.TargetMember]]
 
 
 def build(
@@ -48,7 +58,9 @@
     """
     by_name = {profile.name: profile for profile in profiles}
     moves_by_service = {move.service: move for move in moves}
-    groups = _group(members, own)
+    records = sorted(members, key=lambda member: member.node_id)
+    groups = _group(records, own)
+    nodes = _nodes(records, own)
     errors: list[str] = []
     tables = {}
     for choice in choices:
@@ -58,7 +70,7 @@
         errors.extend(problems)
         if profile is not None and not problems:
             tables[choice.service] = _table(
-                choice, profile, move, groups, withdrawn
+                choice, profile, move, groups, nodes, withdrawn
             )
     if errors:
         raise exceptions.SnapshotError("\n".join(errors))
@@ -109,7 +121,8 @@
     choice: service_choice.ServiceChoice,
     profile: profile_module.Profile,
     move: move_state.MoveState | None,
-    groups: dict[tuple[str, str], list[target_member.TargetMember]],
+    groups: _Groups,
+    nodes: _Nodes,
     withdrawn: Withdrawn,
 ) -> service_table.ServiceTable:
     members = {
@@ -141,6 +154,7 @@
             {policy.name: policy for policy in profile.retry_policies}
         ),
         members=types.MappingProxyType(members),
+        nodes=types.MappingProxyType(nodes.get(choice.service, {})),
         limits=profile.limits,
         move=move if _is_running(move) else None,
     )
@@ -160,22 +174,39 @@
 
 
 def _group(
-    members: collections.abc.Iterable[member_record.MemberRecord],
+    records: collections.abc.Iterable[member_record.MemberRecord],
     own: member_record.MemberRecord,
-) -> dict[tuple[str, str], list[target_member.TargetMember]]:
+) -> _Groups:
     preferred = collections.defaultdict(list)
     fallback = collections.defaultdict(list)
-    for record in sorted(members, key=lambda member: member.node_id):
-        target = target_member.TargetMember(
-            record.node_id, record.incarnation, record.slots, _tier(record, own)
-        )
+    for record in records:
+        key = record.service, record.version
         if record.status in _ROUTABLE:
-            preferred[record.service, record.version].append(target)
+            preferred[key].append(_target(record, own))
         elif record.status in _LAST_RESORT:
-            fallback[record.service, record.version].append(target)
+            fallback[key].append(_target(record, own))
     return {**fallback, **preferred}
 
 
+def _nodes(
+    records: collections.abc.Iterable[member_record.MemberRecord],
+    own: member_record.MemberRecord,
+) -> _Nodes:
+    nodes = collections.defaultdict(dict)
+    for record in records:
+        if record.status in _ANSWERING:
+            nodes[record.service][record.node_id] = _target(record, own)
+    return nodes
+
+
+def _target(
+    record: member_record.MemberRecord, own: member_record.MemberRecord
+) -> target_member.TargetMember:
+    return target_member.TargetMember(
+        record.node_id, record.incarnation, record.slots, _tier(record, own)
+    )
+
+
 def _tier(
     record: member_record.MemberRecord, own: member_record.MemberRecord
 ) -> int:
--- a/src/galenatack/routing/service_table.py
+++ b/src/galenatack/routing/service_table.py
@@ -25,6 +25,8 @@
         moving_pools: Names of the pools that a move shifts.
         retry_policies: Retry policies by name.
         members: Targets by version; every version has an item.
+        nodes: All nodes of the service that may still answer, by node id;
+            a leaving one still knows the postings of its tickets.
         limits: Limits of calls.
         move: The move that is running, or None.
     """
@@ -39,5 +41,6 @@
     members: collections.abc.Mapping[
         str, tuple[target_member.TargetMember, ...]
     ]
+    nodes: collections.abc.Mapping[str, target_member.TargetMember]
     limits: limits.Limits
     move: move_state.MoveState | None
--- a/src/galenatack/routing/target_chooser.py
+++ b/src/galenatack/routing/target_chooser.py
@@ -71,13 +71,12 @@
     def _ticket_member(
         self, plan: call_plan.CallPlan
     ) -> target_member.TargetMember:
-        for members in plan.table.members.values():
-            for member in members:
-                if member.node_id == plan.ticket.node_id:
-                    return member
-        raise exceptions.TicketGoneError(
-            f"node {plan.ticket.node_id} of the ticket is gone"
-        )
+        member = plan.table.nodes.get(plan.ticket.node_id)
+        if member is None:
+            raise exceptions.TicketGoneError(
+                f"node {plan.ticket.node_id} of the ticket is gone"
+            )
+        return member
 
     def _versions(
         self, plan: call_plan.CallPlan, is_retry: bool
--- a/tests/links/test_loopback.py
+++ b/tests/links/test_loopback.py
@@ -89,6 +89,19 @@
 
         self._run(scenario, service_ms=2.0, slots=4)
 
+    def test_late_answer_does_not_reach_the_next_call(self):
+        """A call that gave up takes its connection with it."""
+
+        async def scenario(link, app):
+            for number in range(5):
+                with anyio.move_on_after(0.02):
+                    await link.call(_request(path=f"/late/{number}"))
+                answer = await link.call(_request(path=f"/next/{number}"))
+                body = json.loads(answer.body)
+                self.assertEqual(body["path"], f"/next/{number}")
+
+        self._run(scenario, service_ms=40.0, slots=12)
+
     def test_posting_passes_key_and_body(self):
         """The target sees the key and the body of a posting."""
 
--- a/tests/routing/test_outbound_proxy.py
+++ b/tests/routing/test_outbound_proxy.py
@@ -207,6 +207,24 @@
 
         run_rig(scenario)
 
+    def test_ticket_of_a_leaving_node(self):
+        """A leaving node gives the recorded answer and runs nothing new."""
+
+        async def scenario(rig):
+            for key in ("old", "new"):
+                rig.tickets[key] = call_plan.Ticket("n2", 1)
+            first = await rig.post("old", 0)
+            rig.nodes[2].gate.leave()
+            rig.members[2] = rig.members[2]._replace(status="leaving")
+            rig.swap()
+            again = await rig.post("old", 1)
+            self.assertEqual(again, first)
+            new = await rig.post("new", 0)
+            self.assertEqual(new.outcome, "not-run")
+            self.assertEqual(len(rig.started()), 1)
+
+        run_rig(scenario)
+
 
 class TestRefusals(unittest.TestCase):
     def test_bad_calls_are_not_run(self):
