--- a/tests/links/test_loopback.py
+++ b/tests/links/test_loopback.py
@@ -1,5 +1,6 @@
 """Tests of the target link and the caller side over loopback."""
 
+import functools
 import json
 import unittest
 
@@ -278,22 +279,27 @@
         self._run(scenario, service_ms=150.0, slots=1)
 
     def test_shutdown_completes_calls(self):
-        """A call in flight at the shutdown gets its whole answer."""
-
-        async def scenario(url, app, shutdown):
-            answers = []
-
-            async def one(pool):
-                answers.append(await pool.request("GET", f"{url}/prices/x"))
-
-            async with (
-                httpcore.AsyncConnectionPool() as pool,
-                anyio.create_task_group() as tasks,
-            ):
-                for _ in range(8):
-                    tasks.start_soon(one, pool)
-                await anyio.sleep(0.05)
-                shutdown.set()
-            self.assertEqual([a.status for a in answers], [200] * 8)
+        """Calls in flight at the shutdown get whole answers, and it ends."""
+        for is_http2 in (False, True):
+            self._run(
+                functools.partial(self._shut_down, is_http2),
+                service_ms=150.0,
+            )
 
-        self._run(scenario, service_ms=150.0)
+    async def _shut_down(self, is_http2, url, app, shutdown):
+        answers = []
+
+        async def one(pool):
+            answers.append(await pool.request("GET", f"{url}/prices/x"))
+
+        async with (
+            httpcore.AsyncConnectionPool(
+                http1=not is_http2, http2=is_http2
+            ) as pool,
+            anyio.create_task_group() as tasks,
+        ):
+            for _ in range(8):
+                tasks.start_soon(one, pool)
+            await anyio.sleep(0.05)
+            shutdown.set()
+        self.assertEqual([a.status for a in answers], [200] * 8)
