--- a/bench/added_latency.py
+++ b/bench/added_latency.py
@@ -19,7 +19,7 @@
 from bench import free_ports
 from bench import loopback
 
-_RATES = (20, 100, 200)
+_RATES = "20,100,200"
 _LONGEST_US = 10_000_000
 _DIGITS = 3
 _US_PER_S = 1_000_000
@@ -92,12 +92,16 @@
 
 
 async def _measure(
-    target: str, node: str, duration_s: float, rounds: int
+    target: str,
+    node: str,
+    rates: list[int],
+    duration_s: float,
+    rounds: int,
 ) -> list[dict]:
     await _wait_for(target)
     await _wait_for(node)
     rows = []
-    for rate in _RATES:
+    for rate in rates:
         direct = Load(target, "/x")
         through = Load(node, "/prices/x")
         for _ in range(rounds):
@@ -127,8 +131,9 @@
 @click.command()
 @click.option("--duration-s", default=5.0, show_default=True)
 @click.option("--rounds", default=2, show_default=True)
+@click.option("--rates", default=_RATES, show_default=True)
 @click.option("--uvloop/--no-uvloop", default=True)
-def main(duration_s: float, rounds: int, uvloop: bool) -> None:
+def main(duration_s: float, rounds: int, rates: str, uvloop: bool) -> None:
     """Prints one JSON line for each rate."""
     print(json.dumps({"loopback_round_trip_ms": loopback.round_trip_ms()}))
     target, node = (f"127.0.0.1:{port}" for port in free_ports.free_ports(2))
@@ -150,6 +155,7 @@
             _measure,
             target,
             node,
+            [int(rate) for rate in rates.split(",")],
             duration_s,
             rounds,
             backend_options={"use_uvloop": True},
