--- a/standins/demo/scenario.py
+++ b/standins/demo/scenario.py
@@ -236,6 +236,8 @@
         while time.monotonic() < end_s:
             found = self._admin.get(address, f"/admin/v1/moves/{service}")
             if found and found["final"]:
+                path = self._folder / f"verdict-{service}.json"
+                path.write_text(json.dumps(found, indent=2))
                 return found["move"]["phase"], found["move"]["reason"]
             time.sleep(admin_module.POLL_S)
         return "none", "no verdict in time"
