--- a/bench/moves_run.py
+++ b/bench/moves_run.py
@@ -181,7 +181,7 @@
         rng = self._rng
         node = self._nodes[rng.randrange(NODES)]
         route = self._world.route()
-        version = node.picker.pick(self._move, COUNTS)
+        version = node.picker.pick(self._move, COUNTS, route=route)
         target = rng.randrange(COUNTS[version])
         if version == "v2" and self._move.active_targets:
             chosen = rng.randrange(self._move.active_targets)
--- a/src/galenatack/moves/version_picker.py
+++ b/src/galenatack/moves/version_picker.py
@@ -1,5 +1,6 @@
 """Picks the old or the new version for each outbound call of a move."""
 
+import collections
 import collections.abc
 
 from galenatack.interfaces import clock as clock_interface
@@ -14,6 +15,11 @@
 # Calls that stay on the old version until the verdict: without them a fault
 # of the new version cannot be told from an incident that strikes both.
 CONTROL_PERMILLE = 50
+# Calls before the frequencies of the routes are known.
+BALANCE_CALLS = 50
+BALANCE_WEIGHT = 0.5
+BALANCE_LIMIT = 0.8
+BALANCE_SHARE = 0.5
 # Bursts start by the wall clock, so that those of all callers coincide and
 # the few active targets see the load that they will see after the move.
 BURST_PERIOD_MS = 10_000
@@ -38,27 +44,34 @@
         self._move_id = ""
         self._calls = 0
         self._new_calls = 0
+        self._route_calls: collections.Counter[str] = collections.Counter()
 
     def pick(
         self,
         move: move_state.MoveState,
         version_counts: collections.abc.Mapping[str, int],
+        *,
+        route: str = "",
     ) -> str:
         """Returns the version for one call.
 
         Args:
             move: The move in force on this node.
             version_counts: Live targets of each version.
+            route: Route of the call; rare routes get a larger share.
         """
         if move.move_id != self._move_id:
             self._move_id = move.move_id
             self._calls = 0
             self._new_calls = 0
+            self._route_calls.clear()
         self._calls += 1
+        self._route_calls[route] += 1
         version = move.from_version
-        if self._is_new(move, version_counts):
+        if self._is_new(move, version_counts, route):
             version = move.to_version
             self._new_calls += 1
+            self._check_new_call(move)
         bad_version.check_share(
             move,
             calls=self._calls,
@@ -71,6 +84,7 @@
         self,
         move: move_state.MoveState,
         version_counts: collections.abc.Mapping[str, int],
+        route: str,
     ) -> bool:
         if move.phase == move_phase.MovePhase.DONE:
             return True
@@ -85,15 +99,16 @@
         if self._clock.wall_ms() >= move.by_ms:
             return False
         if move.step == 0:
-            return self._is_first_share(move, version_counts)
-        limit_permille = FULL_PERMILLE - CONTROL_PERMILLE
-        share_permille = min(move.share_permille, limit_permille)
-        return self._rng.random() * FULL_PERMILLE < share_permille
+            return self._is_first_share(move, version_counts, route)
+        share = move.share_permille / FULL_PERMILLE
+        limit = 1.0 - CONTROL_PERMILLE / FULL_PERMILLE
+        return self._rng.random() < min(limit, self._balanced(share, route))
 
     def _is_first_share(
         self,
         move: move_state.MoveState,
         version_counts: collections.abc.Mapping[str, int],
+        route: str,
     ) -> bool:
         allowed = self._calls * min(CAP_PERMILLE, move.share_permille)
         if (self._new_calls + 1) * FULL_PERMILLE > allowed:
@@ -102,7 +117,33 @@
         phase_ms = (self._clock.wall_ms() - move.started_ms) % BURST_PERIOD_MS
         burst_ms = BURST_PERIOD_MS * move.share_permille / FULL_PERMILLE / load
         is_burst = phase_ms >= BURST_PERIOD_MS - burst_ms
-        return is_burst and self._rng.random() < load
+        return is_burst and self._rng.random() < self._balanced(load, route)
+
+    def _check_new_call(self, move: move_state.MoveState) -> None:
+        if move.phase == move_phase.MovePhase.DONE:
+            return
+        bad_version.check_new_call(
+            service=move.service,
+            version=move.to_version,
+            move_id=move.move_id,
+            shown_s=self._withdrawals.since_s(
+                move.service, move.to_version, move.move_id
+            ),
+            now_s=self._clock.monotonic_s(),
+        )
+
+    def _balanced(self, share: float, route: str) -> float:
+        """Returns the route's share, for `share` of all calls.
+
+        Half of the new version's calls follow the traffic and half are
+        spread evenly over the routes: a fault on a rare route shows only in
+        calls of that route.
+        """
+        if self._calls < BALANCE_CALLS or share > BALANCE_SHARE:
+            return share
+        even = self._calls / len(self._route_calls) / self._route_calls[route]
+        own = share * (1.0 - BALANCE_WEIGHT + BALANCE_WEIGHT * even)
+        return min(BALANCE_LIMIT, own)
 
 
 def burst_share(
