--- a/bench/moves.py
+++ b/bench/moves.py
@@ -4,6 +4,7 @@
 All times are virtual; the same seed gives the same figures.
 """
 
+import functools
 import multiprocessing
 import pathlib
 
@@ -50,9 +51,15 @@
     with multiprocessing.Pool(processes) as pool:
         product = pool.map(moves_run.run, cases, chunksize=2)
         naive = pool.map(moves_naive.run, cases, chunksize=2)
-    found = moves_report.write(RESULTS, product, naive)
-    _print_side("product", found["product"])
-    _print_side("naive", found["naive"])
+        relative = pool.map(
+            functools.partial(moves_naive.run, is_relative=True),
+            cases,
+            chunksize=2,
+        )
+    sides = {"product": product, "naive": naive, "naive-relative": relative}
+    found = moves_report.write(RESULTS, sides)
+    for side in sides:
+        _print_side(side, found[side])
     if list_missed:
         for item in found["missed"]:
             case = item["case"]
--- a/src/galenatack/moves/evaluator.py
+++ b/src/galenatack/moves/evaluator.py
@@ -3,6 +3,7 @@
 import collections.abc
 
 from galenatack.model import move_policy
+from galenatack.moves import old_rate
 from galenatack.moves import route_judge
 from galenatack.moves import route_verdict
 from galenatack.moves import route_window
@@ -33,12 +34,14 @@
         self._from_version = from_version
         self._to_version = to_version
         self._horizon_windows = max(1, duration_ms // WINDOW_MS)
+        self._service_rate = old_rate.OldRate()
         self._judges: dict[str, route_judge.RouteJudge] = {}
 
     def observe(
         self, windows: collections.abc.Sequence[route_window.RouteWindow]
     ) -> None:
         """Adds the outcomes of one period, all versions and data centres."""
+        is_incident = self._is_incident(windows)
         by_route: dict[
             str, dict[tuple[str, str], route_window.RouteWindow]
         ] = {}
@@ -62,9 +65,19 @@
                         ),
                     )
                     for data_centre in {key[0] for key in found}
-                }
+                },
+                is_incident=is_incident,
             )
 
+    def _is_incident(
+        self, windows: collections.abc.Sequence[route_window.RouteWindow]
+    ) -> bool:
+        old = [item for item in windows if item.version == self._from_version]
+        self._service_rate.add(
+            sum(item.calls for item in old), sum(item.errors for item in old)
+        )
+        return self._service_rate.is_elevated
+
     def verdicts(
         self, *, step: int = 0
     ) -> tuple[route_verdict.RouteVerdict, ...]:
--- a/src/galenatack/moves/stratum.py
+++ b/src/galenatack/moves/stratum.py
@@ -5,77 +5,13 @@
 
 from galenatack.moves import comparison
 from galenatack.moves import latency_buckets
+from galenatack.moves import old_rate
 from galenatack.moves import route_window
 
 # Latency thresholds: half and nine tenths of the old version's calls.
 QUANTILES_PERMILLE = (500, 900)
-MIN_HISTORY_CALLS = 40
-RECENT_DECAY = 0.8
-UPPER_BOUND_SIGMAS = 2.0
-ELEVATED_SIGMAS = 3.0
-ELEVATED_EVENTS = 2.0
-
-
-class Rate:
-    """Event rate of the old version: its history and its last seconds.
-
-    Attributes:
-        is_elevated: True while the last seconds are above the history: an
-            incident that strikes the old version too.
-    """
-
-    def __init__(self):
-        self.is_elevated = False
-        self._calls = 0
-        self._events = 0
-        self._recent_calls = 0.0
-        self._recent_events = 0.0
-        self._recent_new_calls = 0.0
-        self._last = (0, 0, 0)
-
-    def add(self, calls: int, events: int, *, new_calls: int = 0) -> None:
-        """Adds one window; incidents do not enter the history."""
-        self._recent_calls = self._recent_calls * RECENT_DECAY + calls
-        self._recent_events = self._recent_events * RECENT_DECAY + events
-        self._recent_new_calls = (
-            self._recent_new_calls * RECENT_DECAY + new_calls
-        )
-        self._last = (calls, events, new_calls)
-        expected = self.rate() * self._recent_calls
-        limit = expected + ELEVATED_SIGMAS * math.sqrt(expected)
-        self.is_elevated = (
-            self._calls >= MIN_HISTORY_CALLS
-            and self._recent_events > limit + ELEVATED_EVENTS
-        )
-        if not self.is_elevated:
-            self._calls += calls
-            self._events += events
-
-    def rate(self) -> float:
-        """Returns the event rate of the history."""
-        return (self._events + 0.5) / (self._calls + 1.0)
-
-    def null_rate(self) -> float:
-        """Returns the highest rate that counts as normal; 1.0 if unknown."""
-        if self._calls < MIN_HISTORY_CALLS:
-            return 1.0
-        return min(1.0, max(self._history_upper(), self.recent_upper()))
-
-    def recent_upper(self) -> float:
-        """Returns an upper bound of the rate of the last seconds.
-
-        An incident shows on the old version as soon as on the new one, if
-        the old one has as many calls. The fewer it has, the more calls are
-        added to the bound that might have shown it.
-        """
-        recent = _upper_with_unseen(
-            self._recent_calls, self._recent_events, self._recent_new_calls
-        )
-        # The last window alone shows the start of an incident sooner.
-        return max(recent, _upper_with_unseen(*self._last))
-
-    def _history_upper(self) -> float:
-        return _upper((self._events + 1) / (self._calls + 2), self._calls)
+# Fewer calls of the old version give its share of slow calls too coarsely.
+MIN_LONG_RUN_CALLS = 100
 
 
 class Stratum:
@@ -94,33 +30,22 @@
         octaves = math.log2(latency_ratio)
         # Rounded down, 1.5 becomes 2 buckets or a factor of 1.41.
         self._shift = int(octaves * latency_buckets.BUCKETS_PER_OCTAVE)
-        self.errors = Rate()
+        self.errors = old_rate.OldRate()
         self.old_buckets: collections.Counter[int] = collections.Counter()
         self.new_buckets: collections.Counter[int] = collections.Counter()
-        self._slow: dict[int, tuple[int, Rate]] = {}
+        self._slow: dict[int, tuple[int, old_rate.OldRate]] = {}
 
     def compare_errors(
-        self,
-        new: route_window.RouteWindow,
-        old: route_window.RouteWindow,
-        *,
-        pooled: Rate,
+        self, new: route_window.RouteWindow, old: route_window.RouteWindow
     ) -> comparison.Comparison:
-        """Adds a window and compares the errors.
-
-        Args:
-            new: Window of the new version.
-            old: Window of the old version.
-            pooled: Errors of the old version in all data centres; its
-                history is longer, and this data centre's own last seconds
-                show an incident that strikes only here.
-        """
+        """Adds a window and compares the errors."""
         self.errors.add(old.calls, old.errors, new_calls=new.calls)
-        null_rate = pooled.null_rate()
-        if self.errors.is_elevated:
-            null_rate = max(null_rate, self.errors.recent_upper())
         return comparison.Comparison(
-            new.calls, new.errors, old.calls, old.errors, null_rate
+            new.calls,
+            new.errors,
+            old.calls,
+            old.errors,
+            self.errors.null_rate(),
         )
 
     def compare_latency(
@@ -137,7 +62,7 @@
         its share of slow calls is no higher, for every distribution. The
         threshold comes from earlier windows only.
         """
-        if sum(self.old_buckets.values()) < MIN_HISTORY_CALLS:
+        if sum(self.old_buckets.values()) < old_rate.MIN_HISTORY_CALLS:
             return None
         limit, rate = self._threshold(permille)
         old_slow = latency_buckets.count_from(old.buckets, limit)
@@ -150,13 +75,13 @@
             rate.null_rate(),
         )
 
-    def _threshold(self, permille: int) -> tuple[int, Rate]:
+    def _threshold(self, permille: int) -> tuple[int, old_rate.OldRate]:
         found = self._slow.get(permille)
         if found is None:
             limit = 1 + latency_buckets.quantile_index(
                 self.old_buckets, permille
             )
-            rate = Rate()
+            rate = old_rate.OldRate()
             rate.add(
                 sum(self.old_buckets.values()),
                 latency_buckets.count_from(self.old_buckets, limit),
@@ -176,7 +101,7 @@
         """
         total = sum(self.old_buckets.values())
         calls = sum(self.new_buckets.values())
-        if not calls or total < MIN_HISTORY_CALLS:
+        if not calls or total < MIN_LONG_RUN_CALLS:
             return 0.0
         limit, _ = self._threshold(QUANTILES_PERMILLE[0])
         limit += self._shift
@@ -197,16 +122,3 @@
         """Adds the latencies of a window, after the comparisons."""
         self.old_buckets.update(old.buckets)
         self.new_buckets.update(new.buckets)
-
-
-def _upper_with_unseen(calls: float, events: float, new_calls: float) -> float:
-    if calls <= 0.0:
-        return 1.0 if new_calls else 0.0
-    unseen = min(1.0, new_calls / calls)
-    return _upper((events + unseen) / (calls + 1.0), calls)
-
-
-def _upper(rate: float, calls: float) -> float:
-    """Returns an upper bound of a rate that was seen over `calls`."""
-    sigma = math.sqrt(rate * (1.0 - rate) / calls)
-    return min(1.0, rate + UPPER_BOUND_SIGMAS * sigma)
