--- a/src/galenatack/moves/evaluator.py
+++ b/src/galenatack/moves/evaluator.py
@@ -34,49 +34,70 @@
         self._from_version = from_version
         self._to_version = to_version
         self._horizon_windows = max(1, duration_ms // WINDOW_MS)
-        self._service_rate = old_rate.OldRate()
+        self._service_errors = old_rate.OldRate()
+        self._service_slow = old_rate.OldRate()
         self._judges: dict[str, route_judge.RouteJudge] = {}
 
     def observe(
         self, windows: collections.abc.Sequence[route_window.RouteWindow]
     ) -> None:
         """Adds the outcomes of one period, all versions and data centres."""
-        is_incident = self._is_incident(windows)
-        by_route: dict[
-            str, dict[tuple[str, str], route_window.RouteWindow]
-        ] = {}
+        by_route: dict[str, list[route_window.RouteWindow]] = {}
         for window in windows:
-            key = (window.data_centre, window.version)
-            by_route.setdefault(window.route, {})[key] = window
-        for route, found in sorted(by_route.items()):
-            judge = self._judges.get(route)
-            if judge is None:
-                judge = self._judges[route] = route_judge.RouteJudge(
-                    route,
-                    policy=self._policy,
-                    horizon_windows=self._horizon_windows,
-                )
-            judge.observe(
-                {
-                    data_centre: (
-                        self._side(found, route, data_centre, self._to_version),
-                        self._side(
-                            found, route, data_centre, self._from_version
-                        ),
-                    )
-                    for data_centre in {key[0] for key in found}
-                },
-                is_incident=is_incident,
+            by_route.setdefault(window.route, []).append(window)
+        pairs = {
+            route: self._pairs(route, found)
+            for route, found in sorted(by_route.items())
+        }
+        is_incident = self._is_incident(windows, pairs)
+        for route, found in pairs.items():
+            self._judge(route).observe(found, is_incident=is_incident)
+
+    def _pairs(
+        self, route: str, windows: list[route_window.RouteWindow]
+    ) -> dict[str, tuple[route_window.RouteWindow, route_window.RouteWindow]]:
+        """Returns (new, old) by data centre."""
+        found = {(item.data_centre, item.version): item for item in windows}
+        return {
+            data_centre: (
+                _side(found, route, data_centre, self._to_version),
+                _side(found, route, data_centre, self._from_version),
+            )
+            for data_centre in {item.data_centre for item in windows}
+        }
+
+    def _judge(self, route: str) -> route_judge.RouteJudge:
+        found = self._judges.get(route)
+        if found is None:
+            found = self._judges[route] = route_judge.RouteJudge(
+                route,
+                policy=self._policy,
+                horizon_windows=self._horizon_windows,
             )
+        return found
 
     def _is_incident(
-        self, windows: collections.abc.Sequence[route_window.RouteWindow]
+        self,
+        windows: collections.abc.Sequence[route_window.RouteWindow],
+        pairs: dict[
+            str,
+            dict[
+                str, tuple[route_window.RouteWindow, route_window.RouteWindow]
+            ],
+        ],
     ) -> bool:
+        """Tells whether the old version fares worse than usual everywhere."""
         old = [item for item in windows if item.version == self._from_version]
-        self._service_rate.add(
+        self._service_errors.add(
             sum(item.calls for item in old), sum(item.errors for item in old)
         )
-        return self._service_rate.is_elevated
+        slow = [self._judge(key).old_slow(pairs[key]) for key in pairs]
+        self._service_slow.add(
+            sum(item[0] for item in slow), sum(item[1] for item in slow)
+        )
+        return (
+            self._service_errors.is_elevated or self._service_slow.is_elevated
+        )
 
     def verdicts(
         self, *, step: int = 0
@@ -106,16 +127,16 @@
         """Tells whether the evidence on some route is against the version."""
         return any(verdict.is_suspected for verdict in self.verdicts())
 
-    def _side(
-        self,
-        found: dict[tuple[str, str], route_window.RouteWindow],
-        route: str,
-        data_centre: str,
-        version: str,
-    ) -> route_window.RouteWindow:
-        present = found.get((data_centre, version))
-        if present is not None:
-            return present
-        return route_window.RouteWindow(
-            route, version, data_centre, 0, 0, 0, _NO_BUCKETS
-        )
+
+def _side(
+    found: dict[tuple[str, str], route_window.RouteWindow],
+    route: str,
+    data_centre: str,
+    version: str,
+) -> route_window.RouteWindow:
+    present = found.get((data_centre, version))
+    if present is not None:
+        return present
+    return route_window.RouteWindow(
+        route, version, data_centre, 0, 0, 0, _NO_BUCKETS
+    )
--- a/src/galenatack/moves/route_judge.py
+++ b/src/galenatack/moves/route_judge.py
@@ -23,7 +23,6 @@
 # less likely than one like the old version. Early steps ask for less, because
 # the next step is the faster way to learn more.
 CLEAR_LOG_BY_STEP = (0.5, 0.5, 1.0, 1.5)
-PENDING_WINDOWS = 3
 PERMILLE = 1000.0
 MAX_RATE = 0.99
 
@@ -66,9 +65,9 @@
 
         Args:
             windows: By data centre.
-            is_incident: True while the service's old version has more errors
-                than usual, on all routes together: a rare route shows an
-                incident late.
+            is_incident: True while the old version has more errors or slow
+                calls than usual, on all routes together: a rare route shows
+                an incident late.
         """
         total = self._count(windows, is_incident=is_incident)
         errors = []
@@ -82,12 +81,20 @@
                 part = state.compare_latency(new, old, permille=permille)
                 if part is not None:
                     parts.append(part)
-            if not state.is_elevated():
-                state.add_latency(new, old)
+            state.add_latency(new, old, is_incident=is_incident)
         # All data centres together show a fault with fewer calls, unless an
         # incident strikes one of them.
         self._update(errors if is_local else [total], slow)
 
+    def old_slow(self, windows: _Windows) -> tuple[int, int]:
+        """Returns warm calls of the old version and the slow ones of them."""
+        calls = slow = 0
+        for data_centre, (_, old) in windows.items():
+            found = self._stratum(data_centre).old_slow(old)
+            calls += found[0]
+            slow += found[1]
+        return calls, slow
+
     def _stratum(self, data_centre: str) -> stratum.Stratum:
         found = self._strata.get(data_centre)
         if found is None:
@@ -142,7 +149,7 @@
         self._pending.append(window)
         if is_incident:
             self._pending.clear()
-        elif len(self._pending) > PENDING_WINDOWS:
+        elif len(self._pending) > stratum.PENDING_WINDOWS:
             calls, errors = self._pending.popleft()
             self._steady_calls += calls
             self._steady_errors += errors
--- a/src/galenatack/moves/stratum.py
+++ b/src/galenatack/moves/stratum.py
@@ -1,6 +1,7 @@
 """Counts of one route in one data centre, new version against old."""
 
 import collections
+import collections.abc
 import math
 
 from galenatack.moves import comparison
@@ -12,6 +13,11 @@
 QUANTILES_PERMILLE = (500, 900)
 # Fewer calls of the old version give its share of slow calls too coarsely.
 MIN_LONG_RUN_CALLS = 100
+# Windows wait this long, 5 s, before they count for the long run: on little
+# traffic the first calls of an incident come before it is seen.
+PENDING_WINDOWS = 10
+
+_Buckets = collections.abc.Mapping[int, int]
 
 
 class Stratum:
@@ -33,6 +39,9 @@
         self.errors = old_rate.OldRate()
         self.old_buckets: collections.Counter[int] = collections.Counter()
         self.new_buckets: collections.Counter[int] = collections.Counter()
+        self._pending: collections.deque[tuple[_Buckets, _Buckets]] = (
+            collections.deque()
+        )
         self._slow: dict[int, tuple[int, old_rate.OldRate]] = {}
 
     def compare_errors(
@@ -116,9 +125,26 @@
             calls - slow
         ) * math.log((1.0 - same_rate) / (1.0 - worse_rate))
 
+    def old_slow(self, old: route_window.RouteWindow) -> tuple[int, int]:
+        """Returns the old version's calls and the slowest tenth of them."""
+        found = self._slow.get(QUANTILES_PERMILLE[-1])
+        if found is None:
+            return 0, 0
+        slow = latency_buckets.count_from(old.buckets, found[0])
+        return old.warm_calls, slow
+
     def add_latency(
-        self, new: route_window.RouteWindow, old: route_window.RouteWindow
+        self,
+        new: route_window.RouteWindow,
+        old: route_window.RouteWindow,
+        *,
+        is_incident: bool,
     ) -> None:
-        """Adds the latencies of a window, after the comparisons."""
-        self.old_buckets.update(old.buckets)
-        self.new_buckets.update(new.buckets)
+        """Adds the latencies of a window, once no incident began in it."""
+        self._pending.append((new.buckets, old.buckets))
+        if is_incident or self.is_elevated():
+            self._pending.clear()
+        elif len(self._pending) > PENDING_WINDOWS:
+            new_buckets, old_buckets = self._pending.popleft()
+            self.new_buckets.update(new_buckets)
+            self.old_buckets.update(old_buckets)
