--- a/tests/links/test_peer_network.py
+++ b/tests/links/test_peer_network.py
@@ -4,6 +4,7 @@
 
 import anyio
 import anyio.lowlevel
+import websockets.exceptions
 
 from galenatack import exceptions
 from galenatack.links import message_codec
@@ -66,6 +67,23 @@
 
         self.assertEqual(loopback.run(scenario), [])
 
+    def test_no_answer_across_a_cut(self):
+        """A Hello from a cut data centre gets no Hello back.
+
+        An answer made the dialling side take the link for open.
+        """
+
+        async def scenario(tasks):
+            node = await loopback.Node("a2-0").start(tasks)
+            node.peers.fault_injector.cut(["a1"])
+            async with loopback.connect(node) as connection:
+                await connection.send(loopback.hello_frame())
+                with self.assertRaises(websockets.exceptions.ConnectionClosed):
+                    await connection.recv()
+            return len(node.table.live())
+
+        self.assertEqual(loopback.run(scenario), 1)
+
     def test_cut_needs_the_setting(self):
         """Links cannot be cut where the settings do not allow it."""
 
