Weigh latency around the tolerated ratio and ask for it in every step

The long-run ratio compared with latencies of the old version and 1.41 times these, so that a version 1.2 times slower, which the policy tolerates, was undecided. It now compares 1.19 with 1.68.

--- a/src/galenatack/moves/step_policy.py
+++ b/src/galenatack/moves/step_policy.py
@@ -109,7 +109,7 @@
         return _taken_back(move, policy, evaluator, reason)
     lacking = ", ".join(
         verdict.route
-        for verdict in evaluator.verdicts()
+        for verdict in evaluator.verdicts(step=move.step)
         if verdict.judgement != route_verdict.Judgement.CLEAR
     )
     reason = f"not enough evidence on {lacking or 'any route'}"
--- a/src/galenatack/moves/stratum.py
+++ b/src/galenatack/moves/stratum.py
@@ -12,7 +12,7 @@
 # Latency thresholds: half and nine tenths of the old version's calls.
 QUANTILES_PERMILLE = (500, 900)
 # Fewer calls of the old version give its share of slow calls too coarsely.
-MIN_LONG_RUN_CALLS = 100
+MIN_LONG_RUN_CALLS = 50
 # Windows wait this long, 5 s, before they count for the long run: on little
 # traffic the first calls of an incident come before it is seen.
 PENDING_WINDOWS = 10
@@ -106,7 +106,8 @@
         """Returns how much better "not slow" explains the latencies.
 
         Compares the shares of calls above the old median, if the new version
-        has the old latencies and if it has them times the tolerated ratio.
+        has the old latencies times a factor below the tolerated ratio, and
+        times a factor above it.
         """
         total = sum(self.old_buckets.values())
         calls = sum(self.new_buckets.values())
@@ -115,9 +116,11 @@
         limit, _ = self._threshold(QUANTILES_PERMILLE[0])
         limit += self._shift
         slow = latency_buckets.count_from(self.new_buckets, limit)
-        same = latency_buckets.count_from(self.old_buckets, limit)
+        # One bucket less and one more than the tolerated ratio: calls that
+        # are slower by exactly that ratio speak for neither.
+        same = latency_buckets.count_from(self.old_buckets, limit - 1)
         worse = latency_buckets.count_from(
-            self.old_buckets, limit - self._shift
+            self.old_buckets, limit - self._shift - 1
         )
         same_rate = (same + 1.0) / (total + 2.0)
         worse_rate = (worse + 1.0) / (total + 2.0)
