--- a/bench/moves_naive.py
+++ b/bench/moves_naive.py
@@ -14,6 +14,57 @@
 VERDICT_MARGIN_S = 10.0
 
 
+class _Rule:
+    """One run of the rule."""
+
+    def __init__(self, case: moves_cases.Case, *, is_relative: bool):
+        self.calls = 0
+        self.fault_calls = 0
+        self.first_fault_s = -1.0
+        self.last_new_s = -1.0
+        self._is_relative = is_relative
+        self._world = moves_world.World(case)
+        self._rng = random.Random(case.seed * 3 + 2)
+        self._recent: list[tuple[float, int, int, int, int]] = []
+
+    def step(self, now_s: float, share: float) -> str:
+        """Runs the calls of one step; returns why to take back, or ""."""
+        counts = {"v1": [0, 0], "v2": [0, 0]}
+        for _ in range(self._world.calls_in(now_s, STEP_S)):
+            self._call(now_s, share, counts)
+        self._recent.append((now_s, *counts["v2"], *counts["v1"]))
+        self._recent = [
+            item for item in self._recent if item[0] > now_s - WINDOW_S
+        ]
+        total, errors, old_total, old_errors = (
+            sum(item[place] for item in self._recent) for place in range(1, 5)
+        )
+        limit = MAX_ERROR_RATE
+        if self._is_relative:
+            limit += old_errors / max(1, old_total)
+        if total >= MIN_CALLS and errors > total * limit:
+            return f"{errors} of {total} calls failed"
+        return ""
+
+    def _call(
+        self, now_s: float, share: float, counts: dict[str, list[int]]
+    ) -> None:
+        self.calls += 1
+        version = "v2" if self._rng.random() < share else "v1"
+        target = self._rng.randrange(len(moves_world.DATA_CENTRES))
+        outcome = self._world.call(now_s, version, target, self._world.route())
+        if outcome is None:
+            return
+        counts[version][0] += 1
+        counts[version][1] += outcome.is_error
+        if version == "v2":
+            self.last_new_s = now_s
+        if outcome.met_fault:
+            self.fault_calls += 1
+            if self.first_fault_s < 0:
+                self.first_fault_s = now_s
+
+
 def run(
     case: moves_cases.Case, *, is_relative: bool = False
 ) -> moves_result.Result:
@@ -23,65 +74,25 @@
         case: The case.
         is_relative: True for 5% above the old version's rate.
     """
-    world = moves_world.World(case)
-    rng = random.Random(case.seed * 3 + 2)
-    calls = fault_calls = 0
-    first_fault_s = last_new_s = -1.0
-    recent: list[tuple[float, int, int, int, int]] = []
+    rule = _Rule(case, is_relative=is_relative)
     end_s = case.duration_s - VERDICT_MARGIN_S
-    for step in range(int(end_s / STEP_S)):
-        now_s = (step + 1) * STEP_S
-        share = SHARES[min(3, int(now_s / end_s * len(SHARES)))]
-        new_calls = new_errors = old_calls = old_errors = 0
-        for _ in range(world.calls_in(now_s, STEP_S)):
-            calls += 1
-            version = "v2" if rng.random() < share else "v1"
-            target = rng.randrange(len(moves_world.DATA_CENTRES))
-            outcome = world.call(now_s, version, target, world.route())
-            if outcome is None:
-                continue
-            if version == "v1":
-                old_calls += 1
-                old_errors += outcome.is_error
-                continue
-            last_new_s = now_s
-            new_calls += 1
-            new_errors += outcome.is_error
-            if outcome.met_fault:
-                fault_calls += 1
-                first_fault_s = now_s if first_fault_s < 0 else first_fault_s
-        recent.append((now_s, new_calls, new_errors, old_calls, old_errors))
-        recent = [item for item in recent if item[0] > now_s - WINDOW_S]
-        total = sum(item[1] for item in recent)
-        errors = sum(item[2] for item in recent)
-        limit = MAX_ERROR_RATE
-        if is_relative:
-            old_total = sum(item[3] for item in recent)
-            limit += sum(item[4] for item in recent) / max(1, old_total)
-        if total >= MIN_CALLS and errors > total * limit:
-            return moves_result.Result(
-                case,
-                "taken_back",
-                now_s,
-                calls,
-                fault_calls,
-                first_fault_s,
-                now_s,
-                last_new_s,
-                now_s,
-                f"{errors} of {total} calls failed",
-                False,
-            )
+    now_s, reason = 0.0, ""
+    for number in range(1, int(end_s / STEP_S) + 1):
+        now_s = number * STEP_S
+        place = min(len(SHARES) - 1, int(now_s / end_s * len(SHARES)))
+        reason = rule.step(now_s, SHARES[place])
+        if reason:
+            break
     return moves_result.Result(
         case,
-        "done",
-        end_s,
-        calls,
-        fault_calls,
-        first_fault_s,
-        -1.0,
-        last_new_s,
-        -1.0,
-        "fixed steps are over",
-        True,
+        "taken_back" if reason else "done",
+        now_s,
+        rule.calls,
+        rule.fault_calls,
+        rule.first_fault_s,
+        now_s if reason else -1.0,
+        rule.last_new_s,
+        now_s if reason else -1.0,
+        reason,
+        not reason,
     )
--- a/src/galenatack/moves/move_session.py
+++ b/src/galenatack/moves/move_session.py
@@ -59,45 +59,16 @@
         rank: collections.abc.Callable[[], int | None],
         targets: collections.abc.Callable[[], int],
     ):
+        self._move = move
+        self._policy = policy
+        self._own = own
+        self._clock = clock
+        self._events = events
+        self._withdrawals = withdrawals
         self.book = evidence_book.EvidenceBook()
-        self._watch = fault_watch.FaultWatch(
-            move=move,
-            policy=policy,
-            node_id=own.node_id,
-            clock=clock,
-            events=events,
-            withdrawals=withdrawals,
-            is_late=clock.wall_ms() - move.started_ms > LATE_MS,
-        )
-        self._sender = evidence_sender.EvidenceSender(
-            move=move,
-            book=self.book,
-            watch=self._watch,
-            clock=clock,
-            peers=peers,
-            node_id=own.node_id,
-            incarnation=own.incarnation,
-            data_centre=own.data_centre,
-            targets=others,
-        )
-        self._driver = move_driver.MoveDriver(
-            move=move,
-            policy=policy,
-            watch=self._watch,
-            withdrawals=withdrawals,
-            lease=lease.Lease(
-                service=move.service,
-                node_id=own.node_id,
-                incarnation=own.incarnation,
-                table=table,
-                clock=clock,
-            ),
-            writer=writer,
-            clock=clock,
-            events=events,
-            rank=rank,
-            targets=targets,
-        )
+        self._watch = self._make_watch()
+        self._sender = self._make_sender(peers, others)
+        self._driver = self._make_driver(table, writer, rank, targets)
 
     async def run(self) -> move_state.MoveState:
         """Runs until the driver knows the verdict, and returns the state."""
@@ -116,6 +87,61 @@
         """Takes a state of the move that came into force on this node."""
         self._driver.on_running(move)
 
+    def _make_watch(self) -> fault_watch.FaultWatch:
+        age_ms = self._clock.wall_ms() - self._move.started_ms
+        return fault_watch.FaultWatch(
+            move=self._move,
+            policy=self._policy,
+            node_id=self._own.node_id,
+            clock=self._clock,
+            events=self._events,
+            withdrawals=self._withdrawals,
+            is_late=age_ms > LATE_MS,
+        )
+
+    def _make_sender(
+        self,
+        peers: peer_network.PeerNetwork,
+        others: collections.abc.Callable[[], collections.abc.Iterable[str]],
+    ) -> evidence_sender.EvidenceSender:
+        return evidence_sender.EvidenceSender(
+            move=self._move,
+            book=self.book,
+            watch=self._watch,
+            clock=self._clock,
+            peers=peers,
+            node_id=self._own.node_id,
+            incarnation=self._own.incarnation,
+            data_centre=self._own.data_centre,
+            targets=others,
+        )
+
+    def _make_driver(
+        self,
+        table: table_interface.Table,
+        writer: move_writer.MoveWriter,
+        rank: collections.abc.Callable[[], int | None],
+        targets: collections.abc.Callable[[], int],
+    ) -> move_driver.MoveDriver:
+        return move_driver.MoveDriver(
+            move=self._move,
+            policy=self._policy,
+            watch=self._watch,
+            withdrawals=self._withdrawals,
+            lease=lease.Lease(
+                service=self._move.service,
+                node_id=self._own.node_id,
+                incarnation=self._own.incarnation,
+                table=table,
+                clock=self._clock,
+            ),
+            writer=writer,
+            clock=self._clock,
+            events=self._events,
+            rank=rank,
+            targets=targets,
+        )
+
 
 def is_open(move: move_state.MoveState) -> bool:
     """Tells whether a move has no verdict yet."""
--- a/src/galenatack/moves/step_policy.py
+++ b/src/galenatack/moves/step_policy.py
@@ -39,10 +39,10 @@
     is_fresh: bool,
     targets: int,
 ) -> Decision | None:
-    """Returns the next state, or None to wait.
+    """Returns the next state of a running move, or None to wait.
 
     Args:
-        move: The present state, in phase `running`.
+        move: The present state.
         policy: The policy of the profile.
         evaluator: Evidence so far.
         withdrawn: The withdrawal of the new version, if there is one.
@@ -62,25 +62,42 @@
     is_clear = is_fresh and evaluator.is_clear(step=move.step)
     if now_ms >= latest_ms - VERDICT_LEAD_MS:
         return _final(move, policy, evaluator, is_clear=is_clear)
+    if not is_clear:
+        return None
+    return _step_up(
+        move, evaluator, now_ms=now_ms, since_ms=step_since_ms, targets=targets
+    )
+
+
+def _step_up(
+    move: move_state.MoveState,
+    evaluator: evaluator_module.Evaluator,
+    *,
+    now_ms: int,
+    since_ms: int,
+    targets: int,
+) -> Decision | None:
+    """Returns the next step, if the present one has lasted long enough.
+
+    The last step begins late: at full share few calls of the old version
+    are left to compare with.
+    """
     dwell_ms = plan.dwell_ms(started_ms=move.started_ms, by_ms=move.by_ms)
     last_step = len(plan.STEPS_PERMILLE) - 1
-    if not is_clear or now_ms - step_since_ms < dwell_ms:
-        return None
-    if move.step >= last_step:
-        return None
     step = move.step + 1
-    if step == last_step and now_ms < latest_ms - VERDICT_LEAD_MS - dwell_ms:
+    if step > last_step or now_ms - since_ms < dwell_ms:
+        return None
+    decide_ms = move.by_ms - plan.VERDICT_MARGIN_MS - VERDICT_LEAD_MS
+    if step == last_step and now_ms < decide_ms - dwell_ms:
         return None
     share_permille = plan.STEPS_PERMILLE[step]
-    return Decision(
-        move._replace(
-            step=step,
-            share_permille=share_permille,
-            active_targets=plan.active_targets(share_permille, targets),
-            figures=figures(evaluator),
-        ),
-        False,
+    state = move._replace(
+        step=step,
+        share_permille=share_permille,
+        active_targets=plan.active_targets(share_permille, targets),
+        figures=figures(evaluator),
     )
+    return Decision(state, False)
 
 
 def figures(
--- a/tests/moves/test_move_session.py
+++ b/tests/moves/test_move_session.py
@@ -89,16 +89,19 @@
             targets=lambda: 2,
         )
 
-        async def receive(sender, report):
-            del sender
-            session.add(report)
-
-        peers.on(evidence.Evidence, receive)
+        peers.on(evidence.Evidence, self._receiver(session))
         picker = version_picker.VersionPicker(
             clock=self.clock, rng=random.Random(rank), withdrawals=held
         )
         return session, picker, held
 
+    def _receiver(self, session):
+        async def receive(sender, report):
+            del sender
+            session.add(report)
+
+        return receive
+
     async def traffic(self, until_s):
         """Sends 100 calls/s until `until_s` or the verdict."""
         move = self.move
