--- a/src/galenatack/moves/move_driver.py
+++ b/src/galenatack/moves/move_driver.py
@@ -91,6 +91,10 @@
             self._revision = None
             if isinstance(error, exceptions.TransactionConflictError):
                 self._on_conflict(error)
+        except (exceptions.NotFoundError, exceptions.LeaseLostError) as error:
+            # One service without a choice must not end the tasks of others.
+            self._revision = None
+            self._record("move-driver-failed", code=error.code)
         return False
 
     async def _drive(self, rank: int) -> None:
--- a/tests/moves/test_move_driver.py
+++ b/tests/moves/test_move_driver.py
@@ -6,6 +6,7 @@
 
 from galenatack import exceptions
 from galenatack.model import move_policy
+from galenatack.model import transaction
 from tests.fakes import virtual_run
 from tests.moves import move_fixture
 
@@ -170,6 +171,21 @@
 
         run(body, seed=8)
 
+    def test_missing_choice_does_not_end_the_driver(self):
+        """Without a service choice `done` cannot be written; it retries."""
+
+        async def body(world, tasks):
+            tasks.start_soon(world.nodes[0].driver.run)
+            await world.until(90.0)
+            await world.table.commit(
+                transaction.Transaction(deletes=("entry/service/prices",))
+            )
+            await world.until(125.0)
+            self.assertIn("move-driver-failed", world.nodes[0].events.kinds())
+            self.assertEqual((await world.state()).phase, "taken_back")
+
+        run(body, seed=14)
+
 
 class TestPlatformOutage(unittest.TestCase):
     def test_outage_over_the_promised_time(self):
