--- a/src/galenatack/moves/move_driver.py
+++ b/src/galenatack/moves/move_driver.py
@@ -91,6 +91,10 @@
             self._revision = None
             if isinstance(error, exceptions.TransactionConflictError):
                 self._on_conflict(error)
+        except (exceptions.NotFoundError, exceptions.LeaseLostError) as error:
+            # One service without a choice must not end the tasks of others.
+            self._revision = None
+            self._record("move-driver-failed", code=error.code)
         return False
 
     async def _drive(self, rank: int) -> None:
@@ -140,22 +144,22 @@
         if decision is not None:
             await self._write(decision)
 
-    async def _write(self, decision: step_policy.Decision) -> None:
-        verdict_once.check(self._move, decision.state)
+    async def _write(self, decision: move_state.MoveState) -> None:
+        verdict_once.check(self._move, decision)
         service = self._move.service
         checks = (
             row_check.RowCheck(f"entry/move/{service}", self._revision),
             self._lease.check(),
         )
         self._revision = None
-        await self._writer.write_move(decision.state, checks=checks)
-        self._adopt(decision.state)
+        await self._writer.write_move(decision, checks=checks)
+        self._adopt(decision)
         self._record(
             "move-written",
-            phase=decision.state.phase,
-            step=decision.state.step,
-            share_permille=decision.state.share_permille,
-            reason=decision.state.reason,
+            phase=decision.phase,
+            step=decision.step,
+            share_permille=decision.share_permille,
+            reason=decision.reason,
         )
 
     def _on_conflict(self, error: exceptions.TransactionConflictError) -> None:
--- a/src/galenatack/moves/step_policy.py
+++ b/src/galenatack/moves/step_policy.py
@@ -1,7 +1,5 @@
 """Decides the next state of a move from the evidence and the time."""
 
-import typing
-
 from galenatack.messages import withdraw
 from galenatack.model import move_phase
 from galenatack.model import move_policy
@@ -17,18 +15,6 @@
 LEAST_EVIDENCE_LOG = -1_000_000.0
 
 
-class Decision(typing.NamedTuple):
-    """What to write next.
-
-    Attributes:
-        state: New state of the move.
-        needs_choice: True when the service choice changes with it.
-    """
-
-    state: move_state.MoveState
-    needs_choice: bool
-
-
 def decide(
     move: move_state.MoveState,
     *,
@@ -39,11 +25,11 @@
     step_since_ms: int,
     is_fresh: bool,
     targets: int,
-) -> Decision | None:
-    """Returns the next state, or None to wait.
+) -> move_state.MoveState | None:
+    """Returns the next state of a running move, or None to wait.
 
     Args:
-        move: The present state, in phase `running`.
+        move: The present state.
         policy: The policy of the profile.
         evaluator: Evidence so far.
         withdrawn: The withdrawal of the new version, if there is one.
@@ -63,24 +49,40 @@
     is_clear = is_fresh and evaluator.is_clear(step=move.step)
     if now_ms >= latest_ms - VERDICT_LEAD_MS:
         return _final(move, policy, evaluator, is_clear=is_clear)
+    if not is_clear:
+        return None
+    return _step_up(
+        move, evaluator, now_ms=now_ms, since_ms=step_since_ms, targets=targets
+    )
+
+
+def _step_up(
+    move: move_state.MoveState,
+    evaluator: evaluator_module.Evaluator,
+    *,
+    now_ms: int,
+    since_ms: int,
+    targets: int,
+) -> move_state.MoveState | None:
+    """Returns the next step, if the present one has lasted long enough.
+
+    The last step begins late: at full share few calls of the old version
+    are left to compare with.
+    """
     dwell_ms = plan.dwell_ms(started_ms=move.started_ms, by_ms=move.by_ms)
     last_step = len(plan.STEPS_PERMILLE) - 1
-    if not is_clear or now_ms - step_since_ms < dwell_ms:
-        return None
-    if move.step >= last_step:
-        return None
     step = move.step + 1
-    if step == last_step and now_ms < latest_ms - VERDICT_LEAD_MS - dwell_ms:
+    if step > last_step or now_ms - since_ms < dwell_ms:
+        return None
+    decide_ms = move.by_ms - plan.VERDICT_MARGIN_MS - VERDICT_LEAD_MS
+    if step == last_step and now_ms < decide_ms - dwell_ms:
         return None
     share_permille = plan.STEPS_PERMILLE[step]
-    return Decision(
-        move._replace(
-            step=step,
-            share_permille=share_permille,
-            active_targets=plan.active_targets(share_permille, targets),
-            figures=figures(evaluator),
-        ),
-        False,
+    return move._replace(
+        step=step,
+        share_permille=share_permille,
+        active_targets=plan.active_targets(share_permille, targets),
+        figures=figures(evaluator),
     )
 
 
@@ -104,7 +106,7 @@
     evaluator: evaluator_module.Evaluator,
     *,
     is_clear: bool,
-) -> Decision:
+) -> move_state.MoveState:
     if is_clear:
         return _done(move, policy, evaluator, "every route is clear")
     if evaluator.is_suspected():
@@ -126,8 +128,8 @@
     policy: move_policy.MovePolicy,
     evaluator: evaluator_module.Evaluator,
     reason: str,
-) -> Decision:
-    state = move._replace(
+) -> move_state.MoveState:
+    return move._replace(
         phase=str(move_phase.MovePhase.DONE),
         share_permille=plan.STEPS_PERMILLE[-1],
         active_targets=0,
@@ -135,7 +137,6 @@
         figures=figures(evaluator),
         warm_until_ms=move.by_ms + policy.warm_ms,
     )
-    return Decision(state, True)
 
 
 def _taken_back(
@@ -143,12 +144,11 @@
     policy: move_policy.MovePolicy,
     evaluator: evaluator_module.Evaluator,
     reason: str,
-) -> Decision:
-    state = move._replace(
+) -> move_state.MoveState:
+    return move._replace(
         phase=str(move_phase.MovePhase.TAKEN_BACK),
         share_permille=0,
         reason=reason,
         figures=figures(evaluator),
         warm_until_ms=move.by_ms + policy.warm_ms,
     )
-    return Decision(state, False)
--- a/tests/moves/test_move_driver.py
+++ b/tests/moves/test_move_driver.py
@@ -6,6 +6,7 @@
 
 from galenatack import exceptions
 from galenatack.model import move_policy
+from galenatack.model import transaction
 from tests.fakes import virtual_run
 from tests.moves import move_fixture
 
@@ -169,6 +170,22 @@
 
         run(body, seed=8)
 
+    def test_missing_choice_does_not_end_the_driver(self):
+        """The verdict needs no choice row, so its loss delays nothing."""
+
+        async def body(world, tasks):
+            tasks.start_soon(world.nodes[0].driver.run)
+            await world.until(90.0)
+            await world.table.commit(
+                transaction.Transaction(deletes=("entry/service/prices",))
+            )
+            await world.until(125.0)
+            kinds = world.nodes[0].events.kinds()
+            self.assertNotIn("move-driver-failed", kinds)
+            self.assertEqual((await world.state()).phase, "done")
+
+        run(body, seed=14)
+
 
 class TestPlatformOutage(unittest.TestCase):
     def test_outage_over_the_promised_time(self):
