Never start a call at the stand-in target after a confirmed cancel

Cause: a demo run on a starved machine (load 39) ended with 260 postings run twice. The stand-in confirmed a cancel while the call's slot was already granted and its task had not resumed yet; the call then ran, the gate told not-run truthfully as far as it knew, and the repeat ran too. The invariant's chain rests on that confirmation, so the fault is in the stand-in. Ruled out: claim rows, ticket memory and late inserts (no run twice in 8,000 postings at 400/s, nor with queues at the targets, without starvation); a resend by the HTTP client, which has none. The callers also use one pool a node, since one pool for all nodes took most of their processor time.

--- a/standins/callers/caller.py
+++ b/standins/callers/caller.py
@@ -6,14 +6,13 @@
 import typing
 
 import anyio
-import anyio.abc
 import httpcore
 
+from standins.callers import client
 from standins.callers import options as options_module
 from standins.callers import record as record_module
 from standins.target import app as target_app
 
-_CONNECTIONS = 200
 _MS_PER_S = 1000
 # A caller waits longer than its deadline before it gives up on a node.
 _GRACE_S = 1.0
@@ -70,22 +69,18 @@
         self._options = options
         self._rng = random.Random(options.seed)
         self.record = record_module.Record()
+        self._client = client.Client()
 
     async def run(self) -> None:
         """Sends all calls and waits for their ends."""
         options = self._options
-        async with (
-            httpcore.AsyncConnectionPool(
-                max_connections=_CONNECTIONS,
-                max_keepalive_connections=_CONNECTIONS,
-            ) as pool,
-            anyio.create_task_group() as tasks,
-        ):
+        async with anyio.create_task_group() as tasks:
             start_s = time.monotonic()
             for number in range(int(options.rate * options.duration_s)):
                 planned_s = start_s + number / options.rate
                 await anyio.sleep(max(0.0, planned_s - time.monotonic()))
-                tasks.start_soon(self._run_call, pool, self._make(number))
+                tasks.start_soon(self._run_call, self._make(number))
+        await self._client.close()
 
     def _make(self, number: int) -> Call:
         rng = self._rng
@@ -105,18 +100,16 @@
             nodes=tuple(nodes),
         )
 
-    async def _run_call(
-        self, pool: httpcore.AsyncConnectionPool, call: Call
-    ) -> None:
+    async def _run_call(self, call: Call) -> None:
         started_s = time.monotonic()
         outcome = "not-run"
         for attempt in range(self._options.attempts):
             node = call.nodes[attempt % len(call.nodes)]
             if call.kind == "ticket" and not call.key:
-                call = await self._with_ticket(pool, call, node)
+                call = await self._with_ticket(call, node)
                 if not call.key:
                     continue
-            reply = await self._attempt(pool, call, node)
+            reply = await self._attempt(call, node)
             if outcome != "unknown" or reply.outcome == "answer":
                 # Once unknown, only an answer tells more: a later `not-run`
                 # is about the later attempt.
@@ -127,50 +120,49 @@
             await anyio.sleep(reply.retry_after_s)
         self.record.end(call.kind, outcome, time.monotonic() - started_s)
 
-    async def _with_ticket(
-        self, pool: httpcore.AsyncConnectionPool, call: Call, node: str
-    ) -> Call:
+    async def _with_ticket(self, call: Call, node: str) -> Call:
         path = f"/_galenatack/ticket/{self._options.service}"
-        reply = await self._send(pool, "POST", f"http://{node}{path}", (), b"")
+        reply = await self._send("POST", node, path, [], b"")
         if reply.status != 200:
             await anyio.sleep(reply.retry_after_s)
             return call
         return call._replace(key=reply.body.decode())
 
-    async def _attempt(
-        self, pool: httpcore.AsyncConnectionPool, call: Call, node: str
-    ) -> Reply:
+    async def _attempt(self, call: Call, node: str) -> Reply:
         self.record.attempts += 1
         headers = [
             (b"galenatack-deadline-ms", b"%d" % self._options.deadline_ms)
         ]
         if call.key:
             headers.append((b"idempotency-key", call.key.encode()))
-        url = f"http://{node}/{self._options.service}{call.path}"
-        reply = await self._send(pool, call.method, url, headers, call.body)
+        path = f"/{self._options.service}{call.path}"
+        reply = await self._send(call.method, node, path, headers, call.body)
         self.record.statuses[reply.status] += 1
         return reply
 
-    async def _send(self, pool, method, url, headers, body) -> Reply:
+    async def _send(
+        self,
+        method: str,
+        node: str,
+        path: str,
+        headers: list[tuple[bytes, bytes]],
+        body: bytes,
+    ) -> Reply:
         limit_s = self._options.deadline_ms / _MS_PER_S + _GRACE_S
         try:
             with anyio.fail_after(limit_s):
-                response = await pool.request(
-                    method, url, headers=list(headers), content=body or None
+                answer = await self._client.request(
+                    method, node, path, headers=headers, body=body
                 )
         except (httpcore.ConnectError, httpcore.ConnectTimeout):
             return Reply(0, "not-run", 0.1, b"")
         except (httpcore.NetworkError, httpcore.ProtocolError, TimeoutError):
             return _LOST
-        found = {
-            name.lower().decode(): value.decode()
-            for name, value in response.headers
-        }
         return Reply(
-            response.status,
-            found.get("galenatack-outcome", "unknown"),
-            float(found.get("retry-after", "0")),
-            response.content,
+            answer.status,
+            answer.headers.get("galenatack-outcome", "unknown"),
+            float(answer.headers.get("retry-after", "0")),
+            answer.body,
         )
 
     def _check(self, call: Call, reply: Reply) -> None:
--- a/standins/demo/scenario.py
+++ b/standins/demo/scenario.py
@@ -274,12 +274,15 @@
     def _ledgers(self) -> tuple[int, int]:
         """Returns the keys that ran more than once, and the latest start."""
         counts: dict[str, int] = {}
+        ledgers = {}
         late_ms = 0
         for item in self._instances:
             ledger = self._admin.get(item.target_address, "/_target/ledger")
+            ledgers[item.node_id] = ledger
             late_ms = max(late_ms, ledger["late_ms"])
             for key, count in ledger["keys"].items():
                 counts[key] = counts.get(key, 0) + count
+        (self._folder / "ledgers.json").write_text(json.dumps(ledgers))
         return sum(count > 1 for count in counts.values()), late_ms
 
     def _of(self, service: str, version: str) -> list[instance_module.Instance]:
--- a/standins/target/worker.py
+++ b/standins/target/worker.py
@@ -104,7 +104,14 @@
             self._waiting[work.call_id] = scope
             await self._slots.acquire()
             taken = True
-        self._waiting.pop(work.call_id, None)
+        is_cancelled = self._waiting.get(work.call_id) is not scope
+        if not is_cancelled:
+            del self._waiting[work.call_id]
+        if taken and is_cancelled:
+            # The slot was granted, but before this task resumed a cancel was
+            # confirmed: the call must not start.
+            self._slots.release()
+            return False
         return taken
 
     def _count_start(self, work: Work) -> None:
