--- a/src/galenatack/app/cli.py
+++ b/src/galenatack/app/cli.py
@@ -42,6 +42,23 @@
             ctx.exit(exit_status.ExitStatus.INTERNAL)
 
 
+def _show_version(
+    ctx: click.Context, param: click.Parameter, value: bool
+) -> None:
+    del param
+    if not value or ctx.resilient_parsing:
+        return
+    # Imported late: it slows the start of every other command.
+    from importlib import metadata
+
+    try:
+        version = metadata.version("galenatack")
+    except metadata.PackageNotFoundError:
+        version = "unknown: run from a source tree, not installed"
+    click.echo(f"galenatack {version}")
+    ctx.exit()
+
+
 @click.group(cls=_Group, epilog=exit_status.HELP)
 @click.option(
     "--node",
@@ -84,7 +101,14 @@
     show_default=True,
     help="Form of the result on standard output.",
 )
-@click.version_option(package_name="galenatack")
+@click.option(
+    "--version",
+    is_flag=True,
+    is_eager=True,
+    expose_value=False,
+    callback=_show_version,
+    help="Show the version and exit.",
+)
 @click.pass_context
 def cli(
     ctx: click.Context,
@@ -132,3 +156,7 @@
     if isinstance(error, exceptions.AdminRefusedError):
         told.update(error.facts, error=error.reason)
     click.echo(json.dumps({**told, "next": step}), err=True)
+
+
+if __name__ == "__main__":
+    main()
--- a/src/galenatack/app/commands/move.py
+++ b/src/galenatack/app/commands/move.py
@@ -119,5 +119,6 @@
         lines.append(f"reason: {state['reason']}")
     figures = state.get("figures") or ()
     pairs = figures.items() if isinstance(figures, dict) else figures
-    lines += [f"  {name}: {value:g}" for name, value in pairs]
+    # Adding 0 turns -0.0, which reads as a fault, into 0.0.
+    lines += [f"  {name}: {value + 0:g}" for name, value in pairs]
     return "\n".join(lines)
--- a/src/galenatack/app/commands/status.py
+++ b/src/galenatack/app/commands/status.py
@@ -23,22 +23,24 @@
     answer = shared.client.get("/status", fields=FIELDS)
     behind = waiting.lagging(answer["members"], answer["held_seq"])
     found = rejections.of(answer["members"])
-    data = {**answer, "lagging": behind, "rejections": found}
-    shared.show(data, _text(answer, behind, found))
+    mute = waiting.silent(answer["members"])
+    data = {**answer, "lagging": behind, "silent": mute, "rejections": found}
+    shared.show(data, _text(data))
 
 
-def _text(answer: dict, behind: list[str], found: list[dict]) -> str:
+def _text(answer: dict) -> str:
     lines = [
         f"answered by {answer['node_id']}: holds seq {answer['held_seq']},"
         f" runs seq {answer['running_seq']}",
         f"platform: {answer['platform']}",
         _members(answer["members"]),
-        f"lagging: {', '.join(behind) or 'none'}",
+        f"lagging: {', '.join(answer['lagging']) or 'none'}",
+        f"no answer: {', '.join(answer['silent']) or 'none'}",
     ]
     lines += [
         f"rejected by {item['node_id']}: {item['profile']}"
         f" version {item['version']}: {item['reason']}"
-        for item in found
+        for item in answer["rejections"]
     ]
     lines += [
         f"move {move['service']}: {move['phase']}, {move['from_version']} to"
@@ -59,7 +61,7 @@
             member["data_centre"],
             member["service"],
             member["version"],
-            member["running_seq"],
+            "-" if member["running_seq"] is None else member["running_seq"],
         )
         for member in sorted(members, key=lambda m: m["node_id"])
     ]
--- a/src/galenatack/app/commands/timeline.py
+++ b/src/galenatack/app/commands/timeline.py
@@ -14,9 +14,25 @@
 
 
 @click.command()
-@click.option("--kind", "kinds", multiple=True, help="Only these kinds.")
-@click.option("--node", "nodes", multiple=True, help="Only these node ids.")
-@click.option("--service", "services", multiple=True, help="Only these.")
+@click.option(
+    "--kind",
+    "kinds",
+    multiple=True,
+    help="Only events of this kind; repeatable.",
+)
+@click.option(
+    "--node",
+    "nodes",
+    multiple=True,
+    metavar="NODE_ID",
+    help="Only events of this node; repeatable.",
+)
+@click.option(
+    "--service",
+    "services",
+    multiple=True,
+    help="Only events that name this service; repeatable.",
+)
 @click.option(
     "--svg",
     "svg_file",
@@ -41,7 +57,8 @@
     ]
     if svg_file is None:
         data = [_as_dict(found) for found in events]
-        shared.show(data, "\n".join(_line(found) for found in events))
+        text = "\n".join(_line(found) for found in events)
+        shared.show(data, text or "no events")
         return
     try:
         drawing = event_source.render_svg(events)
--- a/src/galenatack/app/event_source.py
+++ b/src/galenatack/app/event_source.py
@@ -41,7 +41,7 @@
     """Returns the drawing of a time line."""
     from galenatack.timeline import svg
 
-    return svg.render(events)
+    return svg.draw(events)
 
 
 def _of_node(shared: tool.Tool, address: str) -> list[event.Event]:
--- a/src/galenatack/app/next_steps.py
+++ b/src/galenatack/app/next_steps.py
@@ -20,7 +20,13 @@
         "run `galenatack status`; publish a corrected profile, or the old"
         " content again as a new version"
     ),
-    "profile-invalid": "run `galenatack profile check FILE`",
+    "move": (
+        "run `galenatack status` for the version in force; correct --to or --by"
+    ),
+    "bad-request": "correct the arguments; run the command with --help",
+    "profile-invalid": (
+        "correct the file and run `galenatack profile check FILE`"
+    ),
     "not-found": "run `galenatack profile list` or `galenatack status`",
 }
 _BY_STATUS = {
@@ -36,7 +42,8 @@
 _BY_CODE = {
     exceptions.AdminUnreachableError.code: (
         "check the address and --ca/--cert/--key, or name further nodes with"
-        " --node"
+        " --node; after platform-unavailable repeat it when `galenatack status`"
+        " shows the platform as ok"
     ),
     exceptions.AdminAnswerError.code: (
         "check that the address is a node's admin address, and that the tool"
--- a/src/galenatack/app/profile_file.py
+++ b/src/galenatack/app/profile_file.py
@@ -15,7 +15,8 @@
 
     Raises:
         exceptions.UsageError: The file cannot be read.
-        exceptions.ProfileInvalidError: One line for each error.
+        exceptions.ProfileInvalidError: One line for each error; the file
+            may also not be YAML at all.
     """
     document = _document(path)
     try:
@@ -46,8 +47,14 @@
         # UniqueLoader is a SafeLoader; JSON is a subset of YAML.
         document = yaml.load(text, Loader=unique_loader.UniqueLoader)
         json.dumps(document)
-    except (OSError, ValueError, TypeError, yaml.YAMLError) as error:
-        raise exceptions.UsageError(f"{path}: {error}") from error
+    except OSError as error:
+        reason = error.strerror or error
+        raise exceptions.UsageError(f"{path}: {reason}") from error
+    except (ValueError, TypeError, RecursionError, yaml.YAMLError) as error:
+        reason = " ".join(str(error).split())
+        raise exceptions.ProfileInvalidError(
+            f"{path}: not valid YAML: {reason}"
+        ) from error
     if not isinstance(document, dict):
-        raise exceptions.UsageError(f"{path}: expected a mapping")
+        raise exceptions.ProfileInvalidError(f"{path}: expected a mapping")
     return document
--- a/src/galenatack/app/waiting.py
+++ b/src/galenatack/app/waiting.py
@@ -13,11 +13,22 @@
 
 
 def lagging(members: list[dict], seq: int) -> list[str]:
-    """Returns the ids of the live nodes that do not run `seq` yet."""
+    """Returns the ids of the live nodes known to run less than `seq`."""
     return sorted(
         member["node_id"]
         for member in members
-        if member["status"] != rejections.DEAD and member["running_seq"] < seq
+        if member["status"] != rejections.DEAD
+        and member["running_seq"] is not None
+        and member["running_seq"] < seq
+    )
+
+
+def silent(members: list[dict]) -> list[str]:
+    """Returns the ids of the live nodes that did not answer the survey."""
+    return sorted(
+        member["node_id"]
+        for member in members
+        if member["status"] != rejections.DEAD and member["running_seq"] is None
     )
 
 
@@ -47,9 +58,11 @@
         refusals = _refusals(members, published)
         refusers = {item["node_id"] for item in refusals}
         behind = [n for n in lagging(members, seq) if n not in refusers]
-        if members and not behind:
+        mute = silent(members)
+        if members and not behind and not mute:
             return _raise_if_any(refusals)
-        line = f"seq {seq}: waiting for {', '.join(behind) or 'a status'}"
+        named = behind + [f"{node_id} (no answer)" for node_id in mute]
+        line = f"seq {seq}: waiting for {', '.join(named) or 'a status'}"
         if line != shown:
             shared.progress(line)
             shown = line
--- a/src/galenatack/exceptions.py
+++ b/src/galenatack/exceptions.py
@@ -389,4 +389,6 @@
 class TicketGoneError(CallError):
     """The incarnation that issued the ticket is gone."""
 
-    code = "ticket-gone"
+    code = "ticket-other-incarnation"
+    # The ticket never runs and no answer will be recorded.
+    retry_after_ms = 0
--- a/src/galenatack/moves/move_service.py
+++ b/src/galenatack/moves/move_service.py
@@ -128,7 +128,8 @@
         now_ms = self._clock.wall_ms()
         if by_ms - now_ms < MIN_DURATION_MS:
             raise exceptions.MoveError(
-                f"a move needs {MIN_DURATION_MS} ms, {by_ms - now_ms} remain"
+                f"a move needs {MIN_DURATION_MS // 1000} s, the promised"
+                f" time is in {max(0, by_ms - now_ms) // 1000} s"
             )
         if to_version == choice.version:
             raise exceptions.MoveError(
--- a/src/galenatack/routing/call_parser.py
+++ b/src/galenatack/routing/call_parser.py
@@ -9,7 +9,7 @@
 MAX_HEADERS = 100
 MAX_HEADER_CHARS = 32_768
 MAX_DEADLINE_MS = 600_000
-MAX_KEY_CHARS = 200
+MAX_KEY_CHARS = 256
 
 DEADLINE_HEADER = "galenatack-deadline-ms"
 KEY_HEADER = "idempotency-key"
@@ -48,7 +48,8 @@
         path: Path and query after the service name.
         headers: End-to-end headers.
         deadline_ms: The caller's deadline, or None.
-        idempotency_key: The caller's key, or an empty string.
+        idempotency_key: The caller's key, not checked yet, because reads
+            ignore it; or an empty string.
     """
 
     service: str
@@ -75,6 +76,24 @@
     )
 
 
+def check_key(key: str) -> None:
+    """Checks the key of a posting.
+
+    Raises:
+        exceptions.PostingKeyMissingError: There is none, or it is not of the
+            form that docs/callers.md states.
+    """
+    if not key:
+        raise exceptions.PostingKeyMissingError(
+            "postings need the header Idempotency-Key"
+        )
+    if not _KEY.fullmatch(key):
+        raise exceptions.PostingKeyMissingError(
+            f"Idempotency-Key must be 1 to {MAX_KEY_CHARS} letters, digits"
+            " or . _ : ~ + / = -"
+        )
+
+
 def forwarded(
     headers: tuple[tuple[str, str], ...],
 ) -> tuple[tuple[str, str], ...]:
@@ -125,11 +144,4 @@
 
 
 def _key(headers: tuple[tuple[str, str], ...]) -> str:
-    value = _single(headers, KEY_HEADER)
-    if value is None:
-        return ""
-    if not _KEY.fullmatch(value):
-        raise exceptions.BadCallError(
-            f"{KEY_HEADER} must be 1 to {MAX_KEY_CHARS} plain characters"
-        )
-    return value
+    return _single(headers, KEY_HEADER) or ""
--- a/src/galenatack/routing/call_planner.py
+++ b/src/galenatack/routing/call_planner.py
@@ -52,6 +52,7 @@
             exceptions.BadCallError: The call is malformed or too large.
             exceptions.NoTargetError: This node has no configuration yet.
             exceptions.NoRouteError: No service or route matches.
+            exceptions.PostingError: A posting has no key or a wrong one.
         """
         parsed = call_parser.parse(path=path, headers=headers)
         services = self._holder.current.services
@@ -84,10 +85,8 @@
     method: str,
     body: bytes,
 ) -> call_request.CallRequest:
-    if route.posting and not parsed.idempotency_key:
-        raise exceptions.BadCallError(
-            f"a posting needs the header {call_parser.KEY_HEADER}"
-        )
+    if route.posting:
+        call_parser.check_key(parsed.idempotency_key)
     return call_request.CallRequest(
         call_id="",
         service=parsed.service,
--- a/src/galenatack/routing/results.py
+++ b/src/galenatack/routing/results.py
@@ -1,5 +1,7 @@
 """Final answers that galenatack itself gives."""
 
+import json
+
 from galenatack import exceptions
 from galenatack.model import call_result
 from galenatack.model import outcome
@@ -19,7 +21,7 @@
     exceptions.DeadlineExceededError.code: 504,
     exceptions.PeerTimeoutError.code: 504,
     exceptions.TargetAnswerLostError.code: 502,
-    exceptions.TicketGoneError.code: 409,
+    exceptions.TicketGoneError.code: 502,
 }
 _BAD_GATEWAY = 502
 
@@ -42,8 +44,8 @@
     return call_result.CallResult(
         outcome=told.value,
         status=status or _STATUS.get(error.code, _BAD_GATEWAY),
-        headers=(("content-type", "text/plain; charset=utf-8"),),
-        body=f"{error.code}: {error}\n".encode(),
+        headers=(("content-type", "application/json"),),
+        body=json.dumps({"error": error.code, "detail": str(error)}).encode(),
         retry_after_ms=0 if status else retry_after_ms,
         failure=error.code,
     )
--- a/tests/app/test_cli.py
+++ b/tests/app/test_cli.py
@@ -1,11 +1,10 @@
 """Tests of the tool: connection, moves, status, time line, settings."""
 
 import json
-import unittest.mock
+import xml.etree.ElementTree
 
 import httpx
 
-from galenatack.app import event_source
 from tests.app import fake_admin
 from tests.app import tool_test
 
@@ -151,32 +150,49 @@
         result = self.run_tool("--output", "json", "status")
         self.assertEqual(json.loads(result.stdout)["lagging"], ["n2"])
 
+    def test_silent_node(self):
+        """A node that did not answer is named, and --wait waits for it."""
+        nodes = (fake_admin.member("n1", 9), fake_admin.member("n2", None))
+        self.admin.answers[STATUS] = self.status(*nodes)
+        output = self.expect(0, "status")
+        self.assertIn("lagging: none\nno answer: n2", output)
+        self.admin.answers["POST /profiles"] = (200, PUBLISHED)
+        output = self.expect(5, "profile", "publish", self.file, "--wait")
+        self.assertIn("waiting for n2 (no answer)", output)
+
     def test_timeline(self):
         """All live nodes are read to the end, filtered and drawn."""
         nodes = [fake_admin.member(f"n{n}", 9) for n in (1, 2, 3)]
         self.admin.answers[STATUS] = self.status(*nodes)
         self.admin.down = {"n3"}
-        merge = unittest.mock.patch.object(event_source, "merged", sorted)
-        draw = unittest.mock.patch.object(
-            event_source, "render_svg", lambda events: f"<svg>{len(events)}"
-        )
-        with merge, draw:
-            output = self.expect(0, "timeline")
-            self.assertIn("left out n3", output)
-            self.assertEqual(output.count("started"), 4)
-            self.assertIn("2027-01-15T08:00:00.000Z n1 node-started", output)
-            for words, count in (
-                (("--kind", "move-started"), 2),
-                (("--node", "n1"), 2),
-                (("--service", "jobs", "--node", "n2"), 1),
-                (("--service", "none"), 0),
-            ):
-                output = self.expect(0, "timeline", *words)
-                self.assertEqual(output.count("started"), count, words)
-            file = self.folder / "t.svg"
-            self.expect(0, "timeline", "--node", "n1", "--svg", file)
-            self.assertEqual(file.read_text(), "<svg>2")
-            self.expect(2, "timeline", "--svg", self.folder / "no" / "t.svg")
+        output = self.expect(0, "timeline")
+        self.assertIn("left out n3", output)
+        self.assertEqual(output.count("started"), 4)
+        self.assertIn("2027-01-15T08:00:00.000Z n1 node-started", output)
+        for words, count in (
+            (("--kind", "move-started"), 2),
+            (("--node", "n1"), 2),
+            (("--service", "jobs", "--node", "n2"), 1),
+            (("--service", "none"), 0),
+        ):
+            output = self.expect(0, "timeline", *words)
+            self.assertEqual(output.count("started"), count, words)
+        self.assertIn("no events", output)
+
+    def test_drawing(self):
+        """The drawing is SVG with the chosen events, made by the real code."""
+        nodes = [fake_admin.member(f"n{n}", 9) for n in (1, 2)]
+        self.admin.answers[STATUS] = self.status(*nodes)
+        file = self.folder / "t.svg"
+        self.expect(0, "timeline", "--node", "n1", "--svg", file)
+        root = xml.etree.ElementTree.parse(file).getroot()
+        dots = root.findall("{http://www.w3.org/2000/svg}circle")
+        self.assertEqual(len(dots), 2)
+        self.expect(2, "timeline", "--svg", self.folder / "no" / "t.svg")
+
+    def test_version(self):
+        """The version needs no node, nor an installed package."""
+        self.assertIn("galenatack ", self.expect(0, "--version"))
 
     def test_config_check(self):
         """A settings file with errors is status 2, one line for each."""
--- /dev/null
+++ b/tests/routing/test_call_parser.py
@@ -0,0 +1,44 @@
+"""Tests of the keys that callers send."""
+
+import json
+import unittest
+
+from galenatack import exceptions
+from galenatack.routing import call_parser
+from galenatack.routing import results
+
+
+class TestKeys(unittest.TestCase):
+    def _parsed(self, *keys):
+        headers = tuple((call_parser.KEY_HEADER, key) for key in keys)
+        return call_parser.parse(path="/prices/today", headers=headers)
+
+    def test_reads_ignore_keys(self):
+        """A key that no posting could use does not fail a read."""
+        self.assertEqual(self._parsed("a key").idempotency_key, "a key")
+
+    def test_repeated_header(self):
+        """Two keys on one call are refused: no one of them is the right one."""
+        with self.assertRaises(exceptions.BadCallError):
+            self._parsed("a", "b")
+
+    def test_posting_keys(self):
+        """Keys of postings are checked against the callers' contract."""
+        call_parser.check_key("k" * 256)
+        for key in ("", "k" * 257, "a key", "é"):
+            with self.assertRaises(exceptions.PostingKeyMissingError):
+                call_parser.check_key(key)
+
+
+class TestResults(unittest.TestCase):
+    def test_body(self):
+        """The body of a refusal is JSON with the code and one sentence."""
+        result = results.not_run(exceptions.NoRouteError("no service x"))
+        expected = {"error": "no-route", "detail": "no service x"}
+        self.assertEqual(json.loads(result.body), expected)
+
+    def test_ticket_gone(self):
+        """A ticket that never runs is not asked to be repeated."""
+        result = results.unknown(exceptions.TicketGoneError("gone"))
+        told = (result.status, result.failure, result.retry_after_ms)
+        self.assertEqual(told, (502, "ticket-other-incarnation", 0))
