--- a/src/galenatack/app/node.py
+++ b/src/galenatack/app/node.py
@@ -119,17 +119,11 @@
         self._callers_closed.set()
 
     async def _serve_admin(self) -> None:
-        trust = self._parts.settings.trust
-        files = None
-        if trust.mode == "mtls":
-            files = http_server.TlsFiles(
-                trust.cert_file, trust.key_file, trust.ca_file
-            )
         await http_server.serve(
             self._admin,
             address=self._parts.settings.admin_address,
             shutdown=self._admin_over,
             drain_s=ADMIN_DRAIN_S,
-            tls=files,
+            tls=self._parts.peer_tls.admin,
         )
         self._admin_closed.set()
--- a/src/galenatack/links/handshake.py
+++ b/src/galenatack/links/handshake.py
@@ -10,6 +10,7 @@
 from galenatack.links import fault_injector
 from galenatack.links import link_purpose
 from galenatack.links import message_codec
+from galenatack.links import tls
 from galenatack.messages import hello
 from galenatack.messages import protocol_failure
 from galenatack.model import member_record
@@ -33,6 +34,8 @@
         deployment: Name that both sides must give.
         own_id: This node; a link to itself is refused.
         faults: Cuts; a peer that is cut off gets no answer.
+        protocol: Newest protocol version that is spoken.
+        oldest_protocol: Oldest protocol version that is spoken.
     """
 
     def __init__(
@@ -41,7 +44,11 @@
         deployment: str,
         own_id: str,
         faults: fault_injector.FaultInjector,
+        protocol: int = PROTOCOL,
+        oldest_protocol: int = OLDEST_PROTOCOL,
     ):
+        self._protocol = protocol
+        self._oldest_protocol = oldest_protocol
         self._deployment = deployment
         self._own_id = own_id
         self._faults = faults
@@ -87,7 +94,11 @@
         purpose: link_purpose.LinkPurpose,
     ) -> hello.Hello:
         return hello.Hello(
-            PROTOCOL, OLDEST_PROTOCOL, self._deployment, purpose.value, record
+            self._protocol,
+            self._oldest_protocol,
+            self._deployment,
+            purpose.value,
+            record,
         )
 
     async def _checked(
@@ -95,7 +106,7 @@
         connection: websockets_connection.Connection,
         message: typing.Any,
     ) -> hello.Hello:
-        fault = self._fault(message)
+        fault = self._fault(message) or _identity_fault(connection, message)
         if fault is None:
             data_centre = message.record.data_centre
             if self._faults.is_cut(data_centre):
@@ -117,12 +128,13 @@
         if not isinstance(message, hello.Hello):
             return failure("protocol", "Hello expected")
         if (
-            message.protocol < OLDEST_PROTOCOL
-            or message.oldest_protocol > PROTOCOL
+            message.protocol < self._oldest_protocol
+            or message.oldest_protocol > self._protocol
         ):
             return failure(
                 "protocol-version",
-                f"versions {OLDEST_PROTOCOL} to {PROTOCOL} are spoken here",
+                f"versions {self._oldest_protocol} to {self._protocol} are"
+                " spoken here",
             )
         if message.deployment != self._deployment:
             return failure("deployment", f"this is {self._deployment}")
@@ -133,6 +145,18 @@
         return None
 
 
+def _identity_fault(
+    connection: websockets_connection.Connection, message: hello.Hello
+) -> protocol_failure.ProtocolFailure | None:
+    names = tls.peer_names(connection.transport)
+    node_id = message.record.node_id
+    if names is None or node_id in names:
+        return None
+    return protocol_failure.ProtocolFailure(
+        "certificate", f"the certificate does not name {node_id}"
+    )
+
+
 async def _send(
     connection: websockets_connection.Connection, message: typing.Any
 ) -> None:
--- a/src/galenatack/links/http_server.py
+++ b/src/galenatack/links/http_server.py
@@ -20,27 +20,13 @@
 _MAX_HEADER_BYTES = 65_536
 
 
-class TlsFiles(typing.NamedTuple):
-    """Files of a TLS listener.
-
-    Attributes:
-        cert_file: Certificate chain.
-        key_file: Private key.
-        ca_file: Signers of client certificates; empty asks for none.
-    """
-
-    cert_file: str
-    key_file: str
-    ca_file: str = ""
-
-
 async def serve(
     app: typing.Any,
     *,
     address: str,
     shutdown: anyio.Event,
     drain_s: float = 10.0,
-    tls: TlsFiles | None = None,
+    tls: ssl.SSLContext | None = None,
 ) -> None:
     """Serves HTTP/1.1 and HTTP/2 until `shutdown` is set.
 
@@ -51,10 +37,10 @@
         address: host:port to listen on.
         shutdown: Ends the server.
         drain_s: Longest time for the requests in flight.
-        tls: Files of a TLS listener, or None for plain HTTP.
+        tls: Context of a TLS listener, or None for plain HTTP. New
+            handshakes follow changes of the context.
     """
-    config = _config(address, tls)
-    server = _Server(app, config)
+    server = _Server(app, _config(address), tls)
     listener = await server.listen()
     try:
         await shutdown.wait()
@@ -71,7 +57,13 @@
     writes of an answer.
     """
 
-    def __init__(self, app: typing.Any, config: hypercorn.config.Config):
+    def __init__(
+        self,
+        app: typing.Any,
+        config: hypercorn.config.Config,
+        tls: ssl.SSLContext | None,
+    ):
+        self._tls = tls
         self._app = hypercorn.utils.wrap_app(
             app, config.wsgi_max_body_size, "asgi"
         )
@@ -82,15 +74,12 @@
     async def listen(self) -> asyncio.Server:
         """Opens the listener."""
         host, _, port = self._config.bind[0].rpartition(":")
-        context = None
-        if self._config.ssl_enabled:
-            context = self._config.create_ssl_context()
         return await asyncio.start_server(
             self._serve,
             host=host,
             port=int(port),
             backlog=self._config.backlog,
-            ssl=context,
+            ssl=self._tls,
         )
 
     async def drain(self, drain_s: float) -> None:
@@ -118,7 +107,7 @@
         )
 
 
-def _config(address: str, tls: TlsFiles | None) -> hypercorn.config.Config:
+def _config(address: str) -> hypercorn.config.Config:
     config = hypercorn.config.Config()
     config.bind = [address]
     config.accesslog = None
@@ -128,10 +117,4 @@
     config.include_server_header = False
     config.include_date_header = False
     config.h11_max_incomplete_size = _MAX_HEADER_BYTES
-    if tls is not None:
-        config.certfile = tls.cert_file
-        config.keyfile = tls.key_file
-        if tls.ca_file:
-            config.ca_certs = tls.ca_file
-            config.verify_mode = ssl.CERT_REQUIRED
     return config
--- a/src/galenatack/links/link_factory.py
+++ b/src/galenatack/links/link_factory.py
@@ -1,7 +1,5 @@
 """Opens and accepts connections."""
 
-import collections.abc
-
 from websockets import exceptions as websockets_exceptions
 from websockets.asyncio import client as websockets_client
 from websockets.asyncio import connection as websockets_connection
@@ -11,6 +9,7 @@
 from galenatack.interfaces import clock as clock_interface
 from galenatack.links import fault_injector
 from galenatack.links import handshake
+from galenatack.links import inbound_limit
 from galenatack.links import link_purpose
 from galenatack.links import message_codec
 from galenatack.links import peer_link
@@ -21,6 +20,8 @@
 
 OPEN_TIMEOUT_S = 2.0
 CLOSE_TIMEOUT_S = 1.0
+TLS_TIMEOUT_S = 5.0
+"""Dialling peers give up after `OPEN_TIMEOUT_S`; asyncio would wait 60 s."""
 
 # The links have heartbeats of their own. Compression costs CPU and about
 # 64 KB a connection, and the frames are small.
@@ -33,11 +34,6 @@
 }
 
 
-Accepted = collections.abc.Callable[
-    [websockets_connection.Connection], collections.abc.Awaitable[None]
-]
-
-
 class LinkFactory:
     """Makes links out of connections.
 
@@ -70,7 +66,7 @@
         )
 
     def listen(
-        self, address: str, accepted: Accepted
+        self, address: str, accepted: inbound_limit.Accepted
     ) -> websockets_server.serve:
         """Returns the server of an address as an async context manager.
 
@@ -79,8 +75,15 @@
             accepted: Coroutine function that gets each connection.
         """
         host, _, port = address.rpartition(":")
+        options: dict[str, object] = dict(_OPTIONS)
+        if self._tls.server is not None:
+            options["ssl_handshake_timeout"] = TLS_TIMEOUT_S
         return websockets_server.serve(
-            accepted, host, int(port), ssl=self._tls.server, **_OPTIONS
+            inbound_limit.InboundLimit(accepted),
+            host,
+            int(port),
+            ssl=self._tls.server,
+            **options,
         )
 
     async def dial(
--- a/src/galenatack/links/rejoiner.py
+++ b/src/galenatack/links/rejoiner.py
@@ -54,6 +54,7 @@
         self._book = book
         self._seeds = seeds
         self._dial = dial
+        self._failing: dict[str, str] = {}
 
     async def run(self) -> None:
         """Dials for as long as the node runs."""
@@ -106,4 +107,13 @@
         try:
             await self._dial(address)
         except exceptions.PeerError as error:
-            _LOGGER.debug("event=dial-failed peer=%s error=%s", address, error)
+            # The first failure of each kind is what tells an operator of a
+            # wrong seed or certificate; the repeats would fill the log.
+            is_known = self._failing.get(address) == str(error)
+            level = logging.DEBUG if is_known else logging.INFO
+            _LOGGER.log(
+                level, "event=dial-failed peer=%s error=%s", address, error
+            )
+            self._failing[address] = str(error)
+        else:
+            self._failing.pop(address, None)
--- a/src/galenatack/links/tls.py
+++ b/src/galenatack/links/tls.py
@@ -1,5 +1,6 @@
-"""TLS contexts for links between nodes."""
+"""TLS contexts for links between nodes and for the admin listener."""
 
+import asyncio
 import logging
 import os
 import ssl
@@ -16,9 +17,17 @@
 """How often the certificate files are looked at."""
 
 
+_HTTP_PROTOCOLS = ["h2", "http/1.1"]
+
+
 class PeerTls:
     """Contexts for mutual TLS; follows changes of the certificate files.
 
+    Attributes:
+        client: For links that this node dials.
+        server: For the peer listener.
+        admin: For the admin listener; offers HTTP/2.
+
     Args:
         trust: Files and mode.
 
@@ -31,6 +40,7 @@
         self._loaded: tuple[tuple[int, int], ...] = ()
         self.client: ssl.SSLContext | None = None
         self.server: ssl.SSLContext | None = None
+        self.admin: ssl.SSLContext | None = None
         if trust.mode == MODE_NONE:
             _LOGGER.warning(
                 "event=trust-none links between nodes are neither"
@@ -39,6 +49,8 @@
             return
         self.client = _context(ssl.PROTOCOL_TLS_CLIENT)
         self.server = _context(ssl.PROTOCOL_TLS_SERVER)
+        self.admin = _context(ssl.PROTOCOL_TLS_SERVER)
+        self.admin.set_alpn_protocols(_HTTP_PROTOCOLS)
         try:
             self.reload_if_changed()
         except (OSError, ValueError) as error:
@@ -55,7 +67,7 @@
         Raises:
             OSError: A file is missing or not valid; `ssl.SSLError` is one.
         """
-        if self.client is None or self.server is None:
+        if self.client is None or self.server is None or self.admin is None:
             return False
         found = self._fingerprint()
         if found == self._loaded:
@@ -66,6 +78,7 @@
             _context(ssl.PROTOCOL_TLS_CLIENT),
             self.client,
             self.server,
+            self.admin,
         ):
             context.load_verify_locations(cafile=self._trust.ca_file)
             context.load_cert_chain(self._trust.cert_file, self._trust.key_file)
@@ -92,6 +105,22 @@
         return tuple((stat.st_mtime_ns, stat.st_ino) for stat in stats)
 
 
+def peer_names(transport: asyncio.BaseTransport) -> frozenset[str] | None:
+    """Returns the names in the peer's certificate; None without TLS.
+
+    The names are the common name of the subject and the DNS names among the
+    alternative names.
+    """
+    connection = transport.get_extra_info("ssl_object")
+    if connection is None:
+        return None
+    certificate = connection.getpeercert() or {}
+    subject = (pair for part in certificate.get("subject", ()) for pair in part)
+    names = {value for kind, value in subject if kind == "commonName"}
+    other = certificate.get("subjectAltName", ())
+    return frozenset(names | {value for kind, value in other if kind == "DNS"})
+
+
 def _context(protocol: int) -> ssl.SSLContext:
     context = ssl.SSLContext(protocol)
     context.minimum_version = ssl.TLSVersion.TLSv1_3
--- a/tests/links/test_handshake.py
+++ b/tests/links/test_handshake.py
@@ -5,9 +5,13 @@
 import anyio
 import anyio.lowlevel
 import websockets.asyncio.client
+import websockets.asyncio.server
 import websockets.exceptions
 
 from galenatack import exceptions
+from galenatack.links import fault_injector
+from galenatack.links import handshake
+from galenatack.links import link_purpose
 from galenatack.links import message_codec
 from galenatack.messages import busy
 from galenatack.messages import delta
@@ -82,6 +86,66 @@
         self.assertEqual(loopback.run(scenario), (1, 1))
 
 
+class TestProtocolVersions(unittest.TestCase):
+    def _spoken(self, dialling, accepting):
+        """Returns the Hello that each side gets; both ranges are (old, new)."""
+        seen = []
+
+        async def accept(connection):
+            try:
+                theirs = await _handshake("a1-0", accepting).accept(
+                    connection, record=member_records.build("a1-0")
+                )
+                seen.append(theirs.protocol)
+            except exceptions.ProtocolError as error:
+                seen.append(str(error))
+            await connection.wait_closed()
+
+        async def scenario(tasks):
+            del tasks
+            listener = websockets.asyncio.server.serve(accept, "127.0.0.1", 0)
+            async with listener as server:
+                host, port = server.sockets[0].getsockname()
+                address = f"ws://{host}:{port}"
+                connect = websockets.asyncio.client.connect
+                async with connect(address, proxy=None) as connection:
+                    theirs = await _handshake("a1-1", dialling).dial(
+                        connection,
+                        record=member_records.build("a1-1"),
+                        purpose=link_purpose.LinkPurpose.OVERLAY,
+                    )
+                    seen.append(theirs.protocol)
+
+        loopback.run(scenario)
+        return seen
+
+    def test_overlapping_ranges(self):
+        """An old and a new release link up, whichever of them dials."""
+        self.assertEqual(self._spoken((1, 1), (1, 2)), [1, 2])
+        self.assertEqual(self._spoken((1, 2), (1, 1)), [2, 1])
+
+    def test_separate_ranges(self):
+        """Releases without a common version refuse each other."""
+        for dialling, accepting in (((1, 1), (2, 3)), ((2, 3), (1, 1))):
+            with self.assertRaisesRegex(
+                exceptions.ProtocolError, "protocol-version"
+            ):
+                self._spoken(dialling, accepting)
+
+
+def _handshake(own_id, versions):
+    oldest, newest = versions
+    return handshake.Handshake(
+        deployment=loopback.DEPLOYMENT,
+        own_id=own_id,
+        faults=fault_injector.FaultInjector(
+            enabled=False, own_region="a", region_delay_ms=0
+        ),
+        protocol=newest,
+        oldest_protocol=oldest,
+    )
+
+
 class TestFrames(unittest.TestCase):
     def _after_hello(self, frame):
         async def scenario(tasks):
--- a/tests/links/test_tls.py
+++ b/tests/links/test_tls.py
@@ -1,81 +1,29 @@
 """Tests of mutual TLS between nodes."""
 
-import datetime
-import ipaddress
-import os
 import pathlib
+import ssl
 import tempfile
 import unittest
 
 import anyio
-from cryptography import x509
-from cryptography.hazmat.primitives import hashes
-from cryptography.hazmat.primitives import serialization
-from cryptography.hazmat.primitives.asymmetric import ec
+import httpx
 
 from galenatack import exceptions
+from galenatack.links import http_server
 from galenatack.links import tls
 from galenatack.settings import trust_settings
+from tests.fakes import authority
 from tests.fakes import virtual_clock
 from tests.fakes import virtual_run
 from tests.links import loopback
+from tests.links import open_port
 
-VALID = datetime.timedelta(days=1)
-
-
-class _Authority:
-    """Signs certificates of one deployment."""
-
-    def __init__(self, name):
-        self.key = ec.generate_private_key(ec.SECP256R1())
-        self.name = x509.Name(
-            [x509.NameAttribute(x509.NameOID.COMMON_NAME, name)]
-        )
-        self.certificate = self._sign(self.name, self.key, is_authority=True)
-
-    def issue(self, folder):
-        """Writes the files of a node and returns its trust settings."""
-        key = ec.generate_private_key(ec.SECP256R1())
-        name = x509.Name([x509.NameAttribute(x509.NameOID.COMMON_NAME, "node")])
-        certificate = self._sign(name, key, is_authority=False)
-        encoding = serialization.Encoding.PEM
-        files = {
-            "ca.pem": self.certificate.public_bytes(encoding),
-            "cert.pem": certificate.public_bytes(encoding),
-            "key.pem": key.private_bytes(
-                encoding,
-                serialization.PrivateFormat.PKCS8,
-                serialization.NoEncryption(),
-            ),
-        }
-        for file_name, body in files.items():
-            # Replaced as a certificate manager does it: by a rename.
-            fresh = folder / f"{file_name}.new"
-            fresh.write_bytes(body)
-            os.replace(fresh, folder / file_name)
-        return trust_settings.TrustSettings(
-            mode="mtls",
-            ticket_key="k",
-            ca_file=str(folder / "ca.pem"),
-            cert_file=str(folder / "cert.pem"),
-            key_file=str(folder / "key.pem"),
-        )
-
-    def _sign(self, name, key, *, is_authority):
-        start = datetime.datetime.now(datetime.UTC) - VALID
-        address = x509.IPAddress(ipaddress.ip_address("127.0.0.1"))
-        return (
-            x509.CertificateBuilder()
-            .subject_name(name)
-            .issuer_name(self.name)
-            .public_key(key.public_key())
-            .serial_number(x509.random_serial_number())
-            .not_valid_before(start)
-            .not_valid_after(start + 2 * VALID)
-            .add_extension(x509.BasicConstraints(is_authority, None), True)
-            .add_extension(x509.SubjectAlternativeName([address]), False)
-            .sign(self.key, hashes.SHA256())
-        )
+NODE_IDS = {"a": "a1-0", "b": "a1-1"}
+"""The nodes by the names of their folders."""
+
+
+def _issue(signer, folder):
+    return signer.issue(folder, NODE_IDS[folder.name])
 
 
 class TestPeerTls(unittest.TestCase):
@@ -86,8 +34,8 @@
         self.folders = [pathlib.Path(temporary.name) / n for n in "ab"]
         for folder in self.folders:
             folder.mkdir()
-        self.ours = _Authority("ours")
-        self.theirs = _Authority("theirs")
+        self.ours = authority.Authority("ours")
+        self.theirs = authority.Authority("theirs")
 
     def _dial(self, peer_tls, seed_tls):
         async def scenario(tasks):
@@ -103,13 +51,26 @@
 
     def test_same_authority(self):
         """Nodes with certificates of one authority link up."""
-        both = [tls.PeerTls(trust=self.ours.issue(f)) for f in self.folders]
-        self.assertEqual(self._dial(*both), "a1-0")
+        both = [tls.PeerTls(trust=_issue(self.ours, f)) for f in self.folders]
+        self.assertEqual(self._dial(*reversed(both)), "a1-0")
+
+    def test_other_name(self):
+        """A certificate is good only for the node that it names."""
+        seed, node = self.folders
+        for names in (("a1-0", "a1-7"), ("a1-7", "a1-1")):
+            both = [
+                tls.PeerTls(trust=self.ours.issue(folder, name))
+                for folder, name in zip((seed, node), names, strict=True)
+            ]
+            with self.assertRaisesRegex(
+                exceptions.ProtocolError, "certificate: .* not name"
+            ):
+                self._dial(*reversed(both))
 
     def test_other_authority(self):
         """A node with another authority's certificate is kept out."""
-        seed = tls.PeerTls(trust=self.ours.issue(self.folders[0]))
-        trust = self.theirs.issue(self.folders[1])
+        seed = tls.PeerTls(trust=_issue(self.ours, self.folders[0]))
+        trust = _issue(self.theirs, self.folders[1])
         # It trusts the seed, so that only the seed's own check is left.
         trust = trust._replace(ca_file=str(self.folders[0] / "ca.pem"))
         with self.assertRaises(exceptions.PeerUnreachableError):
@@ -117,18 +78,18 @@
 
     def test_without_certificate(self):
         """A node without TLS is kept out of a deployment with TLS."""
-        seed = tls.PeerTls(trust=self.ours.issue(self.folders[0]))
+        seed = tls.PeerTls(trust=_issue(self.ours, self.folders[0]))
         with self.assertRaises(exceptions.PeerUnreachableError):
             self._dial(loopback.NO_TLS, seed)
 
     def test_reload(self):
         """Replaced files are used by the next handshake, in both roles."""
-        both = [tls.PeerTls(trust=self.ours.issue(f)) for f in self.folders]
+        both = [tls.PeerTls(trust=_issue(self.ours, f)) for f in self.folders]
         self.assertFalse(both[0].reload_if_changed())
         for folder in self.folders:
-            self.theirs.issue(folder)
+            _issue(self.theirs, folder)
         self.assertTrue(all(side.reload_if_changed() for side in both))
-        self.assertEqual(self._dial(*both), "a1-0")
+        self.assertEqual(self._dial(*reversed(both)), "a1-0")
         subjects = [
             dict(pair for part in item["subject"] for pair in part)
             for item in both[0].server.get_ca_certs()
@@ -137,18 +98,18 @@
 
     def test_half_renewed_files(self):
         """A certificate without its key leaves the loaded pair in use."""
-        both = [tls.PeerTls(trust=self.ours.issue(f)) for f in self.folders]
+        both = [tls.PeerTls(trust=_issue(self.ours, f)) for f in self.folders]
         old_key = (self.folders[0] / "key.pem").read_bytes()
-        self.ours.issue(self.folders[0])
+        _issue(self.ours, self.folders[0])
         (self.folders[0] / "key.pem").write_bytes(old_key)
         with self.assertRaises(OSError):
             both[0].reload_if_changed()
-        self.assertEqual(self._dial(*both), "a1-0")
+        self.assertEqual(self._dial(*reversed(both)), "a1-0")
 
     def test_follows_files(self):
         """Changed files are loaded while the node runs; bad ones are not."""
         folder = self.folders[0]
-        peer_tls = tls.PeerTls(trust=self.ours.issue(folder))
+        peer_tls = tls.PeerTls(trust=_issue(self.ours, folder))
 
         def names():
             found = peer_tls.client.get_ca_certs()
@@ -162,7 +123,7 @@
                 with self.assertLogs("galenatack.links.tls", "WARNING"):
                     await anyio.sleep(tls.RELOAD_S + 1)
                 before = names()
-                self.theirs.issue(folder)
+                _issue(self.theirs, folder)
                 await anyio.sleep(tls.RELOAD_S)
                 tasks.cancel_scope.cancel()
             return before, names()
@@ -172,7 +133,7 @@
 
     def test_missing_file(self):
         """A wrong path is reported as an error of the settings."""
-        trust = self.ours.issue(self.folders[0])._replace(ca_file="missing")
+        trust = _issue(self.ours, self.folders[0])._replace(ca_file="missing")
         with self.assertRaises(exceptions.SettingsError):
             tls.PeerTls(trust=trust)
 
@@ -181,3 +142,46 @@
         trust = trust_settings.TrustSettings(mode="none", ticket_key="k")
         with self.assertLogs("galenatack.links.tls", "WARNING"):
             self.assertIsNone(tls.PeerTls(trust=trust).client)
+
+    def test_admin_listener_reloads(self):
+        """The admin listener serves renewed certificates without a restart."""
+        seed, client = self.folders
+        peer_tls = tls.PeerTls(trust=_issue(self.ours, seed))
+        first = _issue(self.ours, client)
+
+        async def app(scope, receive, send):
+            del receive
+            self.assertEqual(scope["type"], "http")
+            await send({"type": "http.response.start", "status": 204})
+            await send({"type": "http.response.body"})
+
+        async def scenario(tasks):
+            port = open_port.open_port()
+            address = f"127.0.0.1:{port}"
+            shutdown = anyio.Event()
+            tasks.start_soon(_serve_admin, app, address, shutdown, peer_tls)
+            await open_port.wait_for(port)
+            url = f"https://{address}/"
+            self.assertEqual(await _status(url, first), 204)
+            self.theirs.issue(seed, "a1-0")
+            second = self.theirs.issue(client, "a1-1")
+            with self.assertRaises(httpx.ConnectError):
+                await _status(url, second)
+            self.assertTrue(peer_tls.reload_if_changed())
+            self.assertEqual(await _status(url, second), 204)
+            shutdown.set()
+
+        loopback.run(scenario)
+
+
+async def _serve_admin(app, address, shutdown, peer_tls):
+    await http_server.serve(
+        app, address=address, shutdown=shutdown, tls=peer_tls.admin
+    )
+
+
+async def _status(url, trust):
+    context = ssl.create_default_context(cafile=trust.ca_file)
+    context.load_cert_chain(trust.cert_file, trust.key_file)
+    async with httpx.AsyncClient(verify=context, trust_env=False) as client:
+        return (await client.get(url)).status_code
