Fuzz settings, profiles, callers' requests and admin bodies

Found by the fuzz tests and mended: an admin query that is not UTF-8, an event number of thousands of digits and a list of cuts of another type gave a 500 with a traceback; true was taken as an integer; integers had no bound; a settings file with a scalar such as 2020-13-45 crashed the loader with a ValueError, because PyYAML lets it pass. All are typed errors now. The callers' requests and the profile parser gave no findings.

The admin test also compares the table before and after, so that a refused request is known to have written nothing.

--- a/src/galenatack/app/admin_operations.py
+++ b/src/galenatack/app/admin_operations.py
@@ -2,12 +2,14 @@
 
 import collections.abc
 import json
+import re
 import typing
 
 from galenatack import exceptions
 from galenatack.app import member_survey
 from galenatack.app import metrics
 from galenatack.app import parts as parts_module
+from galenatack.app import request_fields
 from galenatack.config import effective_choice
 from galenatack.config import entry_codec
 from galenatack.config import row_keys
@@ -17,6 +19,7 @@
 from galenatack.model import move_state
 
 _Json = dict[str, typing.Any]
+_EVENT_NUMBER = re.compile(r"-?[0-9]{1,18}")
 
 
 class AdminOperations:
@@ -128,10 +131,10 @@
     async def publish(self, query, body) -> _Json:
         """Accepts a new version of a profile."""
         del query
-        expect = body.get("expect")
-        if expect is not None and not isinstance(expect, int):
-            raise exceptions.AdminRequestError("expect: an integer or null")
-        text = json.dumps(body.get("profile")).encode()
+        expect = None
+        if body.get("expect") is not None:
+            expect = request_fields.integer(body, "expect")
+        text = request_fields.json_text(body, "profile")
         item = await self._parts.acceptor.publish(text, expect=expect)
         return {
             "name": item.key.removeprefix(row_keys.PROFILE),
@@ -163,8 +166,8 @@
         del query
         item = await self._parts.acceptor.choose(
             service,
-            profile=_text(body, "profile"),
-            version=_text(body, "version"),
+            profile=request_fields.text(body, "profile"),
+            version=request_fields.text(body, "version"),
         )
         choice = entry_codec.parse_choice(item.body)
         return plain_json.to_plain(choice) | {"seq": item.seq}
@@ -172,11 +175,11 @@
     async def start_move(self, query, body) -> _Json:
         """Starts a move."""
         del query
-        by_ms = body.get("by_ms")
-        if not isinstance(by_ms, int):
-            raise exceptions.AdminRequestError("by_ms: milliseconds as integer")
+        by_ms = request_fields.integer(body, "by_ms")
         move = await self._parts.moves.start(
-            _text(body, "service"), to_version=_text(body, "to"), by_ms=by_ms
+            request_fields.text(body, "service"),
+            to_version=request_fields.text(body, "to"),
+            by_ms=by_ms,
         )
         return plain_json.to_plain(move)
 
@@ -203,7 +206,7 @@
         """Returns the events of this process after a number."""
         del body
         after = query.get("after", "0")
-        if not after.removeprefix("-").isdecimal():
+        if not _EVENT_NUMBER.fullmatch(after):
             raise exceptions.AdminRequestError("after: a number of an event")
         return {
             "node_id": self._parts.settings.node_id,
@@ -229,7 +232,7 @@
             raise exceptions.NotPermittedError(
                 "fault_injection is off in the settings of this node"
             )
-        names = body.get("cut", [])
+        names = request_fields.names(body, "cut")
         self._parts.faults.cut(names)
         self._parts.events.record("fault-injected", cut=",".join(names))
         return {"cut": sorted(self._parts.faults.cut_data_centres)}
@@ -268,10 +271,3 @@
         "final": is_final,
         "note": "" if is_final else note,
     }
-
-
-def _text(body: _Json, name: str) -> str:
-    value = body.get(name)
-    if not isinstance(value, str) or not value:
-        raise exceptions.AdminRequestError(f"{name}: a non-empty text")
-    return value
--- a/src/galenatack/links/admin_api.py
+++ b/src/galenatack/links/admin_api.py
@@ -71,7 +71,8 @@
     async def _run(self, scope, receive) -> typing.Any:
         route, groups = self._match(scope["method"], scope["path"])
         self._authorize(route.role, scope["headers"])
-        query = dict(urllib.parse.parse_qsl(scope["query_string"].decode()))
+        text = scope["query_string"].decode("latin-1")
+        query = dict(urllib.parse.parse_qsl(text))
         body = _decode(await _read_body(receive))
         return await route.action(query, body, **groups)
 
--- a/src/galenatack/settings/loader.py
+++ b/src/galenatack/settings/loader.py
@@ -18,6 +18,9 @@
 FILE_FIELDS = ("ca_file", "cert_file", "key_file")
 ADDRESS_FIELDS = ("call_address", "peer_address", "admin_address")
 MAX_SHOWN_LENGTH = 40
+# PyYAML lets these pass for scalars that look like a date or a number and are
+# none, such as 2020-13-45, and for text that is nested too deeply.
+_BAD_SCALARS = (ValueError, TypeError, KeyError, IndexError, RecursionError)
 
 
 def load(path: str | pathlib.Path) -> node_settings.NodeSettings:
@@ -56,6 +59,10 @@
         raise exceptions.SettingsError(
             f"{file}{where}: expected YAML: {problem}"
         ) from error
+    except _BAD_SCALARS as error:
+        raise exceptions.SettingsError(
+            f"{file}: expected YAML: {type(error).__name__}: {error}"
+        ) from error
     if not isinstance(document, dict):
         raise exceptions.SettingsError(
             f"{file}: expected a mapping of settings"
