--- /dev/null
+++ b/src/galenatack/exceptions/__init__.py
@@ -0,0 +1,66 @@
+"""The exception tree. Every failure of galenatack has a type here.
+
+The types are defined by cause in private modules and used from here, as in
+`exceptions.NotFoundError`.
+"""
+
+from galenatack.exceptions import _admin_errors
+from galenatack.exceptions import _base
+from galenatack.exceptions import _call_errors
+from galenatack.exceptions import _invariant_errors
+from galenatack.exceptions import _move_errors
+from galenatack.exceptions import _peer_errors
+from galenatack.exceptions import _platform_errors
+from galenatack.exceptions import _posting_errors
+from galenatack.exceptions import _settings_errors
+from galenatack.exceptions import _target_errors
+from galenatack.exceptions import _tool_errors
+
+GalenatackError = _base.GalenatackError
+SettingsError = _settings_errors.SettingsError
+ProfileInvalidError = _settings_errors.ProfileInvalidError
+VersionConflictError = _settings_errors.VersionConflictError
+NotFoundError = _settings_errors.NotFoundError
+SnapshotError = _settings_errors.SnapshotError
+AdminRequestError = _admin_errors.AdminRequestError
+NotAuthenticatedError = _admin_errors.NotAuthenticatedError
+NotPermittedError = _admin_errors.NotPermittedError
+MoveError = _move_errors.MoveError
+MoveActiveError = _move_errors.MoveActiveError
+MoveFinishedError = _move_errors.MoveFinishedError
+LeaseLostError = _move_errors.LeaseLostError
+PlatformError = _platform_errors.PlatformError
+PlatformUnavailableError = _platform_errors.PlatformUnavailableError
+OutcomeUnknownError = _platform_errors.OutcomeUnknownError
+TransactionConflictError = _platform_errors.TransactionConflictError
+ObjectCorruptError = _platform_errors.ObjectCorruptError
+PeerError = _peer_errors.PeerError
+PeerUnreachableError = _peer_errors.PeerUnreachableError
+PeerTimeoutError = _peer_errors.PeerTimeoutError
+PeerBusyError = _peer_errors.PeerBusyError
+ProtocolError = _peer_errors.ProtocolError
+CallError = _call_errors.CallError
+OverloadedError = _call_errors.OverloadedError
+NoTargetError = _call_errors.NoTargetError
+NoRouteError = _call_errors.NoRouteError
+DeadlineExceededError = _call_errors.DeadlineExceededError
+BadCallError = _call_errors.BadCallError
+LeavingError = _call_errors.LeavingError
+CancelledCallError = _call_errors.CancelledCallError
+PostingError = _posting_errors.PostingError
+PostingKeyMissingError = _posting_errors.PostingKeyMissingError
+TicketMalformedError = _posting_errors.TicketMalformedError
+PostingKeyReusedError = _posting_errors.PostingKeyReusedError
+TicketGoneError = _posting_errors.TicketGoneError
+TargetError = _target_errors.TargetError
+TargetConnectError = _target_errors.TargetConnectError
+TargetAnswerLostError = _target_errors.TargetAnswerLostError
+TargetShedError = _target_errors.TargetShedError
+ToolError = _tool_errors.ToolError
+UsageError = _tool_errors.UsageError
+AdminUnreachableError = _tool_errors.AdminUnreachableError
+AdminAnswerError = _tool_errors.AdminAnswerError
+AdminTimeoutError = _tool_errors.AdminTimeoutError
+WaitTimeoutError = _tool_errors.WaitTimeoutError
+AdminRefusedError = _tool_errors.AdminRefusedError
+InvariantViolationError = _invariant_errors.InvariantViolationError
--- /dev/null
+++ b/src/galenatack/exceptions/_call_errors.py
@@ -0,0 +1,75 @@
+"""Failures of callers' calls."""
+
+from galenatack.exceptions import _base
+
+
+class CallError(_base.GalenatackError):
+    """Base class of failures of a caller's call."""
+
+    code = "call"
+
+
+class OverloadedError(CallError):
+    """The call was refused before any dispatch because of load.
+
+    Attributes:
+        retry_after_ms: When to ask again.
+    """
+
+    code = "overloaded"
+
+    def __init__(self, message: str, *, retry_after_ms: int):
+        super().__init__(message)
+        self.retry_after_ms = retry_after_ms
+
+
+class NoTargetError(CallError):
+    """No target of the service can take the call."""
+
+    code = "no-target"
+
+
+class NoRouteError(CallError):
+    """No route of the service matches the call."""
+
+    code = "no-route"
+
+
+class DeadlineExceededError(CallError):
+    """The deadline of the call has passed."""
+
+    code = "deadline-exceeded"
+
+
+class BadCallError(CallError):
+    """The call is malformed or exceeds a limit.
+
+    Attributes:
+        status: HTTP status that describes it.
+    """
+
+    code = "bad-call"
+
+    def __init__(self, message: str, *, status: int = 400):
+        super().__init__(message)
+        self.status = status
+
+
+class LeavingError(CallError):
+    """The target is leaving, or its version is withdrawn."""
+
+    code = "leaving"
+
+
+class CancelledCallError(CallError):
+    """The caller went away.
+
+    Attributes:
+        is_confirmed: True when the call did not start and never will.
+    """
+
+    code = "cancelled"
+
+    def __init__(self, message: str, *, is_confirmed: bool):
+        super().__init__(message)
+        self.is_confirmed = is_confirmed
--- /dev/null
+++ b/src/galenatack/exceptions/_move_errors.py
@@ -0,0 +1,35 @@
+"""Failures of moves."""
+
+from galenatack.exceptions import _base
+
+
+class MoveError(_base.GalenatackError):
+    """A move cannot be started or changed."""
+
+    code = "move"
+
+
+class MoveActiveError(MoveError):
+    """The service already has an open move."""
+
+    code = "move-active"
+
+
+class MoveFinishedError(MoveError):
+    """The move already has its verdict.
+
+    Attributes:
+        verdict: The verdict that stands in the table.
+    """
+
+    code = "move-finished"
+
+    def __init__(self, message: str, *, verdict: str):
+        super().__init__(message)
+        self.verdict = verdict
+
+
+class LeaseLostError(MoveError):
+    """The lease row changed under its holder; the write was not made."""
+
+    code = "lease-lost"
--- /dev/null
+++ b/src/galenatack/exceptions/_platform_errors.py
@@ -0,0 +1,49 @@
+"""Failures of the table service and the object store."""
+
+from galenatack.exceptions import _base
+
+
+class PlatformError(_base.GalenatackError):
+    """Base class of failures of the table service and the object store."""
+
+    code = "platform"
+
+
+class PlatformUnavailableError(PlatformError):
+    """The platform refused the operation; it had no effect.
+
+    Attributes:
+        retry_after_ms: When to ask again.
+    """
+
+    code = "platform-unavailable"
+
+    def __init__(self, message: str, *, retry_after_ms: int = 1000):
+        super().__init__(message)
+        self.retry_after_ms = retry_after_ms
+
+
+class OutcomeUnknownError(PlatformError):
+    """The answer of a write was lost; it may have taken effect."""
+
+    code = "outcome-unknown"
+
+
+class TransactionConflictError(PlatformError):
+    """A check of a transaction failed; nothing was written.
+
+    Attributes:
+        keys: The row keys whose revision differed.
+    """
+
+    code = "transaction-conflict"
+
+    def __init__(self, message: str, *, keys: tuple[str, ...]):
+        super().__init__(message)
+        self.keys = keys
+
+
+class ObjectCorruptError(PlatformError):
+    """An object is missing or its body differs from its content hash."""
+
+    code = "object-corrupt"
--- /dev/null
+++ b/src/galenatack/exceptions/_target_errors.py
@@ -0,0 +1,35 @@
+"""Failures at the target."""
+
+from galenatack.exceptions import _call_errors
+
+
+class TargetError(_call_errors.CallError):
+    """Base class of failures at the target."""
+
+    code = "target"
+
+
+class TargetConnectError(TargetError):
+    """The connection to the target failed; the call did not start."""
+
+    code = "target-connect"
+
+
+class TargetAnswerLostError(TargetError):
+    """The call was sent and its answer was lost; it may have run."""
+
+    code = "target-answer-lost"
+
+
+class TargetShedError(TargetError):
+    """The target refused the call before it started.
+
+    Attributes:
+        retry_after_ms: When to ask again.
+    """
+
+    code = "target-shed"
+
+    def __init__(self, message: str, *, retry_after_ms: int = 1000):
+        super().__init__(message)
+        self.retry_after_ms = retry_after_ms
