Keep names and times readable in the drawn time line

Seen on a real deployment: node ids of 27 characters ran into their lanes (140 px were reserved), kinds of 19 characters into each other (90 px), and the only time was a number of milliseconds in the tool tip. The label column now follows the longest name, a step has 120 px, and each event shows its time.

--- a/src/galenatack/timeline/svg.py
+++ b/src/galenatack/timeline/svg.py
@@ -1,15 +1,18 @@
 """Draws events over nodes as a picture."""
 
 import collections.abc
+import datetime
 import html
 
 from galenatack.model import event
 from galenatack.model import event_id
 from galenatack.timeline import hybrid_clock
 
-LABEL_WIDTH_PX = 140
+CHARACTER_WIDTH_PX = 7
+"""Upper bound for the font below; names of nodes are up to 63 long."""
+
 LANE_HEIGHT_PX = 48
-STEP_WIDTH_PX = 90
+STEP_WIDTH_PX = 120
 MARGIN_PX = 24
 DOT_RADIUS_PX = 5
 
@@ -23,11 +26,13 @@
         events: Events in causal order, as `merge.merge` returns them.
     """
     lanes = sorted({item.event_id.node_id for item in events})
-    positions = _positions(events, lanes)
-    width = LABEL_WIDTH_PX + STEP_WIDTH_PX * (len(events) + 1)
+    longest = max(map(len, lanes), default=0)
+    label_px = 2 * MARGIN_PX + CHARACTER_WIDTH_PX * longest
+    positions = _positions(events, lanes, label_px)
+    width = label_px + STEP_WIDTH_PX * (len(events) + 1)
     height = 2 * MARGIN_PX + LANE_HEIGHT_PX * max(1, len(lanes))
     body = [
-        *_lanes(lanes, width),
+        *_lanes(lanes, label_px, width),
         *_arrows(events, positions),
         *_dots(events, positions),
     ]
@@ -46,24 +51,26 @@
 
 
 def _positions(
-    events: collections.abc.Sequence[event.Event], lanes: list[str]
+    events: collections.abc.Sequence[event.Event],
+    lanes: list[str],
+    label_px: int,
 ) -> Positions:
     return {
         item.event_id: (
-            LABEL_WIDTH_PX + STEP_WIDTH_PX * index,
+            label_px + STEP_WIDTH_PX * index,
             _lane_y(lanes.index(item.event_id.node_id)),
         )
         for index, item in enumerate(events)
     }
 
 
-def _lanes(lanes: list[str], width: int) -> list[str]:
+def _lanes(lanes: list[str], label_px: int, width: int) -> list[str]:
     lines = []
     for index, name in enumerate(lanes):
         y = _lane_y(index)
         lines.append(
             f'<text x="4" y="{y + 4}">{html.escape(name)}</text>'
-            f'<line x1="{LABEL_WIDTH_PX - 10}" y1="{y}" x2="{width}"'
+            f'<line x1="{label_px - MARGIN_PX // 2}" y1="{y}" x2="{width}"'
             f' y2="{y}" stroke="#ccc"/>'
         )
     return lines
@@ -91,10 +98,16 @@
     for item in events:
         x, y = positions[item.event_id]
         facts = " ".join(f"{name}={value}" for name, value in item.facts)
-        time_ms = item.hlc >> hybrid_clock.COUNTER_BITS
+        moment = _shown(item.hlc >> hybrid_clock.COUNTER_BITS)
         lines.append(
             f'<circle cx="{x}" cy="{y}" r="{DOT_RADIUS_PX}">'
-            f"<title>{html.escape(f'{time_ms} ms {facts}')}</title></circle>"
+            f"<title>{html.escape(f'{moment} {facts}')}</title></circle>"
             f'<text x="{x}" y="{y - 9}">{html.escape(item.kind)}</text>'
+            f'<text x="{x}" y="{y + 17}" fill="#666">{moment[11:23]}</text>'
         )
     return lines
+
+
+def _shown(time_ms: int) -> str:
+    utc = datetime.datetime.fromtimestamp(time_ms / 1000, tz=datetime.UTC)
+    return utc.isoformat(timespec="milliseconds")
--- a/tests/timeline/test_recorder.py
+++ b/tests/timeline/test_recorder.py
@@ -3,6 +3,8 @@
 import unittest
 import xml.etree.ElementTree
 
+from galenatack.model import event
+from galenatack.model import event_id
 from galenatack.timeline import hybrid_clock
 from galenatack.timeline import recorder
 from galenatack.timeline import svg
@@ -49,6 +51,18 @@
         self.assertEqual(names.count("circle"), 2)
         self.assertEqual(names.count("line"), 2)
 
+    def test_long_names(self):
+        """A long node id does not run into its lane, and times are shown."""
+        name = "purchases-v1-puerto-montt-a"
+        number = event_id.EventId(name, 7, 1)
+        hlc = 1 << hybrid_clock.COUNTER_BITS
+        kept = event.Event(number, hlc, "held", None, ())
+        root = xml.etree.ElementTree.fromstring(svg.draw([kept]))
+        lane = next(e for e in root if e.tag.endswith("line"))
+        end_px = 4 + svg.CHARACTER_WIDTH_PX * len(name)
+        self.assertGreater(float(lane.get("x1")), end_px)
+        self.assertIn("00:00:00.001", [element.text for element in root])
+
     def test_no_events(self):
         """An empty time line gives an empty picture."""
         xml.etree.ElementTree.fromstring(svg.draw(()))
