Serve only once the configuration found at the start is in force

The herd drill (SIGKILL of all nodes of a data centre, then of all nodes, restart at once) found nodes that were ready and answered callers while they ran seq 0 and held seq 8, for up to 0.7 s: the rebuild ends when the newest seq is held, but it runs only once two other nodes hold it too. Ruled out: a rebuild that settled on too old a state (all settled with held_seq=8).

A start gate opens when the seq found by the rebuild runs; the caller side and the readiness of the node wait for it.

--- a/src/galenatack/app/node.py
+++ b/src/galenatack/app/node.py
@@ -79,6 +79,8 @@
         parts = self._parts
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(parts.rebuild.run)
+            # What the rebuild found runs only once other nodes hold it too.
+            tasks.start_soon(parts.propagation.start_gate.wait)
             tasks.start_soon(
                 target_probe.wait_until_open,
                 parts.settings.target_url,
--- a/src/galenatack/app/settled_handler.py
+++ b/src/galenatack/app/settled_handler.py
@@ -11,8 +11,8 @@
     """Implements `interfaces.caller_handler.CallerHandler`.
 
     Args:
-        handler: Takes the calls once the node has settled.
-        propagation: Tells whether it has.
+        handler: Takes the calls once the configuration is in force.
+        propagation: Tells whether it is.
     """
 
     def __init__(
@@ -37,7 +37,7 @@
         Without its configuration the node cannot tell an unknown service
         from one that it has not heard of yet.
         """
-        if not self._propagation.is_settled:
+        if not self._propagation.start_gate.is_open:
             return results.not_run(
                 exceptions.NoTargetError("the node has no configuration yet")
             )
--- a/src/galenatack/config/propagation.py
+++ b/src/galenatack/config/propagation.py
@@ -9,6 +9,7 @@
 from galenatack.config import held_book
 from galenatack.config import log_state
 from galenatack.config import row_keys
+from galenatack.config import start_gate
 from galenatack.config import transfer_slots
 from galenatack.interfaces import clock as clock_interface
 from galenatack.interfaces import event_sink
@@ -57,6 +58,7 @@
         is_settled: True when the node knows the state that it ran before a
             restart, or one that is newer. Until then it runs nothing and
             does not count as a holder.
+        start_gate: Open once that state runs.
     """
 
     def __init__(
@@ -87,6 +89,7 @@
         self._due: tuple[int, float] | None = None
         self._reported = 0
         self.is_settled = False
+        self.start_gate = start_gate.StartGate()
         peers.on(delta_message.Delta, self._on_delta)
         peers.on(pull_delta.PullDelta, self._on_pull_delta)
         peers.on(held.Held, self._on_held)
@@ -106,6 +109,7 @@
         """Ends the rebuild after a start; the node may run and serve."""
         self._state.merge_steps()
         self.is_settled = True
+        self.start_gate.settle(self._state.held_seq)
         self._events.record("settled", held_seq=self._state.held_seq)
         await self._report_held()
         self.try_run()
@@ -186,7 +190,11 @@
         """Runs what enough nodes hold, as one atomic step."""
         if not self.is_settled:
             return
-        safe_seq = self._safe_seq()
+        others = set(self._live()) - {self._node_id}
+        self._run_safe(self._book.safe_seq(self._state.held_seq, others))
+        self.start_gate.on_running(self._state.running_seq)
+
+    def _run_safe(self, safe_seq: int) -> None:
         due_seq = self._state.next_step_seq(safe_seq)
         if due_seq <= self._state.running_seq:
             self._due = None
@@ -198,10 +206,6 @@
         self._report_rejections()
         self._on_running(applied)
 
-    def _safe_seq(self) -> int:
-        others = set(self._live()) - {self._node_id}
-        return self._book.safe_seq(self._state.held_seq, others)
-
     def _report_rejections(self) -> None:
         found = list(self._state.rejected.items())
         for (key, version), reason in found[self._reported :]:
