Add the kill, herd, cut and rate drills with real processes

The stand-in callers keep a pool of connections for each node: one pool for all nodes looks at all of its connections for each request. They count attempts by outcome and code. The platform counts refused transactions.

--- a/Makefile
+++ b/Makefile
@@ -4,10 +4,11 @@
 DEPLOYMENT ?= cocotera
 SEED ?= 1
 MINUTES ?= 1
+DRILLS ?=
 SOURCES := src tests standins bench
 export PYTHONPATH := src:.
 
-.PHONY: demo test bench bench-moves soak lint format
+.PHONY: demo drills test bench bench-moves soak lint format
 
 $(VENV)/.dev: requirements/dev.txt pyproject.toml
 	$(PYTHON) -m venv $(VENV)
@@ -21,6 +22,9 @@
 demo: $(VENV)/.dev
 	$(BIN)/python -m standins.demo --deployment $(DEPLOYMENT)
 
+drills: $(VENV)/.dev
+	$(BIN)/python -m standins.drills $(DRILLS)
+
 test: $(VENV)/.dev
 	$(BIN)/python -m tests
 
--- a/standins/callers/caller.py
+++ b/standins/callers/caller.py
@@ -9,11 +9,11 @@
 import anyio.abc
 import httpcore
 
+from standins.callers import node_pools
 from standins.callers import options as options_module
 from standins.callers import record as record_module
 from standins.target import app as target_app
 
-_CONNECTIONS = 200
 _MS_PER_S = 1000
 # A caller waits longer than its deadline before it gives up on a node.
 _GRACE_S = 1.0
@@ -56,9 +56,6 @@
     body: bytes
 
 
-_LOST = Reply(0, "unknown", 0.0, b"")
-
-
 class Callers:
     """Sends calls at a fixed rate, whether answers come or not.
 
@@ -75,10 +72,7 @@
         """Sends all calls and waits for their ends."""
         options = self._options
         async with (
-            httpcore.AsyncConnectionPool(
-                max_connections=_CONNECTIONS,
-                max_keepalive_connections=_CONNECTIONS,
-            ) as pool,
+            node_pools.NodePools() as pool,
             anyio.create_task_group() as tasks,
         ):
             start_s = time.monotonic()
@@ -105,9 +99,7 @@
             nodes=tuple(nodes),
         )
 
-    async def _run_call(
-        self, pool: httpcore.AsyncConnectionPool, call: Call
-    ) -> None:
+    async def _run_call(self, pool: node_pools.NodePools, call: Call) -> None:
         started_s = time.monotonic()
         outcome = "not-run"
         for attempt in range(self._options.attempts):
@@ -128,7 +120,7 @@
         self.record.end(call.kind, outcome, time.monotonic() - started_s)
 
     async def _with_ticket(
-        self, pool: httpcore.AsyncConnectionPool, call: Call, node: str
+        self, pool: node_pools.NodePools, call: Call, node: str
     ) -> Call:
         path = f"/_galenatack/ticket/{self._options.service}"
         reply = await self._send(pool, "POST", f"http://{node}{path}", (), b"")
@@ -138,7 +130,7 @@
         return call._replace(key=reply.body.decode())
 
     async def _attempt(
-        self, pool: httpcore.AsyncConnectionPool, call: Call, node: str
+        self, pool: node_pools.NodePools, call: Call, node: str
     ) -> Reply:
         self.record.attempts += 1
         headers = [
@@ -149,6 +141,7 @@
         url = f"http://{node}/{self._options.service}{call.path}"
         reply = await self._send(pool, call.method, url, headers, call.body)
         self.record.statuses[reply.status] += 1
+        self.record.replies[_label(reply)] += 1
         return reply
 
     async def _send(self, pool, method, url, headers, body) -> Reply:
@@ -158,10 +151,14 @@
                 response = await pool.request(
                     method, url, headers=list(headers), content=body or None
                 )
-        except (httpcore.ConnectError, httpcore.ConnectTimeout):
-            return Reply(0, "not-run", 0.1, b"")
-        except (httpcore.NetworkError, httpcore.ProtocolError, TimeoutError):
-            return _LOST
+        except (httpcore.ConnectError, httpcore.ConnectTimeout) as error:
+            return _without_answer("not-run", 0.1, error)
+        except (
+            httpcore.NetworkError,
+            httpcore.ProtocolError,
+            TimeoutError,
+        ) as error:
+            return _without_answer("unknown", 0.0, error)
         found = {
             name.lower().decode(): value.decode()
             for name, value in response.headers
@@ -186,3 +183,19 @@
             got = None
         if got != expected:
             self.record.wrong.append(f"expected {expected}, got {got}")
+
+
+def _without_answer(
+    outcome: str, retry_after_s: float, error: Exception
+) -> Reply:
+    body = json.dumps({"error": type(error).__name__}).encode()
+    return Reply(0, outcome, retry_after_s, body)
+
+
+def _label(reply: Reply) -> str:
+    if reply.outcome == "answer":
+        return reply.outcome
+    try:
+        return f"{reply.outcome} {json.loads(reply.body)['error']}"
+    except (ValueError, KeyError, TypeError):
+        return f"{reply.outcome} without a code"
--- a/standins/callers/record.py
+++ b/standins/callers/record.py
@@ -18,6 +18,7 @@
     Attributes:
         outcomes: Calls by kind and final outcome.
         statuses: Answers by HTTP status.
+        replies: Attempts by outcome and, without an answer, error code.
         wrong: Answers that do not belong to their request.
         attempts: Requests sent.
         answered_keys: Keys whose posting was answered with a 200.
@@ -26,6 +27,7 @@
     def __init__(self):
         self.outcomes: collections.Counter[str] = collections.Counter()
         self.statuses: collections.Counter[int] = collections.Counter()
+        self.replies: collections.Counter[str] = collections.Counter()
         self.wrong: list[str] = []
         self.attempts = 0
         self.answered_keys: set[str] = set()
@@ -52,6 +54,7 @@
             "attempts": self.attempts,
             "outcomes": dict(sorted(self.outcomes.items())),
             "statuses": dict(sorted(self.statuses.items())),
+            "replies": dict(sorted(self.replies.items())),
             "wrong": len(self.wrong),
             "wrong_examples": self.wrong[:5],
             "answered_postings": len(self.answered_keys),
--- a/standins/demo/admin.py
+++ b/standins/demo/admin.py
@@ -11,6 +11,7 @@
 from standins.demo import instance as instance_module
 
 POLL_S = 0.2
+TIMEOUT_S = 5.0
 TOOL = "from galenatack.app import cli; cli.main()"
 
 
@@ -23,7 +24,7 @@
 
     def __init__(self, instances: list[instance_module.Instance]):
         self._instances = instances
-        self._client = httpx.Client(timeout=5.0, trust_env=False)
+        self._client = httpx.Client(timeout=TIMEOUT_S, trust_env=False)
 
     def get(self, address: str, path: str) -> typing.Any:
         """Returns the JSON value of a GET, or None without an answer."""
@@ -32,9 +33,17 @@
         except (httpx.HTTPError, ValueError):
             return None
 
-    def post(self, address: str, path: str, value: object = None) -> typing.Any:
+    def post(
+        self,
+        address: str,
+        path: str,
+        value: object = None,
+        *,
+        timeout_s: float = TIMEOUT_S,
+    ) -> typing.Any:
         """Returns the JSON value of a POST."""
-        answer = self._client.post(f"http://{address}{path}", json=value or {})
+        url = f"http://{address}{path}"
+        answer = self._client.post(url, json=value or {}, timeout=timeout_s)
         return answer.json()
 
     def wait_until_ready(self, timeout_s: float) -> list[str]:
--- a/standins/demo/instance.py
+++ b/standins/demo/instance.py
@@ -51,19 +51,20 @@
             item.close()
 
 
-def plan(whole: deployment.Deployment) -> list[Instance]:
-    """Returns one instance a service, version and data centre."""
+def plan(whole: deployment.Deployment, *, copies: int = 1) -> list[Instance]:
+    """Returns `copies` instances a service, version and data centre."""
     places = [
-        (service, version, data_centre)
+        (service, version, data_centre, f"-{copy}" if copies > 1 else "")
         for service in whole.services
         for version in service.versions
         for data_centre in whole.regions
+        for copy in range(copies)
     ]
     # All ports are taken in one go; a port freed earlier could come twice.
     addresses = iter(free_addresses(ADDRESSES_PER_INSTANCE * len(places)))
     return [
         Instance(
-            node_id=f"{service.name}-{version}-{data_centre}",
+            node_id=f"{service.name}-{version}-{data_centre}{suffix}",
             service=service.name,
             version=version,
             data_centre=data_centre,
@@ -74,7 +75,7 @@
             admin_address=next(addresses),
             target_address=next(addresses),
         )
-        for service, version, data_centre in places
+        for service, version, data_centre, suffix in places
     ]
 
 
--- /dev/null
+++ b/standins/drills/__init__.py
@@ -0,0 +1,1 @@
+"""Failure drills with real processes on loopback."""
--- /dev/null
+++ b/standins/drills/moving.py
@@ -0,0 +1,60 @@
+"""A move of the drills' service, and who drives it."""
+
+import time
+import typing
+
+from standins.drills import mesh as mesh_module
+
+POLL_S = 0.1
+_MS_PER_S = 1000
+_MOVES = "/admin/v1/moves"
+
+
+def start(mesh: mesh_module.Mesh, *, by_s: float) -> int:
+    """Starts the move to v2 and returns its promised wall time, in ms."""
+    by_ms = int((time.time() + by_s) * _MS_PER_S)
+    found = mesh.admin.post(
+        mesh.instances[0].admin_address,
+        _MOVES,
+        {"service": mesh_module.SERVICE, "to": "v2", "by_ms": by_ms},
+    )
+    if "move_id" not in found:
+        raise RuntimeError(f"move start: {found}")
+    return by_ms
+
+
+def state(mesh: mesh_module.Mesh, *, at: int = 0) -> dict[str, typing.Any]:
+    """Returns the move as a node reports it."""
+    address = mesh.instances[at].admin_address
+    return mesh.admin.get(address, f"{_MOVES}/{mesh_module.SERVICE}") or {}
+
+
+def verdict(mesh: mesh_module.Mesh, *, timeout_s: float) -> str | None:
+    """Waits for the verdict; None without one in time."""
+    end_s = time.monotonic() + timeout_s
+    while time.monotonic() < end_s:
+        found = state(mesh)
+        if found.get("final"):
+            return found["move"]["phase"]
+        time.sleep(POLL_S)
+    return None
+
+
+def driver(mesh: mesh_module.Mesh) -> str | None:
+    """Returns the node that the lease row names."""
+    path = f"/table/lease/move/{mesh_module.SERVICE}"
+    row = mesh.admin.get(mesh.platform, path) or {}
+    return row["value"]["holder"] if "value" in row else None
+
+
+def wait_for_driver(
+    mesh: mesh_module.Mesh, *, other_than: str = "", timeout_s: float
+) -> str | None:
+    """Waits until a node other than the named one drives."""
+    end_s = time.monotonic() + timeout_s
+    while time.monotonic() < end_s:
+        found = driver(mesh)
+        if found not in (None, other_than):
+            return found
+        time.sleep(POLL_S)
+    return None
--- a/standins/platform/app.py
+++ b/standins/platform/app.py
@@ -61,7 +61,12 @@
         self._objects: dict[str, bytes] = {}
         self._writes = rate_limit.RateLimit(writes_per_s)
         self._reads = rate_limit.RateLimit(reads_per_s)
-        self._stats = {"reads": 0, "writes": 0, "refused": 0}
+        self._stats = {
+            "reads": 0,
+            "writes": 0,
+            "refused": 0,
+            "conflicts": 0,
+        }
         self._faults = {"down": False, "slow_ms": 0, "lose_answers": 0}
 
     async def __call__(self, scope, receive, send) -> None:
@@ -78,6 +83,7 @@
             self._stats["refused"] += 1
             answer = Answer({"error": str(error)}, status=error.status)
         except table_store.ConflictError as error:
+            self._stats["conflicts"] += 1
             answer = Answer({"keys": error.keys}, status=409)
         if answer.is_write and self._faults["lose_answers"]:
             self._faults["lose_answers"] -= 1
