Answer callers in JSON as the callers' page promises

The kill drill counted refusals by code and found answers without one: the routing's own answers had the body "code: detail" as plain text, while docs/callers.md promises {"error", "detail"} for each not-run and unknown. The postings' answers had it already.

--- a/src/galenatack/routing/results.py
+++ b/src/galenatack/routing/results.py
@@ -1,5 +1,7 @@
 """Final answers that galenatack itself gives."""
 
+import json
+
 from galenatack import exceptions
 from galenatack.model import call_result
 from galenatack.model import outcome
@@ -42,8 +44,8 @@
     return call_result.CallResult(
         outcome=told.value,
         status=status or _STATUS.get(error.code, _BAD_GATEWAY),
-        headers=(("content-type", "text/plain; charset=utf-8"),),
-        body=f"{error.code}: {error}\n".encode(),
+        headers=(("content-type", "application/json"),),
+        body=json.dumps({"error": error.code, "detail": str(error)}).encode(),
         retry_after_ms=0 if status else retry_after_ms,
         failure=error.code,
     )
--- /dev/null
+++ b/tests/routing/test_results.py
@@ -0,0 +1,19 @@
+"""Tests of the answers that galenatack itself gives to callers."""
+
+import json
+import unittest
+
+from galenatack import exceptions
+from galenatack.routing import results
+
+
+class TestResults(unittest.TestCase):
+    def test_body_is_json(self):
+        """A caller reads code and detail of each answer as JSON."""
+        error = exceptions.LeavingError("target is leaving")
+        for result in (results.not_run(error), results.unknown(error)):
+            self.assertIn(("content-type", "application/json"), result.headers)
+            self.assertEqual(
+                json.loads(result.body),
+                {"error": error.code, "detail": "target is leaving"},
+            )
