Close callers' connections at a stop without losing a request

The stop drill (16 graceful stops, 1,223 calls in flight, 22,000 calls, load average 60) lost the answer of 6 calls: 3 connection resets and 3 connections closed without an answer. Once the listener ended, idle connections were closed at once, and a busy one after an answer that did not say so; a caller that sent its next request at that moment could not know whether it ran. Ruled out: calls that the target cut (all 16 nodes drained and exited with 0).

From the announcement of the stop on, each HTTP/1.1 answer carries `Connection: close`, and idle connections stay open for 1 s more.

--- a/src/galenatack/app/node.py
+++ b/src/galenatack/app/node.py
@@ -15,6 +15,9 @@
 # Time for the announcement of a stop to reach the other nodes.
 LEAVE_NOTICE_S = 0.5
 ADMIN_DRAIN_S = 1.0
+# Busy callers use each of their connections within this time, and the answer
+# tells them that it is the last one.
+IDLE_GRACE_S = 1.0
 
 
 class Node:
@@ -98,13 +101,14 @@
         self.is_ready = False
         parts.events.record("node-leaving", in_flight=parts.gate.in_flight)
         parts.gate.leave()
+        parts.caller_side.close_connections()
         await parts.membership.leave()
         drain_s = parts.settings.drain_ms / MS_PER_S
         await parts.clock.sleep_s(LEAVE_NOTICE_S)
         self._calls_over.set()
         is_drained = await parts.gate.drain(drain_s)
         # Calls of the own callers to other targets end with their listener.
-        with anyio.move_on_after(drain_s):
+        with anyio.move_on_after(drain_s + IDLE_GRACE_S):
             await self._callers_closed.wait()
         parts.events.record("node-stopped", is_drained=is_drained)
         self._admin_over.set()
@@ -117,6 +121,7 @@
             address=self._parts.settings.call_address,
             shutdown=self._calls_over,
             drain_s=self._parts.settings.drain_ms / MS_PER_S,
+            idle_grace_s=IDLE_GRACE_S,
         )
         self._callers_closed.set()
 
--- a/src/galenatack/links/caller_side.py
+++ b/src/galenatack/links/caller_side.py
@@ -50,6 +50,15 @@
         self._handler = handler
         self._issue_ticket = issue_ticket
         self._max_body_bytes = max_body_bytes
+        self._closes_connections = False
+
+    def close_connections(self) -> None:
+        """Tells callers with each answer not to reuse their connection.
+
+        A caller that reuses one while it is being closed cannot know whether
+        its request ran.
+        """
+        self._closes_connections = True
 
     async def __call__(
         self, scope: Scope, receive: Receive, send: Send
@@ -66,7 +75,7 @@
         try:
             body = await self._read_body(receive)
         except exceptions.BadCallError as error:
-            await _answer(send, scope["method"], results.not_run(error))
+            await self._answer(send, scope, results.not_run(error))
             return
         if body is None:
             return
@@ -76,7 +85,16 @@
         else:
             result = await self._call(scope, path, body, receive)
         if result is not None:
-            await _answer(send, scope["method"], result)
+            await self._answer(send, scope, result)
+
+    async def _answer(
+        self, send: Send, scope: Scope, result: call_result.CallResult
+    ) -> None:
+        # HTTP/2 closes with a frame of its own and forbids the header.
+        if self._closes_connections and scope["http_version"] != "2":
+            headers = (*result.headers, ("connection", "close"))
+            result = result._replace(headers=headers)
+        await _answer(send, scope["method"], result)
 
     async def _read_body(self, receive: Receive) -> bytes | None:
         """Returns the body, or None when the caller went away."""
--- a/src/galenatack/links/http_server.py
+++ b/src/galenatack/links/http_server.py
@@ -40,6 +40,7 @@
     address: str,
     shutdown: anyio.Event,
     drain_s: float = 10.0,
+    idle_grace_s: float = 0.0,
     tls: TlsFiles | None = None,
 ) -> None:
     """Serves HTTP/1.1 and HTTP/2 until `shutdown` is set.
@@ -51,6 +52,8 @@
         address: host:port to listen on.
         shutdown: Ends the server.
         drain_s: Longest time for the requests in flight.
+        idle_grace_s: Time from the shutdown until idle connections are
+            closed; a request that comes before is still answered.
         tls: Files of a TLS listener, or None for plain HTTP.
     """
     config = _config(address, tls)
@@ -61,7 +64,7 @@
     finally:
         listener.close()
         with anyio.CancelScope(shield=True):
-            await server.drain(drain_s)
+            await server.drain(drain_s, idle_grace_s)
 
 
 class _Server:
@@ -93,8 +96,10 @@
             ssl=context,
         )
 
-    async def drain(self, drain_s: float) -> None:
+    async def drain(self, drain_s: float, idle_grace_s: float) -> None:
         """Waits for the requests in flight, then ends all connections."""
+        if self._tasks and idle_grace_s:
+            await asyncio.wait(self._tasks, timeout=idle_grace_s)
         await self._context.terminated.set()
         if self._tasks:
             await asyncio.wait(self._tasks, timeout=drain_s)
--- /dev/null
+++ b/tests/links/test_http_server.py
@@ -0,0 +1,72 @@
+"""Tests of ending the caller listener."""
+
+import unittest
+
+import anyio
+
+from galenatack.links import caller_side
+from galenatack.links import http_server
+from galenatack.model import call_result
+from tests.links import open_port
+
+REQUEST = b"GET /a HTTP/1.1\r\nHost: a\r\n\r\n"
+GRACE_S = 0.5
+LONGEST_S = 10.0
+ANSWER = call_result.CallResult(
+    outcome="answer", status=200, headers=(), body=b"whole"
+)
+
+
+class _Handler:
+    async def handle(self, **call) -> call_result.CallResult:
+        """Answers a call."""
+        del call
+        return ANSWER
+
+
+class TestHttpServer(unittest.TestCase):
+    def test_idle_connections_during_a_stop(self):
+        """A reused connection gets one answer more, marked as the last."""
+
+        async def main():
+            side = caller_side.CallerSide(handler=_Handler())
+            address = f"127.0.0.1:{open_port.open_port()}"
+            shutdown = anyio.Event()
+
+            async def serve():
+                await http_server.serve(
+                    side,
+                    address=address,
+                    shutdown=shutdown,
+                    idle_grace_s=GRACE_S,
+                )
+
+            with anyio.fail_after(LONGEST_S):
+                async with anyio.create_task_group() as tasks:
+                    tasks.start_soon(serve)
+                    await self._reuse(address, side, shutdown)
+
+        anyio.run(main)
+
+    async def _reuse(self, address, side, shutdown):
+        host, port = address.split(":")
+        await open_port.wait_for(int(port))
+        async with await anyio.connect_tcp(host, int(port)) as stream:
+            await stream.send(REQUEST)
+            first = await _answer(stream)
+            self.assertNotIn(b"connection: close", first)
+            side.close_connections()
+            shutdown.set()
+            await anyio.sleep(0.1)
+            await stream.send(REQUEST)
+            last = await _answer(stream)
+            self.assertIn(b"connection: close", last)
+            with self.assertRaises(anyio.EndOfStream):
+                await stream.receive()
+
+
+async def _answer(stream) -> bytes:
+    found = b""
+    while not found.endswith(ANSWER.body):
+        found += await stream.receive()
+    return found
