--- a/standins/drills/freeze.py
+++ b/standins/drills/freeze.py
@@ -44,10 +44,10 @@
     )
     taken_over_s = time.monotonic() - start_s
     time.sleep(max(0.0, FROZEN_S - taken_over_s))
-    conflicts = mesh.platform_stats()["conflicts"]
+    conflicts = _refused(mesh)
     mesh.processes.send(paused, signal.SIGCONT)
     time.sleep(FENCE_S)
-    fenced = mesh.platform_stats()["conflicts"] - conflicts
+    fenced = _refused(mesh) - conflicts
     holder = moving.driver(mesh)
     phase = moving.verdict(mesh, timeout_s=BY_S)
     first = _verdicts(mesh)
@@ -56,7 +56,7 @@
     figures = {
         "paused, successor": (paused, successor),
         "taken over after (s)": round(taken_over_s, 1),
-        "refused writes after SIGCONT": fenced,
+        "writes refused by the lease row after SIGCONT": fenced,
         "driver after SIGCONT": holder,
         "verdict": phase,
     }
@@ -79,6 +79,11 @@
     )
 
 
+def _refused(mesh: mesh_module.Mesh) -> int:
+    """Returns the writes refused so far because of a lease row."""
+    return mesh.platform_stats()["conflicts"].get("lease", 0)
+
+
 def _verdicts(mesh: mesh_module.Mesh) -> set[tuple[str, str, str]]:
     """Returns the different verdicts that the nodes report."""
     found = set()
--- a/standins/drills/mesh.py
+++ b/standins/drills/mesh.py
@@ -210,7 +210,7 @@
             if event["kind"] == kind
         ]
 
-    def platform_stats(self) -> dict[str, int]:
+    def platform_stats(self) -> dict[str, typing.Any]:
         """Returns the counters of the platform."""
         return self.admin.get(self.platform, "/_stats")
 
--- a/standins/platform/app.py
+++ b/standins/platform/app.py
@@ -1,5 +1,6 @@
 """The platform's HTTP protocol as an ASGI application."""
 
+import collections
 import json
 import typing
 import urllib.parse
@@ -61,11 +62,11 @@
         self._objects: dict[str, bytes] = {}
         self._writes = rate_limit.RateLimit(writes_per_s)
         self._reads = rate_limit.RateLimit(reads_per_s)
-        self._stats = {
+        self._stats: dict[str, typing.Any] = {
             "reads": 0,
             "writes": 0,
             "refused": 0,
-            "conflicts": 0,
+            "conflicts": collections.Counter(),
         }
         self._faults = {"down": False, "slow_ms": 0, "lose_answers": 0}
 
@@ -83,7 +84,8 @@
             self._stats["refused"] += 1
             answer = Answer({"error": str(error)}, status=error.status)
         except table_store.ConflictError as error:
-            self._stats["conflicts"] += 1
+            kinds = {key.partition("/")[0] for key in error.keys}
+            self._stats["conflicts"].update(kinds)
             answer = Answer({"keys": error.keys}, status=409)
         if answer.is_write and self._faults["lose_answers"]:
             self._faults["lose_answers"] -= 1
