--- a/src/galenatack/links/http_server.py
+++ b/src/galenatack/links/http_server.py
@@ -26,6 +26,7 @@
     address: str,
     shutdown: anyio.Event,
     drain_s: float = 10.0,
+    idle_grace_s: float = 0.0,
     tls: ssl.SSLContext | None = None,
 ) -> None:
     """Serves HTTP/1.1 and HTTP/2 until `shutdown` is set.
@@ -37,6 +38,8 @@
         address: host:port to listen on.
         shutdown: Ends the server.
         drain_s: Longest time for the requests in flight.
+        idle_grace_s: Time from the shutdown until idle connections are
+            closed; a request that comes before is still answered.
         tls: Context of a TLS listener, or None for plain HTTP. New
             handshakes follow changes of the context.
     """
@@ -47,7 +50,7 @@
     finally:
         listener.close()
         with anyio.CancelScope(shield=True):
-            await server.drain(drain_s)
+            await server.drain(drain_s, idle_grace_s)
 
 
 class _Server:
@@ -82,8 +85,10 @@
             ssl=self._tls,
         )
 
-    async def drain(self, drain_s: float) -> None:
+    async def drain(self, drain_s: float, idle_grace_s: float) -> None:
         """Waits for the requests in flight, then ends all connections."""
+        if self._tasks and idle_grace_s:
+            await asyncio.wait(self._tasks, timeout=idle_grace_s)
         await self._context.terminated.set()
         if self._tasks:
             await asyncio.wait(self._tasks, timeout=drain_s)
--- a/standins/callers/caller.py
+++ b/standins/callers/caller.py
@@ -6,9 +6,10 @@
 import typing
 
 import anyio
+import anyio.abc
 import httpcore
 
-from standins.callers import client
+from standins.callers import node_pools
 from standins.callers import options as options_module
 from standins.callers import record as record_module
 from standins.target import app as target_app
@@ -55,9 +56,6 @@
     body: bytes
 
 
-_LOST = Reply(0, "unknown", 0.0, b"")
-
-
 class Callers:
     """Sends calls at a fixed rate, whether answers come or not.
 
@@ -69,18 +67,19 @@
         self._options = options
         self._rng = random.Random(options.seed)
         self.record = record_module.Record()
-        self._client = client.Client()
 
     async def run(self) -> None:
         """Sends all calls and waits for their ends."""
         options = self._options
-        async with anyio.create_task_group() as tasks:
+        async with (
+            node_pools.NodePools() as pool,
+            anyio.create_task_group() as tasks,
+        ):
             start_s = time.monotonic()
             for number in range(int(options.rate * options.duration_s)):
                 planned_s = start_s + number / options.rate
                 await anyio.sleep(max(0.0, planned_s - time.monotonic()))
-                tasks.start_soon(self._run_call, self._make(number))
-        await self._client.close()
+                tasks.start_soon(self._run_call, pool, self._make(number))
 
     def _make(self, number: int) -> Call:
         rng = self._rng
@@ -100,16 +99,16 @@
             nodes=tuple(nodes),
         )
 
-    async def _run_call(self, call: Call) -> None:
+    async def _run_call(self, pool: node_pools.NodePools, call: Call) -> None:
         started_s = time.monotonic()
         outcome = "not-run"
         for attempt in range(self._options.attempts):
             node = call.nodes[attempt % len(call.nodes)]
             if call.kind == "ticket" and not call.key:
-                call = await self._with_ticket(call, node)
+                call = await self._with_ticket(pool, call, node)
                 if not call.key:
                     continue
-            reply = await self._attempt(call, node)
+            reply = await self._attempt(pool, call, node)
             if outcome != "unknown" or reply.outcome == "answer":
                 # Once unknown, only an answer tells more: a later `not-run`
                 # is about the later attempt.
@@ -120,49 +119,55 @@
             await anyio.sleep(reply.retry_after_s)
         self.record.end(call.kind, outcome, time.monotonic() - started_s)
 
-    async def _with_ticket(self, call: Call, node: str) -> Call:
+    async def _with_ticket(
+        self, pool: node_pools.NodePools, call: Call, node: str
+    ) -> Call:
         path = f"/_galenatack/ticket/{self._options.service}"
-        reply = await self._send("POST", node, path, [], b"")
+        reply = await self._send(pool, "POST", f"http://{node}{path}", (), b"")
         if reply.status != 200:
             await anyio.sleep(reply.retry_after_s)
             return call
         return call._replace(key=reply.body.decode())
 
-    async def _attempt(self, call: Call, node: str) -> Reply:
+    async def _attempt(
+        self, pool: node_pools.NodePools, call: Call, node: str
+    ) -> Reply:
         self.record.attempts += 1
         headers = [
             (b"galenatack-deadline-ms", b"%d" % self._options.deadline_ms)
         ]
         if call.key:
             headers.append((b"idempotency-key", call.key.encode()))
-        path = f"/{self._options.service}{call.path}"
-        reply = await self._send(call.method, node, path, headers, call.body)
+        url = f"http://{node}/{self._options.service}{call.path}"
+        reply = await self._send(pool, call.method, url, headers, call.body)
         self.record.statuses[reply.status] += 1
+        self.record.replies[_label(reply)] += 1
         return reply
 
-    async def _send(
-        self,
-        method: str,
-        node: str,
-        path: str,
-        headers: list[tuple[bytes, bytes]],
-        body: bytes,
-    ) -> Reply:
+    async def _send(self, pool, method, url, headers, body) -> Reply:
         limit_s = self._options.deadline_ms / _MS_PER_S + _GRACE_S
         try:
             with anyio.fail_after(limit_s):
-                answer = await self._client.request(
-                    method, node, path, headers=headers, body=body
+                response = await pool.request(
+                    method, url, headers=list(headers), content=body or None
                 )
-        except (httpcore.ConnectError, httpcore.ConnectTimeout):
-            return Reply(0, "not-run", 0.1, b"")
-        except (httpcore.NetworkError, httpcore.ProtocolError, TimeoutError):
-            return _LOST
+        except (httpcore.ConnectError, httpcore.ConnectTimeout) as error:
+            return _without_answer("not-run", 0.1, error)
+        except (
+            httpcore.NetworkError,
+            httpcore.ProtocolError,
+            TimeoutError,
+        ) as error:
+            return _without_answer("unknown", 0.0, error)
+        found = {
+            name.lower().decode(): value.decode()
+            for name, value in response.headers
+        }
         return Reply(
-            answer.status,
-            answer.headers.get("galenatack-outcome", "unknown"),
-            float(answer.headers.get("retry-after", "0")),
-            answer.body,
+            response.status,
+            found.get("galenatack-outcome", "unknown"),
+            float(found.get("retry-after", "0")),
+            response.content,
         )
 
     def _check(self, call: Call, reply: Reply) -> None:
@@ -178,3 +183,19 @@
             got = None
         if got != expected:
             self.record.wrong.append(f"expected {expected}, got {got}")
+
+
+def _without_answer(
+    outcome: str, retry_after_s: float, error: Exception
+) -> Reply:
+    body = json.dumps({"error": type(error).__name__}).encode()
+    return Reply(0, outcome, retry_after_s, body)
+
+
+def _label(reply: Reply) -> str:
+    if reply.outcome == "answer":
+        return reply.outcome
+    try:
+        return f"{reply.outcome} {json.loads(reply.body)['error']}"
+    except (ValueError, KeyError, TypeError):
+        return f"{reply.outcome} without a code"
