Measure added latency through real daemons and by stage

Cause: the benchmark ran a node of its own making, without peers, duties or events, and had no path over two nodes. Now real daemons with the platform and target stand-ins are measured direct, through one node and through two, in turns with a bare echo pair; bench.call_stages gives CPU time a call in each stage in one process. Ruled out: the echo of bench/loopback.py, which was not open loop and ran before the other paths instead of in turns with them.

--- a/bench/added_latency.py
+++ b/bench/added_latency.py
@@ -1,175 +1,130 @@
-"""Measures the latency that one node adds to a call.
+"""Measures the latency that nodes add to a call.
 
-Runs `python -m bench.added_latency`: the stand-in target and one node in
-processes of their own on loopback, an open loop at several rates, direct and
-through the node in turns.
+Runs `python -m bench.added_latency`: real daemons, stand-ins for platform and
+targets, and a bare echo server as the control, all on loopback. An open loop
+at several rates takes the paths in turns, a slice each.
 """
 
 import json
-import os
-import subprocess
-import sys
+import pathlib
+import tempfile
 import time
+import typing
 
 import anyio
 import click
-import hdrh.histogram
-import httpcore
 
-from bench import free_ports
-from bench import loopback
+from bench import latency_fleet
+from bench import latency_load
+from bench import latency_report
 
 _RATES = "20,100,200"
-_LONGEST_US = 10_000_000
-_DIGITS = 3
-_US_PER_S = 1_000_000
-_US_PER_MS = 1000
-_START_TIMEOUT_S = 15.0
 _WARM_UP_CALLS = 100
-_SERVICE_MS = 5.0
-_PERCENTILES = (50.0, 99.0, 99.9)
+_WARM_UP_WIDTH = 20
+# The cold limits and slow start of the nodes end after 10 s.
+_SETTLE_S = 11.0
+_RESULTS = "bench/results/added_latency.json"
 
 
-class Load:
-    """An open loop of reads against one address.
+class Path(typing.NamedTuple):
+    """A way of a call.
 
     Attributes:
-        histogram: Latencies from the planned send time, in microseconds.
-        failures: Calls without a 200.
+        name: `control`, `direct`, `one_node` or `two_nodes`.
+        caller: Sends calls.
+        node_ids: Nodes on the way.
     """
 
-    def __init__(self, address: str, path: str):
-        self._url = f"http://{address}{path}"
-        self.histogram = hdrh.histogram.HdrHistogram(1, _LONGEST_US, _DIGITS)
-        self.failures = 0
-
-    async def run(self, *, rate: int, duration_s: float) -> None:
-        """Sends `rate` calls a second whether answers come or not."""
-        async with (
-            httpcore.AsyncConnectionPool(
-                max_connections=100,
-                max_keepalive_connections=100,
-                keepalive_expiry=60.0,
-            ) as pool,
-            anyio.create_task_group() as tasks,
-        ):
-            for number in range(_WARM_UP_CALLS):
-                await self._call(pool, number, None)
-            start_s = time.monotonic()
-            for number in range(int(rate * duration_s)):
-                planned_s = start_s + number / rate
-                await anyio.sleep(max(0.0, planned_s - time.monotonic()))
-                tasks.start_soon(self._call, pool, number, planned_s)
-
-    async def _call(
-        self, pool: httpcore.AsyncConnectionPool, number: int, planned_s
-    ) -> None:
-        response = await pool.request("GET", f"{self._url}/{number}")
-        if planned_s is None:
-            return
-        elapsed_us = int((time.monotonic() - planned_s) * _US_PER_S)
-        self.histogram.record_value(max(1, elapsed_us))
-        body = json.loads(response.content)
-        if response.status != 200 or not body["path"].endswith(f"/{number}"):
-            self.failures += 1
-
-
-def _start(*arguments: str) -> subprocess.Popen:
-    return subprocess.Popen([sys.executable, "-m", *arguments])
-
-
-async def _wait_for(address: str) -> None:
-    host, _, port = address.rpartition(":")
-    with anyio.fail_after(_START_TIMEOUT_S):
-        while True:
-            try:
-                stream = await anyio.connect_tcp(host, int(port))
-            except OSError:
-                await anyio.sleep(0.05)
-            else:
-                await stream.aclose()
-                return
+    name: str
+    caller: latency_load.HttpCaller | latency_load.EchoCaller
+    node_ids: tuple[str, ...] = ()
+
+
+def _paths(fleet: latency_fleet.LatencyFleet) -> list[Path]:
+    first, second = fleet.instances
+    http = latency_load.HttpCaller
+    path = "/catalogue/designs"
+    return [
+        Path("control", latency_load.EchoCaller(fleet.echo_address)),
+        Path("direct", http(first.target_address, "/designs")),
+        Path("one_node", http(first.call_address, path), (first.node_id,)),
+        Path(
+            "two_nodes",
+            http(second.call_address, path),
+            (first.node_id, second.node_id),
+        ),
+    ]
 
 
 async def _measure(
-    target: str,
-    node: str,
+    fleet: latency_fleet.LatencyFleet,
     rates: list[int],
     duration_s: float,
     rounds: int,
 ) -> list[dict]:
-    await _wait_for(target)
-    await _wait_for(node)
+    paths = _paths(fleet)
+    await anyio.sleep(_SETTLE_S)
+    for path in paths:
+        await _warm_up(path)
     rows = []
     for rate in rates:
-        direct = Load(target, "/x")
-        through = Load(node, "/prices/x")
+        found = {path.name: latency_load.Latencies() for path in paths}
         for _ in range(rounds):
-            await direct.run(rate=rate, duration_s=duration_s)
-            await through.run(rate=rate, duration_s=duration_s)
-        rows.append(_row(rate, direct, through))
+            for path in paths:
+                await _slice(fleet, path, found[path.name], rate, duration_s)
+        rows.append(latency_report.row(rate, found))
+    for path in paths:
+        await path.caller.close()
     return rows
 
 
-def _row(rate: int, direct: Load, through: Load) -> dict:
-    row = {
-        "rate": rate,
-        "calls": through.histogram.total_count,
-        "failures": direct.failures + through.failures,
-    }
-    for percentile in _PERCENTILES:
-        before = direct.histogram.get_value_at_percentile(percentile)
-        after = through.histogram.get_value_at_percentile(percentile)
-        row[f"p{percentile:g}"] = {
-            "direct_ms": round(before / _US_PER_MS, 3),
-            "node_ms": round(after / _US_PER_MS, 3),
-            "added_ms": round((after - before) / _US_PER_MS, 3),
-        }
-    return row
+async def _warm_up(path: Path) -> None:
+    for _ in range(_WARM_UP_CALLS // _WARM_UP_WIDTH):
+        async with anyio.create_task_group() as tasks:
+            for number in range(_WARM_UP_WIDTH):
+                tasks.start_soon(path.caller.send, number)
+
+
+async def _slice(
+    fleet: latency_fleet.LatencyFleet,
+    path: Path,
+    found: latency_load.Latencies,
+    rate: int,
+    duration_s: float,
+) -> None:
+    before_s = fleet.cpu_s(path.node_ids)
+    await found.run(path.caller.send, rate=rate, duration_s=duration_s)
+    found.cpu_s += fleet.cpu_s(path.node_ids) - before_s
 
 
 @click.command()
-@click.option("--duration-s", default=5.0, show_default=True)
-@click.option("--rounds", default=2, show_default=True)
+@click.option("--duration-s", default=2.0, show_default=True)
+@click.option("--rounds", default=4, show_default=True)
 @click.option("--rates", default=_RATES, show_default=True)
-@click.option("--uvloop/--no-uvloop", default=True)
-def main(duration_s: float, rounds: int, rates: str, uvloop: bool) -> None:
-    """Prints one JSON line for each rate."""
-    print(json.dumps({"loopback_round_trip_ms": loopback.round_trip_ms()}))
-    target, node = (f"127.0.0.1:{port}" for port in free_ports.free_ports(2))
-    processes = [
-        _start(
-            "standins.target", "--address", target, "--service", "prices",
-            "--version", "v1", "--slots", "18", "--cold-calls", "0",
-            "--service-ms", str(_SERVICE_MS), "--spread", "0",
-        ),
-        _start(
-            "bench.one_node", "--address", node,
-            "--target-url", f"http://{target}",
-            "--uvloop" if uvloop else "--no-uvloop",
-        ),
-    ]  # fmt: skip
-    usages = []
-    try:
-        rows = anyio.run(
-            _measure,
-            target,
-            node,
-            [int(rate) for rate in rates.split(",")],
-            duration_s,
-            rounds,
-            backend_options={"use_uvloop": True},
-        )
-    finally:
-        for process in processes:
-            process.terminate()
-            usages.append(os.wait4(process.pid, 0)[2])
-    for row in rows:
-        print(json.dumps(row))
-    cpu_s = usages[-1].ru_utime + usages[-1].ru_stime
-    warm_up = _WARM_UP_CALLS * rounds * len(rows)
-    calls = warm_up + sum(row["calls"] for row in rows)
-    print(json.dumps({"node_cpu_ms_per_call": round(cpu_s * 1000 / calls, 3)}))
+@click.option("--output", default=_RESULTS, show_default=True)
+def main(duration_s: float, rounds: int, rates: str, output: str) -> None:
+    """Prints a table; writes it as JSON, with a plot beside it."""
+    with tempfile.TemporaryDirectory() as name:
+        fleet = latency_fleet.LatencyFleet(pathlib.Path(name))
+        try:
+            fleet.start()
+            began_s = time.monotonic()
+            rows = anyio.run(
+                _measure,
+                fleet,
+                [int(rate) for rate in rates.split(",")],
+                duration_s,
+                rounds,
+                backend_options={"use_uvloop": True},
+            )
+        finally:
+            fleet.stop()
+    click.echo(latency_report.table(rows))
+    result = {"duration_s": round(time.monotonic() - began_s), "rows": rows}
+    path = pathlib.Path(output)
+    path.parent.mkdir(parents=True, exist_ok=True)
+    path.write_text(json.dumps(result, indent=2) + "\n", encoding="utf-8")
+    latency_report.plot(rows, path.with_suffix(".png"))
 
 
 if __name__ == "__main__":
--- /dev/null
+++ b/bench/call_stages.py
@@ -0,0 +1,227 @@
+"""CPU time that a call costs in each stage of a node, in one process.
+
+Runs `python -m bench.call_stages`. Only this process's CPU time counts, so
+other load on the machine changes the figures little.
+"""
+
+import asyncio
+import collections.abc
+import json
+import statistics
+import time
+
+import anyio
+import click
+
+from bench import free_ports
+from bench import one_node
+from galenatack.links import caller_side
+from galenatack.links import http_server
+from galenatack.links import message_codec
+from galenatack.links import target_link
+from galenatack.messages import call
+from galenatack.messages import call_answer
+from galenatack.model import call_request
+from galenatack.model import call_result
+from galenatack.model import target_answer
+
+_CALLS = 1000
+_ROUNDS = 7
+_US_PER_S = 1_000_000
+_PATH = "/prices/x/1"
+_HEADERS = (
+    ("host", "127.0.0.1:7100"),
+    ("accept", "*/*"),
+    ("galenatack-deadline-ms", "1000"),
+)
+_ANSWER_HEADERS = (
+    ("content-type", "application/json"),
+    ("content-length", "100"),
+)
+_BODY = b"x" * 100
+_REQUEST = (
+    f"GET {_PATH} HTTP/1.1\r\n".encode()
+    + b"".join(f"{name}: {value}\r\n".encode() for name, value in _HEADERS)
+    + b"\r\n"
+)
+_ANSWER = b"HTTP/1.1 200 OK\r\n%s\r\n%s" % (
+    b"".join(
+        f"{name}: {value}\r\n".encode() for name, value in _ANSWER_HEADERS
+    ),
+    _BODY,
+)
+
+Stage = collections.abc.Callable[[], collections.abc.Awaitable[object]]
+
+
+class _InstantLink:
+    """A target link that answers at once."""
+
+    async def call(self, request) -> target_answer.TargetAnswer:
+        """Answers."""
+        del request
+        return target_answer.TargetAnswer(200, _ANSWER_HEADERS, _BODY)
+
+
+class _InstantHandler:
+    """A handler that answers at once."""
+
+    async def handle(self, **call_parts) -> call_result.CallResult:
+        """Answers."""
+        del call_parts
+        return call_result.CallResult("answer", 200, _ANSWER_HEADERS, _BODY)
+
+
+class _Exchange(asyncio.Protocol):
+    """Sends one message at a time and waits for an answer of known end."""
+
+    def __init__(self):
+        self._answer: asyncio.Future[None] | None = None
+        self._received = b""
+
+    def connection_made(self, transport) -> None:
+        """Keeps the transport."""
+        self._transport = transport
+
+    def data_received(self, data: bytes) -> None:
+        """Ends the exchange when the whole answer is there."""
+        self._received += data
+        if self._received.endswith(_BODY):
+            self._received = b""
+            self._answer.set_result(None)
+
+    async def ask(self) -> None:
+        """Sends a request and waits for the answer."""
+        self._answer = asyncio.get_running_loop().create_future()
+        self._transport.write(_REQUEST)
+        await self._answer
+
+
+class _FixedAnswer(asyncio.Protocol):
+    """Answers every request with the same bytes, without parsing."""
+
+    def connection_made(self, transport) -> None:
+        """Keeps the transport."""
+        self._transport = transport
+
+    def data_received(self, data: bytes) -> None:
+        """Answers."""
+        del data
+        self._transport.write(_ANSWER)
+
+
+async def _per_call_us(stage: Stage) -> float:
+    """Returns the median over rounds of the CPU time of a call."""
+    found = []
+    for _ in range(_ROUNDS):
+        began_s = time.process_time()
+        for _ in range(_CALLS):
+            await stage()
+        used_s = time.process_time() - began_s
+        found.append(used_s * _US_PER_S / _CALLS)
+    return statistics.median(found)
+
+
+def _request(node: one_node.NodeParts) -> call_request.CallRequest:
+    return _plan(node).request._replace(call_id="1-1")
+
+
+def _plan(node: one_node.NodeParts):
+    return node.planner.plan(
+        method="GET", path=_PATH, headers=_HEADERS, body=b""
+    )
+
+
+async def _peer_codec(node: one_node.NodeParts) -> float:
+    """Encodes and decodes a Call and its CallAnswer once."""
+    ask = call.Call(_request(node), 0)
+    result = await _InstantHandler().handle()
+    answer = call_answer.CallAnswer("1-1", result)
+
+    async def stage() -> None:
+        for message in (ask, answer):
+            message_codec.decode(message_codec.encode(message, request_id=1))
+
+    return await _per_call_us(stage)
+
+
+async def _echo_us() -> float:
+    """An exchange of the same bytes without HTTP: the loopback share."""
+    loop = asyncio.get_running_loop()
+    server = await loop.create_server(_FixedAnswer, "127.0.0.1", 0)
+    address = server.sockets[0].getsockname()
+    _, client = await loop.create_connection(_Exchange, *address)
+    return await _per_call_us(client.ask)
+
+
+async def _caller_side_us() -> float:
+    """An exchange with the caller side; the echo's share is in it."""
+    loop = asyncio.get_running_loop()
+    side = caller_side.CallerSide(handler=_InstantHandler())
+    address = f"127.0.0.1:{free_ports.free_ports(1)[0]}"
+    shutdown = anyio.Event()
+    async with anyio.create_task_group() as tasks:
+
+        async def serve() -> None:
+            await http_server.serve(side, address=address, shutdown=shutdown)
+
+        tasks.start_soon(serve)
+        await anyio.sleep(0.1)
+        host, _, port = address.rpartition(":")
+        _, client = await loop.create_connection(_Exchange, host, int(port))
+        found = await _per_call_us(client.ask)
+        tasks.cancel_scope.cancel()
+    return found
+
+
+async def _target_link_us(node: one_node.NodeParts) -> float:
+    """An exchange by the target link; the echo's share is in it."""
+    loop = asyncio.get_running_loop()
+    server = await loop.create_server(_FixedAnswer, "127.0.0.1", 0)
+    host, port = server.sockets[0].getsockname()
+    link = target_link.HttpTargetLink(base_url=f"http://{host}:{port}")
+    request = _request(node)
+    found = await _per_call_us(lambda: link.call(request))
+    await link.close()
+    return found
+
+
+async def _measure() -> dict[str, float]:
+    node = one_node.make_parts(_InstantLink())
+
+    async def planning() -> None:
+        _plan(node)
+
+    plan = _plan(node)
+
+    async def choosing() -> None:
+        node.chooser.choose(plan, set())
+
+    message = call.Call(_request(node), 0)
+    echo_us = await _echo_us()
+    found = {
+        "echo": echo_us,
+        "caller_side": await _caller_side_us() - echo_us,
+        "planning": await _per_call_us(planning),
+        "choosing": await _per_call_us(choosing),
+        "gate": await _per_call_us(lambda: node.gate.handle(message)),
+        "proxy_with_gate": await _per_call_us(
+            lambda: node.proxy.handle(
+                method="GET", path=_PATH, headers=_HEADERS, body=b""
+            )
+        ),
+        "target_link": await _target_link_us(node) - echo_us,
+        "peer_codec": await _peer_codec(node),
+    }
+    return {name: round(value, 1) for name, value in found.items()}
+
+
+@click.command()
+def main() -> None:
+    """Prints microseconds of CPU time a call by stage, as JSON."""
+    found = anyio.run(_measure, backend_options={"use_uvloop": True})
+    click.echo(json.dumps({"cpu_us_per_call": found}, indent=2))
+
+
+if __name__ == "__main__":
+    main()
--- a/bench/one_node.py
+++ b/bench/one_node.py
@@ -1,15 +1,11 @@
-"""A single node for benchmarks: caller side, proxy, gate and target link."""
+"""The parts of a single node for benchmarks: proxy, chooser and gate."""
 
 import random
-import signal
-import time
-
-import anyio
-import click
+import typing
 
+from galenatack.app import system_clock
+from galenatack.interfaces import target_link as target_link_interface
 from galenatack.links import caller_side
-from galenatack.links import gc_tuning
-from galenatack.links import http_server
 from galenatack.links import target_link
 from galenatack.model import limits
 from galenatack.model import member_record
@@ -33,22 +29,6 @@
 _SLOTS = 18
 
 
-class _SystemClock:
-    """Implements `interfaces.clock.Clock`."""
-
-    def monotonic_s(self) -> float:
-        """Returns the monotonic clock."""
-        return time.monotonic()
-
-    def wall_ms(self) -> int:
-        """Returns the wall clock."""
-        return time.time_ns() // 1_000_000
-
-    async def sleep_s(self, duration_s: float) -> None:
-        """Sleeps."""
-        await anyio.sleep(duration_s)
-
-
 class _PlainGuard:
     """Dispatches every posting; the benchmark sends each key once."""
 
@@ -101,37 +81,42 @@
     )
 
 
-def compose(target_url: str) -> caller_side.CallerSide:
+class NodeParts(typing.NamedTuple):
+    """The parts of a call's way through one node."""
+
+    planner: call_planner.CallPlanner
+    chooser: target_chooser.TargetChooser
+    gate: inbound_gate.InboundGate
+    proxy: outbound_proxy.OutboundProxy
+
+
+def make_parts(link: target_link_interface.TargetLink) -> NodeParts:
     """Builds a node without peers in front of one target."""
-    clock = _SystemClock()
+    clock = system_clock.SystemClock()
+    rng = random.Random(1)
+    loads = balancer.Balancer(clock=clock, rng=rng)
+    bytes_left = byte_budget.ByteBudget(clock=clock)
     gate = inbound_gate.InboundGate(
         node_id=own_record().node_id,
         incarnation=1,
-        link=target_link.HttpTargetLink(base_url=target_url),
+        link=link,
         clock=clock,
         slots=_SLOTS,
         queue_entries=_SLOTS,
         posting_guard=_PlainGuard(),
         on_outcome=lambda route, is_error, latency_ms, is_warm: None,
     )
-    return caller_side.CallerSide(handler=_proxy(clock, gate))
-
-
-def _proxy(
-    clock: _SystemClock, gate: inbound_gate.InboundGate
-) -> outbound_proxy.OutboundProxy:
-    rng = random.Random(1)
-    loads = balancer.Balancer(clock=clock, rng=rng)
-    bytes_left = byte_budget.ByteBudget(clock=clock)
-    return outbound_proxy.OutboundProxy(
+    planner = call_planner.CallPlanner(holder=_holder(), clock=clock)
+    chooser = target_chooser.TargetChooser(
+        balancer=loads,
+        bytes_left=bytes_left,
+        version_picker=lambda move, counts, route="": move.from_version,
+        place=lambda key, node_ids: min(node_ids),
+    )
+    proxy = outbound_proxy.OutboundProxy(
         node_id=own_record().node_id,
-        planner=call_planner.CallPlanner(holder=_holder(), clock=clock),
-        chooser=target_chooser.TargetChooser(
-            balancer=loads,
-            bytes_left=bytes_left,
-            version_picker=lambda move, counts, route="": move.from_version,
-            place=lambda key, node_ids: min(node_ids),
-        ),
+        planner=planner,
+        chooser=chooser,
         balancer=loads,
         bytes_left=bytes_left,
         retries=retry_budget.RetryBudget(),
@@ -140,6 +125,13 @@
         clock=clock,
         rng=rng,
     )
+    return NodeParts(planner, chooser, gate, proxy)
+
+
+def compose(target_url: str) -> caller_side.CallerSide:
+    """Builds the caller side of a node in front of one target."""
+    link = target_link.HttpTargetLink(base_url=target_url)
+    return caller_side.CallerSide(handler=make_parts(link).proxy)
 
 
 def _holder() -> snapshot_holder.SnapshotHolder:
@@ -156,38 +148,3 @@
         )
     )
     return holder
-
-
-@click.command()
-@click.option("--address", required=True)
-@click.option("--target-url", required=True)
-@click.option("--uvloop/--no-uvloop", default=True)
-def main(address: str, target_url: str, uvloop: bool) -> None:
-    """Runs the node until SIGTERM."""
-    anyio.run(
-        _serve,
-        address,
-        target_url,
-        backend_options={"use_uvloop": uvloop},
-    )
-
-
-async def _serve(address: str, target_url: str) -> None:
-    shutdown = anyio.Event()
-    async with anyio.create_task_group() as tasks:
-
-        async def wait_for_signal() -> None:
-            with anyio.open_signal_receiver(signal.SIGTERM) as signals:
-                async for _ in signals:
-                    shutdown.set()
-                    return
-
-        tasks.start_soon(wait_for_signal)
-        app = compose(target_url)
-        gc_tuning.settle()
-        await http_server.serve(app, address=address, shutdown=shutdown)
-        tasks.cancel_scope.cancel()
-
-
-if __name__ == "__main__":
-    main()
