Drop the loads of members that left; settle the collector at the start

Cause: nothing called Balancer.forget, so the loads of replaced members were kept for ever; nothing called gc_tuning.settle, so a full collection could stop the calls of a running node. The updater now hands the live node ids to the balancer after each build, and the node settles before it joins. Ruled out: a timer for the loads; the updater already sees each change. Also tested: a service without a target in the own data centre is answered from the region.

--- a/src/galenatack/app/composition.py
+++ b/src/galenatack/app/composition.py
@@ -112,7 +112,8 @@
         clock=base.clock,
         events=base.events,
     )
-    calls = _calls(base, config, moved_away, runner)
+    loads = balancer.Balancer(clock=base.clock, rng=base.rng)
+    calls = _calls(base, config, moved_away, runner, loads)
     updater = snapshot_updater.SnapshotUpdater(
         running=config.state.running,
         table=base.members,
@@ -120,6 +121,7 @@
         holder=calls.holder,
         clock=base.clock,
         events=base.events,
+        keep_loads=loads.forget,
     )
     membership = membership_service.MembershipService(
         table=base.members,
@@ -286,6 +288,7 @@
     config: _Config,
     moved_away: withdrawals.Withdrawals,
     runner: move_runner.MoveRunner,
+    loads: balancer.Balancer,
 ) -> _Calls:
     settings = base.settings
     own = base.members.own
@@ -318,13 +321,12 @@
     )
     call_server.CallServer(peers=base.peers, gate=gate)
     holder = snapshot_holder.SnapshotHolder()
-    load = balancer.Balancer(clock=base.clock, rng=base.rng)
     region_bytes = byte_budget.ByteBudget(clock=base.clock)
     picker = version_picker.VersionPicker(
         clock=base.clock, rng=base.rng, withdrawals=moved_away
     )
     chooser = target_chooser.TargetChooser(
-        balancer=load,
+        balancer=loads,
         bytes_left=region_bytes,
         version_picker=picker.pick,
         place=placement.place,
@@ -335,7 +337,7 @@
             holder=holder, clock=base.clock, ticket_of=ticket_book.parse
         ),
         chooser=chooser,
-        balancer=load,
+        balancer=loads,
         bytes_left=region_bytes,
         retries=retry_budget.RetryBudget(),
         peers=base.peers,
@@ -348,7 +350,7 @@
     )
     issuer = ticket_issuer.TicketIssuer(
         holder=holder,
-        balancer=load,
+        balancer=loads,
         version_picker=picker.pick,
         tickets=ticket_book,
     )
--- a/src/galenatack/app/node.py
+++ b/src/galenatack/app/node.py
@@ -9,6 +9,7 @@
 from galenatack.app import supervisor
 from galenatack.app import target_probe
 from galenatack.links import admin_api
+from galenatack.links import gc_tuning
 from galenatack.links import http_server
 
 MS_PER_S = 1000
@@ -85,6 +86,8 @@
                 parts.clock,
             )
         parts.updater.rebuild()
+        # Before the first calls: the collection stops them for a while.
+        gc_tuning.settle()
         if not parts.gate.is_leaving:
             parts.membership.start_serving()
             self.is_ready = True
--- a/src/galenatack/routing/snapshot_updater.py
+++ b/src/galenatack/routing/snapshot_updater.py
@@ -25,6 +25,7 @@
 Running = collections.abc.Callable[
     [], collections.abc.Mapping[str, entry_module.Entry]
 ]
+KeepLoads = collections.abc.Callable[[collections.abc.Set[str]], None]
 
 
 class SnapshotUpdater:
@@ -37,6 +38,8 @@
         holder: Gets each new snapshot.
         clock: Time.
         events: Sink of failed builds.
+        keep_loads: Gets the live node ids after each build, so that the
+            loads of all others are dropped.
     """
 
     def __init__(
@@ -48,6 +51,7 @@
         holder: snapshot_holder.SnapshotHolder,
         clock: clock_interface.Clock,
         events: event_sink.EventSink,
+        keep_loads: KeepLoads = lambda node_ids: None,
     ):
         self._running = running
         self._table = table
@@ -55,6 +59,7 @@
         self._holder = holder
         self._clock = clock
         self._events = events
+        self._keep_loads = keep_loads
         self._changed = anyio.Event()
         self._profiles: dict[str, tuple[str, profile.Profile]] = {}
         table.subscribe(lambda records: self._changed.set())
@@ -71,6 +76,7 @@
     def rebuild(self) -> None:
         """Builds a snapshot now and puts it in force as one step."""
         entries = self._running()
+        live = self._table.live()
         withdrawn = {
             (item.service, item.version, item.move_id)
             for item in self._withdrawals.all()
@@ -80,7 +86,7 @@
                 profiles=self._all_profiles(entries),
                 choices=_choices(entries),
                 moves=_moves(entries),
-                members=self._table.live(),
+                members=live,
                 withdrawn=withdrawn,
                 own=self._table.own,
             )
@@ -89,6 +95,7 @@
             self._events.record("snapshot-refused", reason=reason)
             return
         self._holder.swap(built)
+        self._keep_loads({record.node_id for record in live})
 
     def _all_profiles(
         self, entries: collections.abc.Mapping[str, entry_module.Entry]
--- a/tests/routing/test_outbound_proxy.py
+++ b/tests/routing/test_outbound_proxy.py
@@ -251,3 +251,23 @@
             self.assertEqual(rig.started(), [])
 
         run_rig(scenario)
+
+
+class TestTiers(unittest.TestCase):
+    def test_region_answers_for_a_data_centre_without_targets(self):
+        """Without a target in the own data centre the region's one answers."""
+
+        async def scenario(rig):
+            own, near, far = rig.members
+            rig.members = [
+                own._replace(service="other"),
+                near._replace(data_centre="b"),
+                far._replace(data_centre="c", region="far"),
+            ]
+            rig.swap()
+            results = [await rig.read() for _ in range(10)]
+            self.assertEqual({result.outcome for result in results}, {"answer"})
+            started = [len(node.target.started) for node in rig.nodes]
+            self.assertEqual(started, [0, 10, 0])
+
+        run_rig(scenario)
