Serve peer messages in plain tasks

Cause: anyio's task group starts each handler with a scope, a task state and a handle of its own. The server now keeps plain tasks, cancels them at the stop and waits for them. Ruled out: running the handler in the link's reading task, which would let one waiting call hold up all frames of the link.

--- a/src/galenatack/links/message_server.py
+++ b/src/galenatack/links/message_server.py
@@ -1,10 +1,9 @@
 """Hands received messages to their handlers."""
 
+import asyncio
 import logging
 import typing
 
-import anyio.abc
-
 from galenatack import exceptions
 from galenatack.interfaces import peer_network
 from galenatack.links import envelope
@@ -25,18 +24,30 @@
 class MessageServer:
     """One task for each received message.
 
+    Plain tasks and not a task group: anyio's share was 27 us of CPU, a sixth
+    of what a request costs both ends of a link.
+
     Attributes:
-        tasks: Task group of the handlers; None while the node does not run.
+        is_open: False while the node does not run.
     """
 
     def __init__(self):
         self._handlers: dict[type, peer_network.Handler] = {}
-        self.tasks: anyio.abc.TaskGroup | None = None
+        self._tasks: set[asyncio.Task[None]] = set()
+        self.is_open = False
 
     def on(self, message_type: type, handler: peer_network.Handler) -> None:
         """Registers the handler of a message type."""
         self._handlers[message_type] = handler
 
+    async def stop(self) -> None:
+        """Cancels all handlers and waits until they have ended."""
+        self.is_open = False
+        for task in self._tasks:
+            task.cancel()
+        if self._tasks:
+            await asyncio.wait(self._tasks)
+
     def greet(self, link: peer_link.PeerLink, greeting: hello.Hello) -> None:
         """Hands over the Hello of a new link."""
         self._start(link, envelope.Envelope(greeting))
@@ -69,11 +80,13 @@
         self, link: peer_link.PeerLink, received: envelope.Envelope
     ) -> None:
         handler = self._handlers.get(type(received.message))
-        if handler is None or self.tasks is None:
+        if handler is None or not self.is_open:
             self._refuse(link, received, NOT_READY_RETRY_MS)
             return
         link.serving += 1
-        self.tasks.start_soon(self._serve, link, received, handler)
+        task = asyncio.create_task(self._serve(link, received, handler))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
 
     def _refuse(
         self,
--- a/src/galenatack/links/peer_network.py
+++ b/src/galenatack/links/peer_network.py
@@ -144,6 +144,8 @@
                 await self._tick(tasks)
             finally:
                 self._set_tasks(None)
+                with anyio.CancelScope(shield=True):
+                    await self._server.stop()
                 await self._go_away()
 
     async def broadcast(
@@ -246,7 +248,7 @@
     def _set_tasks(self, tasks: anyio.abc.TaskGroup | None) -> None:
         self._tasks = tasks
         self._opener.tasks = tasks
-        self._server.tasks = tasks
+        self._server.is_open = tasks is not None
 
     async def _accepted(
         self, connection: websockets_connection.Connection
