--- a/src/galenatack/links/http_server.py
+++ b/src/galenatack/links/http_server.py
@@ -1,4 +1,4 @@
-"""Serves an ASGI application with hypercorn."""
+"""Serves an ASGI application: HTTP/1.1 on h11, HTTP/2 with hypercorn."""
 
 import asyncio
 import ssl
@@ -9,15 +9,16 @@
 import hypercorn.config
 import hypercorn.utils
 
+from galenatack.links import h11_connection
 from galenatack.links import http_connection
 from galenatack.links import joined_writer
 
 _KEEP_ALIVE_S = 60.0
 _BACKLOG = 1024
+_DRAIN_POLL_S = 0.02
 # Hypercorn closes a connection after so many requests; a low value would
 # make busy callers reconnect.
 _REQUESTS_PER_CONNECTION = 1_000_000
-_MAX_HEADER_BYTES = 65_536
 
 
 async def serve(
@@ -54,10 +55,10 @@
 
 
 class _Server:
-    """Runs hypercorn's connections on listeners of its own.
+    """Runs connections on a listener of its own.
 
-    `hypercorn.asyncio.serve` does the same but leaves no way to join the
-    writes of an answer.
+    `hypercorn.asyncio.serve` leaves no way to join the writes of an answer
+    or to spare HTTP/1.1 its stream layers.
     """
 
     def __init__(
@@ -67,6 +68,8 @@
         tls: ssl.SSLContext | None,
     ):
         self._tls = tls
+        self._plain_app = app
+        self._connections: set[h11_connection.H11Connection] = set()
         self._app = hypercorn.utils.wrap_app(
             app, config.wsgi_max_body_size, "asgi"
         )
@@ -77,24 +80,49 @@
     async def listen(self) -> asyncio.Server:
         """Opens the listener."""
         host, _, port = self._config.bind[0].rpartition(":")
-        return await asyncio.start_server(
-            self._serve,
+        return await asyncio.get_running_loop().create_server(
+            self._make_connection,
             host=host,
             port=int(port),
             backlog=self._config.backlog,
             ssl=self._tls,
         )
 
+    async def _wait_for_callers(self, timeout_s: float) -> None:
+        with anyio.move_on_after(timeout_s):
+            while self._connections or self._tasks:
+                await asyncio.sleep(_DRAIN_POLL_S)
+
     async def drain(self, drain_s: float, idle_grace_s: float) -> None:
         """Waits for the requests in flight, then ends all connections."""
-        if self._tasks and idle_grace_s:
-            await asyncio.wait(self._tasks, timeout=idle_grace_s)
+        await self._wait_for_callers(idle_grace_s)
         await self._context.terminated.set()
-        if self._tasks:
-            await asyncio.wait(self._tasks, timeout=drain_s)
+        for connection in tuple(self._connections):
+            connection.close_soon()
+        await self._wait_for_callers(drain_s)
+        for connection in tuple(self._connections):
+            connection.abort()
         for task in self._tasks:
             task.cancel()
 
+    def _make_connection(self) -> h11_connection.H11Connection:
+        return h11_connection.H11Connection(
+            app=self._plain_app,
+            connections=self._connections,
+            keep_alive_s=self._config.keep_alive_timeout,
+            hand_over=self._hand_over,
+        )
+
+    def _hand_over(self, transport: asyncio.Transport, data: bytes) -> None:
+        """Lets hypercorn serve a connection that speaks HTTP/2."""
+        loop = asyncio.get_running_loop()
+        reader = asyncio.StreamReader(loop=loop)
+        protocol = asyncio.StreamReaderProtocol(reader, self._serve, loop=loop)
+        transport.set_protocol(protocol)
+        protocol.connection_made(transport)
+        if data:
+            protocol.data_received(data)
+
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
@@ -121,5 +149,5 @@
     config.keep_alive_max_requests = _REQUESTS_PER_CONNECTION
     config.include_server_header = False
     config.include_date_header = False
-    config.h11_max_incomplete_size = _MAX_HEADER_BYTES
+    config.h11_max_incomplete_size = h11_connection.MAX_HEADER_BYTES
     return config
