Let product and tests share the wiring of a node

Cause: the whole-node run needs the real parts on fakes of clock, links, platform and target; the composition root made the real ones itself.

--- /dev/null
+++ b/src/galenatack/app/call_parts.py
@@ -0,0 +1,107 @@
+"""Makes the parts of the path of a call."""
+
+import typing
+
+from galenatack.app import base_parts
+from galenatack.app import settled_handler
+from galenatack.app import ticket_issuer
+from galenatack.config import propagation
+from galenatack.links import caller_side
+from galenatack.moves import move_runner
+from galenatack.moves import version_picker
+from galenatack.moves import withdrawals
+from galenatack.postings import placement
+from galenatack.postings import posting_guard
+from galenatack.postings import tickets
+from galenatack.routing import balancer
+from galenatack.routing import byte_budget
+from galenatack.routing import call_planner
+from galenatack.routing import call_server
+from galenatack.routing import inbound_gate
+from galenatack.routing import outbound_proxy
+from galenatack.routing import retry_budget
+from galenatack.routing import snapshot_holder
+from galenatack.routing import target_chooser
+
+
+class CallParts(typing.NamedTuple):
+    """Parts of the path of a call."""
+
+    holder: snapshot_holder.SnapshotHolder
+    gate: inbound_gate.InboundGate
+    guard: posting_guard.PostingGuard
+    handler: settled_handler.SettledHandler
+    caller_side: caller_side.CallerSide
+
+
+def make(
+    base: base_parts.BaseParts,
+    spread: propagation.Propagation,
+    moved_away: withdrawals.Withdrawals,
+    runner: move_runner.MoveRunner,
+) -> CallParts:
+    """Makes the parts from the caller to the target."""
+    settings = base.settings
+    own = base.members.own
+    ticket_book = tickets.Tickets(
+        ticket_key=settings.trust.ticket_key,
+        clock=base.outside.clock,
+        rng=base.outside.secret_rng,
+    )
+    guard = posting_guard.PostingGuard(
+        node_id=own.node_id,
+        incarnation=own.boot_ms,
+        tickets=ticket_book,
+        table=base.outside.table,
+        peers=base.peers,
+        clock=base.outside.clock,
+        rng=base.outside.rng,
+        events=base.events,
+    )
+    gate = inbound_gate.InboundGate(
+        node_id=own.node_id,
+        incarnation=own.boot_ms,
+        link=base.outside.target,
+        clock=base.outside.clock,
+        slots=settings.slots,
+        queue_entries=settings.slots,
+        posting_guard=guard,
+        on_outcome=runner.record_outcome,
+        is_withdrawn=runner.is_own_version_withdrawn,
+    )
+    call_server.CallServer(peers=base.peers, gate=gate)
+    holder = snapshot_holder.SnapshotHolder()
+    load = balancer.Balancer(clock=base.outside.clock, rng=base.outside.rng)
+    region_bytes = byte_budget.ByteBudget(clock=base.outside.clock)
+    picker = version_picker.VersionPicker(
+        clock=base.outside.clock, rng=base.outside.rng, withdrawals=moved_away
+    )
+    chooser = target_chooser.TargetChooser(
+        balancer=load,
+        bytes_left=region_bytes,
+        version_picker=picker.pick,
+        place=placement.place,
+    )
+    proxy = outbound_proxy.OutboundProxy(
+        node_id=own.node_id,
+        planner=call_planner.CallPlanner(
+            holder=holder, clock=base.outside.clock, ticket_of=ticket_book.parse
+        ),
+        chooser=chooser,
+        balancer=load,
+        bytes_left=region_bytes,
+        retries=retry_budget.RetryBudget(),
+        peers=base.peers,
+        gate=gate,
+        clock=base.outside.clock,
+        rng=base.outside.rng,
+    )
+    handler = settled_handler.SettledHandler(handler=proxy, propagation=spread)
+    issuer = ticket_issuer.TicketIssuer(
+        holder=holder,
+        balancer=load,
+        version_picker=picker.pick,
+        tickets=ticket_book,
+    )
+    side = caller_side.CallerSide(handler=handler, issue_ticket=issuer.issue)
+    return CallParts(holder, gate, guard, handler, side)
--- a/src/galenatack/app/node.py
+++ b/src/galenatack/app/node.py
@@ -61,15 +61,7 @@
         parts.events.record("node-started", version=parts.settings.version)
         await tasks.start(parts.peers.run)
         keeper = supervisor.Supervisor(clock=parts.clock, events=parts.events)
-        for name, duty in (
-            ("membership", parts.membership.run),
-            ("propagation", parts.propagation.run),
-            ("reader", parts.reader.run),
-            ("snapshot", parts.updater.run),
-            ("moves", parts.move_runner.run),
-            ("postings", parts.guard.run),
-            ("claim-cleanup", parts.claim_cleanup.run),
-        ):
+        for name, duty in parts.duties():
             tasks.start_soon(keeper.keep, name, duty)
         tasks.start_soon(self._serve_admin)
         tasks.start_soon(self._serve_callers)
--- /dev/null
+++ b/src/galenatack/app/outside.py
@@ -0,0 +1,53 @@
+"""What a node meets outside of itself."""
+
+import collections.abc
+import typing
+
+from galenatack.interfaces import clock as clock_interface
+from galenatack.interfaces import object_store
+from galenatack.interfaces import random_source
+from galenatack.interfaces import table as table_interface
+from galenatack.interfaces import target_link
+from galenatack.links import peer_network
+from galenatack.timeline import recorder
+
+
+class Closable(typing.Protocol):
+    """Holds connections."""
+
+    async def close(self) -> None:
+        """Closes them."""
+
+
+class ClosableTarget(target_link.TargetLink, Closable, typing.Protocol):
+    """A target link that holds connections."""
+
+
+class Outside(typing.NamedTuple):
+    """What a node meets: real for the product, fakes for tests.
+
+    Attributes:
+        clock: Time.
+        rng: Randomness of jitter, choices and identifiers.
+        secret_rng: Randomness of ticket nonces.
+        table: The platform's table.
+        objects: The platform's object store.
+        platform: Connection under both, closed at the end.
+        target: The node's own target.
+        new_peers: Makes the links; arguments as of `WebsocketPeers`.
+        new_recorder: Makes the time line; arguments as of `Recorder`.
+    """
+
+    clock: clock_interface.Clock
+    rng: random_source.RandomSource
+    secret_rng: random_source.RandomSource
+    table: table_interface.Table
+    objects: object_store.ObjectStore
+    platform: Closable
+    target: ClosableTarget
+    new_peers: collections.abc.Callable[..., peer_network.WebsocketPeers] = (
+        peer_network.WebsocketPeers
+    )
+    new_recorder: collections.abc.Callable[..., recorder.Recorder] = (
+        recorder.Recorder
+    )
--- a/src/galenatack/app/parts.py
+++ b/src/galenatack/app/parts.py
@@ -1,7 +1,10 @@
 """The wired parts of a node."""
 
+import collections.abc
 import typing
 
+from galenatack.app import outside
+from galenatack.app import settled_handler
 from galenatack.config import acceptor
 from galenatack.config import log_state
 from galenatack.config import propagation
@@ -12,8 +15,6 @@
 from galenatack.links import caller_side
 from galenatack.links import fault_injector
 from galenatack.links import peer_network
-from galenatack.links import platform_client
-from galenatack.links import target_link
 from galenatack.links import tls
 from galenatack.membership import member_table
 from galenatack.membership import membership_service
@@ -28,9 +29,11 @@
 from galenatack.settings import node_settings
 from galenatack.timeline import recorder
 
+Duty = collections.abc.Callable[[], collections.abc.Awaitable[None]]
+
 
 class Parts(typing.NamedTuple):
-    """The wired parts of a node; `composition.compose` makes them."""
+    """The wired parts of a node; `wiring.wire` makes them."""
 
     settings: node_settings.NodeSettings
     clock: clock.Clock
@@ -40,7 +43,7 @@
     peer_tls: tls.PeerTls
     faults: fault_injector.FaultInjector
     membership: membership_service.MembershipService
-    platform: platform_client.PlatformClient
+    platform: outside.Closable
     table: table.Table
     state: log_state.LogState
     propagation: propagation.Propagation
@@ -52,8 +55,21 @@
     withdrawals: withdrawals.Withdrawals
     holder: snapshot_holder.SnapshotHolder
     updater: snapshot_updater.SnapshotUpdater
-    target: target_link.HttpTargetLink
+    target: outside.ClosableTarget
     gate: inbound_gate.InboundGate
     guard: posting_guard.PostingGuard
     claim_cleanup: claim_cleanup.ClaimCleanup
+    handler: settled_handler.SettledHandler
     caller_side: caller_side.CallerSide
+
+    def duties(self) -> tuple[tuple[str, Duty], ...]:
+        """Returns the work that goes on while the node runs, by name."""
+        return (
+            ("membership", self.membership.run),
+            ("propagation", self.propagation.run),
+            ("reader", self.reader.run),
+            ("snapshot", self.updater.run),
+            ("moves", self.move_runner.run),
+            ("postings", self.guard.run),
+            ("claim-cleanup", self.claim_cleanup.run),
+        )
--- /dev/null
+++ b/src/galenatack/app/wiring.py
@@ -0,0 +1,169 @@
+"""Makes the parts of a node and wires them, on any outside."""
+
+import typing
+
+from galenatack.app import base_parts
+from galenatack.app import call_parts
+from galenatack.app import outside as outside_module
+from galenatack.app import parts
+from galenatack.config import acceptor
+from galenatack.config import log_state
+from galenatack.config import platform_log
+from galenatack.config import propagation
+from galenatack.config import reader
+from galenatack.config import runnable
+from galenatack.config import state_rebuild
+from galenatack.invariants import reaction
+from galenatack.membership import membership_service
+from galenatack.moves import move_runner
+from galenatack.moves import move_service
+from galenatack.moves import withdrawals
+from galenatack.postings import claim_cleanup
+from galenatack.routing import snapshot_updater
+from galenatack.settings import node_settings
+
+
+class _Config(typing.NamedTuple):
+    """Parts of the configuration path."""
+
+    state: log_state.LogState
+    propagation: propagation.Propagation
+    reader: reader.PlatformReader
+    rebuild: state_rebuild.StateRebuild
+    acceptor: acceptor.Acceptor
+
+
+def wire(
+    settings: node_settings.NodeSettings, outside: outside_module.Outside
+) -> parts.Parts:
+    """Makes and wires all parts of a node.
+
+    Args:
+        settings: Settings of the node.
+        outside: What the node meets: time, links, platform and target.
+
+    Raises:
+        exceptions.SettingsError: A certificate file cannot be used.
+    """
+    reaction.set_mode(settings.invariants)
+    base = base_parts.make(settings, outside)
+    config = _config(base)
+    moved_away = withdrawals.Withdrawals(
+        clock=base.outside.clock, peers=base.peers, events=base.events
+    )
+    runner = move_runner.MoveRunner(
+        members=base.members,
+        lease_table=outside.table,
+        writer=config.acceptor,
+        withdrawals=moved_away,
+        peers=base.peers,
+        clock=base.outside.clock,
+        events=base.events,
+    )
+    calls = call_parts.make(base, config.propagation, moved_away, runner)
+    updater = snapshot_updater.SnapshotUpdater(
+        running=config.state.running,
+        table=base.members,
+        withdrawals=moved_away,
+        holder=calls.holder,
+        clock=base.outside.clock,
+        events=base.events,
+    )
+    membership = membership_service.MembershipService(
+        table=base.members,
+        peers=base.peers,
+        clock=base.outside.clock,
+        rng=base.outside.rng,
+        events=base.events,
+        on_heartbeat=base.callbacks.on_heartbeat,
+    )
+    base.peers.on_lost(membership.link_lost)
+    base.callbacks.connect(
+        hlc=base.hlc,
+        members=base.members,
+        peers=base.peers,
+        state=config.state,
+        propagation=config.propagation,
+        updater=updater,
+        move_runner=runner,
+        withdrawals=moved_away,
+        events=base.events,
+    )
+    return parts.Parts(
+        settings=settings,
+        clock=outside.clock,
+        platform=outside.platform,
+        table=outside.table,
+        target=outside.target,
+        events=base.events,
+        members=base.members,
+        peers=base.peers,
+        peer_tls=base.peer_tls,
+        faults=base.faults,
+        membership=membership,
+        moves=move_service.MoveService(
+            writer=config.acceptor,
+            clock=base.outside.clock,
+            rng=base.outside.rng,
+        ),
+        move_runner=runner,
+        withdrawals=moved_away,
+        updater=updater,
+        claim_cleanup=claim_cleanup.ClaimCleanup(
+            table=outside.table,
+            clock=base.outside.clock,
+            events=base.events,
+            is_holder=base.callbacks.is_cleaner,
+        ),
+        **config._asdict(),
+        **calls._asdict(),
+    )
+
+
+def _config(base: base_parts.BaseParts) -> _Config:
+    table = base.outside.table
+    objects = base.outside.objects
+    node_id = base.settings.node_id
+    state = log_state.LogState(node_id=node_id, can_run=runnable.reason_against)
+    spread = propagation.Propagation(
+        node_id=node_id,
+        state=state,
+        peers=base.peers,
+        clock=base.outside.clock,
+        rng=base.outside.rng,
+        events=base.events,
+        live=base.callbacks.live_in_data_centre,
+        on_running=base.callbacks.on_running,
+        on_rejection=base.callbacks.on_rejection,
+    )
+    log = platform_log.PlatformLog(table=table, objects=objects, state=state)
+    return _Config(
+        state=state,
+        propagation=spread,
+        reader=reader.PlatformReader(
+            log=log,
+            propagation=spread,
+            is_reader=base.callbacks.is_reader,
+            clock=base.outside.clock,
+            rng=base.outside.rng,
+            events=base.events,
+        ),
+        rebuild=state_rebuild.StateRebuild(
+            node_id=node_id,
+            propagation=spread,
+            log=log,
+            peers=base.peers,
+            live=base.callbacks.live_in_data_centre,
+            is_reader=base.callbacks.is_rebuild_reader,
+            clock=base.outside.clock,
+            rng=base.outside.rng,
+        ),
+        acceptor=acceptor.Acceptor(
+            table=table,
+            objects=objects,
+            clock=base.outside.clock,
+            rng=base.outside.rng,
+            events=base.events,
+            offer=spread.offer,
+        ),
+    )
