Run whole nodes under faults of all kinds in virtual time

Cause: every randomised run so far covered one package; no run joined configuration, membership, moves and calls.

--- a/tests/fakes/sample_profile.py
+++ b/tests/fakes/sample_profile.py
@@ -41,4 +41,9 @@
 
 def body(name: str = "prices-normal", **changes: typing.Any) -> bytes:
     """Returns a valid profile as JSON; `changes` as in `fields`."""
-    return json.dumps(fields(name, **changes)).encode()
+    return encode(fields(name, **changes))
+
+
+def encode(profile: dict[str, typing.Any]) -> bytes:
+    """Returns a profile's JSON."""
+    return json.dumps(profile).encode()
--- /dev/null
+++ b/tests/whole/__init__.py
@@ -0,0 +1,1 @@
+"""Randomised runs of whole nodes in virtual time."""
--- /dev/null
+++ b/tests/whole/platform_path.py
@@ -0,0 +1,53 @@
+"""The way of one data centre to the platform."""
+
+import collections.abc
+import typing
+
+import anyio.lowlevel
+
+from galenatack import exceptions
+
+
+class PlatformPath:
+    """Implements `Table` and `ObjectStore` over others, with a cut.
+
+    Args:
+        inner: Table or object store.
+        is_cut: Tells whether the way is cut.
+    """
+
+    def __init__(
+        self,
+        inner: typing.Any,
+        *,
+        is_cut: collections.abc.Callable[[], bool],
+    ):
+        self._inner = inner
+        self._is_cut = is_cut
+
+    async def get(self, key):
+        """Reads a row or an object."""
+        return await self._through(self._inner.get, key)
+
+    async def scan(self, prefix, *, after="", limit=100):
+        """Reads rows."""
+        return await self._through(
+            self._inner.scan, prefix, after=after, limit=limit
+        )
+
+    async def commit(self, change):
+        """Runs a transaction."""
+        return await self._through(self._inner.commit, change)
+
+    async def put(self, name, body):
+        """Writes an object."""
+        return await self._through(self._inner.put, name, body)
+
+    async def _through(self, operation, *args, **options):
+        await anyio.lowlevel.checkpoint()
+        if self._is_cut():
+            raise exceptions.PlatformUnavailableError("the way is cut")
+        answer = await operation(*args, **options)
+        if self._is_cut():
+            raise exceptions.OutcomeUnknownError("cut before the answer")
+        return answer
