--- a/tests/config/test_random_faults.py
+++ b/tests/config/test_random_faults.py
@@ -1,5 +1,6 @@
 """A seeded run of the whole configuration path under random faults."""
 
+import collections
 import contextlib
 import random
 import unittest
@@ -51,6 +52,7 @@
         self._outage_end_s = 0.0
         self._has_fatal_steps = False
         self.accepted: list[entry.Entry] = []
+        self.faults: collections.Counter[str] = collections.Counter()
         self.cluster: cluster_module.Cluster
 
     async def run(self) -> None:
@@ -147,6 +149,7 @@
             node_id = self._rng.choice(sorted(self.cluster.nodes))
             lost = self.cluster.unsettled(node_id)
             if len(lost) < MAX_LOST_TOGETHER and node_id not in lost:
+                self.faults["crash"] += 1
                 self.cluster.crash(node_id)
             for lost_id in lost:
                 is_down = lost_id not in self.cluster.nodes
@@ -159,6 +162,7 @@
             return
         lost = self.cluster.unsettled(node_id)
         if len(lost) < MAX_LOST_TOGETHER and node_id not in lost:
+            self.faults["crash after a step"] += 1
             self.cluster.set_platform(down=True)
             self._outage_end_s = anyio.current_time() + FATAL_OUTAGE_S
             self.cluster.crash(node_id)
@@ -169,6 +173,7 @@
             await anyio.sleep(self._rng.uniform(0.0, 0.5))
             members = DATA_CENTRES[self._rng.choice(["x", "y"])]
             alone = self._rng.choice(members)
+            self.faults["isolation"] += 1
             for other in members:
                 self.cluster.network.cut(alone, other)
             await anyio.sleep(self._rng.uniform(0.0, 2.0))
@@ -177,6 +182,7 @@
 
     async def _group_loss(self) -> None:
         await anyio.sleep(self._rng.uniform(0.0, ROUND_S / 2))
+        self.faults["loss of a data centre"] += 1
         for node_id in DATA_CENTRES[self._rng.choice(["x", "y"])]:
             if node_id in self.cluster.nodes:
                 self.cluster.crash(node_id)
@@ -184,6 +190,7 @@
     async def _cuts(self) -> None:
         while True:
             await anyio.sleep(self._rng.uniform(0.0, 2.0))
+            self.faults["cut"] += 1
             for left in DATA_CENTRES["x"]:
                 for right in DATA_CENTRES["y"]:
                     self.cluster.network.cut(left, right)
@@ -193,6 +200,7 @@
     async def _outages(self) -> None:
         while True:
             await anyio.sleep(self._rng.uniform(0.0, 2.0))
+            self.faults["platform outage"] += 1
             self.cluster.set_platform(down=True)
             await anyio.sleep(self._rng.uniform(0.0, 4.0))
             while anyio.current_time() < self._outage_end_s:
@@ -202,7 +210,9 @@
     async def _lost_answers(self) -> None:
         while True:
             await anyio.sleep(self._rng.uniform(0.0, 1.0))
-            self.cluster.table.lose_answers = self._rng.randrange(4)
+            lost = self._rng.randrange(4)
+            self.cluster.table.lose_answers = lost
+            self.faults["lost answer"] += lost
 
 
 class TestRandomFaults(unittest.TestCase):
