Check verdicts where they come into force; ignore withdrawals after done

Verdicts were checked at writers only, and the time limit of the convergence check was taken from the first change that was ever due, not from the present one. Now a node checks each move state that comes into force, the picker checks that no call goes to a version without done at the promised time, and the withdrawal ends with `done`.

--- a/src/galenatack/app/node_callbacks.py
+++ b/src/galenatack/app/node_callbacks.py
@@ -20,7 +20,9 @@
 from galenatack.model import entry
 from galenatack.model import member_status
 from galenatack.model import rejection
+from galenatack.moves import move_codec
 from galenatack.moves import move_runner as move_runner_module
+from galenatack.moves import states_in_force
 from galenatack.moves import withdrawals as withdrawals_module
 from galenatack.routing import snapshot_updater
 from galenatack.timeline import hybrid_clock
@@ -39,6 +41,7 @@
     def __init__(self, *, clock: clock_interface.Clock):
         self._clock = clock
         self._greeted: set[str] = set()
+        self._move_states = states_in_force.StatesInForce()
 
     def connect(
         self,
@@ -132,6 +135,9 @@
 
     def on_running(self, entries: tuple[entry.Entry, ...]) -> None:
         """Takes the entries of an atomic step."""
+        for item in entries:
+            if item.key.startswith(row_keys.MOVE):
+                self._move_states.note(move_codec.parse_move(item.body))
         self._updater.rebuild()
         service = self._members.own.service
         keys = {item.key for item in entries}
--- a/src/galenatack/config/propagation.py
+++ b/src/galenatack/config/propagation.py
@@ -191,7 +191,9 @@
         if due_seq <= self._state.running_seq:
             self._due = None
             return
-        if self._due is None:
+        # A due seq that ran makes room for the next one, so that a node that
+        # is always a little behind is still measured.
+        if self._due is None or self._due[0] <= self._state.running_seq:
             self._due = (due_seq, self._clock.monotonic_s())
         applied = self._state.run_up_to(safe_seq)
         self._events.record("change-running", seq=self._state.running_seq)
--- a/src/galenatack/invariants/bad_version.py
+++ b/src/galenatack/invariants/bad_version.py
@@ -47,6 +47,31 @@
     )
 
 
+def check_promise(
+    move: move_state.MoveState, *, version: str, now_ms: int
+) -> None:
+    """Checks that after the promised time only `done` keeps the new version.
+
+    Args:
+        move: The move in force where the call is routed.
+        version: Version that was picked for the call.
+        now_ms: Wall clock of the call.
+    """
+    if version != move.to_version or now_ms < move.by_ms:
+        return
+    if move.phase == move_phase.MovePhase.DONE:
+        return
+    reaction.report(
+        BadVersionViolationError(
+            "a version without a verdict got a call after the promised time",
+            service=move.service,
+            version=version,
+            move_id=move.move_id,
+            after_ms=now_ms - move.by_ms,
+        )
+    )
+
+
 def check_new_call(
     *,
     service: str,
--- a/src/galenatack/moves/move_runner.py
+++ b/src/galenatack/moves/move_runner.py
@@ -13,6 +13,7 @@
 from galenatack.membership import member_table
 from galenatack.messages import evidence
 from galenatack.model import member_status
+from galenatack.model import move_phase
 from galenatack.model import move_policy
 from galenatack.model import move_state
 from galenatack.moves import evidence_book
@@ -85,10 +86,16 @@
             )
 
     def is_own_version_withdrawn(self) -> bool:
-        """Tells whether the own target gets no new calls."""
+        """Tells whether the own target gets no new calls.
+
+        A withdrawal that crossed a `done` has no effect; the verdict is final.
+        """
         own = self._members.own
-        return self._move is not None and self._withdrawals.is_withdrawn(
-            own.service, own.version, self._move.move_id
+        move = self._move
+        if move is None or move.phase == move_phase.MovePhase.DONE:
+            return False
+        return self._withdrawals.is_withdrawn(
+            own.service, own.version, move.move_id
         )
 
     async def run(self) -> None:
--- /dev/null
+++ b/src/galenatack/moves/states_in_force.py
@@ -0,0 +1,21 @@
+"""The move states that came into force on a node."""
+
+from galenatack.invariants import verdict_once
+from galenatack.model import move_state
+
+
+class StatesInForce:
+    """Checks that a verdict in force on this node never changes."""
+
+    def __init__(self):
+        self._states: dict[str, move_state.MoveState] = {}
+
+    def note(self, move: move_state.MoveState) -> None:
+        """Takes the state of a move that comes into force.
+
+        Raises:
+            verdict_once.VerdictOnceViolationError: It differs from the
+                verdict in force, in mode `raise`.
+        """
+        verdict_once.check(self._states.get(move.service), move)
+        self._states[move.service] = move
--- a/src/galenatack/moves/version_picker.py
+++ b/src/galenatack/moves/version_picker.py
@@ -75,6 +75,9 @@
             version = move.to_version
             counts.new_calls += 1
             self._check_new_call(move)
+        bad_version.check_promise(
+            move, version=version, now_ms=self._clock.wall_ms()
+        )
         bad_version.check_share(
             move,
             calls=counts.calls,
--- a/src/galenatack/routing/builder.py
+++ b/src/galenatack/routing/builder.py
@@ -166,7 +166,10 @@
     withdrawn: Withdrawn,
 ) -> None:
     new = move.to_version
-    if (move.service, new, move.move_id) in withdrawn:
+    # A withdrawal that crossed a `done` comes too late: the verdict is final
+    # and the service would be left without targets.
+    is_done = move.phase == move_phase.MovePhase.DONE
+    if not is_done and (move.service, new, move.move_id) in withdrawn:
         members[new] = ()
     elif _is_running(move) and move.active_targets and new in members:
         # All nodes order by node id, so that they agree on the few.
--- a/tests/config/test_propagation.py
+++ b/tests/config/test_propagation.py
@@ -10,6 +10,7 @@
 from galenatack.config import held_book
 from galenatack.config import propagation
 from galenatack.config import transfer_slots
+from galenatack.invariants import convergence
 from galenatack.messages import busy
 from galenatack.messages import delta
 from galenatack.model import entry
@@ -124,3 +125,28 @@
                 await cluster.nodes["x1"].propagation.pull_from("x2")
 
         cluster_module.run(main)
+
+
+class TestConvergenceCheck(unittest.TestCase):
+    def test_step_that_does_not_run(self):
+        """A node that holds a safe change but never runs it is reported."""
+
+        async def main(cluster):
+            cluster.start_all()
+            while cluster.unsettled("x1"):
+                await anyio.sleep(0.1)
+            stuck = cluster.nodes["x2"].state
+            with unittest.mock.patch.object(
+                stuck, "run_up_to", return_value=()
+            ):
+                await (
+                    cluster.nodes["x1"]
+                    .acceptor()
+                    .publish(sample_profile.body("p"), expect=None)
+                )
+                await anyio.sleep(convergence.CONVERGENCE_BOUND_S + 1.0)
+
+        with self.assertRaises(BaseExceptionGroup) as caught:
+            cluster_module.run(main)
+        found, _ = caught.exception.split(convergence.ConvergenceError)
+        self.assertIsNotNone(found)
--- a/tests/invariants/test_move_invariants.py
+++ b/tests/invariants/test_move_invariants.py
@@ -32,6 +32,15 @@
         with self.assertRaises(bad_version.BadVersionViolationError):
             bad_version.check_new_call(shown_s=1.0, now_s=4.1, **facts)
 
+    def test_call_after_the_promise(self):
+        """A call without `done` at the promised time is a violation."""
+        facts = {"version": "v2", "now_ms": MOVE.by_ms}
+        bad_version.check_promise(MOVE, version="v2", now_ms=MOVE.by_ms - 1)
+        bad_version.check_promise(MOVE, version="v1", now_ms=MOVE.by_ms)
+        bad_version.check_promise(MOVE._replace(phase="done"), **facts)
+        with self.assertRaises(bad_version.BadVersionViolationError):
+            bad_version.check_promise(MOVE, **facts)
+
     def test_count_mode(self):
         """In mode `count` a violation is counted and nothing is raised."""
         before = reaction.counts().get("invariant-bad-version", 0)
--- a/tests/routing/test_builder.py
+++ b/tests/routing/test_builder.py
@@ -60,6 +60,17 @@
         """A running move uses only its few active targets."""
         self.assertEqual(_ids(_build(moves=[MOVE]), "v2"), [("c", 1)])
 
+    def test_withdrawal_after_done(self):
+        """Guards against a `done` service that a late withdrawal empties."""
+        withdrawn = {(mesh_rig.SERVICE, "v2", "m1")}
+        before = _build(moves=[MOVE._replace(phase="done")])
+        built = _build(moves=[MOVE._replace(phase="done")], withdrawn=withdrawn)
+        self.assertEqual(
+            built.services[mesh_rig.SERVICE].members,
+            before.services[mesh_rig.SERVICE].members,
+        )
+        self.assertTrue(built.services[mesh_rig.SERVICE].members["v2"])
+
     def test_withdrawn_version_gets_no_target(self):
         """A withdrawn version has no members while its move stands."""
         withdrawn = {(mesh_rig.SERVICE, "v2", "m1")}
--- a/tests/whole/ledger.py
+++ b/tests/whole/ledger.py
@@ -15,6 +15,7 @@
     Attributes:
         starts: Call ids that started at a target, by idempotency key.
         told: Results told to callers, by idempotency key.
+        calls: Calls that arrived at targets, by version.
         outcomes: Results told, by (outcome, failure).
         wrong: What contradicts an invariant.
     """
@@ -23,6 +24,7 @@
         self.starts: dict[str, list[str]] = collections.defaultdict(list)
         self.told: dict[str, list[str]] = collections.defaultdict(list)
         self.outcomes: collections.Counter[str] = collections.Counter()
+        self.calls: collections.Counter[str] = collections.Counter()
         self.wrong: list[str] = []
         self._left_s: dict[str, float] = {}
 
@@ -31,16 +33,22 @@
         self._left_s[life] = anyio.current_time()
 
     def note_call(
-        self, life: str, call_id: str, withdrawn_s: float | None
+        self,
+        life: str,
+        call_id: str,
+        version: str,
+        withdrawn_s: float | None,
     ) -> None:
         """Checks a call that arrived at a target.
 
         Args:
             life: Node and incarnation.
             call_id: The call.
+            version: Version of the target.
             withdrawn_s: When the target's version was withdrawn there.
         """
         now_s = anyio.current_time()
+        self.calls[version] += 1
         left_s = self._left_s.get(life)
         if left_s is not None and now_s - left_s > leaving.LEAVE_BOUND_S:
             self.wrong.append(f"8: {call_id} at {life}, left at {left_s:.3f}")
--- a/tests/whole/ledger_target.py
+++ b/tests/whole/ledger_target.py
@@ -23,6 +23,7 @@
 
     Args:
         life: Node and incarnation.
+        version: Version of the target.
         rng: Randomness.
         ledger: Gets calls and starts.
         fault_share: Returns the share of the calls that fail.
@@ -33,12 +34,14 @@
         self,
         life: str,
         *,
+        version: str,
         rng: random.Random,
         ledger: ledger_module.Ledger,
         fault_share: collections.abc.Callable[[], float],
         withdrawn_s: collections.abc.Callable[[], float | None],
     ):
         self._life = life
+        self._version = version
         self._rng = rng
         self._ledger = ledger
         self._fault_share = fault_share
@@ -49,7 +52,12 @@
         self, request: call_request.CallRequest
     ) -> target_answer.TargetAnswer:
         """Waits, runs and answers, or fails."""
-        self._ledger.note_call(self._life, request.call_id, self._withdrawn_s())
+        self._ledger.note_call(
+            self._life,
+            request.call_id,
+            self._version,
+            self._withdrawn_s(),
+        )
         fate = self._rng.random()
         if fate < 0.002:
             raise exceptions.TargetConnectError("refused")
--- a/tests/whole/whole_node.py
+++ b/tests/whole/whole_node.py
@@ -151,6 +151,7 @@
     def _target(self, world, rng) -> ledger_target.LedgerTarget:
         return ledger_target.LedgerTarget(
             self.life,
+            version=self.version,
             rng=rng,
             ledger=world.ledger,
             fault_share=lambda: world.fault_shares.get(self.version, 0.0),
--- a/tests/whole/whole_run.py
+++ b/tests/whole/whole_run.py
@@ -3,6 +3,7 @@
 import contextlib
 
 import anyio
+import anyio.abc
 
 from galenatack import exceptions
 from galenatack.invariants import convergence
@@ -55,17 +56,21 @@
 
     async def _main(self) -> None:
         async with anyio.create_task_group() as tasks:
-            self._tasks = tasks
-            self.world = world_module.World(tasks, seed=self._seed)
-            self._rng = self.world.rng
-            await self._settled()
-            await self._set_up()
+            await self.begin(tasks)
             for _ in range(self._rounds):
                 await self._round()
             await anyio.sleep(CALLS_END_S)
             self.world.ledger.note_end()
             tasks.cancel_scope.cancel()
 
+    async def begin(self, tasks: anyio.abc.TaskGroup) -> None:
+        """Starts all nodes with a profile and a choice in force."""
+        self._tasks = tasks
+        self.world = world_module.World(tasks, seed=self._seed)
+        self._rng = self.world.rng
+        await self._settled()
+        await self._set_up()
+
     async def _settled(self) -> None:
         """Starts what is down and waits until all nodes serve."""
         for node_id in world_module.NODE_IDS:
