--- a/src/galenatack/app/node_callbacks.py
+++ b/src/galenatack/app/node_callbacks.py
@@ -5,6 +5,7 @@
 parts afterwards.
 """
 
+from galenatack import exceptions
 from galenatack.config import entry_codec
 from galenatack.config import log_state
 from galenatack.config import profile_codec
@@ -85,8 +86,16 @@
         if peer_id in self._greeted:
             return
         self._greeted = {peer_id, *(self._greeted & self._peers.neighbours())}
-        for message in self._withdrawals.all():
-            await self._peers.send(peer_id, message)
+        try:
+            for message in self._withdrawals.all():
+                await self._peers.send(peer_id, message)
+        except exceptions.PeerError:
+            # The next heartbeat of the peer tries again.
+            self._greeted.discard(peer_id)
+
+    def link_lost(self, node_id: str) -> None:
+        """Notes that a peer may miss what is sent until it is back."""
+        self._greeted.discard(node_id)
 
     def live_in_data_centre(self) -> list[str]:
         """Returns the live node ids of the own data centre."""
--- a/src/galenatack/app/wiring.py
+++ b/src/galenatack/app/wiring.py
@@ -78,6 +78,7 @@
         on_heartbeat=base.callbacks.on_heartbeat,
     )
     base.peers.on_lost(membership.link_lost)
+    base.peers.on_lost(base.callbacks.link_lost)
     base.callbacks.connect(
         hlc=base.hlc,
         members=base.members,
--- a/tests/whole/test_moves.py
+++ b/tests/whole/test_moves.py
@@ -7,6 +7,7 @@
 from galenatack.messages import call
 from galenatack.messages import withdraw
 from galenatack.model import call_request
+from tests.fakes import memory_network
 from tests.fakes import virtual_run
 from tests.whole import callers
 from tests.whole import whole_node
@@ -15,6 +16,8 @@
 MOVE_MS = 45_000
 # Withdrawals and deltas reach all nodes in this time.
 SPREAD_S = 2.0
+# Before the driver decides, 25 s ahead of the promised time.
+OUTAGE_AFTER_S = 15.0
 # Longer than the period of the first share's bursts.
 AFTER_PROMISE_S = 15.0
 
@@ -102,6 +105,30 @@
 
         self._run(body)
 
+    def test_withdrawal_during_a_cut(self):
+        """A node that was cut off learns of a withdrawal after the cut."""
+
+        async def body(world, tasks):
+            del tasks
+            move = await self._start(world)
+            for node_id in world.nodes:
+                world.network.cut("a1-0", node_id)
+            await anyio.sleep(memory_network.SILENT_S + 0.5)
+            alone = world.nodes["a1-0"].parts
+            message = withdraw.Withdraw(
+                move.move_id, move.service, "v2", "found", "a1-0", None
+            )
+            await alone.withdrawals.add(message)
+            # A heartbeat from just before the cut; its sender is gone.
+            beat = world.nodes["a1-1"].heartbeat()
+            await alone.peers.dispatch("a1-1", beat)
+            self.assertIsNone(world.nodes["a1-1"].withdrawn_s())
+            world.network.heal()
+            await anyio.sleep(SPREAD_S)
+            self.assertIsNotNone(world.nodes["a1-1"].withdrawn_s())
+
+        self._run(body)
+
     def test_no_verdict_at_the_promised_time(self):
         """Without `done` at the promise calls go back to the old version."""
 
@@ -109,9 +136,9 @@
             traffic = callers.Callers(world, tasks)
             tasks.start_soon(traffic.read)
             move = await self._start(world)
-            await anyio.sleep(20.0)
+            await anyio.sleep(OUTAGE_AFTER_S)
             world.set_platform(down=True)
-            await anyio.sleep(MOVE_MS / 1000 - 20.0)
+            await anyio.sleep(MOVE_MS / 1000 - OUTAGE_AFTER_S)
             before = dict(world.ledger.calls)
             await anyio.sleep(AFTER_PROMISE_S)
             after = dict(world.ledger.calls)
--- a/tests/whole/whole_node.py
+++ b/tests/whole/whole_node.py
@@ -86,7 +86,7 @@
             async with anyio.create_task_group() as tasks:
                 for _, duty in parts.duties():
                     tasks.start_soon(duty)
-                tasks.start_soon(parts.peers.send_heartbeats, self._heartbeat)
+                tasks.start_soon(parts.peers.send_heartbeats, self.heartbeat)
                 await parts.rebuild.run()
                 parts.updater.rebuild()
                 parts.membership.start_serving()
@@ -143,7 +143,7 @@
         return await self._alive(functools.partial(inner, sender, message))
 
     def _beat_of(self, source: typing.Callable) -> None:
-        self._heartbeat = source
+        self.heartbeat = source
 
     def _on_event(self, kind: str, facts: dict[str, object]) -> None:
         self._world.note_event(self, kind, facts)
