--- a/src/galenatack/app/node_callbacks.py
+++ b/src/galenatack/app/node_callbacks.py
@@ -5,6 +5,7 @@
 parts afterwards.
 """
 
+from galenatack import exceptions
 from galenatack.config import entry_codec
 from galenatack.config import log_state
 from galenatack.config import profile_codec
@@ -20,7 +21,9 @@
 from galenatack.model import entry
 from galenatack.model import member_status
 from galenatack.model import rejection
+from galenatack.moves import move_codec
 from galenatack.moves import move_runner as move_runner_module
+from galenatack.moves import states_in_force
 from galenatack.moves import withdrawals as withdrawals_module
 from galenatack.routing import snapshot_updater
 from galenatack.timeline import hybrid_clock
@@ -39,6 +42,7 @@
     def __init__(self, *, clock: clock_interface.Clock):
         self._clock = clock
         self._greeted: set[str] = set()
+        self._move_states = states_in_force.StatesInForce()
 
     def connect(
         self,
@@ -82,8 +86,16 @@
         if peer_id in self._greeted:
             return
         self._greeted = {peer_id, *(self._greeted & self._peers.neighbours())}
-        for message in self._withdrawals.all():
-            await self._peers.send(peer_id, message)
+        try:
+            for message in self._withdrawals.all():
+                await self._peers.send(peer_id, message)
+        except exceptions.PeerError:
+            # The next heartbeat of the peer tries again.
+            self._greeted.discard(peer_id)
+
+    def link_lost(self, node_id: str) -> None:
+        """Notes that a peer may miss what is sent until it is back."""
+        self._greeted.discard(node_id)
 
     def live_in_data_centre(self) -> list[str]:
         """Returns the live node ids of the own data centre."""
@@ -132,6 +144,9 @@
 
     def on_running(self, entries: tuple[entry.Entry, ...]) -> None:
         """Takes the entries of an atomic step."""
+        for item in entries:
+            if item.key.startswith(row_keys.MOVE):
+                self._move_states.note(move_codec.parse_move(item.body))
         self._updater.rebuild()
         service = self._members.own.service
         keys = {item.key for item in entries}
