--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 SOURCES := src tests standins bench
 export PYTHONPATH := src:.
 
-.PHONY: demo test bench bench-moves soak lint format
+.PHONY: demo test bench bench-deterministic bench-moves soak lint format
 
 $(VENV)/.dev: requirements/dev.txt pyproject.toml
 	$(PYTHON) -m venv $(VENV)
@@ -27,6 +27,9 @@
 bench: $(VENV)/.bench
 	$(BIN)/python -m bench
 
+bench-deterministic: $(VENV)/.dev
+	$(BIN)/python -m bench --deterministic
+
 bench-moves: $(VENV)/.bench
 	$(BIN)/python -m bench.moves
 
--- a/bench/deltas.py
+++ b/bench/deltas.py
@@ -30,7 +30,7 @@
 def main() -> None:
     """Prints one table for each fleet size."""
     for name, services in FLEETS.items():
-        old = _state(services)
+        old = example_state(services)
         print(f"\n{name}, bytes (zlib level 6 in brackets)")
         print(f"{'change':<26}" + "".join(f"{way:>22}" for way in WAYS))
         for title, new in _scenarios(old):
@@ -38,6 +38,15 @@
             print(f"{title:<26}" + "".join(f"{cell:>22}" for cell in cells))
 
 
+def sizes(services: int) -> list[tuple[str, int, int]]:
+    """Returns title, bytes of changed entries and of the full state."""
+    old = example_state(services)
+    return [
+        (title, len(changed_entries(old, new)), len(full_state(old, new)))
+        for title, new in _scenarios(old)
+    ]
+
+
 def full_state(old: State, new: State) -> bytes:
     """Sends everything."""
     del old
@@ -131,7 +140,8 @@
     return {**old, key: body}
 
 
-def _state(services: int) -> State:
+def example_state(services: int) -> State:
+    """Returns canonical bodies of profiles by key."""
     rng = random.Random(SEED)
     state = {}
     for number in range(services):
--- a/tests/bench/__init__.py
+++ b/tests/bench/__init__.py
@@ -1,1 +1,1 @@
-"""Tests of the benchmarks."""
+"""Tests of the benchmarks' own code."""
