--- a/bench/real_nodes.py
+++ b/bench/real_nodes.py
@@ -1,10 +1,13 @@
 """Convergence, bytes, processor time and platform load of real nodes."""
 
+import collections.abc
 import pathlib
 import shutil
 import statistics
 import time
 
+import click
+import httpx
 import yaml
 
 from bench import bounds
@@ -17,6 +20,8 @@
 FAULT_PUBLISHES = 8
 PAUSE_S = 0.5
 SPREAD_S = 6.0
+# Links to the seeds close after 30 s without use.
+SEED_LINKS_S = 35.0
 IDLE_S = 12.0
 BUSY_S = 12.0
 MOVE_S = 15.0
@@ -61,11 +66,20 @@
                 self._herd,
                 self._restart_all,
             ):
-                phase()
+                self._try(phase)
         finally:
             self._fleet.stop()
         return self._figures
 
+    def _try(self, phase: collections.abc.Callable[[], None]) -> None:
+        """Runs a phase; a broken one is a figure, the others still count."""
+        name = phase.__name__.removeprefix("_")
+        try:
+            phase()
+        except (httpx.HTTPError, RuntimeError) as error:
+            click.echo(f"{name} broke off: {error!r}", err=True)
+            self._note(f"broken.{name}.count", 1)
+
     def _note(self, name: str, value: float) -> None:
         group, _, rest = name.partition(".")
         self._figures[f"{group}.{self._count}.{rest}"] = value
@@ -98,6 +112,7 @@
         return answer
 
     def _usage(self) -> None:
+        time.sleep(SEED_LINKS_S)
         idle = self._measure("idle", IDLE_S)
         before = usage_module.sample(self._fleet)
         changes = 0
