--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 SOURCES := src tests standins bench
 export PYTHONPATH := src:.
 
-.PHONY: demo drills test bench bench-moves soak lint format
+.PHONY: demo drills test bench bench-deterministic bench-moves soak lint format
 
 $(VENV)/.dev: requirements/dev.txt pyproject.toml
 	$(PYTHON) -m venv $(VENV)
@@ -31,6 +31,9 @@
 bench: $(VENV)/.bench
 	$(BIN)/python -m bench
 
+bench-deterministic: $(VENV)/.dev
+	$(BIN)/python -m bench --deterministic
+
 bench-moves: $(VENV)/.bench
 	$(BIN)/python -m bench.moves
 
--- a/src/galenatack/config/propagation.py
+++ b/src/galenatack/config/propagation.py
@@ -190,8 +190,13 @@
         """Runs what enough nodes hold, as one atomic step."""
         if not self.is_settled:
             return
-        others = set(self._live()) - {self._node_id}
-        self._run_safe(self._book.safe_seq(self._state.held_seq, others))
+        # Most ticks and heartbeats find nothing to run; looking for the
+        # holders first costs a node of 4,400 about 0.3 ms each time.
+        if self._state.held_seq > self._state.running_seq:
+            others = set(self._live()) - {self._node_id}
+            self._run_safe(self._book.safe_seq(self._state.held_seq, others))
+        else:
+            self._due = None
         self.start_gate.on_running(self._state.running_seq)
 
     def _run_safe(self, safe_seq: int) -> None:
