Keep idle connections longer at a stop; end those that callers closed

With a grace of 1 s the stop drill still lost 2 of 22,000 calls on idle connections that were closed as they were reused (6 before any grace). The grace is 4 s now, within the drain time, and ends early when no connection is left. For that, the idle timer of a connection that its caller closed must not keep it: it lived on for up to 60 s.

The changed test fails without the end of the idle timer. 344 tests pass.

--- a/src/galenatack/app/node.py
+++ b/src/galenatack/app/node.py
@@ -16,8 +16,9 @@
 LEAVE_NOTICE_S = 0.5
 ADMIN_DRAIN_S = 1.0
 # Busy callers use each of their connections within this time, and the answer
-# tells them that it is the last one.
-IDLE_GRACE_S = 1.0
+# tells them that it is the last one. After 1 s, 2 of 22,000 calls were sent on
+# a connection that was just being closed.
+IDLE_GRACE_S = 4.0
 
 
 class Node:
@@ -108,7 +109,7 @@
         self._calls_over.set()
         is_drained = await parts.gate.drain(drain_s)
         # Calls of the own callers to other targets end with their listener.
-        with anyio.move_on_after(drain_s + IDLE_GRACE_S):
+        with anyio.move_on_after(drain_s):
             await self._callers_closed.wait()
         parts.events.record("node-stopped", is_drained=is_drained)
         self._admin_over.set()
--- a/src/galenatack/links/http_connection.py
+++ b/src/galenatack/links/http_connection.py
@@ -28,6 +28,11 @@
             return
         await super().protocol_send(event)
 
+    async def _read_data(self) -> None:
+        """Reads until the end; the idle timer must not outlive that."""
+        await super()._read_data()
+        await self.idle_task.stop()
+
     async def _idle_timeout(self) -> None:
         limit_s = self.config.keep_alive_timeout
         wait_s = limit_s
--- a/src/galenatack/links/http_server.py
+++ b/src/galenatack/links/http_server.py
@@ -98,11 +98,12 @@
 
     async def drain(self, drain_s: float, idle_grace_s: float) -> None:
         """Waits for the requests in flight, then ends all connections."""
+        idle_grace_s = min(idle_grace_s, drain_s)
         if self._tasks and idle_grace_s:
             await asyncio.wait(self._tasks, timeout=idle_grace_s)
         await self._context.terminated.set()
         if self._tasks:
-            await asyncio.wait(self._tasks, timeout=drain_s)
+            await asyncio.wait(self._tasks, timeout=drain_s - idle_grace_s)
         for task in self._tasks:
             task.cancel()
 
--- a/tests/links/test_http_server.py
+++ b/tests/links/test_http_server.py
@@ -10,7 +10,7 @@
 from tests.links import open_port
 
 REQUEST = b"GET /a HTTP/1.1\r\nHost: a\r\n\r\n"
-GRACE_S = 0.5
+GRACE_S = 30.0
 LONGEST_S = 10.0
 ANSWER = call_result.CallResult(
     outcome="answer", status=200, headers=(), body=b"whole"
@@ -26,7 +26,10 @@
 
 class TestHttpServer(unittest.TestCase):
     def test_idle_connections_during_a_stop(self):
-        """A reused connection gets one answer more, marked as the last."""
+        """A reused connection gets one answer more, marked as the last.
+
+        The stop ends once callers have closed all connections.
+        """
 
         async def main():
             side = caller_side.CallerSide(handler=_Handler())
