--- a/src/galenatack/links/http_server.py
+++ b/src/galenatack/links/http_server.py
@@ -109,14 +109,16 @@
 
     async def drain(self, drain_s: float, idle_grace_s: float) -> None:
         """Waits for the requests in flight, then ends all connections."""
+        idle_grace_s = min(idle_grace_s, drain_s)
+        end_s = anyio.current_time() + drain_s
         await self._wait_for_callers(idle_grace_s)
         for connection in tuple(self._connections):
             connection.close_soon()
         # From then on hypercorn ends an HTTP/2 connection with its next
         # request, and the answers of the requests before it would be lost.
-        await self._wait_for_http2(drain_s)
+        await self._wait_for_http2(end_s - anyio.current_time())
         await self._context.terminated.set()
-        await self._wait_for_callers(drain_s)
+        await self._wait_for_callers(end_s - anyio.current_time())
         for connection in tuple(self._connections):
             connection.abort()
         for task in self._tasks:
