Send evidence to a few evaluators; begin moves beside an old target

Cause: (1) each gate sent its evidence to all nodes of the service, which grows with the square of their number: 5.1 KB/s a node at 44 nodes of one service. Ruled out: reports less often, which delays a withdrawal. Conclusion: up to 3 nodes of the own data centre and 1 of each other one evaluate; a late first report is only a baseline.

--- a/src/galenatack/moves/evidence_store.py
+++ b/src/galenatack/moves/evidence_store.py
@@ -13,6 +13,9 @@
 # long is counted with its next report, so that it cannot delay the others.
 STRAGGLER_WAIT_S = 0.4
 GATE_SILENT_S = 2.0
+# A later first report means that this node was not an evaluator before; its
+# counts span periods of different shares and only serve as a baseline.
+MAX_FIRST_NUMBER = 6
 
 
 class _Gate:
@@ -55,7 +58,7 @@
         gate = self._gates.get(key)
         if gate is None:
             gate = self._gates[key] = _Gate(report, now_s)
-            if self._is_late:
+            if self._is_late or report.number > MAX_FIRST_NUMBER:
                 gate.consumed = _by_route(report)
         elif report.number <= gate.number:
             return False
--- a/src/galenatack/moves/move_runner.py
+++ b/src/galenatack/moves/move_runner.py
@@ -12,15 +12,22 @@
 from galenatack.membership import duties
 from galenatack.membership import member_table
 from galenatack.messages import evidence
+from galenatack.model import member_record
 from galenatack.model import member_status
 from galenatack.model import move_phase
 from galenatack.model import move_policy
 from galenatack.model import move_state
 from galenatack.moves import evidence_book
+from galenatack.moves import move_driver
 from galenatack.moves import move_session
 from galenatack.moves import move_writer
 from galenatack.moves import withdrawals as withdrawals_module
 
+# Nodes of a data centre that evaluate its own evidence: as many as there are
+# candidates for driving, so that each of them has it.
+NEAR_EVALUATORS = move_driver.MAX_CANDIDATES
+FAR_EVALUATORS = 1
+
 
 class MoveRunner:
     """Counts evidence, watches for faults and is a candidate for driving.
@@ -151,18 +158,22 @@
             table=self._lease_table,
             writer=self._writer,
             withdrawals=self._withdrawals,
-            others=self._others,
+            others=lambda: self._evaluators(move.move_id),
             rank=lambda: self._rank(move.move_id),
             targets=lambda: self._targets(move.to_version),
         )
 
-    def _others(self) -> list[str]:
-        own = self._members.own
-        return [
-            record.node_id
-            for record in self._members.live()
-            if record.service == own.service and record.node_id != own.node_id
-        ]
+    def _evaluators(self, move_id: str) -> list[str]:
+        """Returns the nodes that get this node's reports.
+
+        Some nodes of the own data centre, so that it withdraws a faulty
+        version by itself, and one of each other data centre, which are the
+        first candidates for driving. Reports to all nodes of the service
+        would grow with the square of their number.
+        """
+        data_centres = self._serving()
+        ranked = duties.rank(data_centres, move_id)
+        return evaluators(ranked, data_centres, self._members.own)
 
     def _targets(self, version: str) -> int:
         """Returns the number of targets of a version that take calls."""
@@ -180,15 +191,20 @@
         Three candidates from one data centre would all lose the platform
         together.
         """
+        own_id = self._members.own.node_id
+        data_centres = self._serving()
+        ordered = spread_order(duties.rank(data_centres, move_id), data_centres)
+        return ordered.index(own_id) if own_id in ordered else None
+
+    def _serving(self) -> dict[str, str]:
+        """Returns the data centres of the service's serving nodes."""
         own = self._members.own
-        data_centres = {
+        return {
             record.node_id: record.data_centre
             for record in self._members.live()
             if record.service == own.service
             and record.status == member_status.MemberStatus.SERVING
         }
-        ordered = spread_order(duties.rank(data_centres, move_id), data_centres)
-        return ordered.index(own.node_id) if own.node_id in ordered else None
 
     async def _on_evidence(
         self, sender: str, report: evidence.Evidence
@@ -211,3 +227,21 @@
         seen.add(data_centres[node_id])
         (firsts if is_first else rest).append(node_id)
     return firsts + rest
+
+
+def evaluators(
+    ranked: collections.abc.Sequence[str],
+    data_centres: collections.abc.Mapping[str, str],
+    own: member_record.MemberRecord,
+) -> list[str]:
+    """Returns the nodes that get the reports of `own`, in their rank."""
+    taken: dict[str, int] = {}
+    chosen = []
+    for node_id in ranked:
+        data_centre = data_centres[node_id]
+        is_near = data_centre == own.data_centre
+        most = NEAR_EVALUATORS if is_near else FAR_EVALUATORS
+        taken[data_centre] = taken.get(data_centre, 0) + 1
+        if taken[data_centre] <= most and node_id != own.node_id:
+            chosen.append(node_id)
+    return chosen
--- a/src/galenatack/routing/builder.py
+++ b/src/galenatack/routing/builder.py
@@ -172,8 +172,23 @@
     if not is_done and (move.service, new, move.move_id) in withdrawn:
         members[new] = ()
     elif _is_running(move) and move.active_targets and new in members:
-        # All nodes order by node id, so that they agree on the few.
-        members[new] = members[new][: move.active_targets]
+        old = members.get(move.from_version, ())
+        members[new] = _first_targets(members[new], old)[: move.active_targets]
+
+
+def _first_targets(
+    new: tuple[target_member.TargetMember, ...],
+    old: tuple[target_member.TargetMember, ...],
+) -> tuple[target_member.TargetMember, ...]:
+    """Orders the new targets; all nodes agree on the first few.
+
+    Latency is compared within a data centre, so that a new target beside an
+    old one comes first; alone in its data centre it could never be cleared.
+    """
+    compared = {member.data_centre for member in old}
+    beside = tuple(item for item in new if item.data_centre in compared)
+    alone = tuple(item for item in new if item.data_centre not in compared)
+    return beside + alone
 
 
 def _group(
@@ -206,7 +221,11 @@
     record: member_record.MemberRecord, own: member_record.MemberRecord
 ) -> target_member.TargetMember:
     return target_member.TargetMember(
-        record.node_id, record.boot_ms, record.slots, _tier(record, own)
+        record.node_id,
+        record.boot_ms,
+        record.slots,
+        _tier(record, own),
+        record.data_centre,
     )
 
 
--- a/src/galenatack/routing/target_member.py
+++ b/src/galenatack/routing/target_member.py
@@ -11,12 +11,14 @@
         incarnation: Incarnation of that node.
         slots: Calls that the target runs at once.
         tier: 0 own data centre, 1 own region, 2 another region.
+        data_centre: Data centre of the target.
     """
 
     node_id: str
     incarnation: int
     slots: int
     tier: int
+    data_centre: str = ""
 
 
 OWN_DATA_CENTRE = 0
--- a/tests/routing/test_builder.py
+++ b/tests/routing/test_builder.py
@@ -11,6 +11,7 @@
 from galenatack.routing import route_matcher
 from galenatack.routing import snapshot
 from galenatack.routing import snapshot_holder
+from galenatack.routing import target_member
 from tests.routing import mesh_rig
 
 MOVE = move_state.MoveState(
@@ -99,6 +100,18 @@
         self.assertEqual(_ids(_build(members=[suspect]), "v1"), [("z", 0)])
 
 
+class TestFirstTargets(unittest.TestCase):
+    def test_beside_an_old_target_first(self):
+        """Guards against a first share that has no old target to compare."""
+        fields = {"incarnation": 1, "slots": 4, "tier": 0}
+        make = target_member.TargetMember
+        lone = make("a", **fields, data_centre="d1")
+        beside = make("b", **fields, data_centre="d2")
+        old = make("c", **fields, data_centre="d2")
+        ordered = builder._first_targets((lone, beside), (old,))
+        self.assertEqual(ordered, (beside, lone))
+
+
 class TestHolder(unittest.TestCase):
     def test_unresolved_snapshot_is_not_put_in_force(self):
         """The references check refuses a snapshot with a dangling pool."""
