Expose the target's latency by hdrhistogram; drop the second move codec

Cause: /metrics had no histogram though the node times each call, and moves kept a codec beside that of the configuration. Ruled out: a metrics library, since the exposition is a few lines of text. Conclusion: none of this changes a decision.

--- a/src/galenatack/app/call_parts.py
+++ b/src/galenatack/app/call_parts.py
@@ -22,6 +22,7 @@
 from galenatack.routing import retry_budget
 from galenatack.routing import snapshot_holder
 from galenatack.routing import target_chooser
+from galenatack.routing import target_histogram
 
 
 class CallParts(typing.NamedTuple):
@@ -29,6 +30,7 @@
 
     holder: snapshot_holder.SnapshotHolder
     gate: inbound_gate.InboundGate
+    outcomes: target_histogram.TargetHistogram
     guard: posting_guard.PostingGuard
     handler: settled_handler.SettledHandler
     caller_side: caller_side.CallerSide
@@ -59,6 +61,9 @@
         rng=base.outside.rng,
         events=base.events,
     )
+    outcomes = target_histogram.TargetHistogram(
+        on_outcome=runner.record_outcome
+    )
     gate = inbound_gate.InboundGate(
         node_id=own.node_id,
         incarnation=own.boot_ms,
@@ -67,7 +72,7 @@
         slots=settings.slots,
         queue_entries=settings.slots,
         posting_guard=guard,
-        on_outcome=runner.record_outcome,
+        on_outcome=outcomes.record,
         is_withdrawn=runner.is_own_version_withdrawn,
     )
     call_server.CallServer(peers=base.peers, gate=gate)
@@ -104,4 +109,4 @@
         tickets=ticket_book,
     )
     side = caller_side.CallerSide(handler=handler, issue_ticket=issuer.issue)
-    return CallParts(holder, gate, guard, handler, side)
+    return CallParts(holder, gate, outcomes, guard, handler, side)
--- a/src/galenatack/app/metrics.py
+++ b/src/galenatack/app/metrics.py
@@ -21,6 +21,7 @@
         _sample("process_cpu_seconds_total", time.process_time()),
         _sample("process_max_resident_bytes", _max_resident_bytes()),
     ]
+    lines += _target(parts)
     lines += _violations(reaction.counts())
     lines += _traffic(parts)
     return "\n".join(lines) + "\n"
@@ -41,6 +42,20 @@
     return usage.ru_maxrss * _BYTES_PER_KIB
 
 
+def _target(parts: parts_module.Parts) -> list[str]:
+    lines = []
+    for item in parts.outcomes.samples():
+        labels = {"route": item.route}
+        lines.append(_sample("target_calls_total", item.calls, labels))
+        lines.append(_sample("target_errors_total", item.errors, labels))
+        for percentile, latency_ms in item.latency_ms.items():
+            quantile = {"quantile": f"{percentile / 100:g}"}
+            lines.append(
+                _sample("target_latency_ms", latency_ms, labels | quantile)
+            )
+    return lines
+
+
 def _violations(counts: collections.abc.Mapping[str, int]) -> list[str]:
     return [
         _sample("invariant_violations_total", count, {"code": code})
--- a/src/galenatack/app/node_callbacks.py
+++ b/src/galenatack/app/node_callbacks.py
@@ -21,7 +21,6 @@
 from galenatack.model import entry
 from galenatack.model import member_status
 from galenatack.model import rejection
-from galenatack.moves import move_codec
 from galenatack.moves import move_runner as move_runner_module
 from galenatack.moves import states_in_force
 from galenatack.moves import withdrawals as withdrawals_module
@@ -141,7 +140,7 @@
         """Takes the entries of an atomic step."""
         for item in entries:
             if item.key.startswith(row_keys.MOVE):
-                self._move_states.note(move_codec.parse_move(item.body))
+                self._move_states.note(entry_codec.parse_move(item.body))
         self._updater.rebuild()
         service = self._members.own.service
         keys = {item.key for item in entries}
--- a/src/galenatack/app/parts.py
+++ b/src/galenatack/app/parts.py
@@ -26,6 +26,7 @@
 from galenatack.routing import inbound_gate
 from galenatack.routing import snapshot_holder
 from galenatack.routing import snapshot_updater
+from galenatack.routing import target_histogram
 from galenatack.settings import node_settings
 from galenatack.timeline import recorder
 
@@ -57,6 +58,7 @@
     updater: snapshot_updater.SnapshotUpdater
     target: outside.ClosableTarget
     gate: inbound_gate.InboundGate
+    outcomes: target_histogram.TargetHistogram
     guard: posting_guard.PostingGuard
     claim_cleanup: claim_cleanup.ClaimCleanup
     handler: settled_handler.SettledHandler
--- a/src/galenatack/model/profile.py
+++ b/src/galenatack/model/profile.py
@@ -1,4 +1,4 @@
-"""A complete description of how traffic reaches a service."""
+"""Routes, pools, limits and move policy of one service."""
 
 import typing
 
@@ -10,7 +10,7 @@
 
 
 class Profile(typing.NamedTuple):
-    """A complete description of how traffic reaches a service.
+    """Routes, pools, limits and move policy of one service.
 
     Attributes:
         name: Name, unique in the deployment.
--- a/src/galenatack/moves/move_driver.py
+++ b/src/galenatack/moves/move_driver.py
@@ -3,6 +3,7 @@
 import collections.abc
 
 from galenatack import exceptions
+from galenatack.config import entry_codec
 from galenatack.interfaces import clock as clock_interface
 from galenatack.interfaces import event_sink
 from galenatack.invariants import verdict_once
@@ -12,7 +13,6 @@
 from galenatack.model import row_check
 from galenatack.moves import fault_watch
 from galenatack.moves import lease as lease_module
-from galenatack.moves import move_codec
 from galenatack.moves import move_writer
 from galenatack.moves import step_policy
 from galenatack.moves import withdrawals as withdrawals_module
@@ -116,7 +116,7 @@
         if found is None:
             return
         entry, revision = found
-        state = move_codec.parse_move(entry.body)
+        state = entry_codec.parse_move(entry.body)
         if state.move_id == self._move.move_id:
             self._adopt(state)
             self._revision = revision
--- a/src/galenatack/moves/move_service.py
+++ b/src/galenatack/moves/move_service.py
@@ -2,6 +2,7 @@
 
 from galenatack import exceptions
 from galenatack.config import effective_choice
+from galenatack.config import entry_codec
 from galenatack.config import profile_codec
 from galenatack.interfaces import clock as clock_interface
 from galenatack.interfaces import random_source
@@ -10,7 +11,6 @@
 from galenatack.model import move_state
 from galenatack.model import row_check
 from galenatack.model import service_choice
-from galenatack.moves import move_codec
 from galenatack.moves import move_writer
 from galenatack.moves import plan
 
@@ -185,7 +185,7 @@
         if found is None:
             return None, 0
         entry, revision = found
-        return move_codec.parse_move(entry.body), revision
+        return entry_codec.parse_move(entry.body), revision
 
     async def _require(self, service: str) -> tuple[move_state.MoveState, int]:
         move, revision = await self._read(service)
--- /dev/null
+++ b/tests/routing/test_target_histogram.py
@@ -0,0 +1,24 @@
+"""Tests of the target's latency histogram."""
+
+import unittest
+
+from galenatack.routing import target_histogram
+
+
+class TestTargetHistogram(unittest.TestCase):
+    def test_samples_and_hand_on(self):
+        """Each outcome is counted by route and handed on unchanged."""
+        seen = []
+        histogram = target_histogram.TargetHistogram(
+            on_outcome=lambda *outcome: seen.append(outcome)
+        )
+        for number in range(1, 101):
+            histogram.record("read", number > 98, float(number), True)
+        histogram.record("offers", False, 1e9, False)
+        offers, read = histogram.samples()
+        self.assertEqual((read.calls, read.errors), (100, 2))
+        self.assertAlmostEqual(read.latency_ms[50.0], 50.0, delta=1.0)
+        self.assertAlmostEqual(read.latency_ms[99.0], 99.0, delta=1.5)
+        self.assertEqual(offers.calls, 1)
+        self.assertEqual(len(seen), 101)
+        self.assertEqual(seen[0], ("read", False, 1.0, True))
--- a/tests/whole/world.py
+++ b/tests/whole/world.py
@@ -8,10 +8,10 @@
 import anyio.abc
 
 from galenatack import exceptions
+from galenatack.config import entry_codec
 from galenatack.config import row_keys
 from galenatack.invariants import verdict_once
 from galenatack.model import move_state
-from galenatack.moves import move_codec
 from tests.config import cluster
 from tests.fakes import memory_network
 from tests.fakes import memory_objects
@@ -122,7 +122,7 @@
         item = state.running().get(row_keys.MOVE + whole_node.SERVICE)
         if item is None:
             return
-        move = move_codec.parse_move(item.body)
+        move = entry_codec.parse_move(item.body)
         verdict_once.check(self._verdicts.get(move.move_id), move)
         if move.phase != "running":
             self._verdicts.setdefault(move.move_id, move)
