Let the profile's queue_entries reach the inbound gate

Cause: found by reading: the gate's queue kept the slots of the settings, so the profile's limit had no effect. Ruled out: reading the profile for each call, since the limit changes only with a step of the configuration. The wiring of the call path is split into short functions. Conclusion: each step that comes into force sets the limit.

--- a/src/galenatack/app/call_parts.py
+++ b/src/galenatack/app/call_parts.py
@@ -44,14 +44,41 @@
     loads: balancer.Balancer,
 ) -> CallParts:
     """Makes the parts from the caller to the target."""
-    settings = base.settings
-    own = base.members.own
     ticket_book = tickets.Tickets(
-        ticket_key=settings.trust.ticket_key,
+        ticket_key=base.settings.trust.ticket_key,
         clock=base.outside.clock,
         rng=base.outside.secret_rng,
     )
-    guard = posting_guard.PostingGuard(
+    guard = _guard(base, ticket_book)
+    outcomes = target_histogram.TargetHistogram(
+        on_outcome=runner.record_outcome
+    )
+    gate = _gate(base, guard, outcomes, runner)
+    call_server.CallServer(peers=base.peers, gate=gate)
+    holder = snapshot_holder.SnapshotHolder()
+    picker = version_picker.VersionPicker(
+        clock=base.outside.clock, rng=base.outside.rng, withdrawals=moved_away
+    )
+    planner = call_planner.CallPlanner(
+        holder=holder, clock=base.outside.clock, ticket_of=ticket_book.parse
+    )
+    proxy = _proxy(base, planner, picker, gate, loads)
+    handler = settled_handler.SettledHandler(handler=proxy, propagation=spread)
+    issuer = ticket_issuer.TicketIssuer(
+        holder=holder,
+        balancer=loads,
+        version_picker=picker.pick,
+        tickets=ticket_book,
+    )
+    side = caller_side.CallerSide(handler=handler, issue_ticket=issuer.issue)
+    return CallParts(holder, gate, outcomes, guard, handler, side)
+
+
+def _guard(
+    base: base_parts.BaseParts, ticket_book: tickets.Tickets
+) -> posting_guard.PostingGuard:
+    own = base.members.own
+    return posting_guard.PostingGuard(
         node_id=own.node_id,
         incarnation=own.boot_ms,
         tickets=ticket_book,
@@ -61,37 +88,45 @@
         rng=base.outside.rng,
         events=base.events,
     )
-    outcomes = target_histogram.TargetHistogram(
-        on_outcome=runner.record_outcome
-    )
-    gate = inbound_gate.InboundGate(
+
+
+def _gate(
+    base: base_parts.BaseParts,
+    guard: posting_guard.PostingGuard,
+    outcomes: target_histogram.TargetHistogram,
+    runner: move_runner.MoveRunner,
+) -> inbound_gate.InboundGate:
+    own = base.members.own
+    return inbound_gate.InboundGate(
         node_id=own.node_id,
         incarnation=own.boot_ms,
         link=base.outside.target,
         clock=base.outside.clock,
-        slots=settings.slots,
-        queue_entries=settings.slots,
+        slots=base.settings.slots,
+        queue_entries=base.settings.slots,
         posting_guard=guard,
         on_outcome=outcomes.record,
         is_withdrawn=runner.is_own_version_withdrawn,
     )
-    call_server.CallServer(peers=base.peers, gate=gate)
-    holder = snapshot_holder.SnapshotHolder()
+
+
+def _proxy(
+    base: base_parts.BaseParts,
+    planner: call_planner.CallPlanner,
+    picker: version_picker.VersionPicker,
+    gate: inbound_gate.InboundGate,
+    loads: balancer.Balancer,
+) -> outbound_proxy.OutboundProxy:
     region_bytes = byte_budget.ByteBudget(clock=base.outside.clock)
-    picker = version_picker.VersionPicker(
-        clock=base.outside.clock, rng=base.outside.rng, withdrawals=moved_away
-    )
     chooser = target_chooser.TargetChooser(
         balancer=loads,
         bytes_left=region_bytes,
         version_picker=picker.pick,
         place=placement.place,
     )
-    proxy = outbound_proxy.OutboundProxy(
-        node_id=own.node_id,
-        planner=call_planner.CallPlanner(
-            holder=holder, clock=base.outside.clock, ticket_of=ticket_book.parse
-        ),
+    return outbound_proxy.OutboundProxy(
+        node_id=base.members.own.node_id,
+        planner=planner,
         chooser=chooser,
         balancer=loads,
         bytes_left=region_bytes,
@@ -101,12 +136,3 @@
         clock=base.outside.clock,
         rng=base.outside.rng,
     )
-    handler = settled_handler.SettledHandler(handler=proxy, propagation=spread)
-    issuer = ticket_issuer.TicketIssuer(
-        holder=holder,
-        balancer=loads,
-        version_picker=picker.pick,
-        tickets=ticket_book,
-    )
-    side = caller_side.CallerSide(handler=handler, issue_ticket=issuer.issue)
-    return CallParts(holder, gate, outcomes, guard, handler, side)
--- a/src/galenatack/app/node_callbacks.py
+++ b/src/galenatack/app/node_callbacks.py
@@ -24,6 +24,8 @@
 from galenatack.moves import move_runner as move_runner_module
 from galenatack.moves import states_in_force
 from galenatack.moves import withdrawals as withdrawals_module
+from galenatack.routing import inbound_gate
+from galenatack.routing import snapshot_holder
 from galenatack.routing import snapshot_updater
 from galenatack.timeline import hybrid_clock
 
@@ -54,6 +56,8 @@
         updater: snapshot_updater.SnapshotUpdater,
         move_runner: move_runner_module.MoveRunner,
         withdrawals: withdrawals_module.Withdrawals,
+        holder: snapshot_holder.SnapshotHolder,
+        gate: inbound_gate.InboundGate,
         events: event_sink.EventSink,
     ) -> None:
         """Gives the callbacks the parts that they lead to."""
@@ -65,6 +69,8 @@
         self._updater = updater
         self._move_runner = move_runner
         self._withdrawals = withdrawals
+        self._holder = holder
+        self._gate = gate
         self._events = events
         members.subscribe(self._on_members)
 
@@ -143,6 +149,9 @@
                 self._move_states.note(entry_codec.parse_move(item.body))
         self._updater.rebuild()
         service = self._members.own.service
+        table = self._holder.current.services.get(service)
+        if table is not None:
+            self._gate.limit_queue(table.limits.queue_entries)
         keys = {item.key for item in entries}
         if row_keys.MOVE + service in keys:
             self._update_move(service)
--- a/src/galenatack/app/wiring.py
+++ b/src/galenatack/app/wiring.py
@@ -91,6 +91,8 @@
         updater=updater,
         move_runner=runner,
         withdrawals=moved_away,
+        holder=calls.holder,
+        gate=calls.gate,
         events=base.events,
     )
     return parts.Parts(
--- a/src/galenatack/routing/inbound_gate.py
+++ b/src/galenatack/routing/inbound_gate.py
@@ -34,7 +34,7 @@
         link: Connection to the target.
         clock: Source of time.
         slots: Calls that the target runs at once.
-        queue_entries: Calls that may wait.
+        queue_entries: Calls that may wait, until `limit_queue` is called.
         posting_guard: Lets each posting run at most once.
         on_outcome: Takes the evidence of each call.
         is_withdrawn: Tells whether the target's version was withdrawn.
@@ -98,6 +98,10 @@
         finally:
             self._admitted.discard(request.call_id)
 
+    def limit_queue(self, queue_entries: int) -> None:
+        """Sets how many calls may wait, as the profile in force says."""
+        self._queue.queue_entries = queue_entries
+
     def leave(self) -> None:
         """Refuses new work from now on; calls in flight go on."""
         if self._left_s is None:
--- a/src/galenatack/routing/slot_queue.py
+++ b/src/galenatack/routing/slot_queue.py
@@ -40,7 +40,7 @@
     ):
         self._clock = clock
         self._slots = slots
-        self._queue_entries = queue_entries
+        self.queue_entries = queue_entries
         self._waiters: collections.deque[_Waiter] = collections.deque()
         self._service_s = 0.0
         self.in_flight = 0
@@ -110,7 +110,7 @@
 
     def _check(self, deadline_s: float) -> None:
         is_full = self.in_flight >= self._slots
-        if is_full and len(self._waiters) >= self._queue_entries:
+        if is_full and len(self._waiters) >= self.queue_entries:
             raise self._overloaded("queue is full")
         wait_s = self._wait_s(len(self._waiters) + 1) if is_full else 0.0
         ends_s = self._clock.monotonic_s() + wait_s + self._service_s
