Keep each type of the evidence store in a file of its own

Cause: the survey of the tree showed three types in one file. Ruled out: leaving it, since the window's sum is used by its own rules.

--- a/src/galenatack/moves/evidence_store.py
+++ b/src/galenatack/moves/evidence_store.py
@@ -1,13 +1,11 @@
 """Latest reports of all gates of a service; windows by differencing."""
 
-import collections
-
 from galenatack.messages import evidence
-from galenatack.model import route_evidence
+from galenatack.moves import _gate_reports
+from galenatack.moves import _window_sum
 from galenatack.moves import route_window
 
 _GateKey = tuple[str, int]
-_Snapshot = dict[tuple[str, str], route_evidence.RouteEvidence]
 
 # Reports of one number leave the gates together. A gate that misses this
 # long is counted with its next report, so that it cannot delay the others.
@@ -18,17 +16,6 @@
 MAX_FIRST_NUMBER = 6
 
 
-class _Gate:
-    """Reports of one incarnation of a gate."""
-
-    def __init__(self, report: evidence.Evidence, now_s: float):
-        self.data_centre = report.data_centre
-        self.number = report.number
-        self.seen_s = now_s
-        self.latest: _Snapshot = {}
-        self.consumed: _Snapshot = {}
-
-
 class EvidenceStore:
     """Keeps the latest report by (node, incarnation) for one move.
 
@@ -45,7 +32,7 @@
     def __init__(self, *, move_id: str, is_late: bool = False):
         self._move_id = move_id
         self._is_late = is_late
-        self._gates: dict[_GateKey, _Gate] = {}
+        self._gates: dict[_GateKey, _gate_reports.GateReports] = {}
         self._newest = 0
         self._newest_s = 0.0
         self._taken = 0
@@ -57,7 +44,7 @@
         key = (report.node_id, report.incarnation)
         gate = self._gates.get(key)
         if gate is None:
-            gate = self._gates[key] = _Gate(report, now_s)
+            gate = self._gates[key] = _gate_reports.GateReports(report, now_s)
             if self._is_late or report.number > MAX_FIRST_NUMBER:
                 gate.consumed = _by_route(report)
         elif report.number <= gate.number:
@@ -79,7 +66,7 @@
         if self._newest <= self._taken or not self._is_complete(now_s):
             return ()
         self._taken = self._newest
-        sums: dict[tuple[str, str, str], _Sum] = {}
+        sums: dict[tuple[str, str, str], _window_sum.WindowSum] = {}
         for gate in self._gates.values():
             _add_difference(gate, sums)
             gate.consumed = gate.latest
@@ -95,41 +82,21 @@
         )
 
 
-class _Sum:
-    """Sum of differences of several gates."""
-
-    def __init__(self):
-        self.calls = 0
-        self.errors = 0
-        self.warm_calls = 0
-        self.buckets: collections.Counter[int] = collections.Counter()
-
-    def window(self, key: tuple[str, str, str]) -> route_window.RouteWindow:
-        """Returns the sum as a window of (route, version, data centre)."""
-        route, version, data_centre = key
-        return route_window.RouteWindow(
-            route,
-            version,
-            data_centre,
-            self.calls,
-            self.errors,
-            self.warm_calls,
-            dict(self.buckets),
-        )
-
-
-def _by_route(report: evidence.Evidence) -> _Snapshot:
+def _by_route(report: evidence.Evidence) -> _gate_reports.Snapshot:
     return {(entry.route, entry.version): entry for entry in report.routes}
 
 
 def _add_difference(
-    gate: _Gate, sums: dict[tuple[str, str, str], _Sum]
+    gate: _gate_reports.GateReports,
+    sums: dict[tuple[str, str, str], _window_sum.WindowSum],
 ) -> None:
     for (route, version), entry in gate.latest.items():
         before = gate.consumed.get((route, version))
         if before == entry:
             continue
-        total = sums.setdefault((route, version, gate.data_centre), _Sum())
+        total = sums.setdefault(
+            (route, version, gate.data_centre), _window_sum.WindowSum()
+        )
         total.calls += entry.calls
         total.errors += entry.errors
         total.warm_calls += entry.warm_calls
