--- /dev/null
+++ b/src/galenatack/app/mesh_callbacks.py
@@ -0,0 +1,150 @@
+"""Connects parts that learn of changes with those that act on them."""
+
+import logging
+import typing
+
+from galenatack import exceptions
+from galenatack.config import row_exchange
+from galenatack.config import row_mirror
+from galenatack.config import table_watcher
+from galenatack.links import connection_limits
+from galenatack.membership import member_table
+from galenatack.messages import heartbeat
+from galenatack.model import caller_limits
+from galenatack.model import member_record
+from galenatack.model import table_row
+from galenatack.platform import config_document
+from galenatack.platform import rollout_rows
+from galenatack.rollouts import rollout_book
+from galenatack.timeline import hybrid_clock
+from galenatack.traffic import attempt_budget
+from galenatack.traffic import config_holder
+from galenatack.traffic import target_gate
+from galenatack.traffic import target_placement
+from galenatack.traffic import target_registry
+
+_LOGGER = logging.getLogger(__name__)
+
+MS_PER_S = 1000
+
+
+class Connected(typing.NamedTuple):
+    """Parts that the callbacks use."""
+
+    members: member_table.MemberTable
+    hlc: hybrid_clock.HybridClock
+    mirror: row_mirror.RowMirror
+    exchange: row_exchange.RowExchange
+    watchers: tuple[table_watcher.TableWatcher, ...]
+    config: config_holder.ConfigHolder
+    rollouts: rollout_book.RolloutBook
+    registry: target_registry.TargetRegistry
+    gate: target_gate.TargetGate
+    budget: attempt_budget.AttemptBudget
+    placement: target_placement.TargetPlacement
+    limits: connection_limits.ConnectionLimits
+
+
+class MeshCallbacks:
+    """Holds the callbacks; `connect` names the parts once all are made."""
+
+    def __init__(self):
+        self._parts: Connected | None = None
+
+    def connect(self, parts: Connected) -> None:
+        """Takes the parts."""
+        self._parts = parts
+
+    def own_heartbeat(self) -> heartbeat.Heartbeat:
+        """Returns the heartbeat to send on links."""
+        parts = self._parts
+        return heartbeat.Heartbeat(
+            held_seq=parts.config.version,
+            member_digest=parts.members.digest(),
+            hlc=parts.hlc.now(),
+            table_revisions=parts.mirror.revisions,
+        )
+
+    async def on_heartbeat(
+        self, sender: str, message: heartbeat.Heartbeat
+    ) -> None:
+        """Takes the heartbeat of a peer."""
+        self._parts.hlc.observe(message.hlc)
+        await self._parts.exchange.on_heartbeat(sender, message)
+
+    def on_behind(self) -> None:
+        """Asks the store anew, because a peer knows something newer."""
+        for watcher in self._parts.watchers:
+            watcher.nudge()
+
+    def target_changed(self) -> None:
+        """Tells the own target's state to the gate and to other nodes."""
+        parts = self._parts
+        told = parts.registry.current
+        parts.gate.target_changed()
+        parts.members.update_own(
+            target_id=told.target_id,
+            target_state=told.state,
+            version=told.version,
+            slots=told.slots,
+        )
+
+    def members_changed(
+        self, changed: tuple[member_record.MemberRecord, ...]
+    ) -> None:
+        """Adapts to a change of the fleet."""
+        del changed
+        live = self._parts.members.live()
+        self._parts.budget.set_nodes(len(live))
+        self._parts.placement.keep({record.node_id for record in live})
+
+    def rows_changed(self, rows: tuple[table_row.TableRow, ...]) -> None:
+        """Decodes changed rows; one that is malformed changes nothing."""
+        for row in rows:
+            try:
+                self._take(row)
+            except exceptions.DocumentError as error:
+                _LOGGER.warning(
+                    "event=row-refused table=%s key=%s revision=%d error=%s",
+                    row.table,
+                    row.key,
+                    row.revision,
+                    error,
+                )
+
+    def _take(self, row: table_row.TableRow) -> None:
+        parts = self._parts
+        if row.table == rollout_rows.PROGRESS_TABLE:
+            if not row.is_deleted:
+                parts.rollouts.take_progress(rollout_rows.decode_progress(row))
+        elif row.key == config_document.KEY:
+            self._take_config(row)
+        elif row.key.startswith(rollout_rows.ORDER_PREFIX):
+            if row.is_deleted:
+                service = row.key.removeprefix(rollout_rows.ORDER_PREFIX)
+                parts.rollouts.drop_order(service)
+            else:
+                parts.rollouts.take_order(rollout_rows.decode_order(row))
+
+    def _take_config(self, row: table_row.TableRow) -> None:
+        # A deleted configuration is no configuration to run: the last one
+        # stays in force.
+        if row.is_deleted:
+            _LOGGER.warning("event=config-deleted revision=%d", row.revision)
+            return
+        config = config_document.decode(row.value)
+        if self._parts.config.offer(config):
+            _apply_limits(self._parts.limits, config.limits)
+
+
+def _apply_limits(
+    limits: connection_limits.ConnectionLimits,
+    told: caller_limits.CallerLimits,
+) -> None:
+    limits.max_header_bytes = told.max_header_bytes
+    # The body has to fit into a frame between nodes.
+    limits.max_body_bytes = min(
+        told.max_body_bytes, connection_limits.ConnectionLimits().max_body_bytes
+    )
+    limits.header_timeout_s = told.header_timeout_ms / MS_PER_S
+    limits.idle_timeout_s = told.idle_timeout_ms / MS_PER_S
--- /dev/null
+++ b/src/galenatack/app/mesh_node.py
@@ -0,0 +1,153 @@
+"""The application object of a node that runs on a shared platform."""
+
+import logging
+
+import anyio
+import anyio.abc
+
+from galenatack import exceptions
+from galenatack.app import mesh_parts
+from galenatack.app import supervisor
+from galenatack.links import gc_tuning
+from galenatack.model import target_state
+
+_LOGGER = logging.getLogger(__name__)
+
+MS_PER_S = 1000
+
+NOTICE_S = 1.0
+"""Time for the announcement of a stop to reach the other nodes; until then
+their calls to the own target are still taken."""
+
+CALLERS_LEAVE_S = 2.6
+"""Callers are sent elsewhere after two failed readiness checks, one a second;
+their connections are ended with the next answer from then on."""
+
+IDLE_CLOSE_S = 3.4
+"""Idle connections are closed from then on: calls that were sent until 3 s
+after the signal must be answered."""
+
+EXIT_MARGIN_S = 0.6
+"""Time kept before the platform's SIGKILL."""
+
+POLL_S = 0.05
+LOG_REPORT_S = 5.0
+
+
+class MeshNode:
+    """Runs the parts of a node; the hooks are `start`, `serve`, `stop`.
+
+    Args:
+        parts: The wired parts.
+    """
+
+    def __init__(self, parts: mesh_parts.MeshParts):
+        self._parts = parts
+        self._stopping = anyio.Event()
+
+    def request_stop(self) -> None:
+        """Begins a graceful stop."""
+        self._stopping.set()
+
+    async def run(self) -> None:
+        """Runs until a stop was requested and the calls have ended."""
+        async with anyio.create_task_group() as tasks:
+            await self.start(tasks)
+            self.serve(tasks)
+            await self._stopping.wait()
+            await self.stop()
+            tasks.cancel_scope.cancel()
+
+    async def start(self, tasks: anyio.abc.TaskGroup) -> None:
+        """Opens the listeners.
+
+        Raises:
+            OSError: An address cannot be used.
+        """
+        parts = self._parts
+        for server in (parts.control, parts.ready, parts.callers):
+            await server.listen()
+            tasks.start_soon(server.run)
+        await tasks.start(parts.peers.run)
+        parts.membership.start_serving()
+        gc_tuning.settle()
+        _LOGGER.info(
+            "event=started node=%s data_centre=%s region=%s service=%s",
+            parts.settings.node_id,
+            parts.settings.data_centre,
+            parts.settings.region,
+            parts.settings.service,
+        )
+
+    def serve(self, tasks: anyio.abc.TaskGroup) -> None:
+        """Starts the duties; each is restarted when it fails."""
+        parts = self._parts
+        keeper = supervisor.Supervisor(clock=parts.clock, events=parts.events)
+        duties = {
+            "membership": parts.membership.run,
+            "discovery": parts.discovery.run,
+            "links": parts.warmer.run,
+            "rollouts": parts.driver.run,
+            "log-report": self._report_log,
+        }
+        for number, watcher in enumerate(parts.watchers):
+            duties[f"watch-{number}"] = watcher.run
+        for name, duty in duties.items():
+            tasks.start_soon(keeper.keep, name, duty)
+
+    async def stop(self) -> None:
+        """Ends within the grace time without cutting a call."""
+        parts = self._parts
+        started_s = parts.clock.monotonic_s()
+        grace_s = parts.settings.bounds.grace_ms / MS_PER_S
+        _LOGGER.info(
+            "event=stopping calls=%d gate_calls=%d",
+            parts.router.in_flight,
+            parts.gate.in_flight,
+        )
+        await parts.membership.leave()
+        await self._forget_if_gone()
+        await self._until(started_s + NOTICE_S)
+        parts.gate.close()
+        await self._until(started_s + CALLERS_LEAVE_S)
+        parts.callers.drain()
+        await self._until(started_s + IDLE_CLOSE_S)
+        parts.callers.stop_listening()
+        await self._drain(started_s + grace_s - EXIT_MARGIN_S)
+        _LOGGER.info(
+            "event=stopped after_ms=%d calls=%d gate_calls=%d",
+            (parts.clock.monotonic_s() - started_s) * MS_PER_S,
+            parts.router.in_flight,
+            parts.gate.in_flight,
+        )
+
+    async def _forget_if_gone(self) -> None:
+        """Deletes this node's row when its target has left for good."""
+        parts = self._parts
+        if parts.registry.state != target_state.TargetState.GONE:
+            return
+        with anyio.move_on_after(NOTICE_S):
+            try:
+                await parts.discovery.withdraw()
+            except exceptions.PlatformError as error:
+                # Another node deletes the row later.
+                _LOGGER.info("event=row-not-deleted error=%s", error)
+
+    async def _drain(self, until_s: float) -> None:
+        parts = self._parts
+        while parts.clock.monotonic_s() < until_s:
+            parts.callers.close_idle()
+            is_busy = parts.router.in_flight or parts.gate.in_flight
+            if not is_busy and not parts.callers.connections:
+                return
+            await parts.clock.sleep_s(POLL_S)
+
+    async def _until(self, moment_s: float) -> None:
+        left_s = moment_s - self._parts.clock.monotonic_s()
+        if left_s > 0:
+            await self._parts.clock.sleep_s(left_s)
+
+    async def _report_log(self) -> None:
+        while True:
+            await self._parts.clock.sleep_s(LOG_REPORT_S)
+            self._parts.log.report_dropped()
--- /dev/null
+++ b/src/galenatack/app/mesh_parts.py
@@ -0,0 +1,61 @@
+"""The wired parts of a node that runs on a shared platform."""
+
+import typing
+
+from galenatack.config import row_mirror
+from galenatack.config import table_watcher
+from galenatack.interfaces import clock as clock_interface
+from galenatack.links import peer_network
+from galenatack.links import pipelined_server
+from galenatack.links import translated_target
+from galenatack.membership import discovery
+from galenatack.membership import member_table
+from galenatack.membership import membership_service
+from galenatack.rollouts import rollout_book
+from galenatack.rollouts import rollout_driver
+from galenatack.settings import mesh_settings
+from galenatack.timeline import recorder
+from galenatack.traffic import attempt_budget
+from galenatack.traffic import call_router
+from galenatack.traffic import config_holder
+from galenatack.traffic import link_warmer
+from galenatack.traffic import request_log
+from galenatack.traffic import target_gate
+from galenatack.traffic import target_placement
+from galenatack.traffic import target_registry
+
+
+class Closable(typing.Protocol):
+    """Holds connections."""
+
+    async def close(self) -> None:
+        """Closes them."""
+
+
+class MeshParts(typing.NamedTuple):
+    """Parts that the application object runs."""
+
+    settings: mesh_settings.MeshSettings
+    clock: clock_interface.Clock
+    events: recorder.Recorder
+    members: member_table.MemberTable
+    membership: membership_service.MembershipService
+    peers: peer_network.WebsocketPeers
+    discovery: discovery.Discovery
+    mirror: row_mirror.RowMirror
+    watchers: tuple[table_watcher.TableWatcher, ...]
+    config: config_holder.ConfigHolder
+    rollouts: rollout_book.RolloutBook
+    driver: rollout_driver.RolloutDriver
+    registry: target_registry.TargetRegistry
+    gate: target_gate.TargetGate
+    router: call_router.CallRouter
+    budget: attempt_budget.AttemptBudget
+    placement: target_placement.TargetPlacement
+    warmer: link_warmer.LinkWarmer
+    log: request_log.RequestLog
+    callers: pipelined_server.PipelinedServer
+    control: pipelined_server.PipelinedServer
+    ready: pipelined_server.PipelinedServer
+    target: translated_target.TranslatedTarget
+    store: Closable
--- /dev/null
+++ b/src/galenatack/config/row_exchange.py
@@ -0,0 +1,91 @@
+"""Keeps the mirrored rows of nodes equal, also without the store."""
+
+import collections.abc
+import logging
+
+from galenatack import exceptions
+from galenatack.config import row_mirror
+from galenatack.interfaces import peer_network
+from galenatack.messages import heartbeat
+from galenatack.messages import pull_rows
+from galenatack.messages import rows as rows_message
+
+PULL_TIMEOUT_S = 1.5
+"""A node that is cut off from the store has about 7 s for a change."""
+
+MAX_FRAME_ROW_BYTES = 3_000_000
+"""Rows of one answer; the frame holds 4 MiB."""
+
+_LOGGER = logging.getLogger(__name__)
+
+OnBehind = collections.abc.Callable[[], None]
+
+
+class RowExchange:
+    """Pulls rows from a peer whose heartbeat shows newer ones.
+
+    Args:
+        mirror: Rows of this node.
+        peers: Links to other nodes.
+        on_behind: Called when a peer holds something newer.
+    """
+
+    def __init__(
+        self,
+        *,
+        mirror: row_mirror.RowMirror,
+        peers: peer_network.PeerNetwork,
+        on_behind: OnBehind,
+    ):
+        self._mirror = mirror
+        self._peers = peers
+        self._on_behind = on_behind
+        self._pulling = False
+        peers.on(pull_rows.PullRows, self._on_pull)
+
+    async def on_heartbeat(
+        self, sender: str, message: heartbeat.Heartbeat
+    ) -> None:
+        """Compares the revisions of a peer with the own ones."""
+        if self._pulling or not self._mirror.is_behind(message.table_revisions):
+            return
+        self._on_behind()
+        self._pulling = True
+        try:
+            await self._pull(sender)
+        finally:
+            self._pulling = False
+
+    async def _pull(self, sender: str) -> None:
+        try:
+            answer = await self._peers.request(
+                sender,
+                pull_rows.PullRows(self._mirror.revisions),
+                timeout_s=PULL_TIMEOUT_S,
+            )
+        except exceptions.PeerError as error:
+            _LOGGER.info(
+                "event=rows-not-pulled peer=%s error=%s", sender, error
+            )
+            return
+        if isinstance(answer, rows_message.Rows):
+            taken = self._mirror.apply(answer.rows)
+            _LOGGER.info(
+                "event=rows-pulled peer=%s rows=%d taken=%d",
+                sender,
+                len(answer.rows),
+                len(taken),
+            )
+
+    async def _on_pull(
+        self, sender: str, message: pull_rows.PullRows
+    ) -> rows_message.Rows:
+        del sender
+        chosen = []
+        size_bytes = 0
+        for row in self._mirror.since(message.table_revisions):
+            size_bytes += len(row.value) + len(row.key)
+            if size_bytes > MAX_FRAME_ROW_BYTES:
+                break
+            chosen.append(row)
+        return rows_message.Rows(tuple(chosen))
--- a/src/galenatack/exceptions/_platform_errors.py
+++ b/src/galenatack/exceptions/_platform_errors.py
@@ -47,3 +47,15 @@
     """An object is missing or its body differs from its content hash."""
 
     code = "object-corrupt"
+
+
+class HistoryLostError(PlatformError):
+    """The store no longer knows the changes after a revision."""
+
+    code = "history-lost"
+
+
+class DocumentError(PlatformError):
+    """A document of the platform lacks a field or has a malformed one."""
+
+    code = "document"
--- a/src/galenatack/links/connection_pool.py
+++ b/src/galenatack/links/connection_pool.py
@@ -1,12 +1,17 @@
 """Reused HTTP/1.1 connections to one host."""
 
 import asyncio
+import math
 
 import anyio
 
 from galenatack import exceptions
+from galenatack.links import keep_alive
 from galenatack.links import target_connection
 
+KEEP_ALIVE_MARGIN_S = 1.0
+"""A connection is given up this long before its other end closes it."""
+
 
 class ConnectionPool:
     """Keeps connections to one host; the latest used is reused first.
@@ -36,9 +41,16 @@
         self._max_connections = max_connections
         self._limit: anyio.Semaphore | None = None
 
-    async def acquire(self) -> target_connection.TargetConnection:
+    async def acquire(
+        self, *, max_idle_s: float = math.inf
+    ) -> target_connection.TargetConnection:
         """Returns an idle or a new connection; give it back by `release`.
 
+        Args:
+            max_idle_s: A connection that was idle for longer is not reused:
+                its other end may have closed it, and a request that is sent
+                into the close may or may not have run.
+
         Raises:
             exceptions.TargetConnectError: No connection could be made.
         """
@@ -48,10 +60,9 @@
             )
         await self._limit.acquire()
         try:
-            while self._idle:
-                connection = self._idle.pop()
-                if connection.is_usable:
-                    return connection
+            self._drop_stale()
+            if self._idle and self._idle_s(self._idle[-1]) <= max_idle_s:
+                return self._idle.pop()
             return await self._connect()
         except BaseException:
             self._limit.release()
@@ -60,6 +71,7 @@
     def release(self, connection: target_connection.TargetConnection) -> None:
         """Takes a connection back; it is kept when it can be reused."""
         if connection.is_usable:
+            connection.released_s = asyncio.get_running_loop().time()
             self._idle.append(connection)
         else:
             connection.close()
@@ -70,15 +82,34 @@
         while self._idle:
             self._idle.pop().close()
 
+    def _drop_stale(self) -> None:
+        kept = []
+        for connection in self._idle:
+            bound_s = connection.keep_alive_s
+            is_stale = bound_s is not None and (
+                self._idle_s(connection) > bound_s - KEEP_ALIVE_MARGIN_S
+            )
+            if is_stale or not connection.is_usable:
+                connection.close()
+            else:
+                kept.append(connection)
+        self._idle = kept
+
+    def _idle_s(self, connection: target_connection.TargetConnection) -> float:
+        return asyncio.get_running_loop().time() - connection.released_s
+
     async def _connect(self) -> target_connection.TargetConnection:
         loop = asyncio.get_running_loop()
         try:
             with anyio.fail_after(self._connect_timeout_s):
-                _, connection = await loop.create_connection(
+                transport, connection = await loop.create_connection(
                     self._make, self._host, self._port
                 )
         except (OSError, TimeoutError) as error:
-            raise exceptions.TargetConnectError(str(error)) from error
+            raise exceptions.TargetConnectError(
+                f"{self._host}:{self._port}: {error or 'timeout'}"
+            ) from error
+        keep_alive.enable(transport)
         return connection
 
     def _make(self) -> target_connection.TargetConnection:
--- a/src/galenatack/links/message_tags.py
+++ b/src/galenatack/links/message_tags.py
@@ -15,6 +15,9 @@
 from galenatack.messages import protocol_failure
 from galenatack.messages import pull_delta
 from galenatack.messages import pull_members
+from galenatack.messages import pull_rows
+from galenatack.messages import rows
+from galenatack.messages import trial_evidence
 from galenatack.messages import withdraw
 
 # A number is part of the protocol: it is never reused for another type.
@@ -35,6 +38,9 @@
     14: ask_posting.AskPosting,
     15: posting_status.PostingStatus,
     16: protocol_failure.ProtocolFailure,
+    17: pull_rows.PullRows,
+    18: rows.Rows,
+    19: trial_evidence.TrialEvidence,
 }
 """Message type by tag."""
 
--- a/src/galenatack/links/peer_network.py
+++ b/src/galenatack/links/peer_network.py
@@ -113,6 +113,21 @@
         """Returns frames and bytes by type, direction and boundary."""
         return self._traffic.traffic()
 
+    def is_connected(self, node_id: str) -> bool:
+        """Tells whether a link for calls to a node is open."""
+        return self._book.find(node_id, for_calls=True) is not None
+
+    def open_soon(self, node_id: str) -> None:
+        """Dials a node in the background unless a link for calls is open."""
+        if self._tasks is not None and not self.is_connected(node_id):
+            self._tasks.start_soon(self._open_quietly, node_id)
+
+    async def _open_quietly(self, node_id: str) -> None:
+        try:
+            await self._link(node_id, for_calls=True)
+        except exceptions.PeerError as error:
+            _LOGGER.debug("event=dial-failed peer=%s error=%s", node_id, error)
+
     def neighbours(self) -> frozenset[str]:
         """Returns the node ids of all open overlay and carrier links."""
         return frozenset(link.node_id for link in self._book.kept())
--- /dev/null
+++ b/src/galenatack/links/pipelined_server.py
@@ -0,0 +1,100 @@
+"""A listener whose connections are `PipelinedConnection`."""
+
+import asyncio
+
+import anyio
+
+from galenatack.links import connection_limits
+from galenatack.links import pipelined_connection
+
+BACKLOG = 1024
+CHECK_S = 0.5
+"""How often idle times are looked at."""
+
+
+class PipelinedServer:
+    """Listens on one address.
+
+    Args:
+        address: host:port to listen on.
+        respond: Answers a request.
+        limits: Bounds on connections; changes apply at once.
+    """
+
+    def __init__(
+        self,
+        *,
+        address: str,
+        respond: pipelined_connection.Respond,
+        limits: connection_limits.ConnectionLimits | None = None,
+    ):
+        self._address = address
+        self._respond = respond
+        self.limits = limits or connection_limits.ConnectionLimits()
+        self._connections: set[pipelined_connection.PipelinedConnection] = set()
+        self._server: asyncio.Server | None = None
+        self._is_draining = False
+
+    @property
+    def busy(self) -> int:
+        """Connections with a request that is not answered."""
+        return sum(not item.is_idle for item in self._connections)
+
+    @property
+    def connections(self) -> int:
+        """Open connections."""
+        return len(self._connections)
+
+    async def listen(self) -> None:
+        """Opens the listener.
+
+        Raises:
+            OSError: The address cannot be used.
+        """
+        host, _, port = self._address.rpartition(":")
+        self._server = await asyncio.get_running_loop().create_server(
+            self._make, host=host, port=int(port), backlog=BACKLOG
+        )
+
+    async def run(self) -> None:
+        """Ends idle connections until cancelled, then drops all."""
+        try:
+            while True:
+                await anyio.sleep(CHECK_S)
+                now_s = asyncio.get_running_loop().time()
+                for connection in tuple(self._connections):
+                    connection.check_time(now_s)
+        finally:
+            self.close()
+
+    def drain(self) -> None:
+        """Ends each connection with its next answer."""
+        self._is_draining = True
+        for connection in self._connections:
+            connection.drain()
+
+    def stop_listening(self) -> None:
+        """Accepts no new connections."""
+        if self._server is not None:
+            self._server.close()
+
+    def close_idle(self) -> None:
+        """Closes the connections without a request."""
+        for connection in tuple(self._connections):
+            connection.close_idle()
+
+    def close(self) -> None:
+        """Drops all connections."""
+        self.stop_listening()
+        for connection in tuple(self._connections):
+            connection.abort()
+
+    def _make(self) -> pipelined_connection.PipelinedConnection:
+        connection = pipelined_connection.PipelinedConnection(
+            respond=self._respond,
+            limits=self.limits,
+            connections=self._connections,
+        )
+        if self._is_draining:
+            connection.drain()
+        return connection
--- a/src/galenatack/links/target_connection.py
+++ b/src/galenatack/links/target_connection.py
@@ -1,12 +1,19 @@
 """One HTTP/1.1 connection to the node's own target."""
 
 import asyncio
+import collections.abc
 import typing
 
 import h11
 
 from galenatack import exceptions
 
+Headers = collections.abc.Sequence[tuple[bytes, bytes]]
+IsAnswer = collections.abc.Callable[[Headers], bool]
+
+_KEEP_ALIVE = b"keep-alive"
+_TIMEOUT = b"timeout="
+
 
 class RawAnswer(typing.NamedTuple):
     """An answer as it came.
@@ -40,7 +47,13 @@
         self._response: h11.Response | None = None
         self._parts: list[bytes] = []
         self._size = 0
+        self._request: h11.Request | None = None
+        self._body = b""
+        self._is_answer: IsAnswer | None = None
+        self._is_surplus = False
         self.is_usable = False
+        self.released_s = 0.0
+        self.keep_alive_s: float | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Keeps the transport."""
@@ -60,9 +73,22 @@
         """Fails the exchange."""
         self._fail(str(exc or "connection closed"))
 
-    async def exchange(self, request: h11.Request, body: bytes) -> RawAnswer:
+    async def exchange(
+        self,
+        request: h11.Request,
+        body: bytes,
+        *,
+        is_answer: IsAnswer | None = None,
+    ) -> RawAnswer:
         """Sends a request and returns the whole answer.
 
+        Args:
+            request: The head.
+            body: The whole body.
+            is_answer: Tells from the headers whether an answer belongs to
+                this request; one that does not is skipped. A faulty target
+                may answer an earlier request twice.
+
         Raises:
             exceptions.TargetConnectError: Nothing was sent.
             exceptions.TargetAnswerLostError: It may have run.
@@ -74,6 +100,10 @@
         except h11.LocalProtocolError as error:
             self.close()
             raise exceptions.TargetConnectError(str(error)) from error
+        self._request = request
+        self._body = body
+        self._is_answer = is_answer
+        self._is_surplus = False
         self._waiter = asyncio.get_running_loop().create_future()
         # The connection can be reused only after the end of the answer.
         self.is_usable = False
@@ -112,20 +142,37 @@
             kind = type(event)
             if kind is h11.Response:
                 self._response = event
+                self._is_surplus = self._is_answer is not None and (
+                    not self._is_answer(event.headers)
+                )
             elif kind is h11.Data:
                 self._parts.append(event.data)
                 self._size += len(event.data)
                 if self._size > self._max_answer_bytes:
                     self._fail("answer too large")
                     return
+            elif kind is h11.EndOfMessage and self._is_surplus:
+                self._skip_answer()
             elif kind is h11.EndOfMessage:
                 self._finish()
                 return
             elif kind is not h11.InformationalResponse:
                 return
 
+    def _skip_answer(self) -> None:
+        """Goes on reading as if the request had just been sent."""
+        rest, _ = self._http.trailing_data
+        self._parts.clear()
+        self._size = 0
+        self._http = h11.Connection(h11.CLIENT)
+        # Only the state matters here: the request went out long ago.
+        self._encode(self._request, self._body)
+        if rest:
+            self._http.receive_data(rest)
+
     def _finish(self) -> None:
         response = self._response
+        self.keep_alive_s = _keep_alive_s(response.headers)
         answer = RawAnswer(
             response.status_code, list(response.headers), b"".join(self._parts)
         )
@@ -145,3 +192,15 @@
         self.close()
         if self._waiter is not None and not self._waiter.done():
             self._waiter.set_exception(exceptions.TargetAnswerLostError(reason))
+
+
+def _keep_alive_s(headers: Headers) -> float | None:
+    """Returns how long the peer keeps an idle connection, if it tells."""
+    for name, value in headers:
+        if name != _KEEP_ALIVE:
+            continue
+        for part in value.lower().split(b","):
+            text = part.strip().removeprefix(_TIMEOUT)
+            if text != part.strip() and text.isdigit():
+                return float(text)
+    return None
--- a/src/galenatack/messages/call_answer.py
+++ b/src/galenatack/messages/call_answer.py
@@ -3,6 +3,7 @@
 import typing
 
 from galenatack.model import call_result
+from galenatack.model import gate_report
 
 
 class CallAnswer(typing.NamedTuple):
@@ -11,7 +12,9 @@
     Attributes:
         call_id: The call.
         result: The answer.
+        report: Load of the gate that answers, if it reports any.
     """
 
     call_id: str
     result: call_result.CallResult
+    report: gate_report.GateReport | None = None
--- a/src/galenatack/messages/heartbeat.py
+++ b/src/galenatack/messages/heartbeat.py
@@ -10,8 +10,11 @@
         held_seq: Highest seq that the sender holds.
         member_digest: 64-bit digest of the sender's member table.
         hlc: The sender's hybrid logical time.
+        table_revisions: Newest revision that the sender holds of each
+            mirrored table, in the order of their names.
     """
 
     held_seq: int
     member_digest: int
     hlc: int
+    table_revisions: tuple[int, ...] = ()
--- a/src/galenatack/model/call_request.py
+++ b/src/galenatack/model/call_request.py
@@ -17,6 +17,13 @@
         deadline_ms: Remaining time in milliseconds.
         posting: True when the call runs at most once.
         idempotency_key: The caller's key; empty for reads.
+        request_id: The caller's own identifier of the attempt.
+        priority: Rank under load; 0 goes first.
+        target_latency_ms: Time within which an answer is worth most; 0
+            when the route states none.
+        caller_service: Service of the instance where the call began.
+        target_id: Target that is meant; empty for any.
+        is_repeat: True when an earlier send may have reached a target.
     """
 
     call_id: str
@@ -29,3 +36,9 @@
     deadline_ms: int
     posting: bool
     idempotency_key: str = ""
+    request_id: str = ""
+    priority: int = 0
+    target_latency_ms: int = 0
+    caller_service: str = ""
+    target_id: str = ""
+    is_repeat: bool = False
--- a/src/galenatack/model/call_result.py
+++ b/src/galenatack/model/call_result.py
@@ -14,6 +14,8 @@
         retry_after_ms: When to come back; 0 when there is nothing to
             repeat.
         failure: Code of the failure; empty for an answer of the target.
+        has_reached_target: True when the call was sent to a target, also
+            when that refused it.
     """
 
     outcome: str
@@ -22,3 +24,4 @@
     body: bytes
     retry_after_ms: int = 0
     failure: str = ""
+    has_reached_target: bool = False
--- /dev/null
+++ b/src/galenatack/model/caller_request.py
@@ -0,0 +1,25 @@
+"""A caller's request before it is routed."""
+
+import typing
+
+
+class CallerRequest(typing.NamedTuple):
+    """A caller's request before it is routed.
+
+    Attributes:
+        request_id: The caller's identifier of the attempt.
+        method: HTTP method.
+        host: Host that the caller named, in lower case, without the port.
+        path: Path and query.
+        headers: End-to-end headers, names in lower case.
+        body: Whole body.
+        deadline_ms: How long the caller waits; 0 when it does not tell.
+    """
+
+    request_id: str
+    method: str
+    host: str
+    path: str
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+    deadline_ms: int
--- a/src/galenatack/model/member_record.py
+++ b/src/galenatack/model/member_record.py
@@ -27,6 +27,9 @@
         boot_ms: Start of the process, wall clock in milliseconds. Unlike the
             incarnation it does not grow when a suspicion is refuted, so
             that tickets and claims stay valid.
+        target_id: Identifier of the target; empty while there is none.
+        target_state: State of the target as it announced it itself; empty
+            when it does not announce itself.
     """
 
     node_id: str
@@ -44,3 +47,5 @@
     rejections: tuple[rejection.Rejection, ...] = ()
     beat: int = 0
     boot_ms: int = 0
+    target_id: str = ""
+    target_state: str = ""
--- /dev/null
+++ b/src/galenatack/model/rollout_order.py
@@ -0,0 +1,19 @@
+"""An operator's order to move a service to a version."""
+
+import typing
+
+
+class RolloutOrder(typing.NamedTuple):
+    """An operator's order to move a service to a version.
+
+    Attributes:
+        service: Service to move.
+        version: Version that is to take the traffic.
+        duration_ms: Time from the order until it should be done.
+        revision: Revision of the row that holds the order.
+    """
+
+    service: str
+    version: str
+    duration_ms: int
+    revision: int
--- /dev/null
+++ b/src/galenatack/model/table_page.py
@@ -0,0 +1,17 @@
+"""Rows of a shared table as of one revision."""
+
+import typing
+
+from galenatack.model import table_row
+
+
+class TablePage(typing.NamedTuple):
+    """Rows of a shared table as of one revision.
+
+    Attributes:
+        rows: The rows.
+        revision: Newest revision of the store when it answered.
+    """
+
+    rows: tuple[table_row.TableRow, ...]
+    revision: int
--- /dev/null
+++ b/src/galenatack/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Translation between the Cocotera Austral platform and galenatack."""
--- /dev/null
+++ b/src/galenatack/platform/_values.py
@@ -0,0 +1,71 @@
+"""Checks of single values in documents of the platform."""
+
+import re
+import typing
+
+from galenatack import exceptions
+
+_DURATION = re.compile(r"([0-9]+(?:\.[0-9]+)?)(ms|s)")
+_MS_PER_S = 1000
+_MISSING = object()
+
+
+def duration_ms(value: typing.Any) -> int:
+    """Returns the milliseconds of a text such as `1500ms` or `2.5s`.
+
+    Raises:
+        ValueError: It is no such text.
+    """
+    match = _DURATION.fullmatch(value) if isinstance(value, str) else None
+    if match is None:
+        raise ValueError("a number with ms or s")
+    factor = _MS_PER_S if match[2] == "s" else 1
+    return round(float(match[1]) * factor)
+
+
+def text(value: typing.Any) -> str:
+    """Returns a text that is not empty.
+
+    Raises:
+        ValueError: It is none.
+    """
+    if not isinstance(value, str) or not value:
+        raise ValueError("a text that is not empty")
+    return value
+
+
+def whole(value: typing.Any) -> int:
+    """Returns a whole number that is not negative.
+
+    Raises:
+        ValueError: It is none.
+    """
+    if type(value) is not int or value < 0:
+        raise ValueError("a whole number")
+    return value
+
+
+def field(
+    document: typing.Any,
+    name: str,
+    check: typing.Callable[[typing.Any], typing.Any],
+    default: typing.Any = _MISSING,
+) -> typing.Any:
+    """Returns a checked field; a missing one or null gives the default.
+
+    Raises:
+        exceptions.DocumentError: It is missing, or not what was expected.
+    """
+    if not isinstance(document, dict):
+        raise exceptions.DocumentError(f"{name}: the document is no mapping")
+    value = document.get(name)
+    if value is None:
+        if default is _MISSING:
+            raise exceptions.DocumentError(f"{name}: missing")
+        return default
+    try:
+        return check(value)
+    except (ValueError, TypeError) as error:
+        raise exceptions.DocumentError(
+            f"{name}: expected {error}, got {str(value)[:40]!r}"
+        ) from error
--- /dev/null
+++ b/src/galenatack/platform/caller_dialect.py
@@ -0,0 +1,78 @@
+"""Translates requests of callers and their answers."""
+
+import collections.abc
+
+from galenatack.links import http_request
+from galenatack.links import http_response
+from galenatack.model import call_result
+from galenatack.model import caller_request
+from galenatack.model import outcome
+from galenatack.platform import _headers
+
+_MS_PER_S = 1000
+_BAD_REQUEST = 400
+_MAX_DEADLINE_MS = 600_000
+_MISSING_HOST = http_response.HttpResponse(_BAD_REQUEST)
+
+Handle = collections.abc.Callable[
+    [caller_request.CallerRequest],
+    collections.abc.Awaitable[call_result.CallResult],
+]
+
+
+class CallerDialect:
+    """Answers HTTP requests of callers by a handler of calls.
+
+    Args:
+        handle: Routes a call and returns its result.
+    """
+
+    def __init__(self, *, handle: Handle):
+        self._handle = handle
+
+    async def respond(
+        self, request: http_request.HttpRequest
+    ) -> http_response.HttpResponse:
+        """Answers one request."""
+        named = dict(request.headers)
+        host = named.get("host", "")
+        if not host:
+            return _MISSING_HOST
+        request_id = named.get(_headers.ATTEMPT_ID, "")
+        result = await self._handle(
+            caller_request.CallerRequest(
+                request_id=request_id,
+                method=request.method,
+                host=host.partition(":")[0].lower(),
+                path=request.target,
+                headers=_headers.of_request(request.headers),
+                body=request.body,
+                deadline_ms=_deadline_ms(named.get(_headers.DEADLINE_MS)),
+            )
+        )
+        return _response(request_id, result)
+
+
+def _deadline_ms(text: str | None) -> int:
+    """Returns the caller's deadline; 0 when it gives none that is usable."""
+    try:
+        deadline_ms = int(float(text or ""))
+    except (ValueError, OverflowError):
+        return 0
+    return max(1, min(deadline_ms, _MAX_DEADLINE_MS))
+
+
+def _response(
+    request_id: str, result: call_result.CallResult
+) -> http_response.HttpResponse:
+    if result.outcome == outcome.Outcome.ANSWER:
+        return http_response.HttpResponse(
+            result.status, result.headers, result.body
+        )
+    headers = [*result.headers, (_headers.ATTEMPT_ID, request_id)]
+    if result.outcome == outcome.Outcome.NOT_RUN and result.retry_after_ms:
+        wait_s = result.retry_after_ms / _MS_PER_S
+        headers.append((_headers.RETRY_AFTER, f"{wait_s:.3f}"))
+    return http_response.HttpResponse(
+        result.status, tuple(headers), result.body
+    )
--- /dev/null
+++ b/src/galenatack/platform/config_document.py
@@ -0,0 +1,139 @@
+"""Decodes the operator's configuration."""
+
+import collections.abc
+import functools
+import json
+import typing
+
+from galenatack import exceptions
+from galenatack.model import caller_limits
+from galenatack.model import host_route
+from galenatack.model import traffic_config
+from galenatack.model import weighted_service
+from galenatack.platform import _values
+
+TABLE = "op"
+KEY = "config"
+
+_IDEMPOTENT = "idempotent"
+_KINDS = frozenset({_IDEMPOTENT, "non_idempotent"})
+_DEFAULTS = caller_limits.CallerLimits()
+_DEFAULT_TIMEOUT_MS = 10_000
+_LAST_PRIORITY = 9
+
+_Document = collections.abc.Mapping[str, typing.Any]
+
+
+def decode(value: bytes) -> traffic_config.TrafficConfig:
+    """Returns the configuration of a row, whole or not at all.
+
+    Raises:
+        exceptions.DocumentError: A part is malformed.
+    """
+    try:
+        document = json.loads(value)
+    except ValueError as error:
+        raise exceptions.DocumentError(f"config: {error}") from error
+    return traffic_config.TrafficConfig(
+        version=_values.field(document, "version", _values.whole),
+        routes=tuple(_route(row) for row in _table(document, "routes")),
+        max_connections={
+            _values.field(row, "name", _values.text): _values.field(
+                row, "max_connections", _values.whole, default=0
+            )
+            for row in _table(document, "services")
+        },
+        limits=_limits(_values.field(document, "limits", dict, default={})),
+    )
+
+
+def _table(
+    document: typing.Any, name: str
+) -> collections.abc.Iterator[dict[str, typing.Any]]:
+    """Yields the rows of a table as mappings; null means left out."""
+    table = _values.field(document, name, dict)
+    columns = _values.field(table, "columns", list)
+    for row in _values.field(table, "rows", list):
+        if not isinstance(row, list) or len(row) != len(columns):
+            raise exceptions.DocumentError(f"{name}: row of another length")
+        yield dict(zip(columns, row, strict=True))
+
+
+def _route(row: _Document) -> host_route.HostRoute:
+    timeout_ms = _values.field(
+        row, "timeout", _values.duration_ms, default=_DEFAULT_TIMEOUT_MS
+    )
+    return host_route.HostRoute(
+        name=_values.field(row, "name", _values.text),
+        host=_values.field(row, "host", _values.text).lower(),
+        path_prefix=_values.field(row, "prefix", _values.text),
+        services=_services(row),
+        is_idempotent=_values.field(row, "kind", _kind) == _IDEMPOTENT,
+        timeout_ms=timeout_ms,
+        target_latency_ms=_values.field(
+            row, "target_latency", _values.duration_ms, default=0
+        ),
+        priority=_values.field(
+            row, "priority", _values.whole, default=_LAST_PRIORITY
+        ),
+        max_attempts=max(
+            1, _values.field(row, "max_attempts", _values.whole, default=1)
+        ),
+    )
+
+
+def _services(
+    row: _Document,
+) -> tuple[weighted_service.WeightedService, ...]:
+    parts = _values.field(row, "weighted_clusters", list, default=[])
+    if not parts:
+        only = _values.field(row, "service", _values.text)
+        return (_part(only, 1),)
+    found = tuple(
+        _part(
+            _values.field(part, "service", _values.text),
+            _values.field(part, "weight", _values.whole),
+        )
+        for part in parts
+    )
+    if not any(part.weight for part in found):
+        raise exceptions.DocumentError("weighted_clusters: no weight")
+    return tuple(part for part in found if part.weight)
+
+
+# Routes repeat few services and weights; sharing them keeps memory small.
+@functools.lru_cache(maxsize=4096)
+def _part(service: str, weight: int) -> weighted_service.WeightedService:
+    return weighted_service.WeightedService(service, weight)
+
+
+def _kind(value: typing.Any) -> str:
+    if value not in _KINDS:
+        raise ValueError("a known kind")
+    return value
+
+
+def _limits(limits: _Document) -> caller_limits.CallerLimits:
+    return caller_limits.CallerLimits(
+        max_header_bytes=_values.field(
+            limits,
+            "max_header_bytes",
+            _values.whole,
+            _DEFAULTS.max_header_bytes,
+        ),
+        max_body_bytes=_values.field(
+            limits, "max_body_bytes", _values.whole, _DEFAULTS.max_body_bytes
+        ),
+        header_timeout_ms=_values.field(
+            limits,
+            "header_timeout",
+            _values.duration_ms,
+            _DEFAULTS.header_timeout_ms,
+        ),
+        idle_timeout_ms=_values.field(
+            limits,
+            "idle_timeout",
+            _values.duration_ms,
+            _DEFAULTS.idle_timeout_ms,
+        ),
+    )
--- /dev/null
+++ b/src/galenatack/platform/control_dialect.py
@@ -0,0 +1,137 @@
+"""Translates announcements of the own target and the readiness check."""
+
+import collections.abc
+import json
+import logging
+import typing
+
+from galenatack import exceptions
+from galenatack.links import http_request
+from galenatack.links import http_response
+from galenatack.model import target_announcement
+from galenatack.model import target_state
+from galenatack.platform import _values
+
+_LOGGER = logging.getLogger(__name__)
+
+_INSTANCES = "/v1/instances/"
+_BEAT = "/heartbeat"
+_LEAVE = "/deregister"
+_READY = "/v1/ready"
+_OK = 200
+_BAD_REQUEST = 400
+_NOT_FOUND = 404
+_UNAVAILABLE = 503
+_STATES = {
+    "ready": target_state.TargetState.READY.value,
+    "draining": target_state.TargetState.DRAINING.value,
+}
+_JSON = (("content-type", "application/json"),)
+_ACCEPTED = http_response.HttpResponse(_OK, _JSON, b"{}")
+
+
+class Registry(typing.Protocol):
+    """Takes announcements."""
+
+    def announce(self, told: target_announcement.TargetAnnouncement) -> bool:
+        """Takes an announcement; returns False when it is out of date."""
+
+    def leave(self, target_id: str, born_ms: int) -> None:
+        """Takes the last word of a target that ends."""
+
+
+class ControlDialect:
+    """Answers the own target and the readiness check.
+
+    Args:
+        registry: Takes the announcements.
+        is_ready: Tells whether callers may be sent here.
+    """
+
+    def __init__(
+        self,
+        *,
+        registry: Registry,
+        is_ready: collections.abc.Callable[[], bool],
+    ):
+        self._registry = registry
+        self._is_ready = is_ready
+
+    async def respond(
+        self, request: http_request.HttpRequest
+    ) -> http_response.HttpResponse:
+        """Answers an announcement."""
+        path = request.target.partition("?")[0]
+        target_id, action = _split(path)
+        try:
+            if request.method == "POST" and action == _BEAT:
+                self._registry.announce(_announcement(target_id, request.body))
+                return _ACCEPTED
+            if request.method == "POST" and action == _LEAVE:
+                self._registry.leave(target_id, _born_ms(request.body))
+                return _ACCEPTED
+        except exceptions.DocumentError as error:
+            _LOGGER.warning(
+                "event=announcement-unreadable target=%s error=%s",
+                target_id,
+                error,
+            )
+            return http_response.HttpResponse(_BAD_REQUEST)
+        return http_response.HttpResponse(_NOT_FOUND)
+
+    async def respond_ready(
+        self, request: http_request.HttpRequest
+    ) -> http_response.HttpResponse:
+        """Answers the readiness check."""
+        if request.target.partition("?")[0] != _READY:
+            return http_response.HttpResponse(_NOT_FOUND)
+        status = _OK if self._is_ready() else _UNAVAILABLE
+        return http_response.HttpResponse(status)
+
+
+def _split(path: str) -> tuple[str, str]:
+    if not path.startswith(_INSTANCES):
+        return "", ""
+    target_id, _, action = path.removeprefix(_INSTANCES).partition("/")
+    return target_id, f"/{action}"
+
+
+def _document(body: bytes) -> dict[str, typing.Any]:
+    try:
+        document = json.loads(body)
+    except ValueError as error:
+        raise exceptions.DocumentError(f"body: {error}") from error
+    if not isinstance(document, dict):
+        raise exceptions.DocumentError("body: expected a mapping")
+    return document
+
+
+def _announcement(
+    target_id: str, body: bytes
+) -> target_announcement.TargetAnnouncement:
+    document = _document(body)
+    return target_announcement.TargetAnnouncement(
+        target_id=_values.text(target_id),
+        service=_values.field(document, "service", _values.text),
+        version=_values.field(document, "version", _values.text),
+        slots=_values.field(document, "capacity", _values.whole),
+        state=_values.field(document, "state", _state),
+        warm_up_left_ms=_values.field(
+            document, "warmup_left", _values.duration_ms, default=0
+        ),
+        # Wall-clock time of the target's start.
+        born_ms=_values.field(document, "born", _values.whole, default=0),
+        sequence=_values.field(document, "sequence", _values.whole),
+    )
+
+
+def _born_ms(body: bytes) -> int:
+    if not body:
+        return 0
+    return _values.field(_document(body), "born", _values.whole, default=0)
+
+
+def _state(value: typing.Any) -> str:
+    if value not in _STATES:
+        raise ValueError("a known state")
+    return _STATES[value]
--- /dev/null
+++ b/src/galenatack/platform/rollout_rows.py
@@ -0,0 +1,111 @@
+"""Decodes the operator's rollout orders and encodes their progress."""
+
+import json
+
+from galenatack import exceptions
+from galenatack.interfaces import shared_table
+from galenatack.model import rollout_order
+from galenatack.model import rollout_phase
+from galenatack.model import rollout_progress
+from galenatack.model import row_change
+from galenatack.model import table_row
+from galenatack.platform import _values
+
+ORDER_TABLE = "op"
+ORDER_PREFIX = "rollout/"
+PROGRESS_TABLE = "galenatack-rollouts"
+_STATUS_TABLE = "status"
+
+_STATES = {
+    rollout_phase.RolloutPhase.TRIAL: "running",
+    rollout_phase.RolloutPhase.SHIFT: "running",
+    rollout_phase.RolloutPhase.ALL: "running",
+    rollout_phase.RolloutPhase.DONE: "completed",
+    rollout_phase.RolloutPhase.TAKEN_BACK: "rolled_back",
+}
+
+
+def decode_order(row: table_row.TableRow) -> rollout_order.RolloutOrder:
+    """Returns the order of a row.
+
+    Raises:
+        exceptions.DocumentError: A part is malformed.
+    """
+    document = _document(row)
+    return rollout_order.RolloutOrder(
+        service=_values.field(document, "service", _values.text),
+        # `to` is the version that is to take the traffic.
+        version=_values.field(document, "to", _values.text),
+        duration_ms=_values.field(document, "duration", _values.duration_ms),
+        revision=row.revision,
+    )
+
+
+def decode_progress(
+    row: table_row.TableRow,
+) -> rollout_progress.RolloutProgress:
+    """Returns the progress of a row that a node wrote.
+
+    Raises:
+        exceptions.DocumentError: A part is malformed.
+    """
+    document = _document(row)
+    try:
+        fields = {
+            name: document[name]
+            for name in rollout_progress.RolloutProgress._fields
+            if name != "revision"
+        }
+        rollout_phase.RolloutPhase(fields["phase"])
+    except (KeyError, TypeError, ValueError) as error:
+        raise exceptions.DocumentError(f"{row.key}: {error!r}") from error
+    return rollout_progress.RolloutProgress(**fields, revision=row.revision)
+
+
+class RolloutRows:
+    """Implements `interfaces.rollout_journal.RolloutJournal`.
+
+    The progress and what the operator reads of it are written together.
+
+    Args:
+        table: The store.
+    """
+
+    def __init__(self, *, table: shared_table.SharedTable):
+        self._table = table
+
+    async def write(
+        self, progress: rollout_progress.RolloutProgress, *, expected: int
+    ) -> int:
+        """Writes progress and returns its revision.
+
+        Raises:
+            exceptions.TransactionConflictError: Another node was first.
+            exceptions.PlatformUnavailableError: Nothing was written.
+            exceptions.OutcomeUnknownError: It may be written, or be later.
+        """
+        document = progress._asdict()
+        del document["revision"]
+        state = _STATES[rollout_phase.RolloutPhase(progress.phase)]
+        status = {"state": state, "to": progress.version}
+        status_key = ORDER_PREFIX + progress.service
+        return await self._table.commit(
+            row_change.RowChange(
+                expected=((PROGRESS_TABLE, progress.service, expected),),
+                writes=(
+                    (PROGRESS_TABLE, progress.service, _encoded(document)),
+                    (_STATUS_TABLE, status_key, _encoded(status)),
+                ),
+            )
+        )
+
+
+def _document(row: table_row.TableRow) -> object:
+    try:
+        return json.loads(row.value)
+    except ValueError as error:
+        raise exceptions.DocumentError(f"{row.key}: {error}") from error
+
+
+def _encoded(document: dict) -> bytes:
+    return json.dumps(document, separators=(",", ":")).encode()
--- /dev/null
+++ b/src/galenatack/platform/settings_document.py
@@ -0,0 +1,123 @@
+"""Reads the platform's settings file into the settings of a node."""
+
+import os
+import pathlib
+import typing
+
+import yaml
+
+from galenatack import exceptions
+from galenatack.platform import _values
+from galenatack.settings import fleet_bounds
+from galenatack.settings import mesh_settings
+
+PATH_VARIABLE = "GALENATACK_SETTINGS"
+DEFAULT_PATH = "/etc/galenatack/node.yaml"
+
+METRICS_PORT = 9464
+"""Port that `deploy/system.toml` names for the metrics."""
+
+_DEFAULTS = fleet_bounds.FleetBounds()
+
+
+def path() -> pathlib.Path:
+    """Returns the path of the settings file of this process."""
+    return pathlib.Path(os.environ.get(PATH_VARIABLE, DEFAULT_PATH))
+
+
+def load(file: pathlib.Path) -> mesh_settings.MeshSettings:
+    """Reads and checks a settings file; unknown fields are ignored.
+
+    Raises:
+        exceptions.SettingsError: One line with file, field and what is
+            expected.
+    """
+    try:
+        document = yaml.load(
+            file.read_text(encoding="utf-8"),
+            Loader=getattr(yaml, "CSafeLoader", yaml.SafeLoader),
+        )
+        return _settings(document)
+    except (OSError, UnicodeDecodeError) as error:
+        raise exceptions.SettingsError(f"{file}: {error}") from error
+    except yaml.YAMLError as error:
+        raise exceptions.SettingsError(f"{file}: expected YAML") from error
+    except exceptions.DocumentError as error:
+        raise exceptions.SettingsError(f"{file}: {error}") from error
+
+
+def _settings(document: typing.Any) -> mesh_settings.MeshSettings:
+    listen = _values.field(document, "listen", _mapping)
+    store = _values.field(document, "platform", _mapping)
+    host = _values.field(document, "ip", _values.text)
+    ports = _values.field(document, "internal_ports", _ports)
+    return mesh_settings.MeshSettings(
+        node_id=_values.field(document, "node_id", _values.text),
+        data_centre=_values.field(document, "zone", _values.text),
+        region=_values.field(document, "region", _values.text),
+        service=_values.field(document, "service", _values.text),
+        target_address=_values.field(document, "app_address", _address),
+        caller_address=_values.field(listen, "outbound", _address),
+        control_address=_values.field(listen, "control", _address),
+        ready_address=_values.field(listen, "ready_address", _address),
+        peer_address=f"{host}:{ports[0]}",
+        metrics_address=f"{host}:{METRICS_PORT}",
+        store_address=_values.field(store, "address", _address),
+        store_reads_per_s=_values.field(
+            store, "reads_per_s", _number, default=2000
+        ),
+        bounds=_bounds(_values.field(document, "bounds", _texts, default=[])),
+    )
+
+
+def _bounds(texts: list[str]) -> fleet_bounds.FleetBounds:
+    # Each entry is `name=value`; the platform's names say little, so each is
+    # given its meaning here.
+    told = dict(text.split("=", 1) for text in texts if "=" in text)
+
+    def bound_ms(name: str, default: int) -> int:
+        return _values.field(told, name, _values.duration_ms, default)
+
+    def number(name: str, default: float) -> float:
+        return _values.field(told, name, float, default)
+
+    return fleet_bounds.FleetBounds(
+        drain_ms=bound_ms("drain", _DEFAULTS.drain_ms),
+        grace_ms=bound_ms("grace", _DEFAULTS.grace_ms),
+        config_ms=bound_ms("config_apply", _DEFAULTS.config_ms),
+        repeat_window_ms=bound_ms("retry_window", _DEFAULTS.repeat_window_ms),
+        repeat_slack=int(number("budget_slack", _DEFAULTS.repeat_slack)),
+        trial_share=number("exposure_share", _DEFAULTS.trial_share),
+        withdraw_ms=bound_ms("rollback", _DEFAULTS.withdraw_ms),
+    )
+
+
+def _mapping(value: typing.Any) -> dict[str, typing.Any]:
+    if not isinstance(value, dict):
+        raise ValueError("a mapping")
+    return value
+
+
+def _address(value: typing.Any) -> str:
+    host, _, port = _values.text(value).rpartition(":")
+    if not host or not port.isdigit():
+        raise ValueError("host:port")
+    return value
+
+
+def _ports(value: typing.Any) -> list[int]:
+    if not isinstance(value, list) or len(value) < 1:
+        raise ValueError("the first and the last port")
+    return [_values.whole(port) for port in value]
+
+
+def _number(value: typing.Any) -> int:
+    return int(float(value))
+
+
+def _texts(value: typing.Any) -> list[str]:
+    if isinstance(value, str):
+        return [part.strip() for part in value.split(",")]
+    if not isinstance(value, list):
+        raise ValueError("a list of name=value")
+    return [str(part) for part in value]
--- /dev/null
+++ b/src/galenatack/rollouts/__init__.py
@@ -0,0 +1,1 @@
+"""Moves of a service to a version that an operator orders by a time."""
--- /dev/null
+++ b/src/galenatack/rollouts/evidence_pool.py
@@ -0,0 +1,122 @@
+"""Gathers the outcomes of all gates of the services that are moved."""
+
+import logging
+
+from galenatack import exceptions
+from galenatack.interfaces import peer_network
+from galenatack.membership import duties
+from galenatack.membership import member_table
+from galenatack.messages import trial_evidence
+from galenatack.model import member_status
+from galenatack.model import rollout_order
+from galenatack.model import route_evidence
+from galenatack.moves import evidence_book
+from galenatack.rollouts import rollout_book
+
+EVALUATORS = 3
+"""Nodes that get the evidence: one decides, two stand by."""
+
+_LOGGER = logging.getLogger(__name__)
+
+_Report = trial_evidence.TrialEvidence
+
+
+class EvidencePool:
+    """Counts the own gate's outcomes, sends them and keeps those of others.
+
+    Args:
+        members: Members of the fleet.
+        peers: Links to other nodes.
+        book: Orders and progress.
+    """
+
+    def __init__(
+        self,
+        *,
+        members: member_table.MemberTable,
+        peers: peer_network.PeerNetwork,
+        book: rollout_book.RolloutBook,
+    ):
+        self._members = members
+        self._peers = peers
+        self._book = book
+        self._own: tuple[int, evidence_book.EvidenceBook] | None = None
+        self._reports: dict[tuple[int, str], _Report] = {}
+        peers.on(_Report, self._receive)
+
+    def record(
+        self, route: str, is_error: bool, latency_ms: float, is_warm: bool
+    ) -> None:
+        """Counts one call of the own target."""
+        own = self._members.own
+        order = self._book.active_order(own.service)
+        if order is None:
+            return
+        if self._own is None or self._own[0] != order.revision:
+            self._own = (order.revision, evidence_book.EvidenceBook())
+        self._own[1].record(
+            route,
+            own.version,
+            is_error=is_error,
+            latency_ms=latency_ms,
+            is_warm=is_warm,
+        )
+
+    def evaluators(self, order: rollout_order.RolloutOrder) -> list[str]:
+        """Returns the nodes that judge an order, the first one decides."""
+        candidates = [
+            record.node_id
+            for record in self._members.live()
+            if record.status == member_status.MemberStatus.SERVING
+        ]
+        salt = f"rollout/{order.service}/{order.revision}"
+        return duties.rank(candidates, salt)[:EVALUATORS]
+
+    async def send(self) -> None:
+        """Sends the own gate's outcomes to those that judge them."""
+        own = self._members.own
+        order = self._book.active_order(own.service)
+        if order is None or self._own is None:
+            return
+        revision, counts = self._own
+        if revision != order.revision:
+            return
+        report = _Report(
+            own.service, revision, own.node_id, own.boot_ms, counts.report()
+        )
+        self._keep(report)
+        for node_id in self.evaluators(order):
+            if node_id != own.node_id:
+                await self._send(node_id, report)
+
+    def evidence(
+        self, order: rollout_order.RolloutOrder
+    ) -> tuple[route_evidence.RouteEvidence, ...]:
+        """Returns the outcomes of all gates for an order."""
+        return tuple(
+            item
+            for (revision, _), report in self._reports.items()
+            if revision == order.revision
+            for item in report.routes
+        )
+
+    def forget(self, order_revisions: set[int]) -> None:
+        """Drops the evidence of all orders but these."""
+        for key in [k for k in self._reports if k[0] not in order_revisions]:
+            del self._reports[key]
+
+    async def _send(self, node_id: str, report: _Report) -> None:
+        try:
+            await self._peers.send(node_id, report)
+        except exceptions.PeerError as error:
+            # The counts are cumulative: the next report carries them again.
+            _LOGGER.debug(
+                "event=evidence-not-sent peer=%s error=%s", node_id, error
+            )
+
+    async def _receive(self, sender: str, report: _Report) -> None:
+        del sender
+        self._keep(report)
+
+    def _keep(self, report: _Report) -> None:
+        self._reports[report.order_revision, report.node_id] = report
--- /dev/null
+++ b/src/galenatack/rollouts/trial_share.py
@@ -0,0 +1,47 @@
+"""How many calls a version on trial gets."""
+
+from galenatack.model import rollout_phase
+
+_Phase = rollout_phase.RolloutPhase
+
+SHIFT_SHARE = 0.4
+"""Share while the traffic moves, for a moment before all of it goes over: the
+new targets meet load before the old ones lose theirs."""
+
+EXTRA_CALLS = 1.0
+"""A node may send the first call at once; over all nodes that stays below the
+slack of the exposure bound."""
+
+
+class TrialShare:
+    """Counts the calls of each order and keeps the trial's share.
+
+    The count is cumulative, so that a busy moment cannot exceed the bound on
+    all calls between the order and its end.
+
+    Args:
+        trial_share: Share of the calls during the trial.
+    """
+
+    def __init__(self, *, trial_share: float):
+        self._shares = {
+            _Phase.TRIAL: trial_share,
+            _Phase.SHIFT: SHIFT_SHARE,
+            _Phase.ALL: 1.0,
+        }
+        self._counts: dict[tuple[int, str], list[float]] = {}
+
+    def admits(self, order_revision: int, phase: str) -> bool:
+        """Counts a call and tells whether the version on trial takes it."""
+        share = self._shares.get(_Phase(phase), 0.0)
+        counts = self._counts.setdefault((order_revision, phase), [0.0, 0.0])
+        counts[0] += 1
+        if share < 1.0 and counts[1] + 1 > share * counts[0] + EXTRA_CALLS:
+            return False
+        counts[1] += 1
+        return True
+
+    def keep(self, order_revisions: set[int]) -> None:
+        """Forgets all orders but these."""
+        for key in [k for k in self._counts if k[0] not in order_revisions]:
+            del self._counts[key]
--- a/src/galenatack/routing/results.py
+++ b/src/galenatack/routing/results.py
@@ -24,6 +24,7 @@
     exceptions.TicketGoneError.code: 502,
 }
 _BAD_GATEWAY = 502
+_FIRST_SERVER_ERROR = 500
 
 
 def not_run(error: exceptions.GalenatackError) -> call_result.CallResult:
@@ -39,13 +40,17 @@
 def _failed(
     told: outcome.Outcome, error: exceptions.GalenatackError
 ) -> call_result.CallResult:
-    status = getattr(error, "status", 0)
+    own_status = getattr(error, "status", 0)
+    status = own_status or _STATUS.get(error.code, _BAD_GATEWAY)
+    # A malformed call, or one without a route, fails again however often it
+    # is repeated.
+    is_repeatable = status >= _FIRST_SERVER_ERROR
     retry_after_ms = getattr(error, "retry_after_ms", DEFAULT_RETRY_AFTER_MS)
     return call_result.CallResult(
         outcome=told.value,
-        status=status or _STATUS.get(error.code, _BAD_GATEWAY),
+        status=status,
         headers=(("content-type", "application/json"),),
         body=json.dumps({"error": error.code, "detail": str(error)}).encode(),
-        retry_after_ms=0 if status else retry_after_ms,
+        retry_after_ms=retry_after_ms if is_repeatable else 0,
         failure=error.code,
     )
--- /dev/null
+++ b/src/galenatack/settings/mesh_settings.py
@@ -0,0 +1,39 @@
+"""Settings of a node that runs on a shared platform."""
+
+import typing
+
+from galenatack.settings import fleet_bounds
+
+
+class MeshSettings(typing.NamedTuple):
+    """Settings of a node that runs on a shared platform.
+
+    Attributes:
+        node_id: Identifier of the node.
+        data_centre: Data centre of the instance.
+        region: Region of the data centre.
+        service: Service of the own target.
+        target_address: host:port of the own target.
+        caller_address: host:port for callers and the own target.
+        control_address: host:port for announcements of the own target.
+        ready_address: host:port of the readiness check.
+        peer_address: host:port for other nodes.
+        metrics_address: host:port of the metrics; empty for none.
+        store_address: host:port of the shared tables.
+        store_reads_per_s: Reads that all nodes together may make.
+        bounds: Bounds of the deployment.
+    """
+
+    node_id: str
+    data_centre: str
+    region: str
+    service: str
+    target_address: str
+    caller_address: str
+    control_address: str
+    ready_address: str
+    peer_address: str
+    metrics_address: str
+    store_address: str
+    store_reads_per_s: int
+    bounds: fleet_bounds.FleetBounds
--- /dev/null
+++ b/src/galenatack/traffic/__init__.py
@@ -0,0 +1,1 @@
+"""The way of a call between callers, gates and targets."""
--- /dev/null
+++ b/src/galenatack/traffic/attempt_budget.py
@@ -0,0 +1,97 @@
+"""The budget of second sends that all nodes share without messages."""
+
+import collections
+
+from galenatack.interfaces import clock as clock_interface
+
+SHARE = 0.1
+"""Sends that a call earns: half of the platform's ratio of 0.2, because the
+calls that a repeated call makes count as repeats as well."""
+
+SLACK_SHARE = 0.4
+"""Part of the shared slack that nodes may use beyond what calls earn."""
+
+BUCKETS = 10
+"""Parts of the window in which calls and repeats are counted."""
+
+
+class AttemptBudget:
+    """Counts calls and repeats of each service in a sliding window.
+
+    Each node takes an equal part of the slack, so that the sum over all nodes
+    stays within the bound of the deployment.
+
+    Args:
+        clock: Source of time.
+        window_s: Length of the window.
+        slack: Repeats that the deployment allows in a window without calls.
+        share: Repeats that each call earns.
+    """
+
+    def __init__(
+        self,
+        *,
+        clock: clock_interface.Clock,
+        window_s: float,
+        slack: float,
+        share: float = SHARE,
+    ):
+        self._clock = clock
+        self._bucket_s = window_s / BUCKETS
+        self._slack = slack * SLACK_SHARE
+        self._share = share
+        self._nodes = 1
+        self._calls: dict[str, _Window] = collections.defaultdict(_Window)
+        self._repeats: dict[str, _Window] = collections.defaultdict(_Window)
+
+    def set_nodes(self, nodes: int) -> None:
+        """Sets how many nodes share the slack."""
+        self._nodes = max(1, nodes)
+
+    def earn(self, service: str) -> None:
+        """Counts the first send of a call."""
+        self._calls[service].add(self._bucket())
+
+    def has_left(self, service: str) -> bool:
+        """Tells whether a repeat is allowed now."""
+        return self.left(service) >= 1
+
+    def left(self, service: str) -> float:
+        """Returns how many repeats are allowed now."""
+        bucket = self._bucket()
+        earned = self._calls[service].total(bucket) * self._share
+        allowed = earned + self._slack / self._nodes
+        return allowed - self._repeats[service].total(bucket)
+
+    def spend(self, service: str) -> bool:
+        """Takes one repeat; returns False when none is left."""
+        if not self.has_left(service):
+            return False
+        self._repeats[service].add(self._bucket())
+        return True
+
+    def _bucket(self) -> int:
+        return int(self._clock.monotonic_s() / self._bucket_s)
+
+
+class _Window:
+    """Counts by bucket of time."""
+
+    def __init__(self):
+        self._counts: collections.deque[list[int]] = collections.deque()
+        self._sum = 0
+
+    def add(self, bucket: int) -> None:
+        self._expire(bucket)
+        if not self._counts or self._counts[-1][0] != bucket:
+            self._counts.append([bucket, 0])
+        self._counts[-1][1] += 1
+        self._sum += 1
+
+    def total(self, bucket: int) -> int:
+        self._expire(bucket)
+        return self._sum
+
+    def _expire(self, bucket: int) -> None:
+        while self._counts and self._counts[0][0] <= bucket - BUCKETS:
+            self._sum -= self._counts.popleft()[1]
--- /dev/null
+++ b/src/galenatack/traffic/call_desk.py
@@ -0,0 +1,33 @@
+"""Hands calls from other nodes to the gate."""
+
+from galenatack.interfaces import peer_network
+from galenatack.messages import call as call_message
+from galenatack.messages import call_answer
+from galenatack.messages import cancel_call
+from galenatack.traffic import target_gate
+
+
+class CallDesk:
+    """Answers `Call` with `CallAnswer` and obeys `CancelCall`."""
+
+    def __init__(
+        self,
+        *,
+        peers: peer_network.PeerNetwork,
+        gate: target_gate.TargetGate,
+    ):
+        self._gate = gate
+        peers.on(call_message.Call, self._on_call)
+        peers.on(cancel_call.CancelCall, self._on_cancel)
+
+    async def _on_call(
+        self, sender: str, message: call_message.Call
+    ) -> call_answer.CallAnswer:
+        del sender
+        return await self._gate.handle(message.request)
+
+    async def _on_cancel(
+        self, sender: str, message: cancel_call.CancelCall
+    ) -> None:
+        del sender
+        self._gate.cancel(message.call_id)
--- /dev/null
+++ b/src/galenatack/traffic/link_warmer.py
@@ -0,0 +1,104 @@
+"""Keeps links for calls open before calls need them."""
+
+from galenatack.interfaces import clock as clock_interface
+from galenatack.interfaces import random_source
+from galenatack.links import peer_network
+from galenatack.membership import member_table
+from galenatack.model import member_record
+from galenatack.traffic import target_placement
+
+TICK_S = 0.25
+FIRST_PAUSE_S = 0.25
+LONGEST_PAUSE_S = 1.5
+"""Bounds of the pause between dials; after a partition calls flow again within
+about this time."""
+
+LINKS_PER_SERVICE = 12
+"""Targets of one service that a node keeps links to, the nearest first. With
+three choices in four data centres, more links do not even out load better."""
+
+_Record = member_record.MemberRecord
+
+
+class LinkWarmer:
+    """Dials the nearest targets of each service.
+
+    A call that had to wait for a dial to a node that is gone would spend its
+    whole time on it.
+
+    Args:
+        members: Members of the fleet.
+        peers: Links to other nodes.
+        placement: Readmits a target whose link is back.
+        clock: Source of time.
+        rng: Jitter.
+    """
+
+    def __init__(
+        self,
+        *,
+        members: member_table.MemberTable,
+        peers: peer_network.WebsocketPeers,
+        placement: target_placement.TargetPlacement,
+        clock: clock_interface.Clock,
+        rng: random_source.RandomSource,
+    ):
+        self._members = members
+        self._peers = peers
+        self._placement = placement
+        self._clock = clock
+        self._rng = rng
+        self._due_s: dict[str, tuple[float, float]] = {}
+        self._linked: set[str] = set()
+
+    async def run(self) -> None:
+        """Works until cancelled."""
+        while True:
+            self._tick()
+            await self._clock.sleep_s(TICK_S)
+
+    def _tick(self) -> None:
+        now_s = self._clock.monotonic_s()
+        for record in self._wanted():
+            if self._peers.is_connected(record.node_id):
+                self._note_open(record)
+            else:
+                self._linked.discard(record.node_id)
+                self._dial(record, now_s)
+
+    def _wanted(self) -> tuple[_Record, ...]:
+        return self._members.memo("wanted-links", self._find_wanted)
+
+    def _find_wanted(self) -> tuple[_Record, ...]:
+        own = self._members.own
+        nearest: dict[str, list[_Record]] = {}
+        for record in self._members.live():
+            if record.node_id != own.node_id and record.target_id:
+                nearest.setdefault(record.service, []).append(record)
+        wanted = []
+        for records in nearest.values():
+            records.sort(
+                key=lambda record: (
+                    record.data_centre != own.data_centre,
+                    record.region != own.region,
+                    record.node_id,
+                )
+            )
+            wanted.extend(records[:LINKS_PER_SERVICE])
+        return tuple(wanted)
+
+    def _note_open(self, record: _Record) -> None:
+        if record.node_id in self._linked:
+            return
+        self._linked.add(record.node_id)
+        self._due_s.pop(record.node_id, None)
+        self._placement.view(record).readmit()
+
+    def _dial(self, record: _Record, now_s: float) -> None:
+        due_s, pause_s = self._due_s.get(record.node_id, (0.0, FIRST_PAUSE_S))
+        if now_s < due_s:
+            return
+        wait_s = pause_s * self._rng.uniform(0.7, 1.3)
+        longer_s = min(LONGEST_PAUSE_S, 2 * pause_s)
+        self._due_s[record.node_id] = (now_s + wait_s, longer_s)
+        self._peers.open_soon(record.node_id)
--- /dev/null
+++ b/src/galenatack/traffic/route_table.py
@@ -0,0 +1,54 @@
+"""Finds the route of a call by host and longest prefix."""
+
+import collections
+
+from galenatack.model import caller_limits
+from galenatack.model import host_route
+from galenatack.model import traffic_config
+
+_SLASH = "/"
+
+
+class RouteTable:
+    """An immutable index over one configuration.
+
+    Args:
+        config: The configuration.
+
+    Attributes:
+        version: Version of the configuration.
+        limits: Bounds on callers.
+    """
+
+    def __init__(self, config: traffic_config.TrafficConfig):
+        self.version = config.version
+        self.limits: caller_limits.CallerLimits = config.limits
+        self._max_connections = config.max_connections
+        self._by_host: dict[str, dict[str, host_route.HostRoute]] = (
+            collections.defaultdict(dict)
+        )
+        for route in config.routes:
+            self._by_host[route.host][route.path_prefix] = route
+
+    def find(self, host: str, path: str) -> host_route.HostRoute | None:
+        """Returns the route with the longest matching prefix, or None.
+
+        Args:
+            host: Host in lower case without a port.
+            path: Path, with or without a query.
+        """
+        prefixes = self._by_host.get(host)
+        if prefixes is None:
+            return None
+        path = path.partition("?")[0]
+        end = path.rfind(_SLASH)
+        while end >= 0:
+            route = prefixes.get(path[: end + 1])
+            if route is not None:
+                return route
+            end = path.rfind(_SLASH, 0, end)
+        return None
+
+    def max_connections(self, service: str) -> int | None:
+        """Returns the most connections to one target of a service."""
+        return self._max_connections.get(service)
--- /dev/null
+++ b/src/galenatack/traffic/target_directory.py
@@ -0,0 +1,62 @@
+"""The targets of each service, by version."""
+
+import collections
+
+from galenatack.membership import member_table
+from galenatack.model import member_record
+from galenatack.model import member_status
+from galenatack.model import target_state
+
+_Record = member_record.MemberRecord
+_MEMO = "target-directory"
+
+
+class TargetDirectory:
+    """Reads the member table; computed once for each change of it.
+
+    Args:
+        members: Members of the fleet.
+    """
+
+    def __init__(self, *, members: member_table.MemberTable):
+        self._members = members
+
+    def by_version(self, service: str) -> dict[str, tuple[_Record, ...]]:
+        """Returns the targets of a service that take calls, by version.
+
+        A version whose targets are all leaving or suspected still has them:
+        trying one beats refusing the call.
+        """
+        return self._members.memo((_MEMO, service), lambda: self._find(service))
+
+    def count(self, service: str, version: str) -> int:
+        """Returns how many targets of the version take calls."""
+        return len(self.by_version(service).get(version, ()))
+
+    def _find(self, service: str) -> dict[str, tuple[_Record, ...]]:
+        ranked: dict[str, dict[int, list[_Record]]] = collections.defaultdict(
+            lambda: collections.defaultdict(list)
+        )
+        for record in self._members.live():
+            if record.service != service or not record.target_id:
+                continue
+            rank = _rank(record)
+            if rank is not None:
+                ranked[record.version][rank].append(record)
+        return {
+            version: tuple(groups[min(groups)])
+            for version, groups in ranked.items()
+        }
+
+
+def _rank(record: _Record) -> int | None:
+    """Returns 0 for a sound target, more for a worse one, None for none."""
+    if record.target_state == target_state.TargetState.GONE:
+        return None
+    if record.target_state == target_state.TargetState.DRAINING:
+        return 2
+    if record.status == member_status.MemberStatus.SERVING:
+        return 0
+    if record.status == member_status.MemberStatus.LEAVING:
+        return 2
+    return 1
--- /dev/null
+++ b/src/galenatack/traffic/target_gate.py
@@ -0,0 +1,296 @@
+"""The only way to the own target."""
+
+import anyio
+
+from galenatack import exceptions
+from galenatack.interfaces import clock as clock_interface
+from galenatack.interfaces import target_link
+from galenatack.messages import call_answer
+from galenatack.model import call_request
+from galenatack.model import call_result
+from galenatack.model import gate_report
+from galenatack.model import outcome
+from galenatack.model import target_answer
+from galenatack.routing import dispatcher
+from galenatack.routing import results
+from galenatack.routing import running_call
+from galenatack.traffic import admission_queue
+from galenatack.traffic import failure_rate
+from galenatack.traffic import request_log
+from galenatack.traffic import service_times
+from galenatack.traffic import target_registry
+
+MS_PER_S = 1000
+SERVER_ERROR = 500
+
+LATE_ANSWER_S = 0.1
+"""A target answers at its own deadline; the gate waits this much longer, so
+that the answer is delivered and the connection stays usable."""
+
+UNREACHABLE_AFTER = 3
+"""Failed connections in a row after which the target is taken as down."""
+
+PROBE_S = 0.4
+"""While the target is down, one call in this time tries it."""
+
+
+class TargetGate:
+    """Admits calls to the own target and judges their end.
+
+    Calls of other nodes and of this one come here, so that the calls in
+    flight are known exactly and a target that leaves gets no more of them,
+    whatever other nodes still believe.
+
+    Args:
+        registry: What the target announced.
+        queue: Slots of the target.
+        times: Service times, which the queue reads.
+        link: Connection to the target.
+        clock: Source of time.
+        log: Decisions about single requests.
+        is_withdrawn: Tells whether a version of the own service is withdrawn.
+        on_outcome: Takes the evidence of each call.
+    """
+
+    def __init__(
+        self,
+        *,
+        registry: target_registry.TargetRegistry,
+        queue: admission_queue.AdmissionQueue,
+        times: service_times.ServiceTimes,
+        link: target_link.TargetLink,
+        clock: clock_interface.Clock,
+        log: request_log.RequestLog,
+        is_withdrawn,
+        on_outcome: dispatcher.OnOutcome,
+    ):
+        self._registry = registry
+        self._queue = queue
+        self._times = times
+        self._link = link
+        self._clock = clock
+        self._log = log
+        self._is_withdrawn = is_withdrawn
+        self._on_outcome = on_outcome
+        self._failures = failure_rate.FailureRate()
+        self._running: dict[str, running_call.RunningCall] = {}
+        self._connect_failures = 0
+        self._probed_s = 0.0
+        self._is_closed = False
+        self._handling = 0
+
+    @property
+    def in_flight(self) -> int:
+        """Calls that were taken and have no result yet."""
+        return self._handling
+
+    @property
+    def queued(self) -> int:
+        """Calls that wait for a slot."""
+        return self._queue.queued
+
+    @property
+    def running(self) -> int:
+        """Calls at the target."""
+        return self._queue.running
+
+    @property
+    def failure_permille(self) -> int:
+        """Recent share of calls that the target failed or refused."""
+        return self._failures.permille
+
+    def close(self) -> None:
+        """Refuses new calls; those that were taken end as usual."""
+        self._is_closed = True
+
+    def target_changed(self) -> None:
+        """Adapts to a target that was announced anew."""
+        current = self._registry.current
+        if current is not None:
+            self._queue.slots = max(1, current.slots)
+        self._connect_failures = 0
+        self._failures.reset()
+
+    def cancel(self, call_id: str) -> None:
+        """Drops a call that waits, or one that runs and may be repeated."""
+        if self._queue.cancel(call_id):
+            return
+        running = self._running.get(call_id)
+        if running is not None and not running.is_posting:
+            running.is_cancelled = True
+            running.scope.cancel()
+
+    async def handle(
+        self, request: call_request.CallRequest
+    ) -> call_answer.CallAnswer:
+        """Runs a call; never raises for a failure of the call."""
+        started_s = self._clock.monotonic_s()
+        self._handling += 1
+        try:
+            result, ran_ms = await self._admit(request, started_s)
+        finally:
+            self._handling -= 1
+        report = gate_report.GateReport(
+            running=self._queue.running,
+            queued=self._queue.queued,
+            ran_ms=int(ran_ms),
+            failure_permille=self._failures.permille,
+        )
+        return call_answer.CallAnswer(request.call_id, result, report)
+
+    async def _admit(
+        self, request: call_request.CallRequest, started_s: float
+    ) -> tuple[call_result.CallResult, float]:
+        deadline_s = started_s + request.deadline_ms / MS_PER_S
+        try:
+            self._check(request)
+            await self._queue.acquire(
+                request.call_id,
+                route=request.route,
+                priority=request.priority,
+                deadline_s=deadline_s,
+                target_latency_ms=request.target_latency_ms,
+            )
+        except exceptions.CallError as error:
+            self._log.failure(
+                request.request_id,
+                "gate-refused",
+                call=request.call_id,
+                failure=error.code,
+                detail=str(error),
+                queued=self._queue.queued,
+                running=self._queue.running,
+                waited_ms=self._since_ms(started_s),
+            )
+            return results.not_run(error), 0.0
+        try:
+            # The target may have left while the call waited.
+            self._check(request)
+            return await self._dispatch(request, started_s, deadline_s)
+        except exceptions.CallError as error:
+            return results.not_run(error), 0.0
+        finally:
+            self._queue.release(request.call_id)
+
+    def _check(self, request: call_request.CallRequest) -> None:
+        current = self._registry.current
+        if current is None:
+            raise exceptions.NoTargetError("no target has announced itself")
+        if self._is_closed or not self._registry.is_accepting():
+            raise exceptions.LeavingError(
+                f"target {current.target_id} is leaving"
+            )
+        if request.service != current.service or (
+            request.target_id and request.target_id != current.target_id
+        ):
+            raise exceptions.LeavingError(
+                f"target {request.target_id} is gone; {current.target_id}"
+                " is here"
+            )
+        if self._is_withdrawn(current.service, current.version):
+            raise exceptions.LeavingError(
+                f"version {current.version} is withdrawn"
+            )
+        if self._connect_failures >= UNREACHABLE_AFTER:
+            self._probe()
+
+    def _probe(self) -> None:
+        now_s = self._clock.monotonic_s()
+        if now_s - self._probed_s < PROBE_S:
+            raise exceptions.TargetConnectError("the target is down")
+        self._probed_s = now_s
+
+    async def _dispatch(
+        self,
+        request: call_request.CallRequest,
+        started_s: float,
+        deadline_s: float,
+    ) -> tuple[call_result.CallResult, float]:
+        sent_s = self._clock.monotonic_s()
+        left_ms = int((deadline_s - sent_s) * MS_PER_S)
+        if left_ms <= 0:
+            raise exceptions.OverloadedError(
+                "no time left for the target", retry_after_ms=0
+            )
+        timed = request._replace(
+            deadline_ms=left_ms, target_id=self._registry.current.target_id
+        )
+        result = await self._call(timed, deadline_s)
+        ran_ms = self._since_ms(sent_s)
+        self._note(request, result, ran_ms, sent_s - started_s)
+        return result, ran_ms
+
+    async def _call(
+        self, request: call_request.CallRequest, deadline_s: float
+    ) -> call_result.CallResult:
+        left_s = deadline_s - self._clock.monotonic_s() + LATE_ANSWER_S
+        with anyio.move_on_after(left_s) as scope:
+            running = running_call.RunningCall(scope, request.posting)
+            self._running[request.call_id] = running
+            try:
+                return self._answered(await self._link.call(request))
+            except exceptions.TargetConnectError as error:
+                self._connect_failures += 1
+                return results.not_run(error)
+            except exceptions.TargetShedError as error:
+                return results.not_run(error)._replace(has_reached_target=True)
+            except exceptions.CallError as error:
+                return results.unknown(error)._replace(has_reached_target=True)
+            finally:
+                del self._running[request.call_id]
+        if running.is_cancelled:
+            error = exceptions.CancelledCallError(
+                "the caller went away", is_confirmed=False
+            )
+        else:
+            error = exceptions.DeadlineExceededError("no answer in time")
+        return results.unknown(error)._replace(has_reached_target=True)
+
+    def _answered(
+        self, answer: target_answer.TargetAnswer
+    ) -> call_result.CallResult:
+        self._connect_failures = 0
+        return call_result.CallResult(
+            outcome=outcome.Outcome.ANSWER.value,
+            status=answer.status,
+            headers=answer.headers,
+            body=answer.body,
+            has_reached_target=True,
+        )
+
+    def _note(
+        self,
+        request: call_request.CallRequest,
+        result: call_result.CallResult,
+        ran_ms: float,
+        waited_s: float,
+    ) -> None:
+        if result.failure == exceptions.CancelledCallError.code:
+            return
+        is_answer = result.outcome == outcome.Outcome.ANSWER
+        has_failed = not is_answer or result.status >= SERVER_ERROR
+        self._failures.record(has_failed=has_failed)
+        if is_answer and not has_failed:
+            self._times.record(request.route, ran_ms)
+        if result.outcome != outcome.Outcome.NOT_RUN:
+            self._on_outcome(
+                request.route, has_failed, ran_ms, self._registry.is_warm()
+            )
+        write = self._log.failure if has_failed else self._log.note
+        write(
+            request.request_id,
+            "target-ended",
+            call=request.call_id,
+            target=request.target_id,
+            route=request.route,
+            outcome=result.outcome,
+            status=result.status,
+            failure=result.failure or "-",
+            waited_ms=waited_s * MS_PER_S,
+            ran_ms=ran_ms,
+            queued=self._queue.queued,
+            running=self._queue.running,
+        )
+
+    def _since_ms(self, since_s: float) -> float:
+        return (self._clock.monotonic_s() - since_s) * MS_PER_S
--- /dev/null
+++ b/src/galenatack/traffic/target_placement.py
@@ -0,0 +1,195 @@
+"""Chooses the target of a call.
+
+Answers uneven load: targets that differ in speed, are cold, grey or busy, and
+data centres that get more calls than their targets can run. A call goes where
+its answer is expected first; distance counts as time, so that the link between
+regions is used only when the own region is slower by more than the way.
+"""
+
+import collections.abc
+
+from galenatack import exceptions
+from galenatack.interfaces import clock as clock_interface
+from galenatack.interfaces import random_source
+from galenatack.model import host_route
+from galenatack.model import member_record
+from galenatack.traffic import gate_view
+
+MS_PER_S = 1000.0
+
+WAY_MS = {"own-data-centre": 1.0, "own-region": 6.0, "other-region": 130.0}
+"""Cost of the way as time: there and back, and as much again for what the
+link costs, which is billed by volume."""
+
+FAILURE_MS = 1200.0
+"""Expected loss of a failed call: about three target latencies."""
+
+NOISE_SHARE = 0.08
+"""Nodes that see the same reports must not all choose the same target."""
+
+LEAST_RETRY_AFTER_MS = 80
+NO_TARGET_RETRY_AFTER_MS = 400
+"""A target announces itself within about one heartbeat."""
+
+
+class TargetPlacement:
+    """Keeps a view of each gate and chooses by expected time to an answer.
+
+    Args:
+        own: Data centre and region of this node.
+        clock: Source of time.
+        rng: Source of randomness.
+        is_connected: Tells whether a link to a node is open.
+    """
+
+    def __init__(
+        self,
+        *,
+        own: member_record.MemberRecord,
+        clock: clock_interface.Clock,
+        rng: random_source.RandomSource,
+        is_connected: collections.abc.Callable[[str], bool],
+    ):
+        self._own = own
+        self._clock = clock
+        self._rng = rng
+        self._is_connected = is_connected
+        self._views: dict[str, gate_view.GateView] = {}
+
+    def view(self, member: member_record.MemberRecord) -> gate_view.GateView:
+        """Returns the view of a gate; a restart begins a new one."""
+        known = self._views.get(member.node_id)
+        if known is None or known.boot_ms != member.boot_ms:
+            known = gate_view.GateView(boot_ms=member.boot_ms)
+            self._views[member.node_id] = known
+        return known
+
+    def keep(self, node_ids: collections.abc.Set[str]) -> None:
+        """Forgets the views of all nodes but these."""
+        for node_id in self._views.keys() - node_ids:
+            del self._views[node_id]
+
+    def choose(
+        self,
+        members: collections.abc.Sequence[member_record.MemberRecord],
+        *,
+        route: host_route.HostRoute,
+        left_ms: float,
+        tried: collections.abc.Set[str],
+    ) -> member_record.MemberRecord:
+        """Returns the target with the least expected time to an answer.
+
+        Args:
+            members: Targets that may take the call.
+            route: Route of the call.
+            left_ms: Time until the caller must have an answer.
+            tried: Nodes that were tried before.
+
+        Raises:
+            exceptions.NoTargetError: There is no target to try.
+            exceptions.OverloadedError: None would answer in time.
+        """
+        fresh = [item for item in members if item.node_id not in tried]
+        if not fresh:
+            raise exceptions.NoTargetError(
+                "no target is left to try" if tried else "no target is known"
+            )
+        now_s = self._clock.monotonic_s()
+        usable = self._usable(fresh, now_s)
+        best = None
+        least_ms = float("inf")
+        typical_ms = self._typical_ms(usable, route.name)
+        for member in usable:
+            cost_ms = self._cost_ms(member, route.name, typical_ms, now_s)
+            cost_ms *= 1.0 + self._rng.random() * NOISE_SHARE
+            if cost_ms < least_ms:
+                best, least_ms = member, cost_ms
+        self._check_time(best, route, typical_ms, left_ms, now_s)
+        return best
+
+    def _usable(
+        self,
+        members: list[member_record.MemberRecord],
+        now_s: float,
+    ) -> list[member_record.MemberRecord]:
+        """Returns the best group that is not empty.
+
+        Linked gates that take calls come first. When there is none, trying
+        an ejected or unlinked one beats refusing the call.
+        """
+        linked = [item for item in members if self._is_linked(item)]
+        taking = [
+            item for item in linked if not self.view(item).is_ejected(now_s)
+        ]
+        return taking or linked or members
+
+    def _is_linked(self, member: member_record.MemberRecord) -> bool:
+        node_id = member.node_id
+        return node_id == self._own.node_id or self._is_connected(node_id)
+
+    def _typical_ms(
+        self, members: list[member_record.MemberRecord], route: str
+    ) -> float:
+        known = [
+            time_ms
+            for time_ms in (
+                self.view(item).times.known_ms(route) for item in members
+            )
+            if time_ms is not None
+        ]
+        return sum(known) / len(known) if known else 0.0
+
+    def _cost_ms(
+        self,
+        member: member_record.MemberRecord,
+        route: str,
+        typical_ms: float,
+        now_s: float,
+    ) -> float:
+        view = self.view(member)
+        failure_ms = FAILURE_MS * view.failure_permille / MS_PER_S
+        return (
+            self._way_ms(member)
+            + self._answer_ms(member, route, typical_ms, now_s)
+            + failure_ms
+        )
+
+    def _answer_ms(
+        self,
+        member: member_record.MemberRecord,
+        route: str,
+        typical_ms: float,
+        now_s: float,
+    ) -> float:
+        view = self.view(member)
+        service_ms = view.times.known_ms(route)
+        if service_ms is None:
+            service_ms = typical_ms
+        slots = max(1, member.slots)
+        # One more than is there now: the call itself.
+        load = (view.calls(now_s) + 1) / slots
+        mean_ms = view.times.expected_ms(route) or service_ms
+        return service_ms + max(0.0, load - 1.0) * mean_ms + load
+
+    def _way_ms(self, member: member_record.MemberRecord) -> float:
+        if member.data_centre == self._own.data_centre:
+            return WAY_MS["own-data-centre"]
+        if member.region == self._own.region:
+            return WAY_MS["own-region"]
+        return WAY_MS["other-region"]
+
+    def _check_time(
+        self,
+        best: member_record.MemberRecord,
+        route: host_route.HostRoute,
+        typical_ms: float,
+        left_ms: float,
+        now_s: float,
+    ) -> None:
+        answer_ms = self._answer_ms(best, route.name, typical_ms, now_s)
+        if answer_ms > left_ms:
+            wait_ms = max(LEAST_RETRY_AFTER_MS, answer_ms - left_ms)
+            raise exceptions.OverloadedError(
+                f"an answer would take {answer_ms:.0f} ms of {left_ms:.0f} ms",
+                retry_after_ms=int(wait_ms),
+            )
