--- a/src/galenatack/rollouts/trial_judge.py
+++ b/src/galenatack/rollouts/trial_judge.py
@@ -108,14 +108,10 @@
     """Returns the binomial probability of `bad` or more out of `total`."""
     if bad > total:
         return 0.0
-    below = 0.0
-    log_p, log_q = math.log(share), math.log1p(-share)
-    for count in range(bad):
-        below += math.exp(
-            math.lgamma(total + 1)
-            - math.lgamma(count + 1)
-            - math.lgamma(total - count + 1)
-            + count * log_p
-            + (total - count) * log_q
-        )
+    odds = share / (1.0 - share)
+    term = math.exp(total * math.log1p(-share))
+    below = term
+    for count in range(bad - 1):
+        term *= odds * (total - count) / (count + 1)
+        below += term
     return max(0.0, 1.0 - below)
--- /dev/null
+++ b/standins/store/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-in for the metadata store of the users' platform."""
--- /dev/null
+++ b/standins/store/node_table.py
@@ -0,0 +1,133 @@
+"""One node's access to the store stand-in, without a network."""
+
+import collections
+
+import anyio
+
+from galenatack import exceptions
+from galenatack.model import row_change
+from galenatack.model import table_page
+from galenatack.model import table_row
+from standins.store import faults as faults_module
+from standins.store import row_store
+
+LOST_S = 2.0
+"""After this time a node gives up on an answer."""
+
+
+class SharedStore:
+    """The store that several nodes share.
+
+    Attributes:
+        rows: The rows; a test writes the operator's rows here.
+        faults: Faults in force.
+        calls: Calls by node and kind.
+    """
+
+    def __init__(self):
+        self.rows = row_store.RowStore()
+        self.faults = faults_module.Faults()
+        self.calls: collections.Counter[tuple[str, str]] = collections.Counter()
+        self._changed = anyio.Event()
+
+    def operator_writes(self, table: str, key: str, value: bytes) -> int:
+        """Writes a row as the operator does."""
+        return self.commit([], [(table, "", key, value)], [])
+
+    def commit(self, expected, writes, deletes) -> int:
+        """Applies a transaction and wakes the watches."""
+        version = self.rows.commit(expected, writes, deletes)
+        changed, self._changed = self._changed, anyio.Event()
+        changed.set()
+        return version
+
+    async def wait_for_change(self) -> None:
+        """Returns after the next transaction."""
+        await self._changed.wait()
+
+
+class NodeTable:
+    """Implements `interfaces.shared_table.SharedTable` for one node.
+
+    Args:
+        store: The shared store.
+        node_id: The node, for faults that hit some nodes only.
+    """
+
+    def __init__(self, *, store: SharedStore, node_id: str):
+        self._store = store
+        self._node_id = node_id
+
+    async def read(self, table: str) -> table_page.TablePage:
+        """Reads all rows of a table."""
+        await self._enter("read")
+        rows, _ = self._store.rows.range(table, "", "", 1_000_000)
+        return self._page(rows)
+
+    async def watch(
+        self, table: str, *, after: int, wait_s: float
+    ) -> table_page.TablePage:
+        """Waits for rows that changed after a revision."""
+        await self._enter("watch")
+        with anyio.move_on_after(wait_s):
+            while not self._changes(table, after):
+                await self._store.wait_for_change()
+        await self._check()
+        return self._page(self._changes(table, after))
+
+    async def commit(self, change: row_change.RowChange) -> int:
+        """Writes rows together and returns their revision."""
+        await self._enter("commit")
+        faults = self._store.faults
+        if not faults.lose_answers:
+            return self._apply(change)
+        faults.lose_answers -= 1
+        if faults.late_s:
+            await anyio.sleep(faults.late_s)
+        self._apply(change)
+        await anyio.sleep(LOST_S)
+        raise exceptions.OutcomeUnknownError("answer lost")
+
+    def _apply(self, change: row_change.RowChange) -> int:
+        try:
+            return self._store.commit(
+                [(t, "", k, v) for t, k, v in change.expected],
+                [(t, "", k, v) for t, k, v in change.writes],
+                [(t, "", k) for t, k in change.deletes],
+            )
+        except row_store.ConflictError as error:
+            keys = tuple(key for _, _, key in error.rows)
+            raise exceptions.TransactionConflictError(
+                str(error), keys=keys
+            ) from error
+
+    def _changes(self, table: str, after: int) -> list[row_store.StoredRow]:
+        try:
+            return self._store.rows.changes(table, after)
+        except row_store.HistoryGoneError as error:
+            raise exceptions.HistoryLostError(str(error)) from error
+
+    async def _enter(self, kind: str) -> None:
+        self._store.calls[self._node_id, kind] += 1
+        if self._store.faults.slow_s:
+            await anyio.sleep(self._store.faults.slow_s)
+        await self._check()
+
+    async def _check(self) -> None:
+        faults = self._store.faults
+        if self._node_id in faults.silent_nodes:
+            await anyio.sleep(LOST_S)
+            raise exceptions.PlatformUnavailableError("no answer")
+        if faults.is_down or self._node_id in faults.refused_nodes:
+            raise exceptions.PlatformUnavailableError("503")
+
+    def _page(self, rows: list[row_store.StoredRow]) -> table_page.TablePage:
+        return table_page.TablePage(
+            tuple(
+                table_row.TableRow(
+                    row.table, row.key, row.value, row.version, row.is_deleted
+                )
+                for row in rows
+            ),
+            self._store.rows.version,
+        )
--- /dev/null
+++ b/standins/store/row_store.py
@@ -0,0 +1,122 @@
+"""Rows of the store stand-in, with conditions and a bounded history."""
+
+import typing
+
+PAGE_ROWS = 500
+
+
+class ConflictError(Exception):
+    """A condition did not hold.
+
+    Attributes:
+        rows: (table, part, key) of the rows that differ.
+    """
+
+    def __init__(self, rows: list[tuple[str, str, str]]):
+        super().__init__(str(rows))
+        self.rows = rows
+
+
+class HistoryGoneError(Exception):
+    """The changes after a version are no longer known."""
+
+
+class StoredRow(typing.NamedTuple):
+    """A row, or what is left of a deleted one."""
+
+    table: str
+    part: str
+    key: str
+    value: bytes
+    version: int
+    is_deleted: bool = False
+
+
+class RowStore:
+    """All rows; every transaction takes the next version of one counter.
+
+    Args:
+        history: Changes that are remembered.
+    """
+
+    def __init__(self, *, history: int = 10_000):
+        self._rows: dict[tuple[str, str, str], StoredRow] = {}
+        self._changes: list[StoredRow] = []
+        self._history = history
+        self._oldest = 0
+        self.version = 0
+
+    def commit(
+        self,
+        expected: list[tuple[str, str, str, int]],
+        writes: list[tuple[str, str, str, bytes]],
+        deletes: list[tuple[str, str, str]],
+    ) -> int:
+        """Applies a transaction whole and returns its version.
+
+        Raises:
+            ConflictError: A condition did not hold; nothing changed.
+        """
+        failed = [
+            (table, part, key)
+            for table, part, key, version in expected
+            if self._version_of(table, part, key) != version
+        ]
+        if failed:
+            raise ConflictError(failed)
+        self.version += 1
+        for table, part, key, value in writes:
+            self._change(StoredRow(table, part, key, value, self.version))
+        for table, part, key in deletes:
+            if (table, part, key) in self._rows:
+                gone = StoredRow(table, part, key, b"", self.version, True)
+                self._change(gone)
+        return self.version
+
+    def range(
+        self, table: str, part: str, start: str, limit: int
+    ) -> tuple[list[StoredRow], bool]:
+        """Returns rows in key order, and whether there are more."""
+        rows = sorted(
+            (
+                row
+                for row in self._rows.values()
+                if (row.table, row.part) == (table, part) and row.key >= start
+            ),
+            key=lambda row: row.key.encode(),
+        )
+        return rows[:limit], len(rows) > limit
+
+    def changes(self, table: str, after: int) -> list[StoredRow]:
+        """Returns the latest change of each row after a version.
+
+        Raises:
+            HistoryGoneError: Older changes were forgotten.
+        """
+        if after < self._oldest:
+            raise HistoryGoneError(f"oldest is {self._oldest}")
+        latest = {
+            (row.part, row.key): row
+            for row in self._changes
+            if row.table == table and row.version > after
+        }
+        return sorted(latest.values(), key=lambda row: row.version)
+
+    def forget(self) -> None:
+        """Drops the whole history."""
+        self._changes.clear()
+        self._oldest = self.version
+
+    def _version_of(self, table: str, part: str, key: str) -> int:
+        row = self._rows.get((table, part, key))
+        return row.version if row else 0
+
+    def _change(self, row: StoredRow) -> None:
+        place = (row.table, row.part, row.key)
+        if row.is_deleted:
+            del self._rows[place]
+        else:
+            self._rows[place] = row
+        self._changes.append(row)
+        if len(self._changes) > self._history:
+            self._oldest = self._changes.pop(0).version
--- /dev/null
+++ b/tests/mesh/fake_target.py
@@ -0,0 +1,94 @@
+"""A target that speaks the users' protocol."""
+
+import asyncio
+import json
+
+from galenatack.links import http_client
+from galenatack.links import http_response
+from galenatack.links import pipelined_server
+
+
+class FakeTarget:
+    """Runs calls, announces itself and keeps a ledger of what it ran.
+
+    Attributes:
+        ran: Identifiers of the attempts that it ran, in order.
+        seen: Headers of the last call.
+        work_s: Time of a call.
+        status: Status of its answers.
+        gate: When set, calls wait for it before they end.
+    """
+
+    def __init__(self, *, target_id, service, address, version="v1"):
+        self.target_id = target_id
+        self.service = service
+        self.address = address
+        self.version = version
+        self.ran = []
+        self.cancelled = []
+        self.seen = {}
+        self.work_s = 0.0
+        self.status = 200
+        self.hold = None
+        self._sequence = 0
+        self.server = pipelined_server.PipelinedServer(
+            address=address, respond=self._respond
+        )
+
+    async def announce(self, control_address, *, state="ready"):
+        """Sends one announcement and returns the status of its answer."""
+        self._sequence += 1
+        body = {
+            "service": self.service,
+            "address": self.address,
+            "zone": "z",
+            "version": self.version,
+            "capacity": 12,
+            "state": state,
+            "warmup_left": "0ms",
+            "sequence": self._sequence,
+            "born": 1000,
+        }
+        return await self._tell(control_address, "heartbeat", body)
+
+    async def leave(self, control_address):
+        """Sends the last word and returns the status of its answer."""
+        return await self._tell(control_address, "deregister", {"born": 1000})
+
+    async def _tell(self, control_address, action, body):
+        client = http_client.HttpClient(
+            address=control_address,
+            max_connections=1,
+            connect_timeout_s=1.0,
+            max_answer_bytes=4096,
+        )
+        answer = await client.request(
+            "POST",
+            f"/v1/instances/{self.target_id}/{action}",
+            body=json.dumps(body).encode(),
+        )
+        await client.close()
+        return answer.status
+
+    async def _respond(self, request):
+        headers = dict(request.headers)
+        attempt = headers.get("x-attempt-id", "")
+        own = (("x-attempt-id", attempt),)
+        if headers.get("x-expected-instance") != self.target_id:
+            return http_response.HttpResponse(
+                421, (*own, ("x-instance-id", self.target_id))
+            )
+        self.ran.append(attempt)
+        self.seen = headers
+        try:
+            if self.work_s:
+                await asyncio.sleep(self.work_s)
+            if self.hold is not None:
+                await self.hold.wait()
+        except asyncio.CancelledError:
+            self.cancelled.append(attempt)
+            raise
+        stamp = (("x-upstream-stamp", f"{self.target_id}.{attempt}"),)
+        return http_response.HttpResponse(
+            self.status, own + stamp, request.target.encode() + request.body
+        )
--- /dev/null
+++ b/tests/mesh/small_fleet.py
@@ -0,0 +1,191 @@
+"""A few whole nodes on loopback, beside fake targets and a store."""
+
+import asyncio
+import contextlib
+import json
+import random
+import socket
+
+from galenatack.app import mesh_node
+from galenatack.app import mesh_wiring
+from galenatack.app import system_clock
+from galenatack.links import http_client
+from galenatack.settings import fleet_bounds
+from galenatack.settings import mesh_settings
+from standins.store import node_table
+from tests.mesh import fake_target
+
+COLUMNS = [
+    "name",
+    "host",
+    "prefix",
+    "kind",
+    "timeout",
+    "target_latency",
+    "priority",
+    "max_attempts",
+    "service",
+]
+SETTLE_S = 10.0
+LISTENERS = 6
+
+
+def free_addresses(count):
+    """Returns loopback addresses that were free a moment ago."""
+    sockets = [socket.create_server(("127.0.0.1", 0)) for _ in range(count)]
+    found = [f"127.0.0.1:{item.getsockname()[1]}" for item in sockets]
+    for item in sockets:
+        item.close()
+    return found
+
+
+def config(version, services, *, kinds=("idempotent", "non_idempotent")):
+    """Returns a configuration with one route of each kind a service."""
+    rows = [
+        [
+            f"{service}-{kind}",
+            f"{service}.example",
+            f"/{kind}/",
+            kind,
+            "2s",
+            "1s",
+            1,
+            2,
+            service,
+        ]
+        for service in services
+        for kind in kinds
+    ]
+    return json.dumps(
+        {
+            "version": version,
+            "routes": {"columns": COLUMNS, "rows": rows},
+            "services": {
+                "columns": ["name", "max_connections"],
+                "rows": [[service, 100] for service in services],
+            },
+            "limits": {},
+        }
+    ).encode()
+
+
+class Member:
+    """One node and its target."""
+
+    def __init__(self, store, name, service, index):
+        addresses = free_addresses(LISTENERS)
+        self.name = name
+        self.target = fake_target.FakeTarget(
+            target_id=f"i-{name}", service=service, address=addresses[0]
+        )
+        self.settings = mesh_settings.MeshSettings(
+            node_id=name,
+            data_centre=f"dc-{index % 2}",
+            region="region",
+            service=service,
+            target_address=addresses[0],
+            caller_address=addresses[1],
+            control_address=addresses[2],
+            ready_address=addresses[3],
+            peer_address=addresses[4],
+            metrics_address=addresses[5],
+            store_address="",
+            store_reads_per_s=2000,
+            bounds=fleet_bounds.FleetBounds(),
+        )
+        self.parts = mesh_wiring.wire(
+            self.settings,
+            clock=system_clock.SystemClock(),
+            rng=random.Random(index),
+            store=node_table.NodeTable(store=store, node_id=name),
+        )
+        self.node = mesh_node.MeshNode(self.parts)
+        self.task = None
+
+    async def start(self):
+        """Starts the target and the node."""
+        await self.target.server.listen()
+        self.task = asyncio.create_task(self.node.run())
+
+    async def stop(self):
+        """Drops the node and its target."""
+        self.task.cancel()
+        await asyncio.gather(self.task, return_exceptions=True)
+        self.target.server.close()
+        await self.parts.target.close()
+
+
+class SmallFleet:
+    """Starts members one after the other and waits until they agree."""
+
+    def __init__(self, *services):
+        self.store = node_table.SharedStore()
+        self.store.operator_writes("op", "config", config(2, set(services)))
+        self.members = [
+            Member(self.store, f"n{index}", service, index)
+            for index, service in enumerate(services)
+        ]
+        self._requests = 0
+
+    async def __aenter__(self):
+        for member in self.members:
+            await member.start()
+        await self.until(self._is_settled)
+        return self
+
+    async def __aexit__(self, *exc):
+        for member in self.members:
+            with contextlib.suppress(asyncio.CancelledError):
+                await member.stop()
+
+    async def call(self, member, host, path, *, method="GET", body=b"", **more):
+        """Sends one request to a node and returns its whole answer."""
+        self._requests += 1
+        client = http_client.HttpClient(
+            address=member.settings.caller_address,
+            max_connections=1,
+            connect_timeout_s=1.0,
+            max_answer_bytes=1_000_000,
+        )
+        headers = (
+            (b"host", host.encode()),
+            (b"x-attempt-id", more.get("attempt", b"a%d" % self._requests)),
+            (b"x-deadline-ms", b"%d" % more.get("deadline_ms", 1500)),
+        )
+        try:
+            return await client.request(
+                method, path, headers=headers, body=body
+            )
+        finally:
+            await client.close()
+
+    async def until(self, condition):
+        """Waits until a condition holds."""
+        async with asyncio.timeout(SETTLE_S):
+            while not condition():
+                await asyncio.sleep(0.02)
+
+    def _is_settled(self):
+        for member in self.members:
+            if member.parts.registry.current is None:
+                task = asyncio.ensure_future(self._announce(member))
+                task.add_done_callback(lambda done: done.exception())
+        known = {member.name for member in self.members}
+        return all(
+            {
+                record.node_id
+                for record in member.parts.members.live()
+                if record.target_id
+            }
+            == known
+            and member.parts.config.version
+            and all(
+                member.parts.peers.is_connected(name)
+                for name in known - {member.name}
+            )
+            for member in self.members
+        )
+
+    async def _announce(self, member):
+        with contextlib.suppress(Exception):
+            await member.target.announce(member.settings.control_address)
--- /dev/null
+++ b/tests/mesh/test_whole_path.py
@@ -0,0 +1,143 @@
+"""Tests of the way of a call through whole nodes."""
+
+import asyncio
+import unittest
+
+from tests.mesh import small_fleet
+
+
+def run(scenario, *services):
+    """Runs a scenario on a fleet with one member for each service."""
+
+    async def main():
+        async with small_fleet.SmallFleet(*services) as fleet:
+            await scenario(fleet)
+
+    asyncio.run(main())
+
+
+class TestWholePath(unittest.TestCase):
+    def test_a_call_reaches_the_target_of_another_node_and_comes_back(self):
+        """Method, path, body, identity and answer arrive unchanged."""
+
+        async def scenario(fleet):
+            near, far = fleet.members
+            answer = await fleet.call(
+                near,
+                "b.example",
+                "/non_idempotent/x?y=1",
+                method="PUT",
+                body=b"body",
+                attempt=b"one",
+            )
+            self.assertEqual(answer.status, 200)
+            self.assertEqual(answer.body, b"/non_idempotent/x?y=1body")
+            headers = dict(answer.headers)
+            self.assertEqual(headers[b"x-upstream-stamp"], b"i-n1.one")
+            self.assertEqual(far.target.ran, ["one"])
+            self.assertEqual(far.target.seen["x-caller-service"], "a")
+            self.assertEqual(far.target.seen["x-expected-instance"], "i-n1")
+            self.assertEqual(near.target.ran, [])
+
+        run(scenario, "a", "b")
+
+    def test_a_path_without_a_route_is_final(self):
+        """A 404 does not tell the caller to come back."""
+
+        async def scenario(fleet):
+            answer = await fleet.call(fleet.members[0], "a.example", "/none/")
+            self.assertEqual(answer.status, 404)
+            self.assertNotIn(b"retry-after", dict(answer.headers))
+
+        run(scenario, "a")
+
+    def test_a_call_whose_caller_left_is_dropped_at_the_target(self):
+        """A call that may be repeated ends with its caller."""
+
+        async def scenario(fleet):
+            near, far = fleet.members
+            far.target.hold = asyncio.Event()
+            task = asyncio.create_task(
+                fleet.call(near, "b.example", "/idempotent/x", attempt=b"g")
+            )
+            await fleet.until(lambda: far.target.ran)
+            task.cancel()
+            await fleet.until(lambda: far.target.cancelled)
+            self.assertEqual(far.parts.gate.running, 0)
+
+        run(scenario, "a", "b")
+
+    def test_a_posting_whose_caller_left_runs_to_its_end(self):
+        """A call that runs at most once is not broken off."""
+
+        async def scenario(fleet):
+            near, far = fleet.members
+            far.target.hold = asyncio.Event()
+            task = asyncio.create_task(
+                fleet.call(
+                    near, "b.example", "/non_idempotent/x", method="POST"
+                )
+            )
+            await fleet.until(lambda: far.target.ran)
+            task.cancel()
+            await asyncio.sleep(0.3)
+            self.assertEqual(far.target.cancelled, [])
+            far.target.hold.set()
+            await fleet.until(lambda: not far.parts.gate.in_flight)
+
+        run(scenario, "a", "b")
+
+    def test_a_failed_answer_is_tried_once_more_when_it_may_be(self):
+        """A read goes to another target, a posting does not."""
+
+        async def scenario(fleet):
+            for member in fleet.members[1:]:
+                member.target.status = 500
+            caller = fleet.members[0]
+            await fleet.call(caller, "b.example", "/idempotent/x")
+            reads = sum(len(m.target.ran) for m in fleet.members[1:])
+            self.assertEqual(reads, 2)
+            answer = await fleet.call(
+                caller, "b.example", "/non_idempotent/x", method="POST"
+            )
+            self.assertEqual(answer.status, 500)
+            both = sum(len(m.target.ran) for m in fleet.members[1:])
+            self.assertEqual(both, 3)
+
+        run(scenario, "a", "b", "b")
+
+    def test_a_target_that_leaves_gets_no_more_calls(self):
+        """The other target of the service takes them all."""
+
+        async def scenario(fleet):
+            caller, leaving, staying = fleet.members
+            status = await leaving.target.leave(
+                leaving.settings.control_address
+            )
+            self.assertEqual(status, 200)
+            await asyncio.sleep(1.1)
+            before = len(leaving.target.ran)
+            for _ in range(10):
+                answer = await fleet.call(
+                    caller, "b.example", "/non_idempotent/x", method="PUT"
+                )
+                self.assertEqual(answer.status, 200)
+            self.assertEqual(len(leaving.target.ran), before)
+            self.assertEqual(len(staying.target.ran), 10)
+
+        run(scenario, "a", "b", "b")
+
+    def test_a_node_without_the_store_gets_a_change_from_another(self):
+        """A configuration reaches a node that the store refuses."""
+
+        async def scenario(fleet):
+            store = fleet.store
+            store.faults.refused_nodes.add("n1")
+            store.operator_writes(
+                "op", "config", small_fleet.config(9, {"a", "b"})
+            )
+            await fleet.until(
+                lambda: all(m.parts.config.version == 9 for m in fleet.members)
+            )
+
+        run(scenario, "a", "b")
--- /dev/null
+++ b/tests/platform/test_boundary.py
@@ -0,0 +1,51 @@
+"""The platform's names stay in their folder."""
+
+import pathlib
+import re
+import unittest
+
+SOURCES = pathlib.Path(__file__).parents[2] / "src" / "galenatack"
+
+WIRE_NAMES = (
+    "x-attempt-id",
+    "x-deadline-ms",
+    "x-upstream-stamp",
+    "x-expected-instance",
+    "x-upstream-load",
+    "x-not-executed",
+    "x-caller-service",
+    "x-instance-id",
+    "rows-tx",
+    "rows-get",
+    "rows-feed",
+    "rows-parts",
+    "blob-put",
+    "weighted_clusters",
+    "non_idempotent",
+    "health_path",
+    'target_latency"',
+    "warmup_left",
+    "heartbeat_target",
+    "rolled_back",
+    "deregister",
+    "internal_ports",
+    "app_address",
+    "exposure_share",
+    "budget_slack",
+    "config_apply",
+)
+
+
+class TestBoundary(unittest.TestCase):
+    def test_no_wire_name_is_used_outside_the_adapter(self):
+        """A name of the wire is decoded once, in `platform/`."""
+        pattern = re.compile(
+            "|".join(re.escape(name) for name in WIRE_NAMES), re.IGNORECASE
+        )
+        found = [
+            f"{path.relative_to(SOURCES)}: {match[0]}"
+            for path in sorted(SOURCES.rglob("*.py"))
+            if path.parent.name != "platform"
+            for match in pattern.finditer(path.read_text(encoding="utf-8"))
+        ]
+        self.assertEqual(found, [])
--- /dev/null
+++ b/tests/platform/test_config_document.py
@@ -0,0 +1,93 @@
+"""Tests of the operator's configuration."""
+
+import json
+import unittest
+
+from galenatack import exceptions
+from galenatack.platform import config_document
+
+COLUMNS = [
+    "name",
+    "host",
+    "prefix",
+    "kind",
+    "timeout",
+    "target_latency",
+    "priority",
+    "weighted_clusters",
+    "max_attempts",
+    "service",
+]
+
+
+def document(*rows, **changes):
+    """Returns a configuration as it lies in the store."""
+    told = {
+        "version": 7,
+        "routes": {"columns": COLUMNS, "rows": list(rows)},
+        "services": {
+            "columns": ["name", "health_path", "max_connections"],
+            "rows": [["a", "/health", 110]],
+        },
+        "limits": {"header_timeout": "3000ms", "idle_timeout": "15s"},
+    }
+    return json.dumps(told | changes).encode()
+
+
+def row(**changes):
+    """Returns the values of one route in the order of the columns."""
+    told = {
+        "name": "r",
+        "host": "H.example",
+        "prefix": "/p/",
+        "kind": "idempotent",
+        "timeout": "0.8s",
+        "target_latency": "400ms",
+        "priority": 2,
+        "weighted_clusters": None,
+        "max_attempts": 2,
+        "service": "a",
+    } | changes
+    return [told[name] for name in COLUMNS]
+
+
+class TestConfigDocument(unittest.TestCase):
+    def test_a_route_is_decoded_whole(self):
+        """Times become milliseconds and hosts lower case."""
+        config = config_document.decode(document(row()))
+        route = config.routes[0]
+        self.assertEqual(
+            (route.timeout_ms, route.target_latency_ms), (800, 400)
+        )
+        self.assertEqual(route.host, "h.example")
+        self.assertTrue(route.is_idempotent)
+        self.assertEqual(config.version, 7)
+        self.assertEqual(config.limits.idle_timeout_ms, 15_000)
+        self.assertEqual(config.max_connections, {"a": 110})
+
+    def test_weights_replace_the_service(self):
+        """Null means that a field was left out."""
+        parts = [
+            {"service": "a", "weight": 90},
+            {"service": "b", "weight": 10},
+        ]
+        config = config_document.decode(
+            document(row(weighted_clusters=parts, service=None))
+        )
+        weights = [tuple(part) for part in config.routes[0].services]
+        self.assertEqual(weights, [("a", 90), ("b", 10)])
+
+    def test_a_malformed_part_refuses_the_whole(self):
+        """A configuration is taken whole or not at all."""
+        bad = (
+            document(row(timeout="soon")),
+            document(row(kind="sometimes")),
+            document(row(service=None)),
+            document(row()[:-1]),
+            document(row(), version="7"),
+            document(row())[:-3],
+            b"[]",
+        )
+        for value in bad:
+            with self.assertRaises(exceptions.DocumentError):
+                config_document.decode(value)
--- /dev/null
+++ b/tests/platform/test_target_headers.py
@@ -0,0 +1,75 @@
+"""Tests of the calls to a target and its answers."""
+
+import unittest
+
+from galenatack import exceptions
+from galenatack.model import call_request
+from galenatack.platform import target_headers
+
+REQUEST = call_request.CallRequest(
+    call_id="c-1",
+    service="s",
+    route="r",
+    method="PUT",
+    path="/p/1",
+    headers=(("host", "h.example"), ("x-custom", "kept")),
+    body=b"body",
+    deadline_ms=700,
+    posting=True,
+    request_id="a1",
+    caller_service="caller",
+    target_id="i-1",
+)
+STAMPED = ((b"x-attempt-id", b"a1"), (b"x-upstream-stamp", b"s.1"))
+
+
+class TestTargetHeaders(unittest.TestCase):
+    def setUp(self):
+        self.dialect = target_headers.TargetHeaders()
+
+    def test_a_call_names_its_target_its_time_and_its_caller(self):
+        """What a target relies on is set for each call."""
+        headers = dict(self.dialect.headers(REQUEST))
+        self.assertEqual(headers[b"x-expected-instance"], b"i-1")
+        self.assertEqual(headers[b"x-deadline-ms"], b"700")
+        self.assertEqual(headers[b"x-caller-service"], b"caller")
+        self.assertEqual(headers[b"x-attempt-id"], b"a1")
+        self.assertEqual(headers[b"host"], b"h.example")
+        self.assertEqual(headers[b"x-custom"], b"kept")
+
+    def test_an_answer_to_another_call_is_not_taken(self):
+        """A surplus answer bears the identifier of its own call."""
+        other = ((b"x-attempt-id", b"a0"),)
+        self.assertFalse(self.dialect.is_answer(REQUEST, other))
+        self.assertTrue(self.dialect.is_answer(REQUEST, STAMPED))
+
+    def test_only_the_target_says_that_a_call_did_not_run(self):
+        """A 503 without that word is an answer like any other."""
+        with self.assertRaises(exceptions.TargetShedError):
+            self.dialect.answer(503, ((b"x-not-executed", b"1"),), b"")
+        with self.assertRaises(exceptions.TargetShedError):
+            self.dialect.answer(421, ((b"x-instance-id", b"i-2"),), b"")
+        answer = self.dialect.answer(503, STAMPED, b"x")
+        self.assertEqual(answer.status, 503)
+
+    def test_a_success_without_the_targets_stamp_is_lost(self):
+        """Such an answer is not the target's, so the call may have run."""
+        for headers in ((), STAMPED[:1], STAMPED[1:]):
+            with self.assertRaises(exceptions.TargetAnswerLostError):
+                self.dialect.answer(200, headers, b"x")
+
+    def test_headers_of_one_connection_are_not_passed_on(self):
+        """What the target says of its connection is not for the caller."""
+        answer = self.dialect.answer(
+            200,
+            (
+                *STAMPED,
+                (b"connection", b"close, x-hop"),
+                (b"x-hop", b"1"),
+                (b"keep-alive", b"timeout=5"),
+                (b"content-length", b"1"),
+            ),
+            b"x",
+        )
+        names = {name for name, _ in answer.headers}
+        self.assertEqual(names, {"x-attempt-id", "x-upstream-stamp"})
--- /dev/null
+++ b/tests/traffic/test_admission_queue.py
@@ -0,0 +1,135 @@
+"""Tests of the queue in front of a target, in virtual time."""
+
+import asyncio
+import random
+import unittest
+
+from galenatack import exceptions
+from galenatack.traffic import admission_queue
+from galenatack.traffic import service_times
+from tests.fakes import virtual_loop
+
+WORK_S = 0.1
+TARGET_LATENCY_MS = 400
+
+
+class Rig:
+    """A queue whose calls take `WORK_S` at the target."""
+
+    def __init__(self, *, slots):
+        times = service_times.ServiceTimes()
+        for _ in range(20):
+            times.record("r", WORK_S * 1000)
+        self.clock = virtual_loop.LoopClock()
+        self.queue = admission_queue.AdmissionQueue(
+            clock=self.clock, rng=random.Random(1), times=times
+        )
+        self.queue.slots = slots
+        self.served = []
+        self.refused = []
+
+    async def call(self, name, *, priority=1, deadline_s=1.5, aim_ms=None):
+        """Runs one call and notes how it ended and when."""
+        began_s = self.clock.monotonic_s()
+        aim_ms = TARGET_LATENCY_MS if aim_ms is None else aim_ms
+        try:
+            await self.queue.acquire(
+                name,
+                route="r",
+                priority=priority,
+                deadline_s=began_s + deadline_s,
+                target_latency_ms=aim_ms,
+            )
+        except exceptions.CallError as error:
+            self.refused.append((name, self.clock.monotonic_s(), error))
+            return
+        try:
+            await asyncio.sleep(WORK_S)
+        finally:
+            self.queue.release(name)
+        self.served.append((name, self.clock.monotonic_s() - began_s))
+
+
+class TestAdmissionQueue(unittest.TestCase):
+    def test_twice_the_load_is_served_in_aim_up_to_capacity(self):
+        """Served calls are in time; the others are refused at once."""
+
+        async def main():
+            rig = Rig(slots=10)
+            async with asyncio.TaskGroup() as tasks:
+                # 200 calls a second at a target that runs 100.
+                for number in range(1000):
+                    tasks.create_task(rig.call(f"c{number}"))
+                    await asyncio.sleep(0.005)
+            return rig
+
+        rig = virtual_loop.run(main)
+        self.assertGreaterEqual(len(rig.served), 480)
+        in_aim = [s for s in rig.served if s[1] * 1000 <= TARGET_LATENCY_MS]
+        self.assertGreaterEqual(len(in_aim), 0.98 * len(rig.served))
+        for _, _, error in rig.refused:
+            self.assertIsInstance(error, exceptions.OverloadedError)
+            self.assertGreaterEqual(error.retry_after_ms, 60)
+
+    def test_the_urgent_call_goes_first(self):
+        """A waiting call with a lower number of priority starts earlier."""
+
+        async def main():
+            rig = Rig(slots=1)
+            async with asyncio.TaskGroup() as tasks:
+                tasks.create_task(rig.call("first"))
+                await asyncio.sleep(0.001)
+                tasks.create_task(rig.call("later", priority=2))
+                await asyncio.sleep(0.001)
+                tasks.create_task(rig.call("urgent", priority=0))
+            return [name for name, _ in rig.served]
+
+        self.assertEqual(virtual_loop.run(main), ["first", "urgent", "later"])
+
+    def test_a_hopeless_call_is_refused_at_once(self):
+        """A call that cannot end by its deadline does not wait for it."""
+
+        async def main():
+            rig = Rig(slots=1)
+            async with asyncio.TaskGroup() as tasks:
+                for number in range(3):
+                    tasks.create_task(rig.call(f"c{number}"))
+                await asyncio.sleep(0.001)
+                await rig.call("hopeless", deadline_s=0.2)
+                self.assertEqual(rig.refused[0][0], "hopeless")
+                self.assertLess(rig.refused[0][1], 0.01)
+
+        virtual_loop.run(main)
+
+    def test_a_call_that_nobody_waits_for_leaves_the_queue(self):
+        """A cancelled call gives its place to the next one."""
+
+        async def main():
+            rig = Rig(slots=1)
+            async with asyncio.TaskGroup() as tasks:
+                tasks.create_task(rig.call("first"))
+                await asyncio.sleep(0.001)
+                tasks.create_task(rig.call("gone"))
+                await asyncio.sleep(0.001)
+                self.assertTrue(rig.queue.cancel("gone"))
+                tasks.create_task(rig.call("next"))
+            self.assertEqual([n for n, _ in rig.served], ["first", "next"])
+            self.assertEqual((rig.queue.running, rig.queue.queued), (0, 0))
+
+        virtual_loop.run(main)
+
+    def test_a_task_that_is_cancelled_while_it_is_admitted_frees_the_slot(self):
+        """A cancel that meets the grant leaves no slot taken."""
+
+        async def main():
+            rig = Rig(slots=1)
+            first = asyncio.create_task(rig.call("first"))
+            await asyncio.sleep(0.001)
+            second = asyncio.create_task(rig.call("second"))
+            await asyncio.sleep(0.001)
+            rig.queue.release("first")
+            second.cancel()
+            await asyncio.gather(first, second, return_exceptions=True)
+            self.assertEqual((rig.queue.running, rig.queue.queued), (0, 0))
+
+        virtual_loop.run(main)
--- /dev/null
+++ b/tests/traffic/test_attempt_budget.py
@@ -0,0 +1,52 @@
+"""Tests of the budget of repeats."""
+
+import unittest
+
+from galenatack.traffic import attempt_budget
+from tests.fakes import manual_clock
+
+NODES = 12
+SLACK = 58
+RATIO = 0.2
+
+
+class TestAttemptBudget(unittest.TestCase):
+    def setUp(self):
+        self.clock = manual_clock.ManualClock()
+        self.budgets = [
+            attempt_budget.AttemptBudget(
+                clock=self.clock, window_s=10.0, slack=SLACK
+            )
+            for _ in range(NODES)
+        ]
+        for budget in self.budgets:
+            budget.set_nodes(NODES)
+
+    def test_all_nodes_together_stay_within_the_bound(self):
+        """Whatever fails, repeats stay below the ratio and the slack."""
+        repeats = 0
+        for budget in self.budgets:
+            for _ in range(100):
+                budget.earn("s")
+                repeats += budget.spend("s")
+        self.assertLessEqual(repeats, RATIO * 100 * NODES + SLACK)
+        self.assertGreater(repeats, 0.08 * 100 * NODES)
+
+    def test_repeats_are_counted_in_a_sliding_window(self):
+        """What was spent comes back after the window, not before."""
+        budget = self.budgets[0]
+        for _ in range(20):
+            budget.earn("s")
+        while budget.spend("s"):
+            pass
+        self.clock.advance(5.0)
+        self.assertFalse(budget.has_left("s"))
+        self.clock.advance(6.0)
+        self.assertTrue(budget.has_left("s"))
+
+    def test_services_do_not_share_their_budget(self):
+        """A service without failures keeps its repeats."""
+        budget = self.budgets[0]
+        while budget.spend("a"):
+            pass
+        self.assertTrue(budget.has_left("b"))
