--- a/src/galenatack/app/mesh_node.py
+++ b/src/galenatack/app/mesh_node.py
@@ -27,8 +27,9 @@
 """Idle connections are closed from then on: calls that were sent until 3 s
 after the signal must be answered."""
 
-EXIT_MARGIN_S = 0.6
-"""Time kept before the platform's SIGKILL."""
+EXIT_MARGIN_S = 1.2
+"""Time kept before the platform's SIGKILL: half a second for the closing
+handshakes of links, and as much for a machine that is slow."""
 
 POLL_S = 0.05
 LOG_REPORT_S = 5.0
--- a/src/galenatack/model/caller_request.py
+++ b/src/galenatack/model/caller_request.py
@@ -14,6 +14,7 @@
         headers: End-to-end headers, names in lower case.
         body: Whole body.
         deadline_ms: How long the caller waits; 0 when it does not tell.
+        is_nested: True when the own target calls while it runs another call.
     """
 
     request_id: str
@@ -23,3 +24,4 @@
     headers: tuple[tuple[str, str], ...]
     body: bytes
     deadline_ms: int
+    is_nested: bool = False
--- a/src/galenatack/traffic/admission_queue.py
+++ b/src/galenatack/traffic/admission_queue.py
@@ -26,6 +26,12 @@
 """Refused callers are spread over this share of the wait, so that they do
 not return together."""
 
+USEFUL_SHARE = 0.75
+"""Part of the target latency for the wait and the expected service time. The
+rest is for the way and for calls that take longer than expected: a call that
+waits and then comes late has kept a slot from one that would have been in
+time."""
+
 LEAST_WAIT_SHARE = 0.25
 """Part of the target latency that a call may wait even when its service time
 alone exceeds the target latency."""
@@ -171,7 +177,7 @@
         allowed_ms = left_ms - expected_ms
         if target_latency_ms:
             useful_ms = max(
-                target_latency_ms - expected_ms,
+                target_latency_ms * USEFUL_SHARE - expected_ms,
                 target_latency_ms * LEAST_WAIT_SHARE,
             )
             allowed_ms = min(allowed_ms, useful_ms)
--- a/src/galenatack/traffic/call_router.py
+++ b/src/galenatack/traffic/call_router.py
@@ -170,7 +170,11 @@
         )
         members = [item for version in allowed for item in by_version[version]]
         member = self._placement.choose(
-            members, route=effort.route, left_ms=left_ms, tried=effort.tried
+            members,
+            route=effort.route,
+            left_ms=left_ms,
+            tried=effort.tried,
+            priority=effort.priority,
         )
         if effort.arrivals:
             self._budget.spend(effort.service)
@@ -220,6 +224,8 @@
         now_s = self._clock.monotonic_s()
         if answer.report is not None:
             view.take_report(answer.report, effort.route.name, now_s)
+        if answer.result.failure == exceptions.OverloadedError.code:
+            view.note_refusal(effort.priority, now_s)
         if answer.result.failure == exceptions.TargetConnectError.code:
             view.eject(now_s)
 
@@ -245,8 +251,8 @@
             deadline_ms=max(1, int(left_ms)),
             posting=not route.is_idempotent,
             request_id=request.request_id,
-            priority=route.priority,
-            target_latency_ms=route.target_latency_ms,
+            priority=effort.priority,
+            target_latency_ms=effort.target_latency_ms,
             caller_service=self._own.service,
             target_id=member.target_id,
             is_repeat=effort.arrivals > 0,
--- a/src/galenatack/traffic/gate_view.py
+++ b/src/galenatack/traffic/gate_view.py
@@ -9,6 +9,10 @@
 """The calls of others that a report counted have mostly ended after this
 time; it is a few service times."""
 
+REFUSAL_S = 0.04
+"""A gate that refused a call has no room for this long: a few slots become
+free meanwhile, and as many calls have come to take them."""
+
 FIRST_EJECTION_S = 0.5
 LONGEST_EJECTION_S = 4.0
 """Bounds of the time without calls after a failed link."""
@@ -34,7 +38,7 @@
         self.times = service_times.ServiceTimes()
         self._others = 0
         self._reported_s = -math.inf
-        self._refusals = 0
+        self._refused_until_s: dict[int, float] = {}
         self._ejections = 0
         self._ejected_until_s = -math.inf
 
@@ -55,9 +59,19 @@
         self._ejected_until_s = now_s + min(LONGEST_EJECTION_S, pause_s)
         self._ejections = min(self._ejections + 1, 8)
 
-    def refuse_until(self, until_s: float) -> None:
-        """Notes that the gate refused calls and when it has room."""
-        self._ejected_until_s = max(self._ejected_until_s, until_s)
+    def note_refusal(self, priority: int, now_s: float) -> None:
+        """Notes that the gate had no room for a call of this priority."""
+        self._refused_until_s[priority] = now_s + REFUSAL_S
+
+    def is_refusing(self, priority: int, now_s: float) -> bool:
+        """Tells whether a call of this priority would be refused again.
+
+        What was refused to an urgent call is refused to others as well.
+        """
+        return any(
+            refused <= priority and now_s < until_s
+            for refused, until_s in self._refused_until_s.items()
+        )
 
     def is_ejected(self, now_s: float) -> bool:
         """Tells whether the gate should get no calls now."""
--- a/src/galenatack/traffic/target_placement.py
+++ b/src/galenatack/traffic/target_placement.py
@@ -2,8 +2,8 @@
 
 Answers uneven load: targets that differ in speed, are cold, grey or busy, and
 data centres that get more calls than their targets can run. A call goes where
-its answer is expected first; distance counts as time, so that the link between
-regions is used only when the own region is slower by more than the way.
+the least of its worth is expected to be lost: by coming late, by failing, or on
+the way over links that are billed by volume.
 """
 
 import collections.abc
@@ -17,17 +17,35 @@
 
 MS_PER_S = 1000.0
 
-WAY_MS = {"own-data-centre": 1.0, "own-region": 6.0, "other-region": 130.0}
-"""Cost of the way as time: there and back, and as much again for what the
-link costs, which is billed by volume."""
+WAY_MS = {"own-data-centre": 1.0, "own-region": 4.0, "other-region": 64.0}
+"""Time for the way there and back."""
 
-FAILURE_MS = 1200.0
-"""Expected loss of a failed call: about three target latencies."""
+WAY_COST = {"own-data-centre": 0.0, "own-region": 0.04, "other-region": 0.25}
+"""Cost of the bytes as part of a call's worth: links between data centres are
+billed by volume, the one between regions most, and all traffic shares it."""
+
+BALANCE_COST = 0.08
+"""Cost of an answer at half of the target latency: enough to even out load
+within a data centre, less than the way to another one."""
+
+MOST_FAR_COST = 0.5
+"""A call crosses to another region only below this cost: when the other side is
+as full as the own one, moving calls to and fro serves nobody."""
+
+LATE_COST = 1.3
+"""Rise of the cost for each target latency beyond half of it: there the chance
+to miss it grows with the expected time, because service times vary."""
 
 NOISE_SHARE = 0.08
 """Nodes that see the same reports must not all choose the same target."""
 
 LEAST_RETRY_AFTER_MS = 80
+FULL_RETRY_AFTER_MS = 120
+"""About one service time: then slots that are taken now are free."""
+
+RETRY_SPREAD = 0.5
+"""Refused callers are spread over this share of the time."""
+
 NO_TARGET_RETRY_AFTER_MS = 400
 """A target announces itself within about one heartbeat."""
 
@@ -76,6 +94,7 @@
         route: host_route.HostRoute,
         left_ms: float,
         tried: collections.abc.Set[str],
+        priority: int,
     ) -> member_record.MemberRecord:
         """Returns the target with the least expected time to an answer.
 
@@ -84,6 +103,7 @@
             route: Route of the call.
             left_ms: Time until the caller must have an answer.
             tried: Nodes that were tried before.
+            priority: Rank of the call; 0 goes first.
 
         Raises:
             exceptions.NoTargetError: There is no target to try.
@@ -96,14 +116,21 @@
             )
         now_s = self._clock.monotonic_s()
         usable = self._usable(fresh, now_s)
+        usable = self._with_room(usable, priority, now_s)
         best = None
-        least_ms = float("inf")
+        least = float("inf")
         typical_ms = self._typical_ms(usable, route.name)
+        has_near = any(self._way(item) != "other-region" for item in members)
         for member in usable:
-            cost_ms = self._cost_ms(member, route.name, typical_ms, now_s)
-            cost_ms *= 1.0 + self._rng.random() * NOISE_SHARE
-            if cost_ms < least_ms:
-                best, least_ms = member, cost_ms
+            cost = self._cost(member, route, typical_ms, now_s)
+            is_far = self._way(member) == "other-region"
+            if is_far and has_near and cost > MOST_FAR_COST:
+                continue
+            cost *= 1.0 + self._rng.random() * NOISE_SHARE
+            if cost < least:
+                best, least = member, cost
+        if best is None:
+            raise self._full(len(usable))
         self._check_time(best, route, typical_ms, left_ms, now_s)
         return best
 
@@ -123,6 +150,33 @@
         ]
         return taking or linked or members
 
+    def _with_room(
+        self,
+        members: list[member_record.MemberRecord],
+        priority: int,
+        now_s: float,
+    ) -> list[member_record.MemberRecord]:
+        """Returns the targets whose gates did not just refuse such a call.
+
+        Raises:
+            exceptions.OverloadedError: All of them did.
+        """
+        found = [
+            member
+            for member in members
+            if not self.view(member).is_refusing(priority, now_s)
+        ]
+        if found:
+            return found
+        raise self._full(len(members))
+
+    def _full(self, gates: int) -> exceptions.OverloadedError:
+        spread = 1.0 + self._rng.random() * RETRY_SPREAD
+        return exceptions.OverloadedError(
+            f"all {gates} gates are full",
+            retry_after_ms=int(FULL_RETRY_AFTER_MS * spread),
+        )
+
     def _is_linked(self, member: member_record.MemberRecord) -> bool:
         node_id = member.node_id
         return node_id == self._own.node_id or self._is_connected(node_id)
@@ -139,20 +193,21 @@
         ]
         return sum(known) / len(known) if known else 0.0
 
-    def _cost_ms(
+    def _cost(
         self,
         member: member_record.MemberRecord,
-        route: str,
+        route: host_route.HostRoute,
         typical_ms: float,
         now_s: float,
     ) -> float:
-        view = self.view(member)
-        failure_ms = FAILURE_MS * view.failure_permille / MS_PER_S
-        return (
-            self._way_ms(member)
-            + self._answer_ms(member, route, typical_ms, now_s)
-            + failure_ms
+        """Returns the expected loss as part of the call's worth."""
+        way = self._way(member)
+        answer_ms = WAY_MS[way] + self._answer_ms(
+            member, route.name, typical_ms, now_s
         )
+        aim_ms = route.target_latency_ms or route.timeout_ms
+        failure_share = self.view(member).failure_permille / MS_PER_S
+        return WAY_COST[way] + _lateness(answer_ms / aim_ms) + failure_share
 
     def _answer_ms(
         self,
@@ -171,12 +226,12 @@
         mean_ms = view.times.expected_ms(route) or service_ms
         return service_ms + max(0.0, load - 1.0) * mean_ms + load
 
-    def _way_ms(self, member: member_record.MemberRecord) -> float:
+    def _way(self, member: member_record.MemberRecord) -> str:
         if member.data_centre == self._own.data_centre:
-            return WAY_MS["own-data-centre"]
+            return "own-data-centre"
         if member.region == self._own.region:
-            return WAY_MS["own-region"]
-        return WAY_MS["other-region"]
+            return "own-region"
+        return "other-region"
 
     def _check_time(
         self,
@@ -193,3 +248,10 @@
                 f"an answer would take {answer_ms:.0f} ms of {left_ms:.0f} ms",
                 retry_after_ms=int(wait_ms),
             )
+
+
+def _lateness(ratio: float) -> float:
+    """Returns the expected loss by the expected part of the target latency."""
+    if ratio <= 0.5:
+        return BALANCE_COST * ratio * 2
+    return BALANCE_COST + LATE_COST * (ratio - 0.5)
