--- /dev/null
+++ b/src/galenatack/app/mesh_metrics.py
@@ -0,0 +1,107 @@
+"""Metrics of a node that runs on a shared platform, as text."""
+
+import collections
+import resource
+import time
+
+from galenatack.app import mesh_parts
+from galenatack.links import http_request
+from galenatack.links import http_response
+from galenatack.timeline import exposition
+
+BYTES_PER_KIB = 1024
+_TEXT = (("content-type", "text/plain; version=0.0.4"),)
+_OK = 200
+_NOT_FOUND = 404
+
+
+class MeshMetrics:
+    """Answers requests for the metrics of a node.
+
+    Args:
+        parts: The wired parts.
+    """
+
+    def __init__(self, *, parts: mesh_parts.MeshParts):
+        self._parts = parts
+
+    async def respond(
+        self, request: http_request.HttpRequest
+    ) -> http_response.HttpResponse:
+        """Answers one request."""
+        if request.target.partition("?")[0] != "/metrics":
+            return http_response.HttpResponse(_NOT_FOUND)
+        body = "\n".join(self._lines()) + "\n"
+        return http_response.HttpResponse(_OK, _TEXT, body.encode())
+
+    def _lines(self) -> list[str]:
+        return [
+            *self._process(),
+            *self._load(),
+            *self._beliefs(),
+            *self._traffic(),
+            *self._parts.stats.samples(),
+        ]
+
+    def _process(self) -> list[str]:
+        usage = resource.getrusage(resource.RUSAGE_SELF)
+        return [
+            exposition.sample("process_cpu_seconds_total", time.process_time()),
+            exposition.sample(
+                "process_max_resident_bytes", usage.ru_maxrss * BYTES_PER_KIB
+            ),
+            exposition.sample(
+                "log_lines_dropped_total", self._parts.log.dropped_total
+            ),
+        ]
+
+    def _load(self) -> list[str]:
+        parts = self._parts
+        return [
+            exposition.sample("calls_in_flight", parts.router.in_flight),
+            exposition.sample("gate_running", parts.gate.running),
+            exposition.sample("gate_queued", parts.gate.queued),
+            exposition.sample(
+                "gate_failure_ratio", parts.gate.failure_permille / 1000
+            ),
+            exposition.sample("caller_connections", parts.callers.connections),
+        ]
+
+    def _beliefs(self) -> list[str]:
+        parts = self._parts
+        now_s = parts.clock.monotonic_s()
+        states = collections.Counter(
+            (record.status, record.target_state or "none")
+            for record in parts.members.records()
+        )
+        lines = [
+            exposition.sample("config_version", parts.config.version),
+            exposition.sample("rollouts_active", len(parts.rollouts.active())),
+        ]
+        for watcher in parts.watchers:
+            labels = {"table": watcher.name}
+            age_s = now_s - watcher.heard_s
+            lines.append(
+                exposition.sample("store_healthy", watcher.is_healthy, labels)
+            )
+            lines.append(
+                exposition.sample("store_heard_age_seconds", age_s, labels)
+            )
+        for (status, state), count in sorted(states.items()):
+            labels = {"status": status, "target": state}
+            lines.append(exposition.sample("members", count, labels))
+        return lines
+
+    def _traffic(self) -> list[str]:
+        lines = []
+        for key, count in sorted(self._parts.peers.traffic().items()):
+            labels = {name: str(item) for name, item in key._asdict().items()}
+            lines.append(
+                exposition.sample("peer_frames_total", count.messages, labels)
+            )
+            lines.append(
+                exposition.sample(
+                    "peer_bytes_total", count.payload_bytes, labels
+                )
+            )
+        return lines
--- a/src/galenatack/app/mesh_node.py
+++ b/src/galenatack/app/mesh_node.py
@@ -6,10 +6,13 @@
 import anyio.abc
 
 from galenatack import exceptions
+from galenatack.app import mesh_metrics
 from galenatack.app import mesh_parts
 from galenatack.app import supervisor
 from galenatack.links import gc_tuning
+from galenatack.links import pipelined_server
 from galenatack.model import target_state
+from galenatack.settings import mesh_settings
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -40,11 +43,32 @@
 
     Args:
         parts: The wired parts.
+        follow_settings: A duty that follows the settings file, if there is
+            one.
     """
 
-    def __init__(self, parts: mesh_parts.MeshParts):
+    def __init__(
+        self,
+        parts: mesh_parts.MeshParts,
+        *,
+        follow_settings: supervisor.Duty | None = None,
+    ):
         self._parts = parts
+        self._follow_settings = follow_settings
+        self._bounds = parts.settings.bounds
         self._stopping = anyio.Event()
+        self._metrics = pipelined_server.PipelinedServer(
+            address=parts.settings.metrics_address,
+            respond=mesh_metrics.MeshMetrics(parts=parts).respond,
+        )
+
+    def apply(self, settings: mesh_settings.MeshSettings) -> None:
+        """Puts changed settings in force."""
+        self._bounds = settings.bounds
+        self._parts.budget.set_bounds(
+            window_s=settings.bounds.repeat_window_ms / MS_PER_S,
+            slack=settings.bounds.repeat_slack,
+        )
 
     def request_stop(self) -> None:
         """Begins a graceful stop."""
@@ -66,7 +90,12 @@
             OSError: An address cannot be used.
         """
         parts = self._parts
-        for server in (parts.control, parts.ready, parts.callers):
+        for server in (
+            parts.control,
+            parts.ready,
+            parts.callers,
+            self._metrics,
+        ):
             await server.listen()
             tasks.start_soon(server.run)
         await tasks.start(parts.peers.run)
@@ -91,8 +120,10 @@
             "rollouts": parts.driver.run,
             "log-report": self._report_log,
         }
-        for number, watcher in enumerate(parts.watchers):
-            duties[f"watch-{number}"] = watcher.run
+        for watcher in parts.watchers:
+            duties[f"watch-{watcher.name}"] = watcher.run
+        if self._follow_settings is not None:
+            duties["settings"] = self._follow_settings
         for name, duty in duties.items():
             tasks.start_soon(keeper.keep, name, duty)
 
@@ -100,7 +131,7 @@
         """Ends within the grace time without cutting a call."""
         parts = self._parts
         started_s = parts.clock.monotonic_s()
-        grace_s = parts.settings.bounds.grace_ms / MS_PER_S
+        grace_s = self._bounds.grace_ms / MS_PER_S
         _LOGGER.info(
             "event=stopping calls=%d gate_calls=%d",
             parts.router.in_flight,
--- a/src/galenatack/app/mesh_parts.py
+++ b/src/galenatack/app/mesh_parts.py
@@ -17,6 +17,7 @@
 from galenatack.timeline import recorder
 from galenatack.traffic import attempt_budget
 from galenatack.traffic import call_router
+from galenatack.traffic import call_stats
 from galenatack.traffic import config_holder
 from galenatack.traffic import link_warmer
 from galenatack.traffic import request_log
@@ -54,6 +55,7 @@
     placement: target_placement.TargetPlacement
     warmer: link_warmer.LinkWarmer
     log: request_log.RequestLog
+    stats: call_stats.CallStats
     callers: pipelined_server.PipelinedServer
     control: pipelined_server.PipelinedServer
     ready: pipelined_server.PipelinedServer
--- a/src/galenatack/app/mesh_wiring.py
+++ b/src/galenatack/app/mesh_wiring.py
@@ -42,6 +42,7 @@
 from galenatack.traffic import attempt_budget
 from galenatack.traffic import call_desk
 from galenatack.traffic import call_router
+from galenatack.traffic import call_stats
 from galenatack.traffic import config_holder
 from galenatack.traffic import link_warmer
 from galenatack.traffic import request_log
@@ -77,6 +78,7 @@
     members: member_table.MemberTable
     peers: peer_network.WebsocketPeers
     log: request_log.RequestLog
+    stats: call_stats.CallStats
     callbacks: mesh_callbacks.MeshCallbacks
 
 
@@ -200,6 +202,7 @@
             rng=rng,
         ),
         log=base.log,
+        stats=base.stats,
         callers=servers[0],
         control=servers[1],
         ready=servers[2],
@@ -241,6 +244,7 @@
             peer_tls=tls.PeerTls(trust=trust),
         ),
         log=request_log.RequestLog(clock=clock),
+        stats=call_stats.CallStats(),
         callbacks=callbacks,
     )
 
@@ -307,6 +311,7 @@
         link=target,
         clock=base.clock,
         log=base.log,
+        stats=base.stats,
         is_withdrawn=rollouts.book.is_withdrawn,
         on_outcome=rollouts.pool.record,
     )
@@ -345,6 +350,7 @@
         clock=base.clock,
         rng=base.rng,
         log=base.log,
+        stats=base.stats,
     )
     return _Outbound(config, budget, placement, router)
 
--- a/src/galenatack/config/table_watcher.py
+++ b/src/galenatack/config/table_watcher.py
@@ -30,7 +30,7 @@
     """Reads a table once, then watches its changes.
 
     Args:
-        name: Name of the table.
+        name: Name of the table, also an attribute.
         table: The store.
         mirror: Gets the rows.
         clock: Source of time.
@@ -50,7 +50,7 @@
         clock: clock_interface.Clock,
         rng: random_source.RandomSource,
     ):
-        self._name = name
+        self.name = name
         self._table = table
         self._mirror = mirror
         self._clock = clock
@@ -71,7 +71,7 @@
             except exceptions.HistoryLostError as error:
                 _LOGGER.info(
                     "event=history-lost table=%s after=%s error=%s",
-                    self._name,
+                    self.name,
                     self._after,
                     error,
                 )
@@ -92,11 +92,11 @@
         self._asked_s = self._clock.monotonic_s()
         with anyio.CancelScope() as self._scope:
             if self._after is None:
-                page = await self._table.read(self._name)
-                self._mirror.replace(self._name, page)
+                page = await self._table.read(self.name)
+                self._mirror.replace(self.name, page)
             else:
                 page = await self._table.watch(
-                    self._name, after=self._after, wait_s=WAIT_S
+                    self.name, after=self._after, wait_s=WAIT_S
                 )
                 self._mirror.apply(page.rows)
             self._after = page.revision
@@ -106,7 +106,7 @@
         if self.is_healthy:
             _LOGGER.warning(
                 "event=store-lost table=%s error=%s detail=%r",
-                self._name,
+                self.name,
                 error.code,
                 str(error),
             )
@@ -116,7 +116,7 @@
         if not self.is_healthy:
             _LOGGER.info(
                 "event=store-regained table=%s after_ms=%d",
-                self._name,
+                self.name,
                 (self._clock.monotonic_s() - self.heard_s) * 1000,
             )
         self.is_healthy = True
--- a/src/galenatack/platform/config_document.py
+++ b/src/galenatack/platform/config_document.py
@@ -36,7 +36,7 @@
         raise exceptions.DocumentError(f"config: {error}") from error
     return traffic_config.TrafficConfig(
         version=_values.field(document, "version", _values.whole),
-        routes=tuple(_route(row) for row in _table(document, "routes")),
+        routes=_routes(document),
         max_connections={
             _values.field(row, "name", _values.text): _values.field(
                 row, "max_connections", _values.whole, default=0
@@ -59,6 +59,49 @@
         yield dict(zip(columns, row, strict=True))
 
 
+def _routes(document: typing.Any) -> tuple[host_route.HostRoute, ...]:
+    table = _values.field(document, "routes", dict)
+    columns = _values.field(table, "columns", _texts)
+    return tuple(
+        _cached_route(columns, _hashable(row))
+        for row in _values.field(table, "rows", list)
+    )
+
+
+def _texts(value: typing.Any) -> tuple[str, ...]:
+    if not isinstance(value, list):
+        raise ValueError("a list of texts")
+    return tuple(_values.text(item) for item in value)
+
+
+def _hashable(row: typing.Any) -> tuple[typing.Any, ...]:
+    """Returns the values of a row; lists and mappings become JSON."""
+    if not isinstance(row, list):
+        raise exceptions.DocumentError("routes: a row is no list")
+    return tuple(
+        _Json(json.dumps(value)) if isinstance(value, (list, dict)) else value
+        for value in row
+    )
+
+
+class _Json(str):
+    """JSON of a value that is not hashable."""
+
+
+# Most routes are the same in the next configuration.
+@functools.lru_cache(maxsize=4096)
+def _cached_route(
+    columns: tuple[str, ...], values: tuple[typing.Any, ...]
+) -> host_route.HostRoute:
+    if len(values) != len(columns):
+        raise exceptions.DocumentError("routes: row of another length")
+    parsed = (
+        json.loads(value) if isinstance(value, _Json) else value
+        for value in values
+    )
+    return _route(dict(zip(columns, parsed, strict=True)))
+
+
 def _route(row: _Document) -> host_route.HostRoute:
     timeout_ms = _values.field(
         row, "timeout", _values.duration_ms, default=_DEFAULT_TIMEOUT_MS
--- a/src/galenatack/traffic/attempt_budget.py
+++ b/src/galenatack/traffic/attempt_budget.py
@@ -37,13 +37,19 @@
         share: float = SHARE,
     ):
         self._clock = clock
-        self._bucket_s = window_s / BUCKETS
-        self._slack = slack * SLACK_SHARE
         self._share = share
+        self._bucket_s = 0.0
+        self._slack = 0.0
+        self.set_bounds(window_s=window_s, slack=slack)
         self._nodes = 1
         self._calls: dict[str, _Window] = collections.defaultdict(_Window)
         self._repeats: dict[str, _Window] = collections.defaultdict(_Window)
 
+    def set_bounds(self, *, window_s: float, slack: float) -> None:
+        """Sets the window and the slack of the deployment."""
+        self._bucket_s = window_s / BUCKETS
+        self._slack = slack * SLACK_SHARE
+
     def set_nodes(self, nodes: int) -> None:
         """Sets how many nodes share the slack."""
         self._nodes = max(1, nodes)
--- a/src/galenatack/traffic/call_router.py
+++ b/src/galenatack/traffic/call_router.py
@@ -19,6 +19,7 @@
 from galenatack.routing import results
 from galenatack.traffic import attempt_budget
 from galenatack.traffic import call_effort
+from galenatack.traffic import call_stats
 from galenatack.traffic import config_holder
 from galenatack.traffic import request_log
 from galenatack.traffic import target_directory
@@ -65,6 +66,7 @@
         clock: Source of time.
         rng: Source of randomness, for call ids.
         log: Decisions about single requests.
+        stats: Counters and histograms.
     """
 
     def __init__(
@@ -81,6 +83,7 @@
         clock: clock_interface.Clock,
         rng: random_source.RandomSource,
         log: request_log.RequestLog,
+        stats: call_stats.CallStats,
     ):
         self._own = own
         self._config = config
@@ -92,6 +95,7 @@
         self._gate = gate
         self._clock = clock
         self._log = log
+        self._stats = stats
         self._weights = weighted_choice.WeightedChoice()
         self._call_prefix = f"{rng.getrandbits(CALL_ID_BITS):010x}"
         self._calls = 0
@@ -347,6 +351,13 @@
         result: call_result.CallResult,
         started_s: float,
     ) -> None:
+        took_ms = (self._clock.monotonic_s() - started_s) * MS_PER_S
+        self._stats.count(
+            "router",
+            outcome=result.outcome,
+            reason=target_gate.reason_of(result),
+        )
+        self._stats.record_ms("total", took_ms)
         has_failed = result.status >= target_gate.SERVER_ERROR
         write = self._log.failure if has_failed else self._log.note
         write(
@@ -356,6 +367,6 @@
             status=result.status,
             failure=result.failure or "-",
             retry_after_ms=result.retry_after_ms,
-            took_ms=(self._clock.monotonic_s() - started_s) * MS_PER_S,
+            took_ms=took_ms,
             config=self._config.version,
         )
--- a/src/galenatack/traffic/request_log.py
+++ b/src/galenatack/traffic/request_log.py
@@ -26,14 +26,15 @@
         clock: Source of time.
 
     Attributes:
-        dropped: Lines that were not written because of the rate.
+        dropped_total: Lines that were not written because of the rate.
     """
 
     def __init__(self, *, clock: clock_interface.Clock):
         self._bucket = token_bucket.TokenBucket(
             clock=clock, rate_per_s=LINES_PER_S, capacity=BURST_LINES
         )
-        self.dropped = 0
+        self._unreported = 0
+        self.dropped_total = 0
 
     def is_sampled(self, request_id: str) -> bool:
         """Tells whether every decision about a request is logged."""
@@ -47,15 +48,18 @@
     def failure(self, request_id: str, event: str, **facts: object) -> None:
         """Logs a decision that made a request fail, within the rate."""
         if not self.is_sampled(request_id) and not self._bucket.take(1.0):
-            self.dropped += 1
+            self.dropped_total += 1
+            self._unreported += 1
             return
         self._write(request_id, event, facts)
 
     def report_dropped(self) -> None:
         """Logs how many lines were dropped since the last report."""
-        if self.dropped:
-            _LOGGER.warning("event=log-lines-dropped lines=%d", self.dropped)
-            self.dropped = 0
+        if self._unreported:
+            _LOGGER.warning(
+                "event=log-lines-dropped lines=%d", self._unreported
+            )
+            self._unreported = 0
 
     def _write(
         self, request_id: str, event: str, facts: dict[str, object]
--- a/src/galenatack/traffic/target_gate.py
+++ b/src/galenatack/traffic/target_gate.py
@@ -15,6 +15,7 @@
 from galenatack.routing import results
 from galenatack.routing import running_call
 from galenatack.traffic import admission_queue
+from galenatack.traffic import call_stats
 from galenatack.traffic import failure_rate
 from galenatack.traffic import request_log
 from galenatack.traffic import service_times
@@ -48,6 +49,7 @@
         link: Connection to the target.
         clock: Source of time.
         log: Decisions about single requests.
+        stats: Counters and histograms.
         is_withdrawn: Tells whether a version of the own service is withdrawn.
         on_outcome: Takes the evidence of each call.
     """
@@ -61,6 +63,7 @@
         link: target_link.TargetLink,
         clock: clock_interface.Clock,
         log: request_log.RequestLog,
+        stats: call_stats.CallStats,
         is_withdrawn,
         on_outcome: dispatcher.OnOutcome,
     ):
@@ -70,6 +73,7 @@
         self._link = link
         self._clock = clock
         self._log = log
+        self._stats = stats
         self._is_withdrawn = is_withdrawn
         self._on_outcome = on_outcome
         self._failures = failure_rate.FailureRate()
@@ -152,6 +156,9 @@
                 target_latency_ms=request.target_latency_ms,
             )
         except exceptions.CallError as error:
+            self._stats.count(
+                "gate", outcome=outcome.Outcome.NOT_RUN, reason=error.code
+            )
             self._log.failure(
                 request.request_id,
                 "gate-refused",
@@ -269,6 +276,11 @@
             return
         is_answer = result.outcome == outcome.Outcome.ANSWER
         has_failed = not is_answer or result.status >= SERVER_ERROR
+        self._stats.count(
+            "gate", outcome=result.outcome, reason=reason_of(result)
+        )
+        self._stats.record_ms("target", ran_ms)
+        self._stats.record_ms("queue", waited_s * MS_PER_S)
         self._failures.record(has_failed=has_failed)
         if is_answer and not has_failed:
             self._times.record(request.route, ran_ms)
@@ -294,3 +306,8 @@
 
     def _since_ms(self, since_s: float) -> float:
         return (self._clock.monotonic_s() - since_s) * MS_PER_S
+
+
+def reason_of(result: call_result.CallResult) -> str:
+    """Returns the failure code, or the class of the target's status."""
+    return result.failure or f"{result.status // 100}xx"
--- a/src/galenatack/traffic/target_placement.py
+++ b/src/galenatack/traffic/target_placement.py
@@ -7,6 +7,8 @@
 """
 
 import collections.abc
+import math
+import typing
 
 from galenatack import exceptions
 from galenatack.interfaces import clock as clock_interface
@@ -17,10 +19,14 @@
 
 MS_PER_S = 1000.0
 
-WAY_MS = {"own-data-centre": 1.0, "own-region": 4.0, "other-region": 64.0}
+_NEAR = "own-data-centre"
+_REGION = "own-region"
+_FAR = "other-region"
+
+WAY_MS = {_NEAR: 1.0, _REGION: 4.0, _FAR: 64.0}
 """Time for the way there and back."""
 
-WAY_COST = {"own-data-centre": 0.0, "own-region": 0.04, "other-region": 0.25}
+WAY_COST = {_NEAR: 0.0, _REGION: 0.04, _FAR: 0.25}
 """Cost of the bytes as part of a call's worth: links between data centres are
 billed by volume, the one between regions most, and all traffic shares it."""
 
@@ -50,6 +56,14 @@
 """A target announces itself within about one heartbeat."""
 
 
+class _Candidate(typing.NamedTuple):
+    """A target that may be chosen, and what is known of its gate."""
+
+    member: member_record.MemberRecord
+    view: gate_view.GateView
+    way: str
+
+
 class TargetPlacement:
     """Keeps a view of each gate and chooses by expected time to an answer.
 
@@ -109,7 +123,11 @@
             exceptions.NoTargetError: There is no target to try.
             exceptions.OverloadedError: None would answer in time.
         """
-        fresh = [item for item in members if item.node_id not in tried]
+        fresh = [
+            _Candidate(member, self.view(member), self._way(member))
+            for member in members
+            if member.node_id not in tried
+        ]
         if not fresh:
             raise exceptions.NoTargetError(
                 "no target is left to try" if tried else "no target is known"
@@ -117,58 +135,73 @@
         now_s = self._clock.monotonic_s()
         usable = self._usable(fresh, now_s)
         usable = self._with_room(usable, priority, now_s)
-        best = None
-        least = float("inf")
-        typical_ms = self._typical_ms(usable, route.name)
-        has_near = any(self._way(item) != "other-region" for item in members)
-        for member in usable:
-            cost = self._cost(member, route, typical_ms, now_s)
-            is_far = self._way(member) == "other-region"
-            if is_far and has_near and cost > MOST_FAR_COST:
-                continue
-            cost *= 1.0 + self._rng.random() * NOISE_SHARE
-            if cost < least:
-                best, least = member, cost
-        if best is None:
-            raise self._full(len(usable))
-        self._check_time(best, route, typical_ms, left_ms, now_s)
-        return best
+        chosen = self._cheapest(usable, fresh, route, now_s)
+        self._check_time(chosen[0], route, chosen[1], left_ms)
+        return chosen[0].member
 
     def _usable(
-        self,
-        members: list[member_record.MemberRecord],
-        now_s: float,
-    ) -> list[member_record.MemberRecord]:
+        self, candidates: list[_Candidate], now_s: float
+    ) -> list[_Candidate]:
         """Returns the best group that is not empty.
 
         Linked gates that take calls come first. When there is none, trying
         an ejected or unlinked one beats refusing the call.
         """
-        linked = [item for item in members if self._is_linked(item)]
-        taking = [
-            item for item in linked if not self.view(item).is_ejected(now_s)
+        own_id = self._own.node_id
+        linked = [
+            item
+            for item in candidates
+            if item.member.node_id == own_id
+            or self._is_connected(item.member.node_id)
         ]
-        return taking or linked or members
+        taking = [item for item in linked if not item.view.is_ejected(now_s)]
+        return taking or linked or candidates
 
     def _with_room(
-        self,
-        members: list[member_record.MemberRecord],
-        priority: int,
-        now_s: float,
-    ) -> list[member_record.MemberRecord]:
+        self, candidates: list[_Candidate], priority: int, now_s: float
+    ) -> list[_Candidate]:
         """Returns the targets whose gates did not just refuse such a call.
 
         Raises:
             exceptions.OverloadedError: All of them did.
         """
         found = [
-            member
-            for member in members
-            if not self.view(member).is_refusing(priority, now_s)
+            item
+            for item in candidates
+            if not item.view.is_refusing(priority, now_s)
         ]
         if found:
             return found
-        raise self._full(len(members))
+        raise self._full(len(candidates))
+
+    def _cheapest(
+        self,
+        usable: list[_Candidate],
+        fresh: list[_Candidate],
+        route: host_route.HostRoute,
+        now_s: float,
+    ) -> tuple[_Candidate, float]:
+        """Returns the target of least cost and its time to an answer.
+
+        Raises:
+            exceptions.OverloadedError: Only targets of other regions are
+                left, and crossing to them is not worth it.
+        """
+        typical_ms = _typical_ms(usable, route.name)
+        has_near = any(item.way != _FAR for item in fresh)
+        best = None
+        least = math.inf
+        for item in usable:
+            answer_ms = _answer_ms(item, route.name, typical_ms, now_s)
+            cost = _cost(item, route, answer_ms)
+            cost *= 1.0 + self._rng.random() * NOISE_SHARE
+            if item.way == _FAR and has_near and cost > MOST_FAR_COST:
+                continue
+            if cost < least:
+                best, least = (item, answer_ms), cost
+        if best is None:
+            raise self._full(len(usable))
+        return best
 
     def _full(self, gates: int) -> exceptions.OverloadedError:
         spread = 1.0 + self._rng.random() * RETRY_SPREAD
@@ -177,79 +210,62 @@
             retry_after_ms=int(FULL_RETRY_AFTER_MS * spread),
         )
 
-    def _is_linked(self, member: member_record.MemberRecord) -> bool:
-        node_id = member.node_id
-        return node_id == self._own.node_id or self._is_connected(node_id)
-
-    def _typical_ms(
-        self, members: list[member_record.MemberRecord], route: str
-    ) -> float:
-        known = [
-            time_ms
-            for time_ms in (
-                self.view(item).times.known_ms(route) for item in members
-            )
-            if time_ms is not None
-        ]
-        return sum(known) / len(known) if known else 0.0
-
-    def _cost(
-        self,
-        member: member_record.MemberRecord,
-        route: host_route.HostRoute,
-        typical_ms: float,
-        now_s: float,
-    ) -> float:
-        """Returns the expected loss as part of the call's worth."""
-        way = self._way(member)
-        answer_ms = WAY_MS[way] + self._answer_ms(
-            member, route.name, typical_ms, now_s
-        )
-        aim_ms = route.target_latency_ms or route.timeout_ms
-        failure_share = self.view(member).failure_permille / MS_PER_S
-        return WAY_COST[way] + _lateness(answer_ms / aim_ms) + failure_share
-
-    def _answer_ms(
-        self,
-        member: member_record.MemberRecord,
-        route: str,
-        typical_ms: float,
-        now_s: float,
-    ) -> float:
-        view = self.view(member)
-        service_ms = view.times.known_ms(route)
-        if service_ms is None:
-            service_ms = typical_ms
-        slots = max(1, member.slots)
-        # One more than is there now: the call itself.
-        load = (view.calls(now_s) + 1) / slots
-        mean_ms = view.times.expected_ms(route) or service_ms
-        return service_ms + max(0.0, load - 1.0) * mean_ms + load
-
     def _way(self, member: member_record.MemberRecord) -> str:
         if member.data_centre == self._own.data_centre:
-            return "own-data-centre"
-        if member.region == self._own.region:
-            return "own-region"
-        return "other-region"
+            return _NEAR
+        return _REGION if member.region == self._own.region else _FAR
 
     def _check_time(
         self,
-        best: member_record.MemberRecord,
+        best: _Candidate,
         route: host_route.HostRoute,
-        typical_ms: float,
+        answer_ms: float,
         left_ms: float,
-        now_s: float,
     ) -> None:
-        answer_ms = self._answer_ms(best, route.name, typical_ms, now_s)
         if answer_ms > left_ms:
             wait_ms = max(LEAST_RETRY_AFTER_MS, answer_ms - left_ms)
             raise exceptions.OverloadedError(
-                f"an answer would take {answer_ms:.0f} ms of {left_ms:.0f} ms",
+                f"an answer of {best.member.node_id} on {route.name} would"
+                f" take {answer_ms:.0f} ms of {left_ms:.0f} ms",
                 retry_after_ms=int(wait_ms),
             )
 
 
+def _typical_ms(candidates: list[_Candidate], route: str) -> float:
+    known = [
+        time_ms
+        for item in candidates
+        if (time_ms := item.view.times.known_ms(route)) is not None
+    ]
+    return sum(known) / len(known) if known else 0.0
+
+
+def _cost(
+    item: _Candidate, route: host_route.HostRoute, answer_ms: float
+) -> float:
+    """Returns the expected loss as part of the call's worth."""
+    aim_ms = route.target_latency_ms or route.timeout_ms
+    lateness = _lateness((WAY_MS[item.way] + answer_ms) / aim_ms)
+    failure_share = item.view.failure_permille / MS_PER_S
+    return WAY_COST[item.way] + lateness + failure_share
+
+
+def _answer_ms(
+    item: _Candidate, route: str, typical_ms: float, now_s: float
+) -> float:
+    """Returns the expected time from the gate to an answer."""
+    view = item.view
+    service_ms = view.times.known_ms(route)
+    if service_ms is None:
+        service_ms = typical_ms
+    # One more than is there now: the call itself.
+    load = (view.calls(now_s) + 1) / max(1, item.member.slots)
+    if load <= 1.0:
+        return service_ms + load
+    mean_ms = view.times.expected_ms(route) or service_ms
+    return service_ms + (load - 1.0) * mean_ms + load
+
+
 def _lateness(ratio: float) -> float:
     """Returns the expected loss by the expected part of the target latency."""
     if ratio <= 0.5:
