--- /dev/null
+++ b/src/galenatack/app/explanation.py
@@ -0,0 +1,149 @@
+"""Explains the outcome of a request from the logs of several nodes."""
+
+import collections.abc
+import typing
+
+from galenatack.app import log_line
+
+_Line = log_line.LogLine
+_ORDER = {"placed": 0, "gate-refused": 1, "target-ended": 1, "answered": 2}
+_SENTENCES = {
+    "overloaded": (
+        "was refused because of load: {detail}; it did not run and the caller"
+        " was told to come back"
+    ),
+    "no-target": (
+        "was refused because no target could take it: {detail}; it did not run"
+    ),
+    "leaving": "was refused because its target was leaving: {detail}",
+    "target-connect": (
+        "did not run, because the target took no connection: {detail}"
+    ),
+    "target-shed": "did not run, because the target itself refused it",
+    "target-answer-lost": (
+        "may have run: the target's connection broke before its whole answer"
+        " came"
+    ),
+    "deadline-exceeded": (
+        "may have run: its time was over before the target answered"
+    ),
+    "peer-timeout": (
+        "may have run: the link to the target's node gave no answer in time"
+    ),
+    "peer-unreachable": (
+        "did not run, because the target's node could not be reached"
+    ),
+    "cancelled": "was dropped because its caller went away",
+    "no-route": "has no route in the configuration {config}",
+}
+
+
+class Explanation(typing.NamedTuple):
+    """What the logs tell about a request.
+
+    Attributes:
+        request_id: The request.
+        outcome: A sentence.
+        deciding: The line that decided it, or None.
+        lines: Lines of the request, in causal order.
+        nested: Explanations of the calls that its target made.
+        missing: What the logs lack.
+    """
+
+    request_id: str
+    outcome: str
+    deciding: _Line | None
+    lines: tuple[_Line, ...]
+    nested: tuple["Explanation", ...]
+    missing: tuple[str, ...]
+
+
+def explain(
+    request_id: str, lines: collections.abc.Iterable[_Line]
+) -> Explanation:
+    """Returns what the lines tell about a request.
+
+    Args:
+        request_id: The request. Targets derive the identifiers of nested
+            calls from it, with a dot between.
+        lines: Lines of all nodes, in any order.
+    """
+    by_request: dict[str, list[_Line]] = {}
+    for line in lines:
+        told = line.facts.get("request", "")
+        if told == request_id or told.startswith(f"{request_id}."):
+            by_request.setdefault(told, []).append(line)
+    nested = tuple(
+        _of(name, found, ())
+        for name, found in sorted(by_request.items())
+        if name != request_id
+    )
+    return _of(request_id, by_request.get(request_id, []), nested)
+
+
+def _of(
+    request_id: str,
+    found: list[_Line],
+    nested: tuple[Explanation, ...],
+) -> Explanation:
+    ordered = tuple(
+        sorted(found, key=lambda line: (line.moment, _ORDER.get(line.event, 1)))
+    )
+    deciding = _deciding(ordered)
+    return Explanation(
+        request_id=request_id,
+        outcome=_outcome(ordered, deciding, nested),
+        deciding=deciding,
+        lines=ordered,
+        nested=nested,
+        missing=_missing(ordered),
+    )
+
+
+def _deciding(lines: tuple[_Line, ...]) -> _Line | None:
+    """Returns the line nearest to the cause: the gate knows most."""
+    for event in ("target-ended", "gate-refused", "answered"):
+        for line in reversed(lines):
+            if line.event == event and _has_failed(line):
+                return line
+    answered = [line for line in lines if line.event == "answered"]
+    return answered[-1] if answered else None
+
+
+def _has_failed(line: _Line) -> bool:
+    failure = line.facts.get("failure", "-")
+    return failure != "-" or line.facts.get("status", "")[:1] == "5"
+
+
+def _outcome(
+    lines: tuple[_Line, ...],
+    deciding: _Line | None,
+    nested: tuple[Explanation, ...],
+) -> str:
+    if deciding is None:
+        return "nothing in these logs tells how it ended"
+    facts = {"detail": "-", "config": "-"} | deciding.facts
+    failure = facts.get("failure", "-")
+    if failure != "-":
+        sentence = _SENTENCES.get(failure, f"failed with {failure}")
+        return sentence.format(**facts)
+    if _has_failed(deciding):
+        failed = [item.request_id for item in nested if _ended_badly(item)]
+        cause = f" after its nested call {failed[0]} failed" if failed else ""
+        target = facts.get("target", "its target")
+        return f"ran, and {target} answered {facts.get('status')}{cause}"
+    return f"was answered with {facts.get('status')}"
+
+
+def _ended_badly(item: Explanation) -> bool:
+    return item.deciding is not None and _has_failed(item.deciding)
+
+
+def _missing(lines: tuple[_Line, ...]) -> tuple[str, ...]:
+    events = {line.event for line in lines}
+    missing = []
+    if "answered" not in events:
+        missing.append("the line of the node that the caller asked")
+    if not events & {"target-ended", "gate-refused"}:
+        missing.append("the line of a gate")
+    return tuple(missing)
--- a/src/galenatack/platform/settings_document.py
+++ b/src/galenatack/platform/settings_document.py
@@ -25,6 +25,16 @@
     return pathlib.Path(os.environ.get(PATH_VARIABLE, DEFAULT_PATH))
 
 
+def is_platform_form(file: pathlib.Path) -> bool:
+    """Tells whether a settings file is of the platform's form."""
+    try:
+        document = yaml.safe_load(file.read_text(encoding="utf-8"))
+    except (OSError, UnicodeDecodeError, yaml.YAMLError):
+        # The product's own check says what is wrong with the file.
+        return False
+    return isinstance(document, dict) and "machine_class" in document
+
+
 def load(file: pathlib.Path) -> mesh_settings.MeshSettings:
     """Reads and checks a settings file; unknown fields are ignored.
 
--- /dev/null
+++ b/tests/app/test_explain.py
@@ -0,0 +1,95 @@
+"""Tests of `galenatack explain` on lines of several nodes."""
+
+import json
+import pathlib
+import tempfile
+import unittest
+
+from click import testing
+
+from galenatack.app import cli
+
+MOMENT = "2026-12-04T05:00:0%d.000 node=%s level=INFO event=%s request=%s %s"
+
+LINES = (
+    (1, "a", "placed", "r1", "call=c-1 node=b target=i-b slots=12"),
+    (
+        2,
+        "b",
+        "gate-refused",
+        "r1",
+        'call=c-1 failure=overloaded detail="wait of 300 ms" queued=40',
+    ),
+    (
+        3,
+        "a",
+        "answered",
+        "r1",
+        "outcome=not-run status=503 failure=overloaded retry_after_ms=90",
+    ),
+    (1, "a", "answered", "r2", "outcome=answer status=500 failure=-"),
+    (
+        1,
+        "b",
+        "target-ended",
+        "r2",
+        "call=c-2 target=i-b outcome=answer status=500 failure=- ran_ms=90.0",
+    ),
+    (
+        1,
+        "c",
+        "gate-refused",
+        "r2.n1",
+        'call=c-3 failure=leaving detail="target i-c is leaving"',
+    ),
+    (1, "b", "answered", "r2.n1", "outcome=not-run status=503 failure=leaving"),
+    (
+        2,
+        "b",
+        "target-ended",
+        "r3",
+        "call=c-9 target=i-b outcome=unknown status=504"
+        " failure=deadline-exceeded ran_ms=801.0",
+    ),
+)
+
+
+def run(*arguments):
+    """Runs the tool on the lines of three nodes."""
+    with tempfile.TemporaryDirectory() as folder:
+        files = []
+        for node in "abc":
+            path = pathlib.Path(folder) / f"{node}.log"
+            lines = [MOMENT % line for line in LINES if line[1] == node]
+            path.write_text("\n".join(["not a log line", *lines]) + "\n")
+            files.append(str(path))
+        return testing.CliRunner().invoke(
+            cli.cli, [*arguments, *files], catch_exceptions=False
+        )
+
+
+class TestExplain(unittest.TestCase):
+    def test_a_refusal_names_the_gate_and_its_load(self):
+        """The gate's line decides, not that of the node that passed it on."""
+        found = json.loads(run("--output", "json", "explain", "r1").stdout)
+        self.assertIn("refused because of load", found["outcome"])
+        self.assertEqual(found["deciding"]["queued"], "40")
+        events = [line["event"] for line in found["lines"]]
+        self.assertEqual(events, ["placed", "gate-refused", "answered"])
+        self.assertEqual(found["missing"], [])
+
+    def test_a_failed_parent_names_its_nested_call(self):
+        """A target that fails after a refused call of its own."""
+        found = json.loads(run("--output", "json", "explain", "r2").stdout)
+        self.assertIn("nested call r2.n1 failed", found["outcome"])
+        self.assertIn("leaving", found["nested"][0]["outcome"])
+
+    def test_missing_lines_are_named(self):
+        """A log that was not given is missed, not passed over."""
+        text = run("explain", "r3").stdout
+        self.assertIn("may have run", text)
+        self.assertIn("missing: the line of the node that the caller", text)
+
+    def test_an_unknown_request_is_said_to_be_unknown(self):
+        """Nothing is concluded from nothing."""
+        self.assertIn("nothing in these logs", run("explain", "r9").stdout)
