--- a/src/galenatack/app/daemon.py
+++ b/src/galenatack/app/daemon.py
@@ -24,7 +24,7 @@
     "settings_file",
     required=True,
     type=click.Path(dir_okay=False),
-    help="Settings file in YAML; see docs/operators.md.",
+    help="Settings file in YAML; see docs/OPERATIONS.md.",
 )
 def main(settings_file: str) -> None:
     """Runs a node until SIGTERM or SIGINT, then drains and exits 0.
--- a/src/galenatack/settings/node_settings.py
+++ b/src/galenatack/settings/node_settings.py
@@ -6,7 +6,7 @@
 
 
 class NodeSettings(typing.NamedTuple):
-    """Settings of one node; see docs/operators.md.
+    """Settings of one node; see docs/OPERATIONS.md.
 
     Attributes:
         deployment: Name of the deployment; links to others are refused.
--- a/src/galenatack/settings/reference.py
+++ b/src/galenatack/settings/reference.py
@@ -12,7 +12,7 @@
 def render() -> str:
     """Returns the Markdown table of all settings, with a final newline.
 
-    `docs/operators.md` contains exactly this text.
+    `docs/OPERATIONS.md` contains exactly this text.
     """
     rows = [_row(spec) for spec in schema.FIELDS]
     return "\n".join([*HEADER, *rows]) + "\n"
--- a/tests/settings/test_reference.py
+++ b/tests/settings/test_reference.py
@@ -9,7 +9,7 @@
 from galenatack.links import handshake
 from galenatack.settings import reference
 
-PAGE = pathlib.Path(__file__).parents[2] / "docs" / "operators.md"
+PAGE = pathlib.Path(__file__).parents[2] / "docs" / "OPERATIONS.md"
 
 
 class TestOperatorsPage(unittest.TestCase):
