Compute a call's wait from what goes before it; drop the guess at nested calls

Cause: the wait counted all calls of the same priority, also those with later deadlines that queue behind. Short nested calls were refused for a queue that they do not stand in. A refusal of one route also closed a gate to others of the same priority.

Ruled out: telling nested calls by the address of their caller.

--- a/src/galenatack/app/mesh_wiring.py
+++ b/src/galenatack/app/mesh_wiring.py
@@ -393,9 +393,7 @@
     base: _Base, inbound: _Inbound, outbound: _Outbound
 ) -> tuple[pipelined_server.PipelinedServer, ...]:
     settings = base.settings
-    callers = caller_dialect.CallerDialect(
-        handle=outbound.router.handle, target_address=settings.target_address
-    )
+    callers = caller_dialect.CallerDialect(handle=outbound.router.handle)
     control = control_dialect.ControlDialect(
         registry=inbound.registry,
         is_ready=lambda: (
--- a/src/galenatack/links/http_request.py
+++ b/src/galenatack/links/http_request.py
@@ -11,11 +11,9 @@
         target: Path and query.
         headers: Headers, names in lower case.
         body: Whole body.
-        peer_host: Address of the peer, without its port.
     """
 
     method: str
     target: str
     headers: tuple[tuple[str, str], ...]
     body: bytes
-    peer_host: str = ""
--- a/src/galenatack/links/pipelined_connection.py
+++ b/src/galenatack/links/pipelined_connection.py
@@ -77,7 +77,6 @@
         self._transport: asyncio.Transport | None = None
         self._parser = httptools.HttpRequestParser(self)
         self._unread = b""
-        self._peer_host = ""
         self._begin_message()
         self._pending: collections.deque[_Exchange] = collections.deque()
         self._is_reading = True
@@ -94,8 +93,6 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Keeps the transport."""
         self._transport = typing.cast(asyncio.Transport, transport)
-        peer = transport.get_extra_info("peername")
-        self._peer_host = str(peer[0]) if peer else ""
         self._transport.set_write_buffer_limits(high=MAX_UNSENT_BYTES)
         self._connections.add(self)
 
@@ -249,7 +246,6 @@
             target=self._target.decode("latin-1"),
             headers=tuple(self._headers),
             body=b"".join(self._body),
-            peer_host=self._peer_host,
         )
         self._began_s = None
         self._pending.append(exchange)
--- a/src/galenatack/platform/caller_dialect.py
+++ b/src/galenatack/platform/caller_dialect.py
@@ -25,13 +25,10 @@
 
     Args:
         handle: Routes a call and returns its result.
-        target_address: host:port of the own target, whose calls come from
-            the same host.
     """
 
-    def __init__(self, *, handle: Handle, target_address: str):
+    def __init__(self, *, handle: Handle):
         self._handle = handle
-        self._target_host = target_address.rpartition(":")[0]
 
     async def respond(
         self, request: http_request.HttpRequest
@@ -51,7 +48,6 @@
                 headers=_headers.of_request(request.headers),
                 body=request.body,
                 deadline_ms=_deadline_ms(named.get(_headers.DEADLINE_MS)),
-                is_nested=request.peer_host == self._target_host,
             )
         )
         return _response(request_id, result)
--- a/src/galenatack/traffic/admission_queue.py
+++ b/src/galenatack/traffic/admission_queue.py
@@ -38,18 +38,16 @@
 
 
 class _Waiter:
-    __slots__ = ("call_id", "expected_ms", "future", "order", "priority")
+    __slots__ = ("call_id", "expected_ms", "future", "order")
 
     def __init__(
         self,
         call_id: str,
-        priority: int,
         order: tuple[int, float, int],
         expected_ms: float,
         future: "asyncio.Future[str]",
     ):
         self.call_id = call_id
-        self.priority = priority
         self.order = order
         self.expected_ms = expected_ms
         self.future = future
@@ -129,7 +127,7 @@
         allowed_ms = self._allowed_ms(
             expected_ms, deadline_s, target_latency_ms
         )
-        wait_ms = self.expected_wait_ms(priority)
+        wait_ms = self.expected_wait_ms(priority, deadline_s)
         if wait_ms > allowed_ms:
             raise self._overloaded(wait_ms, allowed_ms)
         await self._wait(call_id, priority, deadline_s, expected_ms, allowed_ms)
@@ -154,8 +152,12 @@
         for waiter in waiting.values():
             _settle(waiter, _CLOSED)
 
-    def expected_wait_ms(self, priority: int) -> float:
-        """Returns how long a call of this priority would wait for a slot."""
+    def expected_wait_ms(self, priority: int, deadline_s: float) -> float:
+        """Returns how long a call would wait for a slot.
+
+        Only calls that go first count: a short call with a near deadline
+        hardly waits behind a long queue of others.
+        """
         if len(self._running) < self.slots and not self._waiting:
             return 0.0
         now_s = self._clock.monotonic_s()
@@ -166,7 +168,7 @@
         work_ms += sum(
             waiter.expected_ms
             for waiter in self._waiting.values()
-            if waiter.priority <= priority
+            if waiter.order[:2] <= (priority, deadline_s)
         )
         return work_ms / max(1, self.slots)
 
@@ -205,7 +207,7 @@
         loop = asyncio.get_running_loop()
         future: asyncio.Future[str] = loop.create_future()
         order = (priority, deadline_s, next(self._numbers))
-        waiter = _Waiter(call_id, priority, order, expected_ms, future)
+        waiter = _Waiter(call_id, order, expected_ms, future)
         self._waiting[call_id] = waiter
         heapq.heappush(self._heap, waiter)
         timer = loop.call_later(
@@ -227,7 +229,7 @@
         if verdict == _CLOSED:
             raise exceptions.LeavingError("the target is leaving")
         if verdict != _GRANTED:
-            wait_ms = self.expected_wait_ms(priority)
+            wait_ms = self.expected_wait_ms(priority, deadline_s)
             raise self._overloaded(wait_ms + expected_ms, 0.0)
 
     def _start(self, call_id: str, expected_ms: float) -> None:
--- a/src/galenatack/traffic/call_effort.py
+++ b/src/galenatack/traffic/call_effort.py
@@ -5,8 +5,6 @@
 from galenatack.model import host_route
 from galenatack.model import outcome
 
-MOST_URGENT = 0
-
 
 class CallEffort:
     """The sends of one request and the answer that they allow.
@@ -45,26 +43,6 @@
         self._unknown: call_result.CallResult | None = None
         self._refusal: call_result.CallResult | None = None
 
-    @property
-    def priority(self) -> int:
-        """Rank under load.
-
-        A nested call goes first: its parent holds a slot until it ends, and
-        loses its work if it fails.
-        """
-        return MOST_URGENT if self.request.is_nested else self.route.priority
-
-    @property
-    def target_latency_ms(self) -> int:
-        """Time within which an answer is worth most; 0 for the deadline.
-
-        Only the parent's answer counts for a caller, so that a nested call
-        is worth waiting for as long as its parent waits.
-        """
-        if self.request.is_nested:
-            return 0
-        return self.route.target_latency_ms
-
     def add(self, node_id: str, result: call_result.CallResult) -> None:
         """Adds the result of one send."""
         self.tried.add(node_id)
--- a/src/galenatack/traffic/call_router.py
+++ b/src/galenatack/traffic/call_router.py
@@ -178,7 +178,6 @@
             route=effort.route,
             left_ms=left_ms,
             tried=effort.tried,
-            priority=effort.priority,
         )
         if effort.arrivals:
             self._budget.spend(effort.service)
@@ -229,7 +228,7 @@
         if answer.report is not None:
             view.take_report(answer.report, effort.route.name, now_s)
         if answer.result.failure == exceptions.OverloadedError.code:
-            view.note_refusal(effort.priority, now_s)
+            view.note_refusal(effort.route.name, now_s)
         if answer.result.failure == exceptions.TargetConnectError.code:
             view.eject(now_s)
 
@@ -255,8 +254,8 @@
             deadline_ms=max(1, int(left_ms)),
             posting=not route.is_idempotent,
             request_id=request.request_id,
-            priority=effort.priority,
-            target_latency_ms=effort.target_latency_ms,
+            priority=route.priority,
+            target_latency_ms=route.target_latency_ms,
             caller_service=self._own.service,
             target_id=member.target_id,
             is_repeat=effort.arrivals > 0,
--- a/src/galenatack/traffic/gate_view.py
+++ b/src/galenatack/traffic/gate_view.py
@@ -38,7 +38,7 @@
         self.times = service_times.ServiceTimes()
         self._others = 0
         self._reported_s = -math.inf
-        self._refused_until_s: dict[int, float] = {}
+        self._refused_until_s: dict[str, float] = {}
         self._ejections = 0
         self._ejected_until_s = -math.inf
 
@@ -59,19 +59,16 @@
         self._ejected_until_s = now_s + min(LONGEST_EJECTION_S, pause_s)
         self._ejections = min(self._ejections + 1, 8)
 
-    def note_refusal(self, priority: int, now_s: float) -> None:
-        """Notes that the gate had no room for a call of this priority."""
-        self._refused_until_s[priority] = now_s + REFUSAL_S
+    def note_refusal(self, route: str, now_s: float) -> None:
+        """Notes that the gate had no room for a call of this route."""
+        self._refused_until_s[route] = now_s + REFUSAL_S
 
-    def is_refusing(self, priority: int, now_s: float) -> bool:
-        """Tells whether a call of this priority would be refused again.
+    def is_refusing(self, route: str, now_s: float) -> bool:
+        """Tells whether a call of this route would be refused again.
 
-        What was refused to an urgent call is refused to others as well.
+        Another route may have room: it may be more urgent.
         """
-        return any(
-            refused <= priority and now_s < until_s
-            for refused, until_s in self._refused_until_s.items()
-        )
+        return now_s < self._refused_until_s.get(route, -math.inf)
 
     def is_ejected(self, now_s: float) -> bool:
         """Tells whether the gate should get no calls now."""
--- a/src/galenatack/traffic/target_placement.py
+++ b/src/galenatack/traffic/target_placement.py
@@ -108,7 +108,6 @@
         route: host_route.HostRoute,
         left_ms: float,
         tried: collections.abc.Set[str],
-        priority: int,
     ) -> member_record.MemberRecord:
         """Returns the target with the least expected time to an answer.
 
@@ -117,7 +116,6 @@
             route: Route of the call.
             left_ms: Time until the caller must have an answer.
             tried: Nodes that were tried before.
-            priority: Rank of the call; 0 goes first.
 
         Raises:
             exceptions.NoTargetError: There is no target to try.
@@ -134,7 +132,7 @@
             )
         now_s = self._clock.monotonic_s()
         usable = self._usable(fresh, now_s)
-        usable = self._with_room(usable, priority, now_s)
+        usable = self._with_room(usable, route.name, now_s)
         chosen = self._cheapest(usable, fresh, route, now_s)
         self._check_time(chosen[0], route, chosen[1], left_ms)
         return chosen[0].member
@@ -158,7 +156,7 @@
         return taking or linked or candidates
 
     def _with_room(
-        self, candidates: list[_Candidate], priority: int, now_s: float
+        self, candidates: list[_Candidate], route: str, now_s: float
     ) -> list[_Candidate]:
         """Returns the targets whose gates did not just refuse such a call.
 
@@ -168,7 +166,7 @@
         found = [
             item
             for item in candidates
-            if not item.view.is_refusing(priority, now_s)
+            if not item.view.is_refusing(route, now_s)
         ]
         if found:
             return found
