Bound a head that never ends; test rollouts, mirrored rows, stops and answers

Cause: the parser hands over a header only when it is whole, so that one header without an end was never counted. The new test failed first (408 after the time instead of 431). The head's bytes are counted as they come.

Added tests that need no bench: rollouts on four nodes with kills, outages and lost answers in virtual time, the mirror and the watch through the store's faults, the listener byte by byte, surplus and broken answers, a graceful stop under calls.

--- a/src/galenatack/links/pipelined_connection.py
+++ b/src/galenatack/links/pipelined_connection.py
@@ -197,6 +197,7 @@
         self._body: list[bytes] = []
         self._body_bytes = 0
         self._head_bytes = 0
+        self._partial_bytes = 0
         self._has_head = False
 
     def _count_head(self, size_bytes: int) -> None:
@@ -204,9 +205,18 @@
         if self._head_bytes > self._limits.max_header_bytes:
             self._refuse(HEADERS_TOO_LARGE)
 
+    def _count_partial_head(self, size_bytes: int) -> None:
+        """Bounds a head whose header the parser has not handed over yet."""
+        if self._has_head or self._began_s is None:
+            return
+        self._partial_bytes += size_bytes
+        if self._partial_bytes > self._limits.max_header_bytes:
+            self._refuse(HEADERS_TOO_LARGE)
+
     def _feed(self, data: bytes) -> None:
         try:
             self._parser.feed_data(data)
+            self._count_partial_head(len(data))
         except httptools.HttpParserUpgrade as error:
             # Upgrades are not offered: the request was taken as it is, and
             # what follows is the next one.
--- /dev/null
+++ b/tests/config/test_row_mirror.py
@@ -0,0 +1,139 @@
+"""Tests of mirrored rows, and of following the store through its faults."""
+
+import asyncio
+import random
+import unittest
+
+from galenatack.config import row_mirror
+from galenatack.config import table_watcher
+from galenatack.model import table_page
+from galenatack.model import table_row
+from standins.store import node_table
+from tests.fakes import virtual_loop
+
+TABLES = ("op", "rollouts")
+
+
+def row(key, revision, *, table="op", value=b"v", is_deleted=False):
+    """Returns a row."""
+    return table_row.TableRow(table, key, value, revision, is_deleted)
+
+
+class TestRowMirror(unittest.TestCase):
+    def setUp(self):
+        self.mirror = row_mirror.RowMirror(tables=TABLES)
+        self.changes = []
+        self.mirror.subscribe(self.changes.extend)
+
+    def test_an_older_row_never_replaces_a_newer_one(self):
+        """Crossed updates leave the newest row."""
+        self.mirror.apply([row("config", 7)])
+        self.assertEqual(self.mirror.apply([row("config", 5)]), ())
+        self.assertEqual([item.revision for item in self.changes], [7])
+
+    def test_a_whole_table_drops_what_it_lacks(self):
+        """After a lost history deletions are found by their absence."""
+        self.mirror.apply([row("a", 3), row("b", 4)])
+        self.mirror.replace("op", table_page.TablePage((row("a", 3),), 9))
+        self.assertTrue(self.changes[-1].is_deleted)
+        self.assertEqual(self.changes[-1].key, "b")
+
+    def test_a_row_that_is_newer_than_the_page_is_kept(self):
+        """A page that was read before a change does not undo it."""
+        self.mirror.apply([row("b", 12)])
+        self.mirror.replace("op", table_page.TablePage((), 9))
+        self.assertFalse(self.changes[-1].is_deleted)
+
+    def test_a_peer_gets_what_it_lacks(self):
+        """Revisions are compared for each table."""
+        self.mirror.apply([row("a", 3), row("s", 5, table="rollouts")])
+        self.assertEqual(self.mirror.revisions, (3, 5))
+        newer = self.mirror.since((3, 0))
+        self.assertEqual([item.key for item in newer], ["s"])
+        self.assertTrue(self.mirror.is_behind((3, 6)))
+        self.assertFalse(self.mirror.is_behind((2, 5)))
+
+    def test_a_table_that_is_not_mirrored_is_ignored(self):
+        """A peer of another release may mirror more."""
+        self.assertEqual(self.mirror.apply([row("x", 1, table="other")]), ())
+
+
+class TestTableWatcher(unittest.TestCase):
+    def follow(self, scenario):
+        """Runs a scenario beside a watcher of the table `op`."""
+
+        async def main():
+            store = node_table.SharedStore()
+            mirror = row_mirror.RowMirror(tables=("op",))
+            watcher = table_watcher.TableWatcher(
+                name="op",
+                table=node_table.NodeTable(store=store, node_id="n"),
+                mirror=mirror,
+                clock=virtual_loop.LoopClock(),
+                rng=random.Random(1),
+            )
+            task = asyncio.create_task(watcher.run())
+            await scenario(store, mirror, watcher)
+            task.cancel()
+
+        virtual_loop.run(main)
+
+    def test_changes_arrive_one_after_the_other(self):
+        """Each write is mirrored at once."""
+
+        async def scenario(store, mirror, watcher):
+            for number in range(1, 5):
+                store.operator_writes("op", "config", b"%d" % number)
+                await asyncio.sleep(0.05)
+                self.assertEqual(mirror.revisions, (number,))
+            self.assertTrue(watcher.is_healthy)
+
+        self.follow(scenario)
+
+    def test_an_outage_is_over_within_two_seconds_of_its_end(self):
+        """What was written last before and during it is there then."""
+
+        async def scenario(store, mirror, watcher):
+            await asyncio.sleep(0.1)
+            store.faults.is_down = True
+            store.operator_writes("op", "config", b"1")
+            await asyncio.sleep(7.0)
+            self.assertFalse(watcher.is_healthy)
+            store.faults.is_down = False
+            await asyncio.sleep(2.0)
+            self.assertEqual(mirror.revisions, (1,))
+
+        self.follow(scenario)
+
+    def test_a_lost_history_is_read_again(self):
+        """A watch that is too old begins with the whole table."""
+
+        async def scenario(store, mirror, watcher):
+            store.operator_writes("op", "config", b"1")
+            store.operator_writes("op", "rollout/s", b"2")
+            await asyncio.sleep(0.1)
+            store.faults.is_down = True
+            await asyncio.sleep(1.0)
+            store.commit([], [], [("op", "", "rollout/s")])
+            store.operator_writes("op", "config", b"3")
+            store.rows.forget()
+            store.faults.is_down = False
+            await asyncio.sleep(2.0)
+            self.assertEqual(mirror.revisions, (4,))
+            gone = [item for item in mirror.since((0,)) if item.is_deleted]
+            self.assertEqual([item.key for item in gone], ["rollout/s"])
+
+        self.follow(scenario)
+
+    def test_an_outage_costs_few_calls(self):
+        """Every call is priced, refused ones too."""
+
+        async def scenario(store, mirror, watcher):
+            await asyncio.sleep(0.1)
+            store.faults.is_down = True
+            store.operator_writes("op", "x", b"")
+            before = sum(store.calls.values())
+            await asyncio.sleep(10.0)
+            self.assertLess(sum(store.calls.values()) - before, 60)
+
+        self.follow(scenario)
--- /dev/null
+++ b/tests/links/test_pipelined_connection.py
@@ -0,0 +1,200 @@
+"""Tests of the listener for callers, byte by byte."""
+
+import asyncio
+import unittest
+
+from galenatack.links import connection_limits
+from galenatack.links import http_response
+from galenatack.links import pipelined_server
+from tests.mesh import small_fleet
+
+GET = b"GET /%s HTTP/1.1\r\nHost: a\r\n\r\n"
+
+
+class Rig:
+    """A server whose answers wait until the test lets them go."""
+
+    def __init__(self, **limits):
+        self.seen = []
+        self.cancelled = []
+        self.gates = {}
+        self.server = pipelined_server.PipelinedServer(
+            address=small_fleet.free_addresses(1)[0],
+            respond=self.respond,
+            limits=connection_limits.ConnectionLimits(**limits),
+        )
+
+    async def respond(self, request):
+        """Answers with the path and the body once the path's gate is open."""
+        self.seen.append(request)
+        gate = self.gates.get(request.target)
+        if gate is not None:
+            try:
+                await gate.wait()
+            except asyncio.CancelledError:
+                self.cancelled.append(request.target)
+                raise
+        body = request.target.encode() + request.body
+        return http_response.HttpResponse(200, (("x-a", "1"),), body)
+
+    async def connect(self):
+        """Returns a reader and a writer."""
+        host, _, port = self.server._address.rpartition(":")
+        return await asyncio.open_connection(host, int(port))
+
+
+def run(scenario, **limits):
+    """Runs a scenario against a server."""
+
+    async def main():
+        rig = Rig(**limits)
+        await rig.server.listen()
+        task = asyncio.create_task(rig.server.run())
+        try:
+            async with asyncio.timeout(10):
+                await scenario(rig)
+        finally:
+            task.cancel()
+            await asyncio.gather(task, return_exceptions=True)
+
+    asyncio.run(main())
+
+
+class TestPipelinedConnection(unittest.TestCase):
+    def test_requests_run_at_once_and_are_answered_in_order(self):
+        """A slow first request does not keep the second from running."""
+
+        async def scenario(rig):
+            rig.gates["/1"] = asyncio.Event()
+            reader, writer = await rig.connect()
+            writer.write(GET % b"1" + GET % b"2")
+            while len(rig.seen) < 2:
+                await asyncio.sleep(0.01)
+            rig.gates["/1"].set()
+            text = await reader.readuntil(b"/2")
+            self.assertLess(text.index(b"/1"), text.index(b"/2"))
+            writer.close()
+
+        run(scenario)
+
+    def test_a_request_with_two_lengths_is_refused(self):
+        """A second request could hide in its body."""
+
+        async def scenario(rig):
+            reader, writer = await rig.connect()
+            writer.write(
+                b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n"
+                b"Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n" + GET % b"x"
+            )
+            text = await reader.read()
+            self.assertTrue(text.startswith(b"HTTP/1.1 400 "))
+            self.assertEqual(text.count(b"HTTP/1.1"), 1)
+            self.assertEqual(rig.seen, [])
+
+        run(scenario)
+
+    def test_a_peer_that_leaves_cancels_its_requests(self):
+        """All requests of the connection end."""
+
+        async def scenario(rig):
+            rig.gates = {"/1": asyncio.Event(), "/2": asyncio.Event()}
+            _, writer = await rig.connect()
+            writer.write(GET % b"1" + GET % b"2")
+            while len(rig.seen) < 2:
+                await asyncio.sleep(0.01)
+            writer.close()
+            while len(rig.cancelled) < 2:
+                await asyncio.sleep(0.01)
+
+        run(scenario)
+
+    def test_a_draining_connection_ends_after_its_last_answer(self):
+        """What was received is answered; the last answer tells the end."""
+
+        async def scenario(rig):
+            rig.gates["/1"] = asyncio.Event()
+            reader, writer = await rig.connect()
+            writer.write(GET % b"1" + GET % b"2")
+            while len(rig.seen) < 2:
+                await asyncio.sleep(0.01)
+            rig.server.drain()
+            rig.gates["/1"].set()
+            text = await reader.read()
+            first, _, second = text.partition(b"/1")
+            self.assertNotIn(b"connection: close", first)
+            self.assertIn(b"connection: close", second)
+            self.assertIn(b"/2", second)
+            writer.close()
+
+        run(scenario)
+
+    def test_bodies_with_a_length_and_in_chunks_arrive_whole(self):
+        """Both forms, divided anywhere."""
+
+        async def scenario(rig):
+            chunked = (
+                b"PUT /c HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked"
+                b"\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n"
+            )
+            plain = (
+                b"PUT /p HTTP/1.1\r\nHost: a\r\nContent-Length: 5\r\n\r\n12345"
+            )
+            reader, writer = await rig.connect()
+            for byte in chunked + plain:
+                writer.write(bytes([byte]))
+                await writer.drain()
+            await reader.readuntil(b"/p12345")
+            bodies = [request.body for request in rig.seen]
+            self.assertEqual(bodies, [b"abcde", b"12345"])
+            writer.close()
+
+        run(scenario)
+
+    def test_limits_are_kept(self):
+        """Too large a head or body, and too slow a head, are refused."""
+
+        async def scenario(rig):
+            for sent, status in (
+                (b"GET / HTTP/1.1\r\nX: " + b"x" * 3000, b"431"),
+                (
+                    b"PUT / HTTP/1.1\r\nContent-Length: 99\r\n\r\n" + b"x" * 99,
+                    b"413",
+                ),
+                (b"GET / HTTP/1.1\r\nX", b"408"),
+                (b"nonsense\r\n\r\n", b"400"),
+            ):
+                reader, writer = await rig.connect()
+                writer.write(sent)
+                text = await reader.read()
+                self.assertIn(b" " + status + b" ", text[:16], sent[:30])
+                writer.close()
+
+        run(
+            scenario,
+            max_header_bytes=2000,
+            max_body_bytes=50,
+            header_timeout_s=0.2,
+        )
+
+    def test_an_idle_connection_is_closed_without_an_answer(self):
+        """Nothing was asked, so nothing is said."""
+
+        async def scenario(rig):
+            reader, writer = await rig.connect()
+            self.assertEqual(await reader.read(), b"")
+            writer.close()
+
+        run(scenario, idle_timeout_s=0.2)
+
+    def test_many_requests_ahead_are_all_answered(self):
+        """Reading stops at a bound and goes on."""
+
+        async def scenario(rig):
+            reader, writer = await rig.connect()
+            count = 100
+            writer.write(b"".join(GET % (b"n%03d" % n) for n in range(count)))
+            text = await reader.readuntil(b"/n099")
+            self.assertEqual(text.count(b"HTTP/1.1 200"), count)
+            writer.close()
+
+        run(scenario)
--- /dev/null
+++ b/tests/links/test_surplus_answers.py
@@ -0,0 +1,129 @@
+"""Tests of answers that are late, doubled, unframed or broken."""
+
+import asyncio
+import socket
+import struct
+import unittest
+
+from galenatack import exceptions
+from galenatack.links import http_client
+
+HEAD = b"HTTP/1.1 200 OK\r\nx-id: %s\r\n"
+
+
+def framed(name, body):
+    """Returns an answer with a length."""
+    return (HEAD % name) + b"content-length: %d\r\n\r\n%s" % (len(body), body)
+
+
+def run(scenario, *answers):
+    """Runs a scenario; each request gets the next bytes and maybe an end."""
+    left = list(answers)
+
+    async def serve(reader, writer):
+        while left:
+            try:
+                await reader.readuntil(b"\r\n\r\n")
+            except asyncio.IncompleteReadError:
+                break
+            sent, ending = left.pop(0)
+            writer.write(sent)
+            await writer.drain()
+            if ending == "close":
+                writer.close()
+                return
+            if ending == "reset":
+                raw = writer.get_extra_info("socket")
+                # A close without lingering resets the connection.
+                linger = struct.pack("ii", 1, 0)
+                raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+                await asyncio.sleep(0.05)
+                writer.transport.abort()
+                return
+
+    async def main():
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        port = server.sockets[0].getsockname()[1]
+        client = http_client.HttpClient(
+            address=f"127.0.0.1:{port}",
+            max_connections=4,
+            connect_timeout_s=1.0,
+            max_answer_bytes=10_000,
+        )
+        async with asyncio.timeout(5):
+            await scenario(client)
+        await client.close()
+        server.close()
+
+    asyncio.run(main())
+
+
+def ask(client, name):
+    """Sends one request and takes only its own answer."""
+    return client.request(
+        "GET", "/", is_answer=lambda headers: (b"x-id", name) in list(headers)
+    )
+
+
+class TestSurplusAnswers(unittest.TestCase):
+    def test_a_late_second_answer_is_skipped(self):
+        """It stands where the next answer is expected."""
+
+        async def scenario(client):
+            self.assertEqual((await ask(client, b"1")).body, b"one")
+            self.assertEqual((await ask(client, b"2")).body, b"two")
+
+        run(
+            scenario,
+            (framed(b"1", b"one"), ""),
+            (framed(b"1", b"one") + framed(b"2", b"two"), ""),
+        )
+
+    def test_bytes_behind_an_answer_end_the_connection(self):
+        """The next request uses another one."""
+
+        async def scenario(client):
+            self.assertEqual((await ask(client, b"1")).body, b"one")
+            self.assertEqual((await ask(client, b"2")).body, b"two")
+
+        run(
+            scenario,
+            (framed(b"1", b"one") + b"rubbish", ""),
+            (framed(b"2", b"two"), ""),
+        )
+
+    def test_an_answer_without_a_length_ends_with_its_connection(self):
+        """A clean close makes it whole."""
+
+        async def scenario(client):
+            answer = await ask(client, b"1")
+            self.assertEqual(answer.body, b"all of it")
+
+        run(scenario, (HEAD % b"1" + b"\r\nall of it", "close"))
+
+    def test_an_answer_that_is_reset_is_lost(self):
+        """It must not look complete."""
+
+        async def scenario(client):
+            with self.assertRaises(exceptions.TargetAnswerLostError):
+                await ask(client, b"1")
+
+        run(scenario, (HEAD % b"1" + b"\r\npart of it", "reset"))
+
+    def test_an_answer_that_ends_early_is_lost(self):
+        """Fewer bytes than its length."""
+
+        async def scenario(client):
+            with self.assertRaises(exceptions.TargetAnswerLostError):
+                await ask(client, b"1")
+
+        run(scenario, (framed(b"1", b"whole")[:-2], "close"))
+
+    def test_bytes_that_are_no_answer_are_an_answer_lost(self):
+        """The request may have run."""
+
+        async def scenario(client):
+            with self.assertRaises(exceptions.TargetAnswerLostError):
+                await ask(client, b"1")
+
+        run(scenario, (b"what is this\r\n\r\n", ""))
--- a/tests/mesh/small_fleet.py
+++ b/tests/mesh/small_fleet.py
@@ -159,6 +159,18 @@
         finally:
             await client.close()
 
+    async def ask_ready(self, member):
+        """Returns the status of a node's readiness check."""
+        client = http_client.HttpClient(
+            address=member.settings.ready_address,
+            max_connections=1,
+            connect_timeout_s=1.0,
+            max_answer_bytes=1000,
+        )
+        answer = await client.request("GET", "/v1/ready")
+        await client.close()
+        return answer.status
+
     async def until(self, condition):
         """Waits until a condition holds."""
         async with asyncio.timeout(SETTLE_S):
--- /dev/null
+++ b/tests/rollouts/test_rollout_driver.py
@@ -0,0 +1,261 @@
+"""Tests of rollouts on several nodes, in virtual time, with a shared store."""
+
+import asyncio
+import random
+import unittest
+
+import anyio
+
+from galenatack.membership import member_table
+from galenatack.model import rollout_order
+from galenatack.moves import withdrawals
+from galenatack.platform import rollout_rows
+from galenatack.rollouts import evidence_pool
+from galenatack.rollouts import rollout_book
+from galenatack.rollouts import rollout_driver
+from galenatack.rollouts import trial_share
+from galenatack.rollouts import version_chooser
+from standins.store import node_table
+from tests.fakes import event_list
+from tests.fakes import memory_network
+from tests.fakes import virtual_loop
+from tests.traffic import fleet_load
+
+DURATION_MS = 12_000
+ORDER = rollout_order.RolloutOrder("s", "v2", DURATION_MS, 5)
+NODES = 4
+CALLS_PER_S = 80
+EXPOSURE_SHARE = 0.1
+EXPOSURE_SLACK = 50
+DRAIN_S = 1.0
+
+
+class Node:
+    """The rollout parts of one node; odd ones have targets of v2."""
+
+    def __init__(self, index, network, store, records):
+        clock = virtual_loop.LoopClock()
+        name = f"n{index}"
+        self.name = name
+        self.version = "v2" if index % 2 else "v1"
+        peers = network.join(name)
+        own = records[index]
+        members = member_table.MemberTable(own=own, clock=clock)
+        members.merge([item for item in records if item is not own])
+        self.withdrawn = withdrawals.Withdrawals(
+            clock=clock, peers=peers, events=event_list.EventList()
+        )
+        self.book = rollout_book.RolloutBook(
+            clock=clock, withdrawn=self.withdrawn
+        )
+        self.pool = evidence_pool.EvidencePool(
+            members=members, peers=peers, book=self.book
+        )
+        self.chooser = version_chooser.VersionChooser(
+            book=self.book,
+            share=trial_share.TrialShare(trial_share=0.055),
+            clock=clock,
+        )
+        table = node_table.NodeTable(store=store, node_id=name)
+        self.driver = rollout_driver.RolloutDriver(
+            node_id=name,
+            book=self.book,
+            pool=self.pool,
+            withdrawn=self.withdrawn,
+            journal=rollout_rows.RolloutRows(table=table),
+            targets=self,
+            clock=clock,
+        )
+
+    def count(self, service, version):
+        """Both versions have targets."""
+        return NODES // 2
+
+
+class World:
+    """Nodes, a store, callers and targets of two versions."""
+
+    def __init__(self, *, is_bad=lambda now_s, route: False):
+        self.is_bad = is_bad
+        self.store = node_table.SharedStore()
+        self.nodes = []
+        self.calls = {"v1": 0, "v2": 0}
+        self.bad_s = []
+        self.late_s = []
+        self.rng = random.Random(4)
+
+    async def run(self, duration_s, *, during=None):
+        """Plays the rollout for some seconds."""
+        async with anyio.create_task_group() as tasks:
+            network = memory_network.MemoryNetwork(tasks, rng=self.rng)
+            records = [
+                fleet_load.member(f"n{index}")._replace(
+                    version="v2" if index % 2 else "v1"
+                )
+                for index in range(NODES)
+            ]
+            self.nodes = [
+                Node(index, network, self.store, records)
+                for index in range(NODES)
+            ]
+            for node in self.nodes:
+                node.book.take_order(ORDER)
+                tasks.start_soon(node.driver.run)
+                tasks.start_soon(self._mirror, node)
+                tasks.start_soon(self._call, node)
+            if during is not None:
+                tasks.start_soon(during, self)
+            await asyncio.sleep(duration_s)
+            tasks.cancel_scope.cancel()
+
+    async def _mirror(self, node):
+        seen = 0
+        while True:
+            rows = self.store.rows.changes(rollout_rows.PROGRESS_TABLE, seen)
+            for item in rows:
+                seen = max(seen, item.version)
+                node.book.take_progress(
+                    rollout_rows.decode_progress(
+                        rollout_rows.table_row.TableRow(
+                            item.table, item.key, item.value, item.version
+                        )
+                    )
+                )
+            await asyncio.sleep(0.02)
+
+    async def _call(self, node):
+        gates = {
+            version: [n for n in self.nodes if n.version == version]
+            for version in ("v1", "v2")
+        }
+        number = 0
+        while True:
+            await asyncio.sleep(NODES / CALLS_PER_S)
+            number += 1
+            allowed = node.chooser.choose("s", ("v1", "v2"), is_repeat=False)
+            version = self.rng.choice(allowed)
+            route = f"r{number % 2}"
+            now_s = asyncio.get_running_loop().time()
+            bad = version == "v2" and self.is_bad(now_s, route)
+            self.calls[version] += 1
+            if bad:
+                self.bad_s.append(now_s)
+            if version == "v2":
+                self.late_s.append(now_s)
+            gate = self.rng.choice(gates[version])
+            gate.pool.record(route, bad, 90.0, True)
+
+    @property
+    def status(self):
+        """What the operator reads."""
+        rows, _ = self.store.rows.range("status", "", "", 10)
+        return rows[0].value.decode() if rows else ""
+
+    def exposure(self):
+        """Returns the calls of v2 beyond the share that a bad one may get."""
+        total = sum(self.calls.values())
+        return self.calls["v2"] - EXPOSURE_SHARE * total - EXPOSURE_SLACK
+
+
+class TestRolloutDriver(unittest.TestCase):
+    def play(self, duration_s=DURATION_MS / 1000, *, during=None, **options):
+        """Plays a rollout and returns the world."""
+        world = World(**options)
+
+        async def main():
+            await world.run(duration_s, during=during)
+
+        virtual_loop.run(main)
+        return world
+
+    def test_a_sound_version_is_done_by_the_deadline(self):
+        """The verdict lies in the store before the time is over."""
+        world = self.play()
+        self.assertIn('"completed"', world.status)
+
+    def test_the_old_version_gets_nothing_before_the_verdict(self):
+        """At the verdict its targets stop without draining."""
+        world = self.play()
+        done = [n for n in world.nodes if n.book.settled_version("s") == "v2"]
+        self.assertEqual(len(done), NODES)
+        for node in world.nodes:
+            self.assertEqual(
+                node.chooser.choose("s", ("v1", "v2"), is_repeat=False),
+                ("v2",),
+            )
+
+    def test_a_version_that_fails_half_of_its_calls_is_taken_back(self):
+        """It is found during the trial and gets little."""
+        rng = random.Random(1)
+        world = self.play(is_bad=lambda now_s, route: rng.random() < 0.5)
+        self.assertIn('"rolled_back"', world.status)
+        self.assertLess(world.exposure(), 0)
+        self.assertLess(world.late_s[-1], 6.0)
+
+    def test_a_fault_of_one_route_is_found(self):
+        """The other route stays sound."""
+        rng = random.Random(2)
+        world = self.play(
+            is_bad=lambda now_s, route: route == "r1" and rng.random() < 0.5
+        )
+        self.assertIn('"rolled_back"', world.status)
+        self.assertLess(world.exposure(), 0)
+
+    def test_a_fault_that_shows_when_all_calls_came_over_stays_in_bounds(self):
+        """A fault in the last phase is withdrawn within moments."""
+        rng = random.Random(3)
+        world = self.play(
+            is_bad=lambda now_s, route: now_s > 9.2 and rng.random() < 0.5
+        )
+        self.assertIn('"rolled_back"', world.status)
+        self.assertLess(world.exposure(), 0)
+
+    def test_a_dead_driver_is_replaced(self):
+        """The next evaluator takes over, the verdict comes in time."""
+
+        async def during(world):
+            await asyncio.sleep(4.0)
+            first = world.nodes[0].pool.evaluators(ORDER)[0]
+            node = next(n for n in world.nodes if n.name == first)
+            node.driver._write = _never
+
+        world = self.play(during=during)
+        self.assertIn('"completed"', world.status)
+
+    def test_a_lost_answer_does_not_write_twice(self):
+        """The condition lets one of two writes through."""
+
+        async def during(world):
+            await asyncio.sleep(8.0)
+            world.store.faults.lose_answers = 2
+            world.store.faults.late_s = 0.7
+
+        world = self.play(15.0, during=during)
+        self.assertIn('"completed"', world.status)
+        phases = [
+            item.value
+            for item in world.store.rows.changes(rollout_rows.PROGRESS_TABLE, 0)
+        ]
+        self.assertEqual(len(phases), 1)
+
+    def test_a_fault_during_an_outage_of_the_store_is_withdrawn(self):
+        """Withdrawals need no store; the verdict follows its return."""
+        rng = random.Random(5)
+
+        async def during(world):
+            await asyncio.sleep(2.0)
+            world.store.faults.is_down = True
+            await asyncio.sleep(8.0)
+            self.assertLess(world.late_s[-1], 8.0)
+            world.store.faults.is_down = False
+
+        world = self.play(
+            14.0,
+            during=during,
+            is_bad=lambda now_s, route: now_s > 3.0 and rng.random() < 0.5,
+        )
+        self.assertIn('"rolled_back"', world.status)
+
+
+async def _never(*_):
+    """Stands for a driver that does nothing any more."""
--- /dev/null
+++ b/tests/traffic/test_call_effort.py
@@ -0,0 +1,59 @@
+"""Tests of the answer that the sends of a request allow."""
+
+import unittest
+
+from galenatack import exceptions
+from galenatack.model import call_result
+from galenatack.model import caller_request
+from galenatack.model import outcome
+from galenatack.routing import results
+from galenatack.traffic import call_effort
+from tests.traffic import fleet_load
+
+ANSWER_500 = call_result.CallResult(
+    outcome.Outcome.ANSWER.value, 500, (), b"", has_reached_target=True
+)
+REFUSED = results.not_run(exceptions.OverloadedError("full", retry_after_ms=90))
+LOST = results.unknown(exceptions.TargetAnswerLostError("reset"))
+SHED = results.not_run(exceptions.TargetShedError("full"))._replace(
+    has_reached_target=True
+)
+NO_TARGET = results.not_run(exceptions.NoTargetError("none is left"))
+
+
+def final(*sends, last):
+    """Returns the final answer after some sends."""
+    effort = call_effort.CallEffort(
+        request=caller_request.CallerRequest("r", "GET", "h", "/", (), b"", 0),
+        route=fleet_load.route(),
+        service="s",
+        config_version=1,
+        deadline_s=1.0,
+    )
+    for number, result in enumerate(sends):
+        effort.add(f"n{number}", result)
+    return effort, effort.final(last)
+
+
+class TestCallEffort(unittest.TestCase):
+    def test_a_call_that_may_have_run_is_never_told_not_to_have_run(self):
+        """A refusal after a lost answer does not hide the first send."""
+        _, result = final(LOST, REFUSED, last=REFUSED)
+        self.assertEqual(result.status, 502)
+        _, result = final(LOST, last=NO_TARGET)
+        self.assertEqual(result.outcome, outcome.Outcome.UNKNOWN)
+
+    def test_an_answer_of_a_target_goes_before_a_failure_of_ours(self):
+        """The target's own failure is passed on unchanged."""
+        _, result = final(ANSWER_500, LOST, last=LOST)
+        self.assertIs(result, ANSWER_500)
+
+    def test_a_gates_refusal_tells_when_to_come_back(self):
+        """It knows more than the lack of further targets."""
+        _, result = final(REFUSED, last=NO_TARGET)
+        self.assertEqual((result.status, result.retry_after_ms), (503, 90))
+
+    def test_sends_that_reached_a_target_are_counted(self):
+        """A refusal of a gate costs no repeat, one of a target does."""
+        effort, _ = final(REFUSED, SHED, LOST, last=LOST)
+        self.assertEqual((effort.arrivals, effort.refusals), (2, 2))
