End caller connections that always have a request under way at a stop

A client that pipelines sent a request 5.2 s after SIGTERM on a connection that always had one more under way, so that no answer was the last one; the process ended 0.2 s later. Ruled out: a call that took too long (its target answered in 63 ms).

After 3.2 s nothing more is read: what was received whole is answered, the last answer ends the connection. The new test fails without 'finish'.

--- a/src/galenatack/app/mesh_node.py
+++ b/src/galenatack/app/mesh_node.py
@@ -26,13 +26,13 @@
 """Callers are sent elsewhere after two failed readiness checks, one a second;
 their connections are ended with the next answer from then on."""
 
-IDLE_CLOSE_S = 3.4
-"""Idle connections are closed from then on: calls that were sent until 3 s
-after the signal must be answered."""
+FINISH_S = 3.2
+"""No more requests are read from then on: those that were sent until 3 s after
+the signal must be answered."""
 
-EXIT_MARGIN_S = 1.2
-"""Time kept before the platform's SIGKILL: half a second for the closing
-handshakes of links, and as much for a machine that is slow."""
+DRAIN_SHARE = 0.85
+"""Part of the grace time in which calls may end: five sixths are owed to them,
+and the closing handshakes of links take half a second more."""
 
 POLL_S = 0.05
 LOG_REPORT_S = 5.0
@@ -143,9 +143,9 @@
         parts.gate.close()
         await self._until(started_s + CALLERS_LEAVE_S)
         parts.callers.drain()
-        await self._until(started_s + IDLE_CLOSE_S)
-        parts.callers.stop_listening()
-        await self._drain(started_s + grace_s - EXIT_MARGIN_S)
+        await self._until(started_s + FINISH_S)
+        parts.callers.finish()
+        await self._drain(started_s + grace_s * DRAIN_SHARE)
         _LOGGER.info(
             "event=stopped after_ms=%d calls=%d gate_calls=%d",
             (parts.clock.monotonic_s() - started_s) * MS_PER_S,
@@ -168,7 +168,6 @@
     async def _drain(self, until_s: float) -> None:
         parts = self._parts
         while parts.clock.monotonic_s() < until_s:
-            parts.callers.close_idle()
             is_busy = parts.router.in_flight or parts.gate.in_flight
             if not is_busy and not parts.callers.connections:
                 return
--- a/src/galenatack/links/pipelined_connection.py
+++ b/src/galenatack/links/pipelined_connection.py
@@ -135,9 +135,15 @@
         """Tells the peer with the next answer that the connection ends."""
         self._is_draining = True
 
-    def close_idle(self) -> None:
-        """Closes the connection unless a request is under way."""
-        if self.is_idle:
+    def finish(self) -> None:
+        """Answers what was received whole, then ends the connection.
+
+        A peer that always has a request under way would keep the connection
+        open for ever; what it sends from now on is not read.
+        """
+        self._is_draining = True
+        self._stop_reading()
+        if not self._pending:
             self._transport.close()
 
     def abort(self) -> None:
--- a/src/galenatack/links/pipelined_server.py
+++ b/src/galenatack/links/pipelined_server.py
@@ -78,10 +78,11 @@
         if self._server is not None:
             self._server.close()
 
-    def close_idle(self) -> None:
-        """Closes the connections without a request."""
+    def finish(self) -> None:
+        """Accepts and reads no more; answers what was received."""
+        self.stop_listening()
         for connection in tuple(self._connections):
-            connection.close_idle()
+            connection.finish()
 
     def close(self) -> None:
         """Drops all connections."""
--- a/tests/links/test_pipelined_connection.py
+++ b/tests/links/test_pipelined_connection.py
@@ -128,6 +128,31 @@
 
         run(scenario)
 
+    def test_a_peer_that_always_asks_more_does_not_keep_a_connection(self):
+        """What was received is answered, what comes behind is not read."""
+
+        async def scenario(rig):
+            rig.gates["/1"] = asyncio.Event()
+            reader, writer = await rig.connect()
+            writer.write(GET % b"1")
+            while len(rig.seen) < 1:
+                await asyncio.sleep(0.01)
+            rig.server.drain()
+            writer.write(GET % b"2")
+            while len(rig.seen) < 2:
+                await asyncio.sleep(0.01)
+            rig.server.finish()
+            writer.write(GET % b"3")
+            await asyncio.sleep(0.05)
+            rig.gates["/1"].set()
+            text = await reader.read()
+            self.assertEqual(text.count(b"HTTP/1.1 200"), 2)
+            self.assertIn(b"connection: close", text.partition(b"/1")[2])
+            self.assertEqual(len(rig.seen), 2)
+            writer.close()
+
+        run(scenario)
+
     def test_bodies_with_a_length_and_in_chunks_arrive_whole(self):
         """Both forms, divided anywhere."""
 
