Let short calls wait within their deadline

A refused caller needs longer to come back than such a wait lasts.

The new test fails without the change.

--- a/src/galenatack/traffic/admission_queue.py
+++ b/src/galenatack/traffic/admission_queue.py
@@ -32,9 +32,9 @@
 waits and then comes late has kept a slot from one that would have been in
 time."""
 
-LEAST_WAIT_SHARE = 0.25
-"""Part of the target latency that a call may wait even when its service time
-alone exceeds the target latency."""
+LEAST_USEFUL_WAIT_MS = 150.0
+"""A wait of this length is still quicker than to be refused and come back, also
+for a call whose target latency leaves less; its deadline bounds it."""
 
 
 class _Waiter:
@@ -180,7 +180,7 @@
         if target_latency_ms:
             useful_ms = max(
                 target_latency_ms * USEFUL_SHARE - expected_ms,
-                target_latency_ms * LEAST_WAIT_SHARE,
+                LEAST_USEFUL_WAIT_MS,
             )
             allowed_ms = min(allowed_ms, useful_ms)
         return allowed_ms
--- a/tests/traffic/test_admission_queue.py
+++ b/tests/traffic/test_admission_queue.py
@@ -102,6 +102,22 @@
 
         virtual_loop.run(main)
 
+    def test_a_nested_call_waits_rather_than_fail_its_parent(self):
+        """A wait beyond its target latency, within its deadline, is taken."""
+
+        async def main():
+            rig = Rig(slots=1)
+            async with asyncio.TaskGroup() as tasks:
+                tasks.create_task(rig.call("first"))
+                await asyncio.sleep(0.001)
+                # 99 ms of wait, of 100 ms of target latency.
+                tasks.create_task(
+                    rig.call("nested", deadline_s=0.25, aim_ms=100)
+                )
+            self.assertEqual(len(rig.served), 2)
+
+        virtual_loop.run(main)
+
     def test_a_hopeless_call_is_refused_at_once(self):
         """A call that cannot end by its deadline does not wait for it."""
 
