--- a/src/galenatack/app/mesh_callbacks.py
+++ b/src/galenatack/app/mesh_callbacks.py
@@ -77,6 +77,16 @@
         for watcher in self._parts.watchers:
             watcher.nudge()
 
+    def is_store_healthy(self) -> bool:
+        """Tells whether the store answers all watches."""
+        return all(watcher.is_healthy for watcher in self._parts.watchers)
+
+    def is_near(self, node_id: str) -> bool:
+        """Tells whether a node is in the own region."""
+        record = self._parts.members.get(node_id)
+        own = self._parts.members.own
+        return record is not None and record.region == own.region
+
     def target_changed(self) -> None:
         """Tells the own target's state to the gate and to other nodes."""
         parts = self._parts
