--- a/src/galenatack/app/exit_status.py
+++ b/src/galenatack/app/exit_status.py
@@ -50,7 +50,8 @@
 
 @of.register(exceptions.AdminUnreachableError)
 @of.register(exceptions.AdminAnswerError)
-def _unreachable(error: exceptions.ToolError) -> ExitStatus:
+@of.register(exceptions.PlatformUnavailableError)
+def _unreachable(error: exceptions.GalenatackError) -> ExitStatus:
     del error
     return ExitStatus.UNREACHABLE
 
--- a/src/galenatack/app/next_steps.py
+++ b/src/galenatack/app/next_steps.py
@@ -59,6 +59,14 @@
     exceptions.SettingsError.code: (
         "correct the file and run `galenatack config check FILE`"
     ),
+    exceptions.PlatformUnavailableError.code: (
+        "check the store's address in the settings file; nodes go on with"
+        " what they hold until the store is back"
+    ),
+    exceptions.DocumentError.code: (
+        "a row of the store cannot be read: correct it at its source; nodes"
+        " keep the last one that they could read"
+    ),
     exceptions.ProfileInvalidError.code: _BY_REASON["profile-invalid"],
     exceptions.UsageError.code: "run the command with --help",
 }
--- /dev/null
+++ b/tests/platform/test_store_table.py
@@ -0,0 +1,121 @@
+"""Tests of the store's calls against the stand-in, over HTTP."""
+
+import asyncio
+import contextlib
+import unittest
+
+from galenatack import exceptions
+from galenatack.model import row_change
+from galenatack.platform import store_table
+from standins.platform import server
+from standins.store import app
+from standins.store import node_table
+from tests.mesh import small_fleet
+
+
+def run(scenario):
+    """Runs a scenario with a served store and a client."""
+
+    async def main():
+        store = node_table.SharedStore()
+        address = small_fleet.free_addresses(1)[0]
+        end = asyncio.Event()
+        serving = asyncio.create_task(
+            server.serve(
+                address,
+                application=app.StoreApp(store=store),
+                shutdown_trigger=end.wait,
+            )
+        )
+        table = store_table.StoreTable(address=address)
+        async with asyncio.timeout(20):
+            while True:
+                with contextlib.suppress(exceptions.PlatformUnavailableError):
+                    await table.read("warm-up")
+                    break
+                await asyncio.sleep(0.02)
+            await scenario(store, table)
+        await table.close()
+        end.set()
+        await serving
+
+    asyncio.run(main())
+
+
+def write(key, value, *, expected=None):
+    """Returns a change of one row."""
+    conditions = () if expected is None else (("t", key, expected),)
+    return row_change.RowChange(
+        expected=conditions, writes=(("t", key, value),)
+    )
+
+
+class TestStoreTable(unittest.TestCase):
+    def test_rows_are_written_read_watched_and_deleted(self):
+        """Each step returns the revision of the store."""
+
+        async def scenario(store, table):
+            first = await table.commit(write("a", b"\x00one"))
+            page = await table.read("t")
+            self.assertEqual(page.rows[0].value, b"\x00one")
+            self.assertEqual(page.revision, first)
+            watch = asyncio.create_task(
+                table.watch("t", after=first, wait_s=5.0)
+            )
+            await asyncio.sleep(0.05)
+            await table.commit(row_change.RowChange(deletes=(("t", "a"),)))
+            changed = await watch
+            self.assertTrue(changed.rows[0].is_deleted)
+
+        run(scenario)
+
+    def test_a_condition_lets_one_of_two_writers_through(self):
+        """The other one learns of the conflict."""
+
+        async def scenario(store, table):
+            await table.commit(write("a", b"1", expected=0))
+            with self.assertRaises(exceptions.TransactionConflictError):
+                await table.commit(write("a", b"2", expected=0))
+
+        run(scenario)
+
+    def test_more_rows_than_a_page_are_read_whole(self):
+        """Pages follow each other by their last key."""
+
+        async def scenario(store, table):
+            for number in range(1203):
+                store.commit([], [("t", "", f"k{number:05}", b"v")], [])
+            page = await table.read("t")
+            self.assertEqual(len(page.rows), 1203)
+
+        run(scenario)
+
+    def test_faults_have_types(self):
+        """Down, lost history, lost answer and refusal are told apart."""
+
+        async def scenario(store, table):
+            store.operator_writes("op", "config", b"1")
+            store.rows.forget()
+            with self.assertRaises(exceptions.HistoryLostError):
+                await table.watch("op", after=0, wait_s=0.1)
+            store.faults.lose_answers = 1
+            with self.assertRaises(exceptions.OutcomeUnknownError):
+                await table.commit(write("a", b"1"))
+            self.assertEqual(len((await table.read("t")).rows), 1)
+            store.faults.is_down = True
+            with self.assertRaises(exceptions.PlatformUnavailableError):
+                await table.commit(write("a", b"1"))
+            with self.assertRaises(exceptions.PlatformUnavailableError):
+                await table.read("t")
+
+        run(scenario)
+
+    def test_the_operators_rows_cannot_be_written(self):
+        """The store refuses it; nothing was written."""
+
+        async def scenario(store, table):
+            change = row_change.RowChange(writes=(("op", "config", b"x"),))
+            with self.assertRaises(exceptions.PlatformUnavailableError):
+                await table.commit(change)
+
+        run(scenario)
