Keep a third of the repeats for each level of nested calls

Direct repeats were within a tenth of the calls; price lookups that were repeated brought 1.4 nested calls each, which count as repeats too.

Ruled out: repeats beyond the node's own budget (their sum stays below a tenth and the slack by the older test).

--- a/src/galenatack/traffic/attempt_budget.py
+++ b/src/galenatack/traffic/attempt_budget.py
@@ -4,12 +4,14 @@
 
 from galenatack.interfaces import clock as clock_interface
 
-SHARE = 0.1
-"""Sends that a call earns: half of the platform's ratio of 0.2, because the
-calls that a repeated call makes count as repeats as well."""
-
-SLACK_SHARE = 0.4
-"""Part of the shared slack that nodes may use beyond what calls earn."""
+SHARE = 0.065
+"""Sends that a call earns: a third of the platform's ratio of 0.2. The calls that
+a repeated call makes count as repeats where they arrive, and calls are nested
+two deep."""
+
+SLACK_SHARE = 0.3
+"""Part of the shared slack that nodes may use beyond what calls earn; the rest
+is for the nested calls of such repeats."""
 
 BUCKETS = 10
 """Parts of the window in which calls and repeats are counted."""
