--- a/src/galenatack/traffic/attempt_budget.py
+++ b/src/galenatack/traffic/attempt_budget.py
@@ -5,9 +5,9 @@
 from galenatack.interfaces import clock as clock_interface
 
 SHARE = 0.065
-"""Sends that a call earns: a third of the platform's ratio of 0.2. The calls that
-a repeated call makes count as repeats where they arrive, and calls are nested
-two deep."""
+"""Sends that a call earns: a third of the platform's ratio of 0.2. The calls
+that a repeated call makes count as repeats where they arrive, and calls are
+nested two deep."""
 
 SLACK_SHARE = 0.3
 """Part of the shared slack that nodes may use beyond what calls earn; the rest
--- a/src/galenatack/traffic/call_router.py
+++ b/src/galenatack/traffic/call_router.py
@@ -36,6 +36,9 @@
 NO_CONFIG_RETRY_AFTER_MS = 300
 """A starting node has its configuration within about a second."""
 
+NO_TARGET_RETRY_AFTER_MS = 400
+"""A target that starts announces itself within about this time."""
+
 WAY_BACK_MS = {True: 8.0, False: 75.0}
 """Time kept for the way back of the answer, by whether the target is in the
 own region: the delay of the link and the handling at both ends."""
@@ -152,7 +155,7 @@
                 member = self._choose(effort)
             except exceptions.CallError as error:
                 self._note_not_placed(effort, error)
-                return effort.final(results.not_run(error))
+                return effort.final(_refused(error))
             result = await self._attempt(effort, member)
             effort.add(member.node_id, result)
             if not self._may_repeat(effort, result):
@@ -387,3 +390,10 @@
             took_ms=took_ms,
             config=self._config.version,
         )
+
+
+def _refused(error: exceptions.CallError) -> call_result.CallResult:
+    result = results.not_run(error)
+    if isinstance(error, exceptions.NoTargetError):
+        return result._replace(retry_after_ms=NO_TARGET_RETRY_AFTER_MS)
+    return result
--- a/src/galenatack/traffic/target_placement.py
+++ b/src/galenatack/traffic/target_placement.py
@@ -52,9 +52,6 @@
 RETRY_SPREAD = 0.5
 """Refused callers are spread over this share of the time."""
 
-NO_TARGET_RETRY_AFTER_MS = 400
-"""A target announces itself within about one heartbeat."""
-
 
 class _Candidate(typing.NamedTuple):
     """A target that may be chosen, and what is known of its gate."""
