--- a/src/galenatack/rollouts/evidence_pool.py
+++ b/src/galenatack/rollouts/evidence_pool.py
@@ -100,6 +100,14 @@
             for item in report.routes
         )
 
+    def reports(self, order: rollout_order.RolloutOrder) -> list[_Report]:
+        """Returns the latest report of each gate for an order."""
+        return [
+            report
+            for (revision, _), report in self._reports.items()
+            if revision == order.revision
+        ]
+
     def forget(self, order_revisions: set[int]) -> None:
         """Drops the evidence of all orders but these."""
         for key in [k for k in self._reports if k[0] not in order_revisions]:
--- a/src/galenatack/rollouts/rollout_driver.py
+++ b/src/galenatack/rollouts/rollout_driver.py
@@ -11,6 +11,7 @@
 from galenatack.model import rollout_progress
 from galenatack.moves import withdrawals
 from galenatack.rollouts import evidence_pool
+from galenatack.rollouts import recent_evidence
 from galenatack.rollouts import rollout_book
 from galenatack.rollouts import target_count
 from galenatack.rollouts import trial_judge
@@ -82,13 +83,16 @@
         self._clock = clock
         self._phase_since_s: dict[tuple[int, str], float] = {}
         self._retry_s: dict[int, float] = {}
+        self._recent = recent_evidence.RecentEvidence(clock=clock)
 
     async def run(self) -> None:
         """Works until cancelled."""
         while True:
             await self._pool.send()
             active = self._book.active()
-            self._pool.forget({order.revision for order in active})
+            revisions = {order.revision for order in active}
+            self._pool.forget(revisions)
+            self._recent.forget(revisions)
             for order in active:
                 await self._drive(order)
             await self._clock.sleep_s(TICK_S)
@@ -113,7 +117,7 @@
         )
         if known is not None:
             return known.reason
-        reason = trial_judge.fault(self._pool.evidence(order), order.version)
+        reason = self._fault(order)
         if reason is not None:
             await self._withdrawn.add(
                 withdraw.Withdraw(
@@ -127,6 +131,19 @@
             )
         return reason
 
+    def _fault(self, order: _Order) -> str | None:
+        """Returns why the version is faulty, by all or by recent outcomes."""
+        version = order.version
+        recent = self._recent.since(
+            order.revision, self._pool.reports(order), version
+        )
+        if self._book.phase(order) == _Phase.ALL:
+            return trial_judge.fault(recent, version, is_alone=True)
+        evidence = self._pool.evidence(order)
+        return trial_judge.fault(evidence, version) or trial_judge.fault(
+            recent, version
+        )
+
     def _next(
         self, order: _Order, reason: str | None, stand_by_s: float
     ) -> tuple[_Phase, str] | None:
--- a/src/galenatack/rollouts/trial_judge.py
+++ b/src/galenatack/rollouts/trial_judge.py
@@ -10,10 +10,15 @@
 LEAST_BAD = 4
 """Bad answers of one route before anything is concluded."""
 
-MARGIN = 0.15
-"""Share of bad answers beyond the old version's that is still accepted. In the
-last phase only the new version has calls, so that trouble which would hit both
-shows in it alone; the users' faulty versions fail half of their calls."""
+MARGIN_BESIDE = 0.06
+"""Share of bad answers beyond the old version's that is accepted while both
+have calls: their targets differ by this much in ordinary trouble."""
+
+MARGIN_ALONE = 0.15
+"""The same once only the new version has calls. Trouble that would hit both
+versions
+shows in one alone then; the faulty ones of the users fail half of their
+calls."""
 
 RISK = 0.0005
 """Probability that a sound version is found faulty, for one look at a route;
@@ -45,27 +50,31 @@
         self.buckets.update(dict(item.latency_buckets))
 
 
-def fault(evidence: _Evidence, version: str) -> str | None:
+def fault(
+    evidence: _Evidence, version: str, *, is_alone: bool = False
+) -> str | None:
     """Returns why a version is faulty, or None when nothing shows it.
 
     Args:
         evidence: Outcomes of all gates, both versions.
         version: Version on trial.
+        is_alone: True when the old version gets no calls any more.
     """
+    margin = MARGIN_ALONE if is_alone else MARGIN_BESIDE
     new: dict[str, _Tally] = collections.defaultdict(_Tally)
     old: dict[str, _Tally] = collections.defaultdict(_Tally)
     for item in evidence:
         side = new if item.version == version else old
         side[item.route].add(item)
     everything_new, everything_old = _total(new), _total(old)
-    reason = _compare("all", everything_new, everything_old)
+    reason = _compare("all", everything_new, everything_old, margin)
     for route, tally in sorted(new.items()):
         if reason is not None:
             break
         # A route that the old version has not served lately is compared
         # with all of its routes.
         before = old[route] if old[route].calls else everything_old
-        reason = _compare(route, tally, before)
+        reason = _compare(route, tally, before, margin)
     return reason
 
 
@@ -77,9 +86,9 @@
     return total
 
 
-def _compare(route: str, new: _Tally, old: _Tally) -> str | None:
+def _compare(route: str, new: _Tally, old: _Tally, margin: float) -> str | None:
     old_share = old.errors / old.calls if old.calls else 0.0
-    if _is_excess(new.errors, new.calls, old_share):
+    if _is_excess(new.errors, new.calls, old_share + margin):
         return (
             f"route {route}: {new.errors} of {new.calls} calls failed,"
             f" {old.errors} of {old.calls} before"
@@ -91,7 +100,7 @@
     bound = median + octaves
     slow = latency_buckets.count_from(new.buckets, bound)
     old_slow = latency_buckets.count_from(old.buckets, bound) / old.warm_calls
-    if _is_excess(slow, new.warm_calls, old_slow):
+    if _is_excess(slow, new.warm_calls, old_slow + margin):
         return (
             f"route {route}: {slow} of {new.warm_calls} answers took over"
             f" {latency_buckets.lower_ms(bound):.0f} ms"
@@ -99,10 +108,10 @@
     return None
 
 
-def _is_excess(bad: int, total: int, usual_share: float) -> bool:
+def _is_excess(bad: int, total: int, accepted_share: float) -> bool:
     if bad < LEAST_BAD:
         return False
-    return _tail(bad, total, min(0.95, usual_share + MARGIN)) < RISK
+    return _tail(bad, total, min(0.95, accepted_share)) < RISK
 
 
 def _tail(bad: int, total: int, share: float) -> float:
--- a/tests/rollouts/test_trial_judge.py
+++ b/tests/rollouts/test_trial_judge.py
@@ -20,16 +20,16 @@
 
 
 class TestTrialJudge(unittest.TestCase):
-    def test_a_version_that_fails_half_of_its_calls_is_found_by_twenty(self):
-        """Ten failures of twenty are far beyond the old version's share."""
+    def test_a_version_that_fails_half_of_its_calls_is_found_by_ten(self):
+        """Five failures of ten are far beyond the old version's share."""
         found = trial_judge.fault(
             [
                 evidence("r", "v1", calls=500, errors=3),
-                evidence("r", "v2", calls=20, errors=10),
+                evidence("r", "v2", calls=10, errors=5),
             ],
             "v2",
         )
-        self.assertIn("10 of 20", found)
+        self.assertIn("5 of 10", found)
 
     def test_trouble_while_only_the_new_version_has_calls_is_no_fault(self):
         """The figures of a sound version that was taken back."""
@@ -39,6 +39,7 @@
                 evidence("r", "v2", calls=331, errors=45),
             ],
             "v2",
+            is_alone=True,
         )
         self.assertIsNone(found)
 
@@ -50,6 +51,7 @@
                 evidence("r", "v2", calls=90, errors=30),
             ],
             "v2",
+            is_alone=True,
         )
         self.assertIn("30 of 90", found)
 
@@ -60,7 +62,7 @@
                 evidence("a", "v1", calls=500, errors=3),
                 evidence("b", "v1", calls=500, errors=3),
                 evidence("a", "v2", calls=200),
-                evidence("b", "v2", calls=20, errors=10),
+                evidence("b", "v2", calls=14, errors=6),
             ],
             "v2",
         )
