--- a/src/galenatack/rollouts/trial_judge.py
+++ b/src/galenatack/rollouts/trial_judge.py
@@ -15,10 +15,9 @@
 have calls: their targets differ by this much in ordinary trouble."""
 
 MARGIN_ALONE = 0.15
-"""The same once only the new version has calls. Trouble that would hit both
-versions
-shows in one alone then; the faulty ones of the users fail half of their
-calls."""
+"""The same once only the new version has calls: trouble that would hit both
+shows in one alone then. Faulty versions of the users fail half of their calls.
+"""
 
 RISK = 0.0005
 """Probability that a sound version is found faulty, for one look at a route;
