--- a/src/galenatack/app/mesh_wiring.py
+++ b/src/galenatack/app/mesh_wiring.py
@@ -41,7 +41,9 @@
 from galenatack.traffic import admission_queue
 from galenatack.traffic import attempt_budget
 from galenatack.traffic import call_desk
+from galenatack.traffic import call_notes
 from galenatack.traffic import call_router
+from galenatack.traffic import call_sender
 from galenatack.traffic import call_stats
 from galenatack.traffic import config_holder
 from galenatack.traffic import link_warmer
@@ -347,18 +349,27 @@
         is_connected=base.peers.is_connected,
     )
     router = call_router.CallRouter(
-        own=base.members.own,
         config=config,
         directory=directory,
         versions=rollouts.versions,
         placement=placement,
         budget=budget,
-        peers=base.peers,
-        gate=inbound.gate,
+        sender=call_sender.CallSender(
+            own=base.members.own,
+            peers=base.peers,
+            gate=inbound.gate,
+            clock=base.clock,
+            rng=base.rng,
+        ),
         clock=base.clock,
-        rng=base.rng,
-        log=base.log,
-        stats=base.stats,
+        notes=call_notes.CallNotes(
+            config=config,
+            placement=placement,
+            budget=budget,
+            clock=base.clock,
+            log=base.log,
+            stats=base.stats,
+        ),
     )
     return _Outbound(config, budget, placement, router)
 
--- a/src/galenatack/links/pipelined_connection.py
+++ b/src/galenatack/links/pipelined_connection.py
@@ -6,13 +6,12 @@
 import logging
 import typing
 
-import httptools
-
 from galenatack import exceptions
 from galenatack.links import connection_limits
 from galenatack.links import http_head
 from galenatack.links import http_request
 from galenatack.links import http_response
+from galenatack.links import request_reader
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -29,10 +28,7 @@
 """A peer that still sends a refused request would lose the answer to a reset
 if the connection were closed at once."""
 
-BAD_REQUEST = 400
 REQUEST_TIMEOUT = 408
-BODY_TOO_LARGE = 413
-HEADERS_TOO_LARGE = 431
 INTERNAL_ERROR = 500
 BAD_GATEWAY = 502
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
@@ -75,11 +71,14 @@
         self._connections = connections
         self._loop = asyncio.get_running_loop()
         self._transport: asyncio.Transport | None = None
-        self._parser = httptools.HttpRequestParser(self)
+        self._reader = request_reader.RequestReader(
+            limits=limits,
+            on_request=self._run,
+            on_refused=self._refuse,
+            on_continue=self._tell_to_continue,
+        )
         self._unread = b""
-        self._begin_message()
         self._pending: collections.deque[_Exchange] = collections.deque()
-        self._is_reading = True
         self._is_draining = False
         self._is_blocked = False
         self._active_s = self._loop.time()
@@ -98,7 +97,7 @@
 
     def data_received(self, data: bytes) -> None:
         """Takes a part of a request."""
-        if not self._is_reading:
+        if not self._reader.is_open:
             return
         self._active_s = self._loop.time()
         if self._began_s is None:
@@ -153,87 +152,19 @@
     def check_time(self, now_s: float) -> None:
         """Ends a connection that is idle, or sends a head too slowly."""
         limits = self._limits
-        if self._began_s is not None and not self._has_head:
+        if self._began_s is not None and not self._reader.has_head:
             if now_s - self._began_s > limits.header_timeout_s:
+                self._reader.close()
                 self._refuse(REQUEST_TIMEOUT)
         elif self.is_idle and now_s - self._active_s > limits.idle_timeout_s:
             self._transport.close()
 
-    def on_message_begin(self) -> None:
-        """Parser callback: a request begins."""
-        self._begin_message()
-        self._began_s = self._loop.time()
-
-    def on_url(self, url: bytes) -> None:
-        """Parser callback: a part of the path and query."""
-        self._target += url
-        self._count_head(len(url))
-
-    def on_header(self, name: bytes, value: bytes) -> None:
-        """Parser callback: a header, or a trailer, which is dropped."""
-        if self._has_head:
-            return
-        self._headers.append(
-            (name.decode("latin-1").lower(), value.decode("latin-1"))
-        )
-        self._count_head(len(name) + len(value))
-
-    def on_headers_complete(self) -> None:
-        """Parser callback: the head is whole."""
-        self._has_head = True
-        waits = any(name == "expect" for name, _ in self._headers)
-        if waits and not self._pending:
-            self._transport.write(CONTINUE)
-
-    def on_body(self, body: bytes) -> None:
-        """Parser callback: a part of the body."""
-        self._body.append(body)
-        self._body_bytes += len(body)
-        if self._body_bytes > self._limits.max_body_bytes:
-            self._refuse(BODY_TOO_LARGE)
-
-    def on_message_complete(self) -> None:
-        """Parser callback: a request is whole."""
-        if self._is_reading:
-            self._run()
-
-    def _begin_message(self) -> None:
-        self._target = b""
-        self._headers: list[tuple[str, str]] = []
-        self._body: list[bytes] = []
-        self._body_bytes = 0
-        self._head_bytes = 0
-        self._partial_bytes = 0
-        self._has_head = False
-
-    def _count_head(self, size_bytes: int) -> None:
-        self._head_bytes += size_bytes
-        if self._head_bytes > self._limits.max_header_bytes:
-            self._refuse(HEADERS_TOO_LARGE)
-
-    def _count_partial_head(self, size_bytes: int) -> None:
-        """Bounds a head whose header the parser has not handed over yet."""
-        if self._has_head or self._began_s is None:
-            return
-        self._partial_bytes += size_bytes
-        if self._partial_bytes > self._limits.max_header_bytes:
-            self._refuse(HEADERS_TOO_LARGE)
-
     def _feed(self, data: bytes) -> None:
-        try:
-            self._parser.feed_data(data)
-            self._count_partial_head(len(data))
-        except httptools.HttpParserUpgrade as error:
-            # Upgrades are not offered: the request was taken as it is, and
-            # what follows is the next one.
-            self._parser = httptools.HttpRequestParser(self)
-            rest = data[error.args[0] :]
-            if rest and self._is_reading:
-                self._feed(rest)
-        except httptools.HttpParserError as error:
-            if self._is_reading:
-                _LOGGER.info("event=bad-request error=%r", str(error))
-                self._refuse(BAD_REQUEST)
+        self._reader.feed(data)
+        if not self._reader.has_begun:
+            self._began_s = None
+        elif self._began_s is None:
+            self._began_s = self._loop.time()
 
     def _is_full(self) -> bool:
         return self._is_blocked or len(self._pending) >= MAX_AHEAD
@@ -244,29 +175,28 @@
 
     def _read_on(self) -> None:
         """Takes what was read while too many requests were under way."""
-        if not self._unread or self._is_full() or not self._is_reading:
+        if not self._unread or self._is_full() or not self._reader.is_open:
             return
         data, self._unread = self._unread, b""
         if not self._transport.is_closing():
             self._transport.resume_reading()
         self._feed(data)
 
-    def _run(self) -> None:
-        method = self._parser.get_method().decode("ascii")
+    def _run(
+        self, request: http_request.HttpRequest, *, keeps_alive: bool
+    ) -> None:
         exchange = _Exchange(
-            is_head=method == "HEAD",
-            keeps_alive=self._parser.should_keep_alive(),
-        )
-        request = http_request.HttpRequest(
-            method=method,
-            target=self._target.decode("latin-1"),
-            headers=tuple(self._headers),
-            body=b"".join(self._body),
+            is_head=request.method == "HEAD", keeps_alive=keeps_alive
         )
         self._began_s = None
         self._pending.append(exchange)
         exchange.task = self._loop.create_task(self._answer(exchange, request))
 
+    def _tell_to_continue(self) -> None:
+        # Behind an answer that is still due it would be taken for that one.
+        if not self._pending:
+            self._transport.write(CONTINUE)
+
     async def _answer(
         self, exchange: _Exchange, request: http_request.HttpRequest
     ) -> None:
@@ -311,8 +241,6 @@
 
     def _refuse(self, status: int) -> None:
         """Answers a request that cannot be read, after those before it."""
-        if not self._is_reading:
-            return
         self._stop_reading()
         exchange = _Exchange(is_head=False, keeps_alive=False)
         exchange.response = http_response.HttpResponse(status)
@@ -320,7 +248,7 @@
         self._flush()
 
     def _stop_reading(self) -> None:
-        self._is_reading = False
+        self._reader.close()
         self._began_s = None
         self._unread = b""
 
--- /dev/null
+++ b/src/galenatack/links/request_reader.py
@@ -0,0 +1,158 @@
+"""Reads whole HTTP/1.1 requests from the bytes of one connection."""
+
+import collections.abc
+import logging
+import typing
+
+import httptools
+
+from galenatack.links import connection_limits
+from galenatack.links import http_request
+
+_LOGGER = logging.getLogger(__name__)
+
+BAD_REQUEST = 400
+BODY_TOO_LARGE = 413
+HEADERS_TOO_LARGE = 431
+
+
+class OnRequest(typing.Protocol):
+    """Takes a whole request."""
+
+    def __call__(
+        self, request: http_request.HttpRequest, *, keeps_alive: bool
+    ) -> None:
+        """Takes it; `keeps_alive` tells whether another may follow."""
+
+
+OnRefused = collections.abc.Callable[[int], None]
+OnContinue = collections.abc.Callable[[], None]
+
+
+class RequestReader:
+    """Parses requests within limits.
+
+    Args:
+        limits: Bounds, read anew for each check.
+        on_request: Takes each whole request.
+        on_refused: Takes the status of a request that cannot be read; the
+            reader is not fed any more then.
+        on_continue: Called when the peer waits before it sends a body.
+
+    Attributes:
+        is_open: False once a request was refused.
+        has_begun: True while a request is received.
+        has_head: True once the head of that request is whole.
+    """
+
+    def __init__(
+        self,
+        *,
+        limits: connection_limits.ConnectionLimits,
+        on_request: OnRequest,
+        on_refused: OnRefused,
+        on_continue: OnContinue,
+    ):
+        self._limits = limits
+        self._on_request = on_request
+        self._on_refused = on_refused
+        self._on_continue = on_continue
+        self._parser = httptools.HttpRequestParser(self)
+        self.is_open = True
+        self._begin_message()
+        self.has_begun = False
+
+    def close(self) -> None:
+        """Takes no more bytes; what was received in part is dropped."""
+        self.is_open = False
+        self.has_begun = False
+
+    def feed(self, data: bytes) -> None:
+        """Takes a part of the connection's bytes."""
+        self.has_begun = True
+        try:
+            self._parser.feed_data(data)
+            self._count_partial_head(len(data))
+        except httptools.HttpParserUpgrade as error:
+            # Upgrades are not offered: the request was taken as it is, and
+            # what follows is the next one.
+            self._parser = httptools.HttpRequestParser(self)
+            rest = data[error.args[0] :]
+            if rest and self.is_open:
+                self.feed(rest)
+        except httptools.HttpParserError as error:
+            if self.is_open:
+                _LOGGER.info("event=bad-request error=%r", str(error))
+                self._refuse(BAD_REQUEST)
+
+    def on_message_begin(self) -> None:
+        """Parser callback: a request begins."""
+        self._begin_message()
+        self.has_begun = True
+
+    def on_url(self, url: bytes) -> None:
+        """Parser callback: a part of the path and query."""
+        self._target += url
+        self._count_head(len(url))
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Parser callback: a header, or a trailer, which is dropped."""
+        if self.has_head:
+            return
+        self._headers.append(
+            (name.decode("latin-1").lower(), value.decode("latin-1"))
+        )
+        self._count_head(len(name) + len(value))
+
+    def on_headers_complete(self) -> None:
+        """Parser callback: the head is whole."""
+        self.has_head = True
+        if any(name == "expect" for name, _ in self._headers):
+            self._on_continue()
+
+    def on_body(self, body: bytes) -> None:
+        """Parser callback: a part of the body."""
+        self._body.append(body)
+        self._body_bytes += len(body)
+        if self._body_bytes > self._limits.max_body_bytes:
+            self._refuse(BODY_TOO_LARGE)
+
+    def on_message_complete(self) -> None:
+        """Parser callback: a request is whole."""
+        if not self.is_open:
+            return
+        self.has_begun = False
+        request = http_request.HttpRequest(
+            method=self._parser.get_method().decode("ascii"),
+            target=self._target.decode("latin-1"),
+            headers=tuple(self._headers),
+            body=b"".join(self._body),
+        )
+        self._on_request(request, keeps_alive=self._parser.should_keep_alive())
+
+    def _begin_message(self) -> None:
+        self._target = b""
+        self._headers: list[tuple[str, str]] = []
+        self._body: list[bytes] = []
+        self._body_bytes = 0
+        self._head_bytes = 0
+        self._partial_bytes = 0
+        self.has_head = False
+
+    def _count_head(self, size_bytes: int) -> None:
+        self._head_bytes += size_bytes
+        if self._head_bytes > self._limits.max_header_bytes:
+            self._refuse(HEADERS_TOO_LARGE)
+
+    def _count_partial_head(self, size_bytes: int) -> None:
+        """Bounds a head whose header the parser has not handed over yet."""
+        if self.has_head or not self.has_begun:
+            return
+        self._partial_bytes += size_bytes
+        if self._partial_bytes > self._limits.max_header_bytes:
+            self._refuse(HEADERS_TOO_LARGE)
+
+    def _refuse(self, status: int) -> None:
+        if self.is_open:
+            self.close()
+            self._on_refused(status)
--- /dev/null
+++ b/src/galenatack/traffic/call_notes.py
@@ -0,0 +1,118 @@
+"""Log lines, counters and histograms of routed calls."""
+
+from galenatack import exceptions
+from galenatack.interfaces import clock as clock_interface
+from galenatack.model import call_request
+from galenatack.model import call_result
+from galenatack.model import caller_request
+from galenatack.model import member_record
+from galenatack.traffic import attempt_budget
+from galenatack.traffic import call_effort
+from galenatack.traffic import call_stats
+from galenatack.traffic import config_holder
+from galenatack.traffic import request_log
+from galenatack.traffic import target_gate
+from galenatack.traffic import target_placement
+
+MS_PER_S = 1000.0
+
+
+class CallNotes:
+    """Notes the decisions about a call with what they were based on.
+
+    Args:
+        config: The configuration in force.
+        placement: Views of the gates.
+        budget: Budget of repeats.
+        clock: Source of time.
+        log: Decisions about single requests.
+        stats: Counters and histograms.
+    """
+
+    def __init__(
+        self,
+        *,
+        config: config_holder.ConfigHolder,
+        placement: target_placement.TargetPlacement,
+        budget: attempt_budget.AttemptBudget,
+        clock: clock_interface.Clock,
+        log: request_log.RequestLog,
+        stats: call_stats.CallStats,
+    ):
+        self._config = config
+        self._placement = placement
+        self._budget = budget
+        self._clock = clock
+        self._log = log
+        self._stats = stats
+
+    def placed(
+        self,
+        effort: call_effort.CallEffort,
+        call: call_request.CallRequest,
+        member: member_record.MemberRecord,
+    ) -> None:
+        """Notes a send to a target."""
+        if not self._log.is_sampled(call.request_id):
+            return
+        view = self._placement.view(member)
+        self._log.note(
+            call.request_id,
+            "placed",
+            call=call.call_id,
+            route=call.route,
+            config=effort.config_version,
+            to=member.node_id,
+            target=member.target_id,
+            version=member.version,
+            expected_calls=view.calls(self._clock.monotonic_s()),
+            slots=member.slots,
+            left_ms=call.deadline_ms,
+            attempt=effort.arrivals + 1,
+            budget_left=self._budget.left(effort.service),
+        )
+
+    def not_placed(
+        self, effort: call_effort.CallEffort, error: exceptions.CallError
+    ) -> None:
+        """Notes why a request is not sent, or not once more."""
+        now_s = self._clock.monotonic_s()
+        self._log.failure(
+            effort.request.request_id,
+            "not-placed",
+            failure=error.code,
+            detail=str(error),
+            service=effort.service,
+            route=effort.route.name,
+            tried=",".join(sorted(effort.tried)) or "-",
+            left_ms=(effort.deadline_s - now_s) * MS_PER_S,
+            config=effort.config_version,
+            budget_left=self._budget.left(effort.service),
+        )
+
+    def ended(
+        self,
+        request: caller_request.CallerRequest,
+        result: call_result.CallResult,
+        started_s: float,
+    ) -> None:
+        """Notes what the caller is told."""
+        took_ms = (self._clock.monotonic_s() - started_s) * MS_PER_S
+        self._stats.count(
+            "router",
+            outcome=result.outcome,
+            reason=target_gate.reason_of(result),
+        )
+        self._stats.record_ms("total", took_ms)
+        has_failed = result.status >= target_gate.SERVER_ERROR
+        write = self._log.failure if has_failed else self._log.note
+        write(
+            request.request_id,
+            "answered",
+            outcome=result.outcome,
+            status=result.status,
+            failure=result.failure or "-",
+            retry_after_ms=result.retry_after_ms,
+            took_ms=took_ms,
+            config=self._config.version,
+        )
--- /dev/null
+++ b/src/galenatack/traffic/call_sender.py
@@ -0,0 +1,167 @@
+"""Sends a call to the gate of its target, here or at another node."""
+
+import asyncio
+import logging
+
+from galenatack import exceptions
+from galenatack.interfaces import clock as clock_interface
+from galenatack.interfaces import peer_network
+from galenatack.interfaces import random_source
+from galenatack.messages import call as call_message
+from galenatack.messages import call_answer
+from galenatack.messages import cancel_call
+from galenatack.model import call_request
+from galenatack.model import call_result
+from galenatack.model import member_record
+from galenatack.routing import results
+from galenatack.traffic import call_effort
+from galenatack.traffic import target_gate
+
+_LOGGER = logging.getLogger(__name__)
+
+MS_PER_S = 1000.0
+CALL_ID_BITS = 40
+
+WAY_BACK_MS = {True: 8.0, False: 75.0}
+"""Time kept for the way back of the answer, by whether the target is in the
+own region: the delay of the link and the handling at both ends."""
+
+LARGEST_WAY_SHARE = 0.2
+"""Largest part of the remaining time that is kept for the way back."""
+
+CANCEL_SEND_S = 0.3
+"""Longest time to send a cancel; the gate drops the call at its deadline."""
+
+
+class CallSender:
+    """Sends calls and cancels those whose callers have left.
+
+    Args:
+        own: Record of this node, for its region and service.
+        peers: Links to other nodes.
+        gate: Gate of the own target.
+        clock: Source of time.
+        rng: Source of randomness, for call ids.
+    """
+
+    def __init__(
+        self,
+        *,
+        own: member_record.MemberRecord,
+        peers: peer_network.PeerNetwork,
+        gate: target_gate.TargetGate,
+        clock: clock_interface.Clock,
+        rng: random_source.RandomSource,
+    ):
+        self._own = own
+        self._peers = peers
+        self._gate = gate
+        self._clock = clock
+        self._call_prefix = f"{rng.getrandbits(CALL_ID_BITS):010x}"
+        self._calls = 0
+        self._tasks: set[asyncio.Task] = set()
+
+    async def send(
+        self,
+        call: call_request.CallRequest,
+        member: member_record.MemberRecord,
+        deadline_s: float,
+    ) -> call_answer.CallAnswer | call_result.CallResult:
+        """Returns the gate's answer, or a result when there is none.
+
+        Args:
+            call: The call, made by `make_call`.
+            member: Node of the target.
+            deadline_s: Monotonic time by when an answer is needed.
+        """
+        if member.node_id == self._own.node_id:
+            return await self._local(call)
+        return await self._remote(call, member, deadline_s)
+
+    def make_call(
+        self,
+        effort: call_effort.CallEffort,
+        member: member_record.MemberRecord,
+    ) -> call_request.CallRequest:
+        """Returns the call of an effort for a target, with a new call id."""
+        self._calls += 1
+        left_ms = (effort.deadline_s - self._clock.monotonic_s()) * MS_PER_S
+        if member.node_id != self._own.node_id:
+            way_ms = WAY_BACK_MS[member.region == self._own.region]
+            left_ms -= min(way_ms, left_ms * LARGEST_WAY_SHARE)
+        request, route = effort.request, effort.route
+        return call_request.CallRequest(
+            call_id=f"{self._call_prefix}-{self._calls}",
+            service=effort.service,
+            route=route.name,
+            method=request.method,
+            path=request.path,
+            headers=request.headers,
+            body=request.body,
+            deadline_ms=max(1, int(left_ms)),
+            posting=not route.is_idempotent,
+            request_id=request.request_id,
+            priority=route.priority,
+            target_latency_ms=route.target_latency_ms,
+            caller_service=self._own.service,
+            target_id=member.target_id,
+            is_repeat=effort.arrivals > 0,
+        )
+
+    async def _local(
+        self, call: call_request.CallRequest
+    ) -> call_answer.CallAnswer:
+        # A task of its own: a call that runs at most once goes on when its
+        # caller has left.
+        task = asyncio.create_task(self._gate.handle(call))
+        self._keep(task)
+        try:
+            return await asyncio.shield(task)
+        except asyncio.CancelledError:
+            self._gate.cancel(call.call_id)
+            raise
+
+    async def _remote(
+        self,
+        call: call_request.CallRequest,
+        member: member_record.MemberRecord,
+        deadline_s: float,
+    ) -> call_answer.CallAnswer | call_result.CallResult:
+        left_s = deadline_s - self._clock.monotonic_s()
+        try:
+            reply = await self._peers.request(
+                member.node_id, call_message.Call(call, 0), timeout_s=left_s
+            )
+        except (
+            exceptions.PeerUnreachableError,
+            exceptions.PeerBusyError,
+        ) as error:
+            return results.not_run(error)
+        except exceptions.PeerError as error:
+            return results.unknown(error)
+        except asyncio.CancelledError:
+            self._keep(
+                asyncio.create_task(self._cancel(member.node_id, call.call_id))
+            )
+            raise
+        if not isinstance(reply, call_answer.CallAnswer) or (
+            reply.call_id != call.call_id
+        ):
+            return results.unknown(
+                exceptions.ProtocolError("reply is not the answer of the call")
+            )
+        return reply
+
+    async def _cancel(self, node_id: str, call_id: str) -> None:
+        try:
+            async with asyncio.timeout(CANCEL_SEND_S):
+                await self._peers.send(node_id, cancel_call.CancelCall(call_id))
+        except (exceptions.PeerError, TimeoutError) as error:
+            # The gate drops the call at its deadline.
+            _LOGGER.debug(
+                "event=cancel-not-sent peer=%s error=%r", node_id, error
+            )
+
+    def _keep(self, task: asyncio.Task) -> None:
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
