--- /dev/null
+++ b/src/galenatack/app/mesh_base.py
@@ -0,0 +1,95 @@
+"""Parts of a mesh node that most others need."""
+
+import typing
+
+from galenatack.app import mesh_callbacks
+from galenatack.interfaces import clock as clock_interface
+from galenatack.interfaces import random_source
+from galenatack.links import peer_network
+from galenatack.links import tls
+from galenatack.membership import member_table
+from galenatack.model import member_record
+from galenatack.model import member_status
+from galenatack.settings import mesh_settings
+from galenatack.settings import trust_settings
+from galenatack.timeline import hybrid_clock
+from galenatack.timeline import recorder
+from galenatack.traffic import call_stats
+from galenatack.traffic import request_log
+
+DEPLOYMENT = "mesh"
+EVENTS_KEPT = 512
+"""Events of the time line that a node keeps; about 0.3 MB."""
+
+
+class MeshBase(typing.NamedTuple):
+    """Parts that most others need."""
+
+    settings: mesh_settings.MeshSettings
+    clock: clock_interface.Clock
+    rng: random_source.RandomSource
+    hlc: hybrid_clock.HybridClock
+    events: recorder.Recorder
+    members: member_table.MemberTable
+    peers: peer_network.WebsocketPeers
+    log: request_log.RequestLog
+    stats: call_stats.CallStats
+    callbacks: mesh_callbacks.MeshCallbacks
+
+
+def make(
+    settings: mesh_settings.MeshSettings,
+    clock: clock_interface.Clock,
+    rng: random_source.RandomSource,
+) -> MeshBase:
+    """Makes the parts that most others need."""
+    own = _own_record(settings, clock.wall_ms())
+    hlc = hybrid_clock.HybridClock(clock=clock)
+    members = member_table.MemberTable(own=own, clock=clock)
+    callbacks = mesh_callbacks.MeshCallbacks()
+    trust = trust_settings.TrustSettings(mode=tls.MODE_NONE, ticket_key="")
+    return MeshBase(
+        settings=settings,
+        clock=clock,
+        rng=rng,
+        hlc=hlc,
+        events=recorder.Recorder(
+            node_id=own.node_id,
+            incarnation=own.boot_ms,
+            hlc=hlc,
+            capacity=EVENTS_KEPT,
+        ),
+        members=members,
+        peers=peer_network.WebsocketPeers(
+            deployment=DEPLOYMENT,
+            listen_address=settings.peer_address,
+            seeds=(),
+            table=members,
+            clock=clock,
+            rng=rng,
+            heartbeat_source=callbacks.own_heartbeat,
+            peer_tls=tls.PeerTls(trust=trust),
+        ),
+        log=request_log.RequestLog(clock=clock),
+        stats=call_stats.CallStats(),
+        callbacks=callbacks,
+    )
+
+
+def _own_record(
+    settings: mesh_settings.MeshSettings, boot_ms: int
+) -> member_record.MemberRecord:
+    return member_record.MemberRecord(
+        node_id=settings.node_id,
+        incarnation=boot_ms,
+        status=member_status.MemberStatus.JOINING.value,
+        data_centre=settings.data_centre,
+        region=settings.region,
+        service=settings.service,
+        version="",
+        peer_address=settings.peer_address,
+        call_address=settings.caller_address,
+        admin_address="",
+        slots=0,
+        boot_ms=boot_ms,
+    )
--- /dev/null
+++ b/src/galenatack/app/mesh_inbound.py
@@ -0,0 +1,64 @@
+"""Parts of a mesh node around its own target."""
+
+import typing
+
+from galenatack.app import mesh_base
+from galenatack.app import mesh_rollouts
+from galenatack.links import translated_target
+from galenatack.platform import target_headers
+from galenatack.traffic import admission_queue
+from galenatack.traffic import call_desk
+from galenatack.traffic import service_times
+from galenatack.traffic import target_gate
+from galenatack.traffic import target_registry
+
+MS_PER_S = 1000
+
+NOTICE_SHARE = 0.4
+"""Part of the time in which a draining target may get calls; what waits then
+has the rest to be refused and go elsewhere."""
+
+TARGET_CONNECTIONS = 100
+"""Below the least bound that a deployment sets for one target; the gate's
+slots keep the number far lower."""
+
+
+class MeshInbound(typing.NamedTuple):
+    """Parts around the own target."""
+
+    registry: target_registry.TargetRegistry
+    target: translated_target.TranslatedTarget
+    gate: target_gate.TargetGate
+
+
+def make(
+    base: mesh_base.MeshBase, rollouts: mesh_rollouts.MeshRollouts
+) -> MeshInbound:
+    """Makes the parts around the own target."""
+    registry = target_registry.TargetRegistry(
+        service=base.settings.service,
+        clock=base.clock,
+        notice_s=base.settings.bounds.drain_ms * NOTICE_SHARE / MS_PER_S,
+        on_changed=base.callbacks.target_changed,
+    )
+    target = translated_target.TranslatedTarget(
+        address=base.settings.target_address,
+        dialect=target_headers.TargetHeaders(),
+        max_connections=TARGET_CONNECTIONS,
+    )
+    times = service_times.ServiceTimes()
+    gate = target_gate.TargetGate(
+        registry=registry,
+        queue=admission_queue.AdmissionQueue(
+            clock=base.clock, rng=base.rng, times=times
+        ),
+        times=times,
+        link=target,
+        clock=base.clock,
+        log=base.log,
+        stats=base.stats,
+        is_withdrawn=rollouts.book.is_withdrawn,
+        on_outcome=rollouts.pool.record,
+    )
+    call_desk.CallDesk(peers=base.peers, gate=gate)
+    return MeshInbound(registry, target, gate)
--- /dev/null
+++ b/src/galenatack/app/mesh_outbound.py
@@ -0,0 +1,71 @@
+"""Parts of a mesh node between callers and targets."""
+
+import typing
+
+from galenatack.app import mesh_base
+from galenatack.app import mesh_inbound
+from galenatack.app import mesh_rollouts
+from galenatack.traffic import attempt_budget
+from galenatack.traffic import call_notes
+from galenatack.traffic import call_router
+from galenatack.traffic import call_sender
+from galenatack.traffic import config_holder
+from galenatack.traffic import target_directory
+from galenatack.traffic import target_placement
+
+MS_PER_S = 1000
+
+
+class MeshOutbound(typing.NamedTuple):
+    """Parts between callers and targets."""
+
+    config: config_holder.ConfigHolder
+    budget: attempt_budget.AttemptBudget
+    placement: target_placement.TargetPlacement
+    router: call_router.CallRouter
+
+
+def make(
+    base: mesh_base.MeshBase,
+    directory: target_directory.TargetDirectory,
+    rollouts: mesh_rollouts.MeshRollouts,
+    inbound: mesh_inbound.MeshInbound,
+) -> MeshOutbound:
+    """Makes the parts between callers and targets."""
+    bounds = base.settings.bounds
+    config = config_holder.ConfigHolder()
+    budget = attempt_budget.AttemptBudget(
+        clock=base.clock,
+        window_s=bounds.repeat_window_ms / MS_PER_S,
+        slack=bounds.repeat_slack,
+    )
+    placement = target_placement.TargetPlacement(
+        own=base.members.own,
+        clock=base.clock,
+        rng=base.rng,
+        is_connected=base.peers.is_connected,
+    )
+    router = call_router.CallRouter(
+        config=config,
+        directory=directory,
+        versions=rollouts.versions,
+        placement=placement,
+        budget=budget,
+        sender=call_sender.CallSender(
+            own=base.members.own,
+            peers=base.peers,
+            gate=inbound.gate,
+            clock=base.clock,
+            rng=base.rng,
+        ),
+        clock=base.clock,
+        notes=call_notes.CallNotes(
+            config=config,
+            placement=placement,
+            budget=budget,
+            clock=base.clock,
+            log=base.log,
+            stats=base.stats,
+        ),
+    )
+    return MeshOutbound(config, budget, placement, router)
--- /dev/null
+++ b/src/galenatack/app/mesh_rollouts.py
@@ -0,0 +1,68 @@
+"""Parts of a mesh node that move services to versions."""
+
+import typing
+
+from galenatack.app import mesh_base
+from galenatack.interfaces import shared_table
+from galenatack.moves import withdrawals
+from galenatack.platform import rollout_rows
+from galenatack.rollouts import evidence_pool
+from galenatack.rollouts import rollout_book
+from galenatack.rollouts import rollout_driver
+from galenatack.rollouts import trial_share
+from galenatack.rollouts import version_chooser
+from galenatack.traffic import target_directory
+
+TRIAL_SHARE_OF_BOUND = 0.55
+"""Part of the allowed share that a version on trial gets; the rest is left for
+the moment in which all calls move over."""
+
+
+class MeshRollouts(typing.NamedTuple):
+    """Parts that move services to versions."""
+
+    book: rollout_book.RolloutBook
+    pool: evidence_pool.EvidencePool
+    withdrawn: withdrawals.Withdrawals
+    versions: version_chooser.VersionChooser
+
+
+def make(base: mesh_base.MeshBase) -> MeshRollouts:
+    """Makes the parts that move services to versions."""
+    withdrawn = withdrawals.Withdrawals(
+        clock=base.clock, peers=base.peers, events=base.events
+    )
+    book = rollout_book.RolloutBook(clock=base.clock, withdrawn=withdrawn)
+    bound = base.settings.bounds.trial_share
+    return MeshRollouts(
+        book=book,
+        pool=evidence_pool.EvidencePool(
+            members=base.members, peers=base.peers, book=book
+        ),
+        withdrawn=withdrawn,
+        versions=version_chooser.VersionChooser(
+            book=book,
+            share=trial_share.TrialShare(
+                trial_share=bound * TRIAL_SHARE_OF_BOUND
+            ),
+            clock=base.clock,
+        ),
+    )
+
+
+def make_driver(
+    base: mesh_base.MeshBase,
+    store: shared_table.SharedTable,
+    directory: target_directory.TargetDirectory,
+    rollouts: MeshRollouts,
+) -> rollout_driver.RolloutDriver:
+    """Makes the driver, which needs the store and the targets."""
+    return rollout_driver.RolloutDriver(
+        node_id=base.settings.node_id,
+        book=rollouts.book,
+        pool=rollouts.pool,
+        withdrawn=rollouts.withdrawn,
+        journal=rollout_rows.RolloutRows(table=store),
+        targets=directory,
+        clock=base.clock,
+    )
--- a/src/galenatack/model/call_request.py
+++ b/src/galenatack/model/call_request.py
@@ -23,7 +23,6 @@
             when the route states none.
         caller_service: Service of the instance where the call began.
         target_id: Target that is meant; empty for any.
-        is_repeat: True when an earlier send may have reached a target.
     """
 
     call_id: str
@@ -41,4 +40,3 @@
     target_latency_ms: int = 0
     caller_service: str = ""
     target_id: str = ""
-    is_repeat: bool = False
--- a/src/galenatack/platform/settings_document.py
+++ b/src/galenatack/platform/settings_document.py
@@ -73,9 +73,6 @@
         peer_address=f"{host}:{ports[0]}",
         metrics_address=f"{host}:{METRICS_PORT}",
         store_address=_values.field(store, "address", _address),
-        store_reads_per_s=_values.field(
-            store, "reads_per_s", _number, default=2000
-        ),
         bounds=_bounds(_values.field(document, "bounds", _texts, default=[])),
     )
 
@@ -98,7 +95,6 @@
         repeat_window_ms=bound_ms("retry_window", _DEFAULTS.repeat_window_ms),
         repeat_slack=int(number("budget_slack", _DEFAULTS.repeat_slack)),
         trial_share=number("exposure_share", _DEFAULTS.trial_share),
-        withdraw_ms=bound_ms("rollback", _DEFAULTS.withdraw_ms),
     )
 
 
@@ -121,10 +117,6 @@
     return [_values.whole(port) for port in value]
 
 
-def _number(value: typing.Any) -> int:
-    return int(float(value))
-
-
 def _texts(value: typing.Any) -> list[str]:
     if isinstance(value, str):
         return [part.strip() for part in value.split(",")]
--- a/src/galenatack/settings/fleet_bounds.py
+++ b/src/galenatack/settings/fleet_bounds.py
@@ -14,8 +14,6 @@
         repeat_window_ms: Window in which repeats are counted.
         repeat_slack: Repeats of a service beyond the ratio in a window.
         trial_share: Largest share of calls that a faulty version may get.
-        withdraw_ms: A faulty version gets no call later than this after its
-            fault shows.
     """
 
     drain_ms: int = 2500
@@ -24,4 +22,3 @@
     repeat_window_ms: int = 10_000
     repeat_slack: int = 50
     trial_share: float = 0.1
-    withdraw_ms: int = 5000
--- a/src/galenatack/settings/mesh_settings.py
+++ b/src/galenatack/settings/mesh_settings.py
@@ -20,7 +20,6 @@
         peer_address: host:port for other nodes.
         metrics_address: host:port of the metrics; empty for none.
         store_address: host:port of the shared tables.
-        store_reads_per_s: Reads that all nodes together may make.
         bounds: Bounds of the deployment.
     """
 
@@ -35,5 +34,4 @@
     peer_address: str
     metrics_address: str
     store_address: str
-    store_reads_per_s: int
     bounds: fleet_bounds.FleetBounds
--- a/src/galenatack/traffic/call_sender.py
+++ b/src/galenatack/traffic/call_sender.py
@@ -105,7 +105,6 @@
             target_latency_ms=route.target_latency_ms,
             caller_service=self._own.service,
             target_id=member.target_id,
-            is_repeat=effort.arrivals > 0,
         )
 
     async def _local(
--- a/src/galenatack/traffic/target_gate.py
+++ b/src/galenatack/traffic/target_gate.py
@@ -1,5 +1,7 @@
 """The only way to the own target."""
 
+import collections.abc
+
 import anyio
 
 from galenatack import exceptions
@@ -64,7 +66,7 @@
         clock: clock_interface.Clock,
         log: request_log.RequestLog,
         stats: call_stats.CallStats,
-        is_withdrawn,
+        is_withdrawn: collections.abc.Callable[[str, str], bool],
         on_outcome: dispatcher.OnOutcome,
     ):
         self._registry = registry
--- a/src/galenatack/traffic/target_registry.py
+++ b/src/galenatack/traffic/target_registry.py
@@ -9,11 +9,6 @@
 
 _LOGGER = logging.getLogger(__name__)
 
-NOTICE_S = 1.0
-"""A draining target takes calls this long after its announcement was
-acknowledged, so that nodes which have not heard of it yet are not refused.
-It is well below the least bound for a draining target, 2.5 s."""
-
 MAX_REMEMBERED = 64
 """Targets that are remembered as gone."""
 
@@ -35,6 +30,9 @@
     Args:
         service: Service of this instance.
         clock: Source of time.
+        notice_s: How long a draining target takes calls after its
+            announcement, so that nodes which have not heard of it yet are
+            not refused.
         on_changed: Is told of each change of identity, version or state.
     """
 
@@ -43,10 +41,12 @@
         *,
         service: str,
         clock: clock_interface.Clock,
+        notice_s: float,
         on_changed: OnChanged,
     ):
         self._service = service
         self._clock = clock
+        self._notice_s = notice_s
         self._on_changed = on_changed
         self._gone: dict[tuple[str, int], None] = {}
         self._leaving_s: float | None = None
@@ -106,7 +106,7 @@
             return False
         if self._leaving_s is None:
             return True
-        return self._clock.monotonic_s() - self._leaving_s < NOTICE_S
+        return self._clock.monotonic_s() - self._leaving_s < self._notice_s
 
     def is_warm(self) -> bool:
         """Tells whether the target's cold start is over."""
--- a/tests/mesh/small_fleet.py
+++ b/tests/mesh/small_fleet.py
@@ -90,7 +90,6 @@
             peer_address=addresses[4],
             metrics_address=addresses[5],
             store_address="",
-            store_reads_per_s=2000,
             bounds=fleet_bounds.FleetBounds(),
         )
         self.parts = mesh_wiring.wire(
--- a/tests/traffic/test_target_registry.py
+++ b/tests/traffic/test_target_registry.py
@@ -30,7 +30,10 @@
         self.clock = manual_clock.ManualClock()
         self.changes = 0
         self.registry = target_registry.TargetRegistry(
-            service="s", clock=self.clock, on_changed=self.count
+            service="s",
+            clock=self.clock,
+            notice_s=1.0,
+            on_changed=self.count,
         )
 
     def count(self):
@@ -74,7 +77,7 @@
         self.registry.announce(told(sequence=1))
         self.registry.announce(told(sequence=2, state=DRAINING))
         self.assertTrue(self.registry.is_accepting())
-        self.clock.advance(target_registry.NOTICE_S)
+        self.clock.advance(1.0)
         self.assertFalse(self.registry.is_accepting())
 
     def test_repeating_the_state_reports_nothing(self):
