Refuse a request with two lengths on the product's own listener

It is answered 400 and the connection closed, as on the platform's listener. The new test fails without the change.

--- a/src/galenatack/links/h11_connection.py
+++ b/src/galenatack/links/h11_connection.py
@@ -16,6 +16,7 @@
 _LINGER_S = 2.0
 _BAD_REQUEST = 400
 _CLOSE = (b"connection", b"close")
+_LENGTHS = frozenset({b"content-length", b"transfer-encoding"})
 
 HandOver = collections.abc.Callable[[asyncio.Transport, bytes], None]
 
@@ -175,6 +176,11 @@
                 event = self._http.next_event()
                 kind = type(event)
                 if kind is h11.Request:
+                    if _has_two_lengths(event):
+                        # Another reader could find a second request in the
+                        # body.
+                        self._refuse(_BAD_REQUEST)
+                        return
                     self._start(event)
                 elif kind is h11.Data:
                     self._exchange.feed(event.data)
@@ -267,3 +273,8 @@
         if self in self._connections:
             self._connections.discard(self)
             self._idle_timer.cancel()
+
+
+def _has_two_lengths(request: h11.Request) -> bool:
+    names = {name for name, _ in request.headers}
+    return _LENGTHS <= names
--- a/tests/links/test_h11_connection.py
+++ b/tests/links/test_h11_connection.py
@@ -114,6 +114,15 @@
             self.assertTrue(got.startswith(b"HTTP/1.1 400"), got)
             self.assertEqual(got.count(b"HTTP/1.1"), 1)
 
+    def test_a_request_with_two_lengths_is_refused(self):
+        """A second request could hide in its body."""
+        received = self._exchange(
+            b"POST /a HTTP/1.1\r\nhost: a\r\ncontent-length: 4\r\n"
+            b"transfer-encoding: chunked\r\n\r\n0\r\n\r\n" + _REQUEST % 1
+        )
+        self.assertTrue(received.startswith(b"HTTP/1.1 400 "))
+        self.assertEqual(received.count(b"HTTP/1.1"), 1)
+
     def test_fault_of_the_application_is_a_500(self):
         """Hang: a request whose handler fails still gets an answer."""
         with self.assertLogs("galenatack", "ERROR"):
