--- a/src/galenatack/links/h11_connection.py
+++ b/src/galenatack/links/h11_connection.py
@@ -277,4 +277,4 @@
 
 def _has_two_lengths(request: h11.Request) -> bool:
     names = {name for name, _ in request.headers}
-    return _LENGTHS <= names
+    return names >= _LENGTHS
