Do not let a peer that is behind as well hide those that are ahead

Its log has no pull and no lost store. The store was silent to some machines: their watches hung without an error, so that they counted as healthy, and the heartbeats of one reset the time that another had been behind.

Ruled out: a lost history (no such line), a row that was refused (none).

The time counts from the latest row that arrived, whatever other peers hold. The new test fails without the change.

--- a/src/galenatack/config/row_exchange.py
+++ b/src/galenatack/config/row_exchange.py
@@ -56,7 +56,7 @@
         self._is_near = is_near
         self._clock = clock
         self._pulling = False
-        self._behind_since_s: float | None = None
+        self._stuck: tuple[tuple[int, ...], float] | None = None
         peers.on(pull_rows.PullRows, self._on_pull)
 
     async def on_heartbeat(
@@ -64,7 +64,6 @@
     ) -> None:
         """Compares the revisions of a peer with the own ones."""
         if not self._mirror.is_behind(message.table_revisions):
-            self._behind_since_s = None
             return
         if self._pulling or not self._is_due(sender):
             return
@@ -82,12 +81,15 @@
         peers as well would cross the links twice.
         """
         now_s = self._clock.monotonic_s()
-        if self._behind_since_s is None:
-            self._behind_since_s = now_s
+        held = self._mirror.revisions
+        if self._stuck is None or self._stuck[0] != held:
+            # Rows still arrive; the time counts from the latest one. A peer
+            # that is not ahead says nothing: it may be stuck as well.
+            self._stuck = (held, now_s)
         if not self._is_store_healthy():
             return True
         wait_s = NEAR_PULL_S if self._is_near(sender) else FAR_PULL_S
-        return now_s - self._behind_since_s >= wait_s
+        return now_s - self._stuck[1] >= wait_s
 
     async def _pull(self, sender: str) -> None:
         try:
--- a/tests/config/test_row_exchange.py
+++ b/tests/config/test_row_exchange.py
@@ -41,6 +41,12 @@
                 async def hear():
                     await exchanges["a"].on_heartbeat("b", beat)
 
+                async def hear_equal():
+                    same = heartbeat.Heartbeat(0, 0, 0, mirrors["a"].revisions)
+                    await exchanges["a"].on_heartbeat("c", same)
+
+                hear.equal = hear_equal
+
                 await scenario(mirrors["a"], hear)
 
         virtual_loop.run(main)
@@ -66,6 +72,18 @@
 
         self.play(scenario)
 
+    def test_a_peer_that_is_behind_as_well_does_not_hide_the_others(self):
+        """Nodes that the store does not answer hear each other, too."""
+
+        async def scenario(mirror, hear):
+            for _ in range(4):
+                await hear()
+                await hear.equal()
+                await asyncio.sleep(0.5)
+            self.assertEqual(mirror.revisions, (7,))
+
+        self.play(scenario)
+
     def test_another_region_is_asked_later(self):
         """Rows cross the link between regions only when they must."""
 
