Only the follower of a data centre goes on looking for nodes

Cause: each of 69 nodes read the table of nodes four times at its start and every 30 s after it, half of them across regions; about 16 KB a read. Ruled out: dropping the second look, which finds nodes that wrote meanwhile. Change: the read after the own write only when nobody else was there; after two looks only the lookout of the data centre looks, and whoever is alone.

--- a/src/galenatack/app/mesh_wiring.py
+++ b/src/galenatack/app/mesh_wiring.py
@@ -121,7 +121,11 @@
         membership=membership,
         peers=base.peers,
         discovery=discovery.Discovery(
-            table=store, members=base.members, clock=clock, rng=rng
+            table=store,
+            members=base.members,
+            clock=clock,
+            rng=rng,
+            is_lookout=duty.is_due,
         ),
         mirror=mirror,
         watchers=watchers,
--- a/src/galenatack/membership/discovery.py
+++ b/src/galenatack/membership/discovery.py
@@ -1,5 +1,6 @@
 """Finds other nodes through the rows that each of them writes."""
 
+import collections.abc
 import json
 import logging
 
@@ -24,8 +25,11 @@
 SECOND_LOOK_S = 1.5
 """Nodes that start together write their rows within this time."""
 
+FIRST_LOOKS = 2
+"""Looks of each node after its start."""
+
 LOOK_S = 30.0
-"""How often a node that knows others looks for more."""
+"""How often the lookout of a data centre looks for more nodes."""
 
 LONELY_LOOK_S = 1.0
 """How often a node that knows no other one looks."""
@@ -49,6 +53,8 @@
         members: Members; found nodes are added as unconfirmed ones.
         clock: Source of time.
         rng: Jitter.
+        is_lookout: Tells whether this node looks for others on behalf of its
+            data centre, which learns of them from it.
     """
 
     def __init__(
@@ -58,13 +64,14 @@
         members: member_table.MemberTable,
         clock: clock_interface.Clock,
         rng: random_source.RandomSource,
+        is_lookout: collections.abc.Callable[[], bool],
     ):
         self._table = table
         self._members = members
         self._clock = clock
         self._rng = rng
+        self._is_lookout = is_lookout
         self._lost_s: dict[str, float] = {}
-        self._is_listed = False
         self._looks = 0
 
     async def run(self) -> None:
@@ -74,7 +81,8 @@
         )
         while True:
             try:
-                await self._look()
+                if self._is_look_due():
+                    await self._look()
             except exceptions.PlatformError as error:
                 _LOGGER.info(
                     "event=discovery-failed error=%s detail=%r",
@@ -96,9 +104,16 @@
         change = row_change.RowChange(deletes=((TABLE, own.node_id),))
         await self._table.commit(change)
 
+    def _is_look_due(self) -> bool:
+        is_new = self._looks < FIRST_LOOKS
+        return is_new or self._is_alone() or self._is_lookout()
+
+    def _is_alone(self) -> bool:
+        return len(self._members.live()) <= 1
+
     def _pause_s(self) -> float:
         self._looks += 1
-        if len(self._members.live()) <= 1:
+        if self._is_alone():
             return LONELY_LOOK_S
         if self._looks == 1:
             return SECOND_LOOK_S
@@ -111,8 +126,9 @@
         listed = {row.key: row for row in page.rows}
         if own_id not in listed or listed[own_id].value != own_value:
             await self._write(own_value)
-            # Nodes that wrote between the read and the write.
-            page = await self._table.read(TABLE)
+            if not listed.keys() - {own_id}:
+                # Nodes that started at the same time may be there by now.
+                page = await self._table.read(TABLE)
         self._take(page.rows)
         await self._reap(page.rows)
 
