A soak of real node processes under faults from outside

Node processes run as they are deployed; relays delay, silence and reset their connections to peers and to the store; signals stop, pause, kill and restart them; targets leave and crash; the store goes down, is slow, loses answers and its history. Callers keep their connections. At the end the promises are checked from what callers and targets saw: at most once, true refusals, own and whole answers, nothing cut at planned work, nothing sent to a target that left, versions in force in time and never an older one, everything served after the faults. A node may now tell others another address for its peers than the one it listens on (advertised_address), where something forwards the port. Ruled out: clocks, which can't be set for one process without tracing it or loading code into it.

--- a/Makefile
+++ b/Makefile
@@ -5,10 +5,11 @@
 SEED ?= 1
 MINUTES ?= 1
 DRILLS ?=
-SOURCES := src tests standins bench
+SOURCES := src tests standins bench soak
 export PYTHONPATH := src:.
 
-.PHONY: demo drills test bench bench-deterministic bench-moves soak lint format
+.PHONY: demo drills test bench bench-deterministic bench-moves soak \
+	soak-processes lint format
 
 $(VENV)/.dev: requirements/dev.txt pyproject.toml
 	$(PYTHON) -m venv $(VENV)
@@ -40,6 +41,9 @@
 soak: $(VENV)/.dev
 	$(BIN)/python -m tests.soak --seed $(SEED) --minutes $(MINUTES)
 
+soak-processes: $(VENV)/.dev
+	$(BIN)/python -m soak --seed $(SEED) --minutes $(MINUTES)
+
 lint: $(VENV)/.dev
 	$(BIN)/ruff format --check $(SOURCES)
 	$(BIN)/ruff check $(SOURCES)
--- /dev/null
+++ b/soak/__init__.py
@@ -0,0 +1,1 @@
+"""A soak of real node processes under faults that come from outside them."""
--- /dev/null
+++ b/soak/callers.py
@@ -0,0 +1,120 @@
+"""Callers that keep connections open and note every answer."""
+
+import asyncio
+import itertools
+import random
+
+import httpx
+
+from soak import attempt
+from soak import node_process
+from soak import record
+from standins.mesh import operator_config
+
+PAUSE_S = 0.08
+PROBE_S = 0.4
+TIMEOUT_S = 2.5
+"""A route's timeout is 2 s."""
+
+CONNECT_TIMEOUT_S = 1.0
+
+
+class Callers:
+    """Sends calls and questions for versions to one node.
+
+    Args:
+        node: The node.
+        services: Services that are called.
+        seen: Gets what was seen.
+        rng: Choice of calls.
+    """
+
+    def __init__(
+        self,
+        *,
+        node: node_process.NodeProcess,
+        services: tuple[str, ...],
+        seen: record.Record,
+        rng: random.Random,
+    ):
+        self._node = node
+        self._services = services
+        self._seen = seen
+        self._rng = rng
+        self._numbers = itertools.count()
+
+    async def call(self) -> None:
+        """Sends one call after the other until cancelled."""
+        async with self._client() as client:
+            while True:
+                await self._call(client)
+                await asyncio.sleep(self._rng.uniform(0.5, 1.5) * PAUSE_S)
+
+    async def probe(self) -> None:
+        """Asks for the newest versions until cancelled."""
+        async with self._client() as client:
+            while True:
+                await asyncio.sleep(PROBE_S)
+                newest = max(self._seen.versions_s)
+                for version in (newest, newest - 1):
+                    if version in self._seen.versions_s:
+                        await self._probe(client, version)
+
+    def _client(self) -> httpx.AsyncClient:
+        timeout = httpx.Timeout(TIMEOUT_S, connect=CONNECT_TIMEOUT_S)
+        address = self._node.address(node_process.CALLER_PORT)
+        return httpx.AsyncClient(base_url=f"http://{address}", timeout=timeout)
+
+    async def _call(self, client: httpx.AsyncClient) -> None:
+        is_posting = self._rng.random() < 0.5
+        kind = "non_idempotent" if is_posting else "idempotent"
+        service = self._rng.choice(self._services)
+        loop = asyncio.get_running_loop()
+        item = attempt.Attempt(
+            attempt_id=f"{self._node.name}-{next(self._numbers)}",
+            node=self._node.index,
+            life=self._node.life,
+            is_posting=is_posting,
+            sent_s=loop.time(),
+        )
+        path = f"/{kind}/{item.attempt_id}"
+        try:
+            answer = await client.request(
+                "PUT" if is_posting else "GET",
+                path,
+                headers=_headers(f"{service}.example", item.attempt_id),
+                content=item.attempt_id.encode() if is_posting else b"",
+            )
+        except httpx.HTTPError as error:
+            item.failure = type(error).__name__
+        else:
+            expected = path + (item.attempt_id if is_posting else "")
+            item.status = answer.status_code
+            item.stamp = answer.headers.get("x-upstream-stamp", "")
+            item.is_own = answer.text == expected and item.stamp.endswith(
+                f".{item.attempt_id}"
+            )
+        item.ended_s = loop.time()
+        self._seen.attempts.append(item)
+
+    async def _probe(self, client: httpx.AsyncClient, version: int) -> None:
+        sent_s = asyncio.get_running_loop().time()
+        life = self._node.life
+        name = f"probe-{self._node.name}-{next(self._numbers)}"
+        try:
+            answer = await client.get(
+                f"/v{version}/x",
+                headers=_headers(operator_config.MARK_HOST, name),
+            )
+        except httpx.HTTPError:
+            # Whether the node answers at all is what the calls show.
+            return
+        if answer.status_code in (200, 404) and life == self._node.life:
+            has_route = answer.status_code == 200
+            self._seen.probes.append(
+                record.Probe(self._node.index, life, version, sent_s, has_route)
+            )
+
+
+def _headers(host: str, attempt_id: str) -> dict[str, str]:
+    return {"host": host, "x-attempt-id": attempt_id, "x-deadline-ms": "2000"}
--- /dev/null
+++ b/soak/fault.py
@@ -0,0 +1,57 @@
+"""One fault of a run."""
+
+import enum
+import typing
+
+
+class Kind(enum.Enum):
+    """What a fault does."""
+
+    KILL = "kill"
+    PAUSE = "pause"
+    STOP = "stop"
+    RELOAD = "reload"
+    PEERS_SILENT = "peers-silent"
+    PEERS_ONE_WAY = "peers-one-way"
+    PEERS_DELAY = "peers-delay"
+    PEERS_RESET = "peers-reset"
+    STORE_SILENT = "store-silent"
+    STORE_REFUSE = "store-refuse"
+    STORE_RESET = "store-reset"
+    STORE_DOWN = "store-down"
+    STORE_SLOW = "store-slow"
+    STORE_LOSES = "store-loses"
+    STORE_FORGETS = "store-forgets"
+    TARGET_CRASH = "target-crash"
+    TARGET_LEAVE = "target-leave"
+    CONFIG = "config"
+    CONFIG_STORM = "config-storm"
+    HERD = "herd"
+
+
+PLANNED = frozenset(
+    {
+        Kind.STOP,
+        Kind.RELOAD,
+        Kind.TARGET_LEAVE,
+        Kind.CONFIG,
+        Kind.CONFIG_STORM,
+    }
+)
+"""Work of operators: it must cost no caller anything."""
+
+
+class Fault(typing.NamedTuple):
+    """One fault of a run.
+
+    Attributes:
+        at_s: When it begins, in seconds from the start of the load.
+        kind: What it does.
+        node: Index of the node or target that it hits.
+        for_s: How long it lasts.
+    """
+
+    at_s: float
+    kind: Kind
+    node: int
+    for_s: float
--- /dev/null
+++ b/soak/fleet.py
@@ -0,0 +1,138 @@
+"""The processes and stand-ins of one run."""
+
+import asyncio
+import pathlib
+import random
+
+from soak import live_target
+from soak import node_process
+from soak import record
+from soak import store_server
+from standins.mesh import operator_config
+from standins.store import node_table
+
+SERVICES = ("a", "b")
+PLACES = (("dc-1", "east"), ("dc-2", "east"), ("dc-3", "west"))
+STORE_PORT = 7900
+START_S = 20.0
+
+
+class StartError(Exception):
+    """The fleet was not ready in time."""
+
+
+class Fleet:
+    """Nodes as processes, targets and the store in this process.
+
+    Args:
+        nodes: Number of nodes.
+        base: Second part of the loopback addresses.
+        folder: Folder of settings and logs.
+        seen: Gets what was seen.
+        rng: Times of the targets' work.
+
+    Attributes:
+        nodes: The node processes.
+        targets: Their targets, in the same order.
+        store: The shared tables and their faults.
+    """
+
+    def __init__(
+        self,
+        *,
+        nodes: int,
+        base: int,
+        folder: pathlib.Path,
+        seen: record.Record,
+        rng: random.Random,
+    ):
+        self._seen = seen
+        self._store_address = f"127.{base}.1.1:{STORE_PORT}"
+        self._version = 0
+        self.store = node_table.SharedStore()
+        self._server = store_server.StoreServer(
+            address=self._store_address, store=self.store
+        )
+        self.nodes = [
+            node_process.NodeProcess(
+                index=index,
+                base=base,
+                folder=folder,
+                place=PLACES[index % len(PLACES)],
+                service=SERVICES[index // len(PLACES) % len(SERVICES)],
+                store_address=self._store_address,
+            )
+            for index in range(nodes)
+        ]
+        self.targets = [
+            live_target.LiveTarget(node=node, seen=seen, rng=rng)
+            for node in self.nodes
+        ]
+
+    async def start(self) -> None:
+        """Starts everything and waits until all nodes are ready.
+
+        Raises:
+            StartError: They were not in time.
+        """
+        await self._server.start()
+        self.change_config()
+        for node, target in zip(self.nodes, self.targets, strict=True):
+            await node.open()
+            node.start()
+            await target.start()
+        await self.until_ready(START_S)
+
+    async def until_ready(self, seconds: float) -> None:
+        """Waits until all nodes are ready.
+
+        Raises:
+            StartError: They were not in time.
+        """
+        loop = asyncio.get_running_loop()
+        due_s = loop.time() + seconds
+        while True:
+            missing = [
+                node.name for node in self.nodes if not await _is_ready(node)
+            ]
+            if not missing:
+                return
+            if loop.time() > due_s:
+                raise StartError(f"not ready in {seconds:.0f} s: {missing}")
+            await asyncio.sleep(0.1)
+
+    def change_config(self) -> None:
+        """Writes the next version of the configuration."""
+        self._version += 1
+        loop = asyncio.get_running_loop()
+        self.store.operator_writes(
+            "op",
+            "config",
+            operator_config.config(self._version, SERVICES, mark=SERVICES[0]),
+        )
+        self._seen.versions_s[self._version] = loop.time()
+
+    async def close(self) -> None:
+        """Ends all processes and stand-ins."""
+        for node in self.nodes:
+            await node.close()
+        for target in self.targets:
+            target.close()
+        self._server.close()
+
+
+async def _is_ready(node: node_process.NodeProcess) -> bool:
+    try:
+        async with asyncio.timeout(0.5):
+            reader, writer = await asyncio.open_connection(
+                node.host, node_process.READY_PORT
+            )
+            try:
+                writer.write(b"GET /v1/ready HTTP/1.1\r\nhost: x\r\n\r\n")
+                line = await reader.readline()
+            finally:
+                writer.transport.abort()
+    except (OSError, TimeoutError):
+        # It does not run, or stands still.
+        return False
+    return b" 200 " in line
--- /dev/null
+++ b/soak/injector.py
@@ -0,0 +1,185 @@
+"""Carries out the faults of a run."""
+
+import asyncio
+import collections.abc
+import signal
+
+from soak import fault
+from soak import fleet
+from soak import record
+from soak import relay
+
+STORM_CHANGES = 8
+STORM_GAP_S = 0.2
+DELAY_S = 0.1
+SLOW_S = 0.3
+RESTART_S = 1.5
+"""Time of a started process until it is ready."""
+
+_Kind = fault.Kind
+_Act = collections.abc.Callable[
+    [fault.Fault], collections.abc.Coroutine[None, None, None]
+]
+
+
+class Injector:
+    """Carries out the faults of a run.
+
+    Args:
+        world: The fleet.
+        seen: Gets the times of the faults.
+    """
+
+    def __init__(self, *, world: fleet.Fleet, seen: record.Record):
+        self._world = world
+        self._seen = seen
+        # A process or target takes one fault that ends it at a time.
+        self._locks = [asyncio.Lock() for _ in world.nodes]
+        self._target_locks = [asyncio.Lock() for _ in world.nodes]
+        self._acts: dict[_Kind, _Act] = {
+            _Kind.KILL: self._kill,
+            _Kind.PAUSE: self._pause,
+            _Kind.STOP: self._stop,
+            _Kind.RELOAD: self._reload,
+            _Kind.HERD: self._herd,
+            _Kind.PEERS_SILENT: self._peers(relay.Mode.SILENT),
+            _Kind.PEERS_ONE_WAY: self._peers(relay.Mode.ONE_WAY),
+            _Kind.PEERS_DELAY: self._peers(relay.Mode.DELAY),
+            _Kind.PEERS_RESET: self._peers_reset,
+            _Kind.STORE_SILENT: self._store(relay.Mode.SILENT),
+            _Kind.STORE_REFUSE: self._store(relay.Mode.REFUSE),
+            _Kind.STORE_RESET: self._store_reset,
+            _Kind.STORE_DOWN: self._store_down,
+            _Kind.STORE_SLOW: self._store_slow,
+            _Kind.STORE_LOSES: self._store_loses,
+            _Kind.STORE_FORGETS: self._store_forgets,
+            _Kind.TARGET_CRASH: self._target_crash,
+            _Kind.TARGET_LEAVE: self._target_leave,
+            _Kind.CONFIG: self._config,
+            _Kind.CONFIG_STORM: self._config_storm,
+        }
+
+    async def run(self, faults: collections.abc.Sequence[fault.Fault]) -> None:
+        """Carries out all faults; returns when the last one is over."""
+        loop = asyncio.get_running_loop()
+        started_s = loop.time()
+        async with asyncio.TaskGroup() as tasks:
+            for item in faults:
+                await asyncio.sleep(started_s + item.at_s - loop.time())
+                tasks.create_task(self._carry_out(item))
+
+    async def _carry_out(self, item: fault.Fault) -> None:
+        loop = asyncio.get_running_loop()
+        from_s = loop.time()
+        # Open ended until it is over: checks run only after the end.
+        await self._acts[item.kind](item)
+        span = record.Span(
+            from_s, loop.time(), f"{item.kind.value} {item.node}"
+        )
+        if item.kind in fault.PLANNED:
+            self._seen.planned.append(span)
+        else:
+            self._seen.unplanned.append(span)
+
+    async def _kill(self, item: fault.Fault) -> None:
+        async with self._locks[item.node]:
+            node = self._world.nodes[item.node]
+            node.kill()
+            await asyncio.sleep(item.for_s / 2)
+            node.start()
+            await asyncio.sleep(RESTART_S)
+
+    async def _herd(self, item: fault.Fault) -> None:
+        async with asyncio.TaskGroup() as tasks:
+            for index in range(0, len(self._world.nodes), 2):
+                tasks.create_task(self._kill(item._replace(node=index)))
+
+    async def _pause(self, item: fault.Fault) -> None:
+        async with self._locks[item.node]:
+            node = self._world.nodes[item.node]
+            node.signal(signal.SIGSTOP)
+            await asyncio.sleep(item.for_s)
+            node.signal(signal.SIGCONT)
+
+    async def _stop(self, item: fault.Fault) -> None:
+        async with self._locks[item.node]:
+            node = self._world.nodes[item.node]
+            wrong = await node.stop()
+            if wrong:
+                self._seen.exits.append(wrong)
+            node.start()
+            await asyncio.sleep(RESTART_S)
+
+    async def _reload(self, item: fault.Fault) -> None:
+        async with self._locks[item.node]:
+            self._world.nodes[item.node].signal(signal.SIGHUP)
+
+    def _peers(self, mode: relay.Mode) -> _Act:
+        return lambda item: _misbehave(
+            self._world.nodes[item.node].peers, mode, item.for_s
+        )
+
+    def _store(self, mode: relay.Mode) -> _Act:
+        return lambda item: _misbehave(
+            self._world.nodes[item.node].store, mode, item.for_s
+        )
+
+    async def _peers_reset(self, item: fault.Fault) -> None:
+        self._world.nodes[item.node].peers.reset()
+
+    async def _store_reset(self, item: fault.Fault) -> None:
+        for node in self._world.nodes:
+            node.store.reset()
+
+    async def _store_down(self, item: fault.Fault) -> None:
+        self._world.store.faults.is_down = True
+        await asyncio.sleep(item.for_s)
+        self._world.store.faults.is_down = False
+
+    async def _store_slow(self, item: fault.Fault) -> None:
+        self._world.store.faults.slow_s = SLOW_S
+        await asyncio.sleep(item.for_s)
+        self._world.store.faults.slow_s = 0.0
+
+    async def _store_loses(self, item: fault.Fault) -> None:
+        self._world.store.faults.lose_answers += 3
+        await asyncio.sleep(item.for_s)
+        self._world.store.faults.lose_answers = 0
+
+    async def _store_forgets(self, item: fault.Fault) -> None:
+        self._world.store.rows.forget()
+
+    async def _target_crash(self, item: fault.Fault) -> None:
+        async with self._target_locks[item.node]:
+            target = self._world.targets[item.node]
+            await target.crash()
+            await asyncio.sleep(item.for_s / 2)
+            await target.start()
+
+    async def _target_leave(self, item: fault.Fault) -> None:
+        async with self._target_locks[item.node]:
+            target = self._world.targets[item.node]
+            await target.leave()
+            await target.start()
+
+    async def _config(self, item: fault.Fault) -> None:
+        self._world.change_config()
+
+    async def _config_storm(self, item: fault.Fault) -> None:
+        for _ in range(STORM_CHANGES):
+            self._world.change_config()
+            await asyncio.sleep(STORM_GAP_S)
+
+
+async def _misbehave(
+    item: relay.Relay, mode: relay.Mode, seconds: float
+) -> None:
+    item.delay_s = DELAY_S
+    item.mode = mode
+    if mode == relay.Mode.REFUSE:
+        item.reset()
+    await asyncio.sleep(seconds)
+    item.mode = relay.Mode.PASS
+    # What was held back for seconds is of no use any more.
+    if mode != relay.Mode.DELAY:
+        item.reset()
--- /dev/null
+++ b/soak/live_target.py
@@ -0,0 +1,107 @@
+"""Targets that announce themselves, leave, crash and come back."""
+
+import asyncio
+import contextlib
+import random
+import time
+
+from galenatack import exceptions
+from soak import node_process
+from soak import record
+from standins.mesh import fake_target
+
+ANNOUNCE_S = 0.5
+LONGEST_WORK_S = 0.12
+LEAVE_S = 3.0
+"""A target that leaves ends its work and stays reachable this long."""
+
+
+class LiveTarget:
+    """The target beside one node.
+
+    Args:
+        node: Its node.
+        seen: Gets its runs.
+        rng: Times of its work.
+    """
+
+    def __init__(
+        self,
+        *,
+        node: node_process.NodeProcess,
+        seen: record.Record,
+        rng: random.Random,
+    ):
+        self._node = node
+        self._seen = seen
+        self._rng = rng
+        self._starts = 0
+        self._state = "ready"
+        self._target: fake_target.FakeTarget | None = None
+        self._task: asyncio.Task | None = None
+
+    async def start(self) -> None:
+        """Starts a new target at the same address."""
+        self._starts += 1
+        self._state = "ready"
+        self._target = fake_target.FakeTarget(
+            target_id=f"t{self._node.index}-{self._starts}",
+            service=self._node.service,
+            address=self._node.address(node_process.TARGET_PORT),
+            born_ms=time.time_ns() // 1_000_000,
+        )
+        self._target.work_s = self._rng.uniform(0.01, LONGEST_WORK_S)
+        self._target.on_run = self._note
+        await self._target.server.listen()
+        self._task = asyncio.create_task(self._announce())
+
+    async def crash(self) -> None:
+        """Ends at once and says nothing."""
+        self._task.cancel()
+        self._target.server.close()
+
+    async def leave(self) -> None:
+        """Says that it leaves, ends its work and ends."""
+        self._state = "draining"
+        told = False
+        loop = asyncio.get_running_loop()
+        end_s = loop.time() + LEAVE_S
+        while loop.time() < end_s:
+            if not told and await self._tell():
+                told = True
+                self._seen.left_s[self._target.target_id] = loop.time()
+            await asyncio.sleep(ANNOUNCE_S)
+        self._task.cancel()
+        with contextlib.suppress(exceptions.CallError):
+            await self._target.leave(self._control)
+        self._target.server.close()
+
+    def close(self) -> None:
+        """Ends for good."""
+        if self._task is not None:
+            self._task.cancel()
+            self._target.server.close()
+
+    @property
+    def _control(self) -> str:
+        return self._node.address(node_process.CONTROL_PORT)
+
+    async def _announce(self) -> None:
+        while True:
+            await self._tell()
+            await asyncio.sleep(ANNOUNCE_S)
+
+    async def _tell(self) -> bool:
+        try:
+            async with asyncio.timeout(ANNOUNCE_S):
+                status = await self._target.announce(
+                    self._control, state=self._state
+                )
+        except (exceptions.CallError, TimeoutError):
+            # The node is down; the target goes on announcing itself.
+            return False
+        return status == 200
+
+    def _note(self, target: fake_target.FakeTarget, attempt_id: str) -> None:
+        now_s = asyncio.get_running_loop().time()
+        self._seen.runs[attempt_id].append(record.Run(now_s, target.target_id))
--- /dev/null
+++ b/soak/node_process.py
@@ -0,0 +1,199 @@
+"""One node as a process of its own, with its settings and relays."""
+
+import asyncio
+import os
+import pathlib
+import signal
+import subprocess
+import sys
+
+import yaml
+
+from soak import relay
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+
+CALLER_PORT = 8629
+CONTROL_PORT = 8620
+READY_PORT = 8625
+TARGET_PORT = 8080
+PEER_PORT = 7600
+PEER_RELAY_PORT = 7700
+STORE_RELAY_PORT = 7800
+
+STOP_S = 8.0
+"""Grace time of 6 s, and two to start and end the process."""
+
+MOST_RESIDENT_KIB = 200 * 1024
+
+
+class NodeProcess:
+    """Starts, stops and watches one node.
+
+    Args:
+        index: Number of the node; it gives the node its loopback address.
+        base: Second part of the loopback addresses of this run.
+        folder: Folder of settings and logs.
+        place: Data centre and region.
+        service: Service of its target.
+        store_address: host:port of the store.
+
+    Attributes:
+        life: Number of starts.
+        peers: Relay in front of the node's address for peers.
+        store: Relay between the node and the store.
+        is_wanted: True while the process should run.
+    """
+
+    def __init__(
+        self,
+        *,
+        index: int,
+        base: int,
+        folder: pathlib.Path,
+        place: tuple[str, str],
+        service: str,
+        store_address: str,
+    ):
+        self.index = index
+        self.name = f"node-{index}"
+        self.host = f"127.{base}.0.{index + 1}"
+        self.service = service
+        self.life = 0
+        self.is_wanted = False
+        self.peers = relay.Relay(
+            address=f"{self.host}:{PEER_RELAY_PORT}",
+            target=f"{self.host}:{PEER_PORT}",
+        )
+        self.store = relay.Relay(
+            address=f"{self.host}:{STORE_RELAY_PORT}", target=store_address
+        )
+        self._settings = folder / f"{self.name}.yaml"
+        self._log = folder / f"{self.name}.log"
+        self._log_start = 0
+        self._process: subprocess.Popen | None = None
+        self._settings.write_text(yaml.safe_dump(self._document(place)))
+
+    def address(self, port: int) -> str:
+        """Returns the address of one of the node's listeners."""
+        return f"{self.host}:{port}"
+
+    async def open(self) -> None:
+        """Opens the relays."""
+        await self.peers.start()
+        await self.store.start()
+
+    def start(self) -> None:
+        """Starts the process."""
+        self.life += 1
+        self.is_wanted = True
+        with self._log.open("ab") as log:
+            self._log_start = log.tell()
+            self._process = subprocess.Popen(
+                [sys.executable, str(ROOT / "deploy" / "node.py")],
+                stdin=subprocess.DEVNULL,
+                stdout=log,
+                stderr=log,
+                env={
+                    "PATH": os.environ.get("PATH", ""),
+                    "GALENATACK_SETTINGS": str(self._settings),
+                },
+            )
+
+    def kill(self) -> None:
+        """Ends the process without warning."""
+        self.is_wanted = False
+        if self._process is not None and self._process.poll() is None:
+            self._process.kill()
+            self._process.wait()
+
+    def signal(self, number: signal.Signals) -> None:
+        """Sends a signal, if the process runs."""
+        if self._process is not None and self._process.poll() is None:
+            self._process.send_signal(number)
+
+    async def stop(self) -> str:
+        """Ends the process gracefully; returns what was wrong, or nothing."""
+        self.is_wanted = False
+        process = self._process
+        self.signal(signal.SIGTERM)
+        loop = asyncio.get_running_loop()
+        due_s = loop.time() + STOP_S
+        while process.poll() is None:
+            if loop.time() > due_s:
+                self.kill()
+                return f"{self.name} did not end in {STOP_S:.0f} s"
+            await asyncio.sleep(0.05)
+        if process.returncode == -signal.SIGTERM and not self._has_started():
+            # The signal came before the program could handle it.
+            return ""
+        if process.returncode:
+            return f"{self.name} ended with {process.returncode}"
+        return ""
+
+    def _has_started(self) -> bool:
+        text = self._log.read_bytes()[self._log_start :]
+        return b"event=started" in text
+
+    def fault(self) -> str:
+        """Returns what is wrong with the process, or nothing."""
+        status = self._process.poll()
+        if self.is_wanted and status is not None:
+            self.is_wanted = False
+            return f"{self.name} ended by itself with {status}"
+        return ""
+
+    def resident_fault(self) -> str:
+        """Returns whether the process uses too much memory, or nothing."""
+        resident_kib = _resident_kib(self._process.pid)
+        if resident_kib > MOST_RESIDENT_KIB:
+            return f"{self.name} uses {resident_kib} KiB"
+        return ""
+
+    def log_faults(self) -> list[str]:
+        """Returns lines of the log that tell of a defect."""
+        text = self._log.read_text(errors="replace")
+        return [
+            f"{self.name}: {line[:200]}"
+            for line in text.splitlines()
+            if "Traceback" in line or "level=ERROR" in line
+        ]
+
+    async def close(self) -> None:
+        """Ends the process and the relays."""
+        self.kill()
+        await self.peers.close()
+        await self.store.close()
+
+    def _document(self, place: tuple[str, str]) -> dict[str, object]:
+        data_centre, region = place
+        return {
+            "node_id": self.name,
+            "machine_class": "sidecar",
+            "ip": self.host,
+            "zone": data_centre,
+            "region": region,
+            "service": self.service,
+            "app_address": self.address(TARGET_PORT),
+            "listen": {
+                "outbound": self.address(CALLER_PORT),
+                "ready_address": self.address(READY_PORT),
+                "control": self.address(CONTROL_PORT),
+            },
+            "internal_ports": [PEER_PORT, PEER_PORT + 15],
+            "advertised_address": self.peers.address,
+            "platform": {"address": self.store.address},
+            "bounds": ["drain=2500ms", "grace=6s", "config_apply=2500ms"],
+        }
+
+
+def _resident_kib(pid: int) -> int:
+    try:
+        status = pathlib.Path(f"/proc/{pid}/status").read_text()
+    except OSError:
+        # The process has ended; its end is noted elsewhere.
+        return 0
+    for line in status.splitlines():
+        if line.startswith("VmRSS:"):
+            return int(line.split()[1])
+    return 0
--- /dev/null
+++ b/soak/run.py
@@ -0,0 +1,141 @@
+"""One run: load, faults and the checks at its end."""
+
+import asyncio
+import os
+import pathlib
+import random
+import typing
+
+from soak import callers
+from soak import fleet
+from soak import injector
+from soak import plan
+from soak import promises
+from soak import record
+
+FIRST_BASE = 100
+BASES = 100
+CALLERS_PER_NODE = 2
+LONGEST_RECOVERY_S = 15.0
+SETTLE_S = 4.5
+"""Nodes are in touch again this long after the last fault."""
+
+CALM_S = 3.0
+WATCH_S = 0.5
+STALL_S = 0.3
+"""A timer this late means that the machine is too busy for bounds in seconds;
+such times count as disturbed."""
+
+
+class Result(typing.NamedTuple):
+    """What a run showed.
+
+    Attributes:
+        findings: Broken promises; empty when all held.
+        summary: How the calls ended.
+        faults: What was carried out.
+    """
+
+    findings: list[str]
+    summary: str
+    faults: list[str]
+
+
+class SoakRun:
+    """One run of a seed.
+
+    Args:
+        seed: Draws the faults and the load.
+        nodes: Number of node processes.
+        seconds: Time with faults.
+        folder: Folder of settings and logs.
+    """
+
+    def __init__(
+        self, *, seed: int, nodes: int, seconds: float, folder: pathlib.Path
+    ):
+        self._seed = seed
+        self._seconds = seconds
+        self._rng = random.Random(seed)
+        self._seen = record.Record()
+        self._world = fleet.Fleet(
+            nodes=nodes,
+            # Runs beside each other need addresses of their own.
+            base=FIRST_BASE + (seed + os.getpid()) % BASES,
+            folder=folder,
+            seen=self._seen,
+            rng=self._rng,
+        )
+
+    async def execute(self) -> Result:
+        """Plays the run and checks the promises."""
+        faults = plan.draw(
+            seed=self._seed,
+            nodes=len(self._world.nodes),
+            seconds=self._seconds,
+        )
+        findings = []
+        try:
+            findings = await self._play(faults)
+        except fleet.StartError as error:
+            findings = [str(error)]
+        finally:
+            await self._world.close()
+        return Result(
+            findings=findings,
+            summary=promises.summary(self._seen.attempts),
+            faults=[f"{f.at_s:.1f} {f.kind.value} {f.node}" for f in faults],
+        )
+
+    async def _play(self, faults) -> list[str]:
+        await self._world.start()
+        # The nodes have found each other's targets after a moment.
+        await asyncio.sleep(SETTLE_S)
+        tasks = [
+            asyncio.create_task(item)
+            for node in self._world.nodes
+            for item in self._load(node)
+        ]
+        tasks.append(asyncio.create_task(self._watch()))
+        try:
+            await injector.Injector(world=self._world, seen=self._seen).run(
+                faults
+            )
+            await self._world.until_ready(LONGEST_RECOVERY_S)
+            await asyncio.sleep(SETTLE_S)
+            calm_from_s = asyncio.get_running_loop().time()
+            await asyncio.sleep(CALM_S)
+        finally:
+            for task in tasks:
+                task.cancel()
+            ended = await asyncio.gather(*tasks, return_exceptions=True)
+        for item in ended:
+            if isinstance(item, Exception):
+                raise item
+        for node in self._world.nodes:
+            self._seen.exits.extend(node.log_faults())
+        return promises.check(self._seen, calm_from_s=calm_from_s)
+
+    def _load(self, node):
+        client = callers.Callers(
+            node=node,
+            services=fleet.SERVICES,
+            seen=self._seen,
+            rng=self._rng,
+        )
+        yield from (client.call() for _ in range(CALLERS_PER_NODE))
+        yield client.probe()
+
+    async def _watch(self) -> None:
+        loop = asyncio.get_running_loop()
+        while True:
+            due_s = loop.time() + WATCH_S
+            await asyncio.sleep(WATCH_S)
+            if loop.time() - due_s > STALL_S:
+                self._seen.unplanned.append(
+                    record.Span(due_s, loop.time(), "the machine is too busy")
+                )
+            for node in self._world.nodes:
+                for wrong in (node.fault(), node.resident_fault()):
+                    if wrong:
+                        self._seen.exits.append(wrong)
--- a/src/galenatack/app/mesh_base.py
+++ b/src/galenatack/app/mesh_base.py
@@ -87,7 +87,7 @@
         region=settings.region,
         service=settings.service,
         version="",
-        peer_address=settings.peer_address,
+        peer_address=settings.advertised_address or settings.peer_address,
         call_address=settings.caller_address,
         admin_address="",
         slots=0,
--- a/src/galenatack/platform/settings_document.py
+++ b/src/galenatack/platform/settings_document.py
@@ -74,6 +74,9 @@
         metrics_address=f"{host}:{METRICS_PORT}",
         store_address=_values.field(store, "address", _address),
         bounds=_bounds(_values.field(document, "bounds", _texts, default=[])),
+        advertised_address=_values.field(
+            document, "advertised_address", _address, default=""
+        ),
     )
 
 
--- a/src/galenatack/settings/mesh_settings.py
+++ b/src/galenatack/settings/mesh_settings.py
@@ -21,6 +21,9 @@
         metrics_address: host:port of the metrics; empty for none.
         store_address: host:port of the shared tables.
         bounds: Bounds of the deployment.
+        advertised_address: host:port under which other nodes reach
+            `peer_address`, where something forwards the port; empty when
+            they are the same.
     """
 
     node_id: str
@@ -35,3 +38,4 @@
     metrics_address: str
     store_address: str
     bounds: fleet_bounds.FleetBounds
+    advertised_address: str = ""
--- /dev/null
+++ b/standins/mesh/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins around the nodes of a shared platform."""
--- a/tests/mesh/fake_target.py
+++ b/standins/mesh/fake_target.py
@@ -16,14 +16,19 @@
         seen: Headers of the last call.
         work_s: Time of a call.
         status: Status of its answers.
-        gate: When set, calls wait for it before they end.
+        hold: When set, calls wait for it before they end.
+        on_run: When set, called with this target and the attempt of each run.
     """
 
-    def __init__(self, *, target_id, service, address, version="v1"):
+    def __init__(
+        self, *, target_id, service, address, version="v1", born_ms=1000
+    ):
         self.target_id = target_id
         self.service = service
         self.address = address
         self.version = version
+        self.born_ms = born_ms
+        self.on_run = None
         self.ran = []
         self.cancelled = []
         self.seen = {}
@@ -47,13 +52,15 @@
             "state": state,
             "warmup_left": "0ms",
             "sequence": self._sequence,
-            "born": 1000,
+            "born": self.born_ms,
         }
         return await self._tell(control_address, "heartbeat", body)
 
     async def leave(self, control_address):
         """Sends the last word and returns the status of its answer."""
-        return await self._tell(control_address, "deregister", {"born": 1000})
+        return await self._tell(
+            control_address, "deregister", {"born": self.born_ms}
+        )
 
     async def _tell(self, control_address, action, body):
         client = http_client.HttpClient(
@@ -79,6 +86,8 @@
                 421, (*own, ("x-instance-id", self.target_id))
             )
         self.ran.append(attempt)
+        if self.on_run is not None:
+            self.on_run(self, attempt)
         self.seen = headers
         try:
             if self.work_s:
--- /dev/null
+++ b/standins/mesh/operator_config.py
@@ -0,0 +1,58 @@
+"""Configurations as the users' operators write them."""
+
+import json
+
+COLUMNS = [
+    "name",
+    "host",
+    "prefix",
+    "kind",
+    "timeout",
+    "target_latency",
+    "priority",
+    "max_attempts",
+    "service",
+]
+
+MARK_HOST = "mark.example"
+
+
+def config(
+    version: int,
+    services: set[str] | tuple[str, ...],
+    *,
+    kinds: tuple[str, ...] = ("idempotent", "non_idempotent"),
+    mark: str = "",
+) -> bytes:
+    """Returns a configuration with one route of each kind a service.
+
+    Args:
+        version: Version of the configuration.
+        services: Names; the host of a route is the name with `.example`.
+        kinds: Kinds of routes; a route's prefix is its kind.
+        mark: Service of a route that only this version has: it begins with
+            the version on the host `MARK_HOST`.
+    """
+    rows = [
+        _row(f"{service}-{kind}", f"{service}.example", kind, kind, service)
+        for service in services
+        for kind in kinds
+    ]
+    if mark:
+        name = f"v{version}"
+        rows.append(_row(f"mark-{name}", MARK_HOST, name, kinds[0], mark))
+    return json.dumps(
+        {
+            "version": version,
+            "routes": {"columns": COLUMNS, "rows": rows},
+            "services": {
+                "columns": ["name", "max_connections"],
+                "rows": [[service, 100] for service in services],
+            },
+            "limits": {},
+        }
+    ).encode()
+
+
+def _row(name: str, host: str, prefix: str, kind: str, service: str):
+    return [name, host, f"/{prefix}/", kind, "2s", "1s", 1, 2, service]
--- a/tests/app/test_fleet.py
+++ b/tests/app/test_fleet.py
@@ -11,6 +11,7 @@
 from galenatack.app import cli
 from galenatack.model import rollout_progress
 from galenatack.platform import rollout_rows
+from standins.mesh import operator_config
 from tests.app import test_settings_follower
 from tests.mesh import small_fleet
 from tests.platform import test_store_table
@@ -34,7 +35,9 @@
         """Configuration, rollout, phase and figures come from the store."""
 
         async def scenario(store, table):
-            store.operator_writes("op", "config", small_fleet.config(7, {"a"}))
+            store.operator_writes(
+                "op", "config", operator_config.config(7, {"a"})
+            )
             revision = store.operator_writes(
                 "op", "rollout/a", json.dumps(ORDER).encode()
             )
--- a/tests/mesh/small_fleet.py
+++ b/tests/mesh/small_fleet.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import contextlib
-import json
 import random
 import socket
 
@@ -12,20 +11,10 @@
 from galenatack.links import http_client
 from galenatack.settings import fleet_bounds
 from galenatack.settings import mesh_settings
+from standins.mesh import fake_target
+from standins.mesh import operator_config
 from standins.store import node_table
-from tests.mesh import fake_target
-
-COLUMNS = [
-    "name",
-    "host",
-    "prefix",
-    "kind",
-    "timeout",
-    "target_latency",
-    "priority",
-    "max_attempts",
-    "service",
-]
+
 SETTLE_S = 10.0
 LISTENERS = 6
 
@@ -39,36 +28,6 @@
     return found
 
 
-def config(version, services, *, kinds=("idempotent", "non_idempotent")):
-    """Returns a configuration with one route of each kind a service."""
-    rows = [
-        [
-            f"{service}-{kind}",
-            f"{service}.example",
-            f"/{kind}/",
-            kind,
-            "2s",
-            "1s",
-            1,
-            2,
-            service,
-        ]
-        for service in services
-        for kind in kinds
-    ]
-    return json.dumps(
-        {
-            "version": version,
-            "routes": {"columns": COLUMNS, "rows": rows},
-            "services": {
-                "columns": ["name", "max_connections"],
-                "rows": [[service, 100] for service in services],
-            },
-            "limits": {},
-        }
-    ).encode()
-
-
 class Member:
     """One node and its target."""
 
@@ -119,7 +78,9 @@
 
     def __init__(self, *services):
         self.store = node_table.SharedStore()
-        self.store.operator_writes("op", "config", config(2, set(services)))
+        self.store.operator_writes(
+            "op", "config", operator_config.config(2, set(services))
+        )
         self.members = [
             Member(self.store, f"n{index}", service, index)
             for index, service in enumerate(services)
--- a/tests/mesh/test_rows.py
+++ b/tests/mesh/test_rows.py
@@ -3,6 +3,7 @@
 import asyncio
 import unittest
 
+from standins.mesh import operator_config
 from tests.mesh import small_fleet
 
 SERVICES = ("a", "b", "a", "b", "a", "b")
@@ -35,7 +36,7 @@
     loop = asyncio.get_running_loop()
     started_s = loop.time()
     fleet.store.operator_writes(
-        "op", "config", small_fleet.config(version, {"a", "b"})
+        "op", "config", operator_config.config(version, {"a", "b"})
     )
     await fleet.until(
         lambda: all(
--- a/tests/mesh/test_whole_path.py
+++ b/tests/mesh/test_whole_path.py
@@ -3,6 +3,7 @@
 import asyncio
 import unittest
 
+from standins.mesh import operator_config
 from tests.mesh import small_fleet
 
 
@@ -134,7 +135,7 @@
             store = fleet.store
             store.faults.refused_nodes.add("n1")
             store.operator_writes(
-                "op", "config", small_fleet.config(9, {"a", "b"})
+                "op", "config", operator_config.config(9, {"a", "b"})
             )
             await fleet.until(
                 lambda: all(m.parts.config.version == 9 for m in fleet.members)
--- /dev/null
+++ b/tests/soak_processes/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the soak of real processes."""
--- /dev/null
+++ b/tests/soak_processes/test_promises.py
@@ -0,0 +1,128 @@
+"""Tests of the checks at the end of a soak run."""
+
+import unittest
+
+from soak import attempt
+from soak import plan
+from soak import promises
+from soak import record
+
+
+def call(**more):
+    """Returns a served posting, changed as told."""
+    fields = {
+        "attempt_id": "one",
+        "node": 0,
+        "life": 1,
+        "is_posting": True,
+        "sent_s": 10.0,
+        "ended_s": 10.1,
+        "status": 200,
+        "is_own": True,
+        "stamp": "t.one",
+    }
+    return attempt.Attempt(**(fields | more))
+
+
+class TestPromises(unittest.TestCase):
+    def setUp(self):
+        self.seen = record.Record()
+        self.seen.versions_s[1] = 0.0
+
+    def ran(self, *times_s, target="t"):
+        """Notes runs of the attempt."""
+        for at_s in times_s:
+            self.seen.runs["one"].append(record.Run(at_s, target))
+
+    def check(self, *names, calm_from_s=100.0):
+        """Checks which promises are told to be broken."""
+        found = promises.check(self.seen, calm_from_s=calm_from_s)
+        self.assertEqual(len(found), len(names), found)
+        for line, name in zip(found, names, strict=True):
+            self.assertIn(name, line)
+
+    def test_a_served_call_breaks_nothing(self):
+        """It ran once and its answer is its own."""
+        self.seen.attempts.append(call())
+        self.ran(10.05)
+        self.check()
+
+    def test_a_posting_that_ran_twice(self):
+        """A read may."""
+        self.seen.attempts.append(call())
+        self.ran(10.05, 10.07)
+        self.check("more than once")
+        self.seen.attempts[0].is_posting = False
+        self.check()
+
+    def test_a_refusal_that_is_not_true(self):
+        """Also when the run comes later."""
+        self.seen.attempts.append(call(status=503, is_own=False))
+        self.check()
+        self.ran(12.0)
+        self.check("said not to have")
+
+    def test_an_answer_of_another_request(self):
+        """A status of 200 is not enough."""
+        self.seen.attempts.append(call(is_own=False))
+        self.ran(10.05)
+        self.check("another request")
+
+    def test_a_proper_request_that_is_refused_for_good(self):
+        """No configuration of a run lacks the routes of its services."""
+        self.seen.attempts.append(call(status=404, is_own=False))
+        self.check("though proper")
+
+    def test_a_request_that_was_cut_at_planned_work(self):
+        """Beside a fault it may be."""
+        self.seen.attempts.append(call(status=0, failure="ReadError"))
+        self.ran(10.05)
+        self.check("cut at planned work")
+        self.seen.unplanned.append(record.Span(8.0, 9.0, "kill"))
+        self.check()
+
+    def test_a_request_that_reached_a_target_that_left(self):
+        """In the first seconds it may."""
+        self.seen.attempts.append(call())
+        self.ran(10.05)
+        self.seen.left_s["t"] = 9.0
+        self.check()
+        self.seen.left_s["t"] = 7.0
+        self.check("that left")
+
+    def test_a_node_that_went_back(self):
+        """Another start of its process may know less."""
+        self.seen.versions_s |= {2: 1.0, 3: 1.1}
+        probes = [
+            record.Probe(0, 1, 3, 2.0, True),
+            record.Probe(0, 1, 2, 3.0, True),
+        ]
+        self.seen.probes = probes
+        self.check("older version")
+        self.seen.probes = [probes[0], probes[1]._replace(life=2)]
+        self.check()
+
+    def test_a_version_that_is_not_in_force_in_time(self):
+        """Beside a fault it may come later."""
+        self.seen.versions_s[2] = 10.0
+        self.seen.probes = [record.Probe(0, 1, 2, 12.0, False)]
+        self.check()
+        self.seen.probes = [record.Probe(0, 1, 2, 12.6, False)]
+        self.check("not in force")
+        self.seen.unplanned.append(record.Span(8.0, 9.0, "store-silent"))
+        self.check()
+
+    def test_a_call_that_is_not_served_after_all_faults(self):
+        """The load is light, so every call is served."""
+        self.seen.attempts.append(call(status=503, is_own=False))
+        self.check(calm_from_s=10.1)
+        self.check("after all faults", calm_from_s=9.9)
+
+
+class TestPlan(unittest.TestCase):
+    def test_a_seed_gives_the_same_faults(self):
+        """A failure can be repeated; another seed gives others."""
+        one = plan.draw(seed=7, nodes=6, seconds=20.0)
+        self.assertEqual(one, plan.draw(seed=7, nodes=6, seconds=20.0))
+        self.assertNotEqual(one, plan.draw(seed=8, nodes=6, seconds=20.0))
+        self.assertGreater(len(one), 10)
