--- /dev/null
+++ b/src/galenatack/app/mesh_store.py
@@ -0,0 +1,88 @@
+"""Parts of a mesh node that follow the shared tables."""
+
+import typing
+
+from galenatack.app import mesh_base
+from galenatack.config import row_exchange
+from galenatack.config import row_mirror
+from galenatack.config import store_duty
+from galenatack.config import table_watcher
+from galenatack.interfaces import shared_table
+from galenatack.membership import discovery
+from galenatack.platform import config_document
+from galenatack.platform import rollout_rows
+
+MS_PER_S = 1000
+
+CONFIG_PACE_SHARE = 0.2
+"""Part of the time in which a configuration must be in force that a node waits
+after a change: versions in quick succession cross the link between regions
+once."""
+
+
+class MeshStore(typing.NamedTuple):
+    """Parts that follow the shared tables."""
+
+    mirror: row_mirror.RowMirror
+    duty: store_duty.StoreDuty
+    watchers: tuple[table_watcher.TableWatcher, ...]
+    exchange: row_exchange.RowExchange
+    discovery: discovery.Discovery
+
+
+def make(
+    base: mesh_base.MeshBase, store: shared_table.SharedTable
+) -> MeshStore:
+    """Makes the parts that follow the shared tables."""
+    mirror = row_mirror.RowMirror(
+        tables=(config_document.TABLE, rollout_rows.PROGRESS_TABLE)
+    )
+    duty = store_duty.StoreDuty(members=base.members, clock=base.clock)
+    return MeshStore(
+        mirror=mirror,
+        duty=duty,
+        watchers=_make_watchers(base, store, mirror, duty),
+        exchange=row_exchange.RowExchange(
+            mirror=mirror,
+            peers=base.peers,
+            own_heartbeat=base.callbacks.own_heartbeat,
+            on_behind=base.callbacks.on_behind,
+            is_following=base.callbacks.is_following,
+            is_store_healthy=base.callbacks.is_store_healthy,
+            proximity_of=base.callbacks.proximity_of,
+            clock=base.clock,
+        ),
+        discovery=discovery.Discovery(
+            table=store,
+            members=base.members,
+            clock=base.clock,
+            rng=base.rng,
+            is_lookout=duty.is_due,
+        ),
+    )
+
+
+def _make_watchers(
+    base: mesh_base.MeshBase,
+    store: shared_table.SharedTable,
+    mirror: row_mirror.RowMirror,
+    duty: store_duty.StoreDuty,
+) -> tuple[table_watcher.TableWatcher, ...]:
+    config_s = base.settings.bounds.config_ms / MS_PER_S
+    paces_s = {
+        config_document.TABLE: config_s * CONFIG_PACE_SHARE,
+        rollout_rows.PROGRESS_TABLE: 0.0,
+    }
+    return tuple(
+        table_watcher.TableWatcher(
+            name=name,
+            table=store,
+            mirror=mirror,
+            clock=base.clock,
+            rng=base.rng,
+            is_due=duty.is_due,
+            on_rows=base.callbacks.store_brought_rows,
+            pace_s=pace_s,
+        )
+        for name, pace_s in paces_s.items()
+    )
--- a/src/galenatack/app/mesh_wiring.py
+++ b/src/galenatack/app/mesh_wiring.py
@@ -2,6 +2,7 @@
 
 import random
 import secrets
+import typing
 
 from galenatack.app import mesh_base
 from galenatack.app import mesh_callbacks
@@ -9,35 +10,22 @@
 from galenatack.app import mesh_outbound
 from galenatack.app import mesh_parts
 from galenatack.app import mesh_rollouts
+from galenatack.app import mesh_store
 from galenatack.app import system_clock
-from galenatack.config import row_exchange
-from galenatack.config import row_mirror
-from galenatack.config import store_duty
-from galenatack.config import table_watcher
 from galenatack.interfaces import clock as clock_interface
 from galenatack.interfaces import random_source
 from galenatack.interfaces import shared_table
 from galenatack.links import pipelined_server
-from galenatack.membership import discovery
 from galenatack.membership import membership_service
 from galenatack.model import member_status
 from galenatack.platform import caller_dialect
-from galenatack.platform import config_document
 from galenatack.platform import control_dialect
-from galenatack.platform import rollout_rows
 from galenatack.platform import store_table
 from galenatack.settings import mesh_settings
 from galenatack.traffic import link_warmer
 from galenatack.traffic import target_directory
 
 SEED_BITS = 64
-MS_PER_S = 1000
-
-
-CONFIG_PACE_SHARE = 0.2
-"""Part of the time in which a configuration must be in force that a node waits
-after a change: versions in quick succession cross the link between regions
-once."""
 
 
 def compose(settings: mesh_settings.MeshSettings) -> mesh_parts.MeshParts:
@@ -70,65 +58,19 @@
     rollouts = mesh_rollouts.make(base)
     inbound = mesh_inbound.make(base, rollouts)
     outbound = mesh_outbound.make(base, directory, rollouts, inbound)
-    mirror = row_mirror.RowMirror(
-        tables=(config_document.TABLE, rollout_rows.PROGRESS_TABLE)
-    )
-    duty = store_duty.StoreDuty(members=base.members, clock=clock)
-    watchers = _make_watchers(base, store, mirror, duty)
-    membership = membership_service.MembershipService(
-        table=base.members,
-        peers=base.peers,
-        clock=clock,
-        rng=rng,
-        events=base.events,
-        on_heartbeat=base.callbacks.on_heartbeat,
-    )
-    base.peers.on_lost(membership.link_lost)
+    shared = mesh_store.make(base, store)
     servers = _make_servers(base, inbound, outbound)
-    base.callbacks.connect(
-        mesh_callbacks.Connected(
-            members=base.members,
-            hlc=base.hlc,
-            mirror=mirror,
-            exchange=row_exchange.RowExchange(
-                mirror=mirror,
-                peers=base.peers,
-                own_heartbeat=base.callbacks.own_heartbeat,
-                on_behind=base.callbacks.on_behind,
-                is_following=base.callbacks.is_following,
-                is_store_healthy=base.callbacks.is_store_healthy,
-                proximity_of=base.callbacks.proximity_of,
-                clock=clock,
-            ),
-            watchers=watchers,
-            duty=duty,
-            config=outbound.config,
-            rollouts=rollouts.book,
-            registry=inbound.registry,
-            gate=inbound.gate,
-            budget=outbound.budget,
-            placement=outbound.placement,
-            limits=servers[0].limits,
-        )
-    )
-    mirror.subscribe(base.callbacks.rows_changed)
-    base.members.subscribe(base.callbacks.members_changed)
+    _connect(base, shared, rollouts, inbound, outbound, servers)
     return mesh_parts.MeshParts(
         settings=settings,
         clock=clock,
         events=base.events,
         members=base.members,
-        membership=membership,
+        membership=_make_membership(base),
         peers=base.peers,
-        discovery=discovery.Discovery(
-            table=store,
-            members=base.members,
-            clock=clock,
-            rng=rng,
-            is_lookout=duty.is_due,
-        ),
-        mirror=mirror,
-        watchers=watchers,
+        discovery=shared.discovery,
+        mirror=shared.mirror,
+        watchers=shared.watchers,
         config=outbound.config,
         rollouts=rollouts.book,
         driver=mesh_rollouts.make_driver(base, store, directory, rollouts),
@@ -137,55 +79,86 @@
         router=outbound.router,
         budget=outbound.budget,
         placement=outbound.placement,
-        warmer=link_warmer.LinkWarmer(
-            members=base.members,
-            peers=base.peers,
-            placement=outbound.placement,
-            clock=clock,
-            rng=rng,
-        ),
+        warmer=_make_warmer(base, outbound),
         log=base.log,
         stats=base.stats,
-        callers=servers[0],
-        control=servers[1],
-        ready=servers[2],
+        callers=servers.callers,
+        control=servers.control,
+        ready=servers.ready,
         target=inbound.target,
         store=store,
     )
 
 
-def _make_watchers(
+class _Servers(typing.NamedTuple):
+    """Listeners of a node, but for the one of its peers."""
+
+    callers: pipelined_server.PipelinedServer
+    control: pipelined_server.PipelinedServer
+    ready: pipelined_server.PipelinedServer
+
+
+def _connect(
     base: mesh_base.MeshBase,
-    store: shared_table.SharedTable,
-    mirror: row_mirror.RowMirror,
-    duty: store_duty.StoreDuty,
-) -> tuple[table_watcher.TableWatcher, ...]:
-    return tuple(
-        table_watcher.TableWatcher(
-            name=name,
-            table=store,
-            mirror=mirror,
-            clock=base.clock,
-            rng=base.rng,
-            is_due=duty.is_due,
-            on_rows=base.callbacks.store_brought_rows,
-            pace_s=pace_s,
-        )
-        for name, pace_s in (
-            (
-                config_document.TABLE,
-                base.settings.bounds.config_ms * CONFIG_PACE_SHARE / MS_PER_S,
-            ),
-            (rollout_rows.PROGRESS_TABLE, 0.0),
+    shared: mesh_store.MeshStore,
+    rollouts: mesh_rollouts.MeshRollouts,
+    inbound: mesh_inbound.MeshInbound,
+    outbound: mesh_outbound.MeshOutbound,
+    servers: _Servers,
+) -> None:
+    base.callbacks.connect(
+        mesh_callbacks.Connected(
+            members=base.members,
+            hlc=base.hlc,
+            mirror=shared.mirror,
+            exchange=shared.exchange,
+            watchers=shared.watchers,
+            duty=shared.duty,
+            config=outbound.config,
+            rollouts=rollouts.book,
+            registry=inbound.registry,
+            gate=inbound.gate,
+            budget=outbound.budget,
+            placement=outbound.placement,
+            limits=servers.callers.limits,
         )
     )
+    shared.mirror.subscribe(base.callbacks.rows_changed)
+    base.members.subscribe(base.callbacks.members_changed)
+
+
+def _make_membership(
+    base: mesh_base.MeshBase,
+) -> membership_service.MembershipService:
+    membership = membership_service.MembershipService(
+        table=base.members,
+        peers=base.peers,
+        clock=base.clock,
+        rng=base.rng,
+        events=base.events,
+        on_heartbeat=base.callbacks.on_heartbeat,
+    )
+    base.peers.on_lost(membership.link_lost)
+    return membership
+
+
+def _make_warmer(
+    base: mesh_base.MeshBase, outbound: mesh_outbound.MeshOutbound
+) -> link_warmer.LinkWarmer:
+    return link_warmer.LinkWarmer(
+        members=base.members,
+        peers=base.peers,
+        placement=outbound.placement,
+        clock=base.clock,
+        rng=base.rng,
+    )
 
 
 def _make_servers(
     base: mesh_base.MeshBase,
     inbound: mesh_inbound.MeshInbound,
     outbound: mesh_outbound.MeshOutbound,
-) -> tuple[pipelined_server.PipelinedServer, ...]:
+) -> _Servers:
     settings = base.settings
     callers = caller_dialect.CallerDialect(handle=outbound.router.handle)
     control = control_dialect.ControlDialect(
@@ -196,14 +169,14 @@
             == member_status.MemberStatus.SERVING.value
         ),
     )
-    return (
-        pipelined_server.PipelinedServer(
+    return _Servers(
+        callers=pipelined_server.PipelinedServer(
             address=settings.caller_address, respond=callers.respond
         ),
-        pipelined_server.PipelinedServer(
+        control=pipelined_server.PipelinedServer(
             address=settings.control_address, respond=control.respond
         ),
-        pipelined_server.PipelinedServer(
+        ready=pipelined_server.PipelinedServer(
             address=settings.ready_address, respond=control.respond_ready
         ),
     )
