--- a/tests/links/test_forgotten_connections.py
+++ b/tests/links/test_forgotten_connections.py
@@ -46,8 +46,8 @@
                     line for line in head.split(b"\r\n") if b"ttempt" in line
                 )
                 writer.write(
-                    b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n%b\r\n\r\n"
-                    % attempt
+                    b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n"
+                    b"X-Upstream-Stamp: s\r\n%b\r\n\r\n" % attempt
                 )
                 used_s = loop.time()
         except asyncio.IncompleteReadError:
@@ -62,7 +62,6 @@
         call_id="c",
         request_id="r",
         service="s",
-        target_id="t",
         route="route",
         method="PUT" if posting else "GET",
         path="/",
