Member tables are repaired over the kept links only

Cause: each open link carries a digest, and a node asked every peer whose digest differed for its whole table, 15 KB with 69 nodes. Change: only peers with an overlay or carrier link are asked, or whoever there is without one; a change that the flood brings meanwhile is not asked for; the question bears the digest of the moment at which it is sent; records of nodes that were only found in the store are not flooded.

--- a/src/galenatack/membership/discovery.py
+++ b/src/galenatack/membership/discovery.py
@@ -10,6 +10,7 @@
 from galenatack.interfaces import random_source
 from galenatack.interfaces import shared_table
 from galenatack.membership import member_table
+from galenatack.membership import membership_service
 from galenatack.model import member_record
 from galenatack.model import member_status
 from galenatack.model import row_change
@@ -192,7 +193,7 @@
         fields = json.loads(row.value)
         return _Record(
             node_id=row.key,
-            incarnation=0,
+            incarnation=membership_service.UNCONFIRMED,
             status=member_status.MemberStatus.JOINING.value,
             data_centre=str(fields["data_centre"]),
             region=str(fields["region"]),
--- a/src/galenatack/membership/membership_service.py
+++ b/src/galenatack/membership/membership_service.py
@@ -19,6 +19,9 @@
 from galenatack.model import member_record
 from galenatack.model import member_status
 
+UNCONFIRMED = 0
+"""Incarnation of a record that is not the node's own word."""
+
 TICK_S = 0.25
 
 STALL_S = 1.0
@@ -131,7 +134,10 @@
         data_centre = self._table.own.data_centre
         elsewhere: collections.Counter[tuple[str, str]] = collections.Counter()
         for record in changed:
-            self._outgoing[record.node_id] = (record, self._source)
+            # A node that was only found in the store tells of itself once it
+            # is linked; everybody reads the same store.
+            if record.incarnation != UNCONFIRMED:
+                self._outgoing[record.node_id] = (record, self._source)
             if self._statuses.get(record.node_id) == record.status:
                 continue
             self._statuses[record.node_id] = record.status
@@ -226,14 +232,23 @@
             )
 
     async def _on_beat(self, sender: str, message: typing.Any) -> None:
-        if message.member_digest != self._table.digest():
-            await self._pull(sender)
-        else:
+        if message.member_digest == self._table.digest():
             self._pulls.pop(sender, None)
+        elif self._is_repair_peer(sender):
+            await self._pull(sender, message.member_digest)
         if self._on_heartbeat is not None:
             await self._on_heartbeat(sender, message)
 
-    async def _pull(self, sender: str) -> None:
+    def _is_repair_peer(self, sender: str) -> bool:
+        """Tells whether this node repairs its table from a peer.
+
+        A node has links for calls to many others; one that asked each of them
+        after a change would move dozens of whole tables.
+        """
+        neighbours = self._peers.neighbours()
+        return sender in neighbours or not neighbours
+
+    async def _pull(self, sender: str, told_digest: int) -> None:
         now_s = self._clock.monotonic_s()
         next_s, pause_s = self._pulls.get(sender, (now_s, PULL_FIRST_S))
         if now_s < next_s:
@@ -242,12 +257,14 @@
         self._pulls[sender] = (now_s + pause_s, longer_s)
         # A flood that is under way makes digests differ for a moment. It is
         # given time to arrive before a whole table is moved.
-        before = self._table.digest()
         await self._clock.sleep_s(self._rng.uniform(0.2, 0.8))
+        digest = self._table.digest()
+        if digest == told_digest:
+            return
         try:
             answer = await self._peers.request(
                 sender,
-                pull_members.PullMembers(before),
+                pull_members.PullMembers(digest),
                 timeout_s=PULL_TIMEOUT_S,
             )
         except exceptions.PeerError as error:
