--- a/src/galenatack/app/mesh_metrics.py
+++ b/src/galenatack/app/mesh_metrics.py
@@ -39,6 +39,7 @@
             *self._process(),
             *self._load(),
             *self._beliefs(),
+            *self._store(),
             *self._traffic(),
             *self._parts.stats.samples(),
         ]
@@ -97,6 +98,14 @@
             lines.append(exposition.sample("members", count, labels))
         return lines
 
+    def _store(self) -> list[str]:
+        return [
+            exposition.sample(
+                "store_calls_total", count, {"kind": kind, "result": result}
+            )
+            for (kind, result), count in sorted(self._parts.store.calls.items())
+        ]
+
     def _traffic(self) -> list[str]:
         lines = []
         for key, count in sorted(self._parts.peers.traffic().items()):
--- a/src/galenatack/app/mesh_parts.py
+++ b/src/galenatack/app/mesh_parts.py
@@ -2,6 +2,7 @@
 
 import typing
 
+from galenatack.config import counted_table
 from galenatack.config import row_mirror
 from galenatack.config import table_watcher
 from galenatack.interfaces import clock as clock_interface
@@ -26,13 +27,6 @@
 from galenatack.traffic import target_registry
 
 
-class Closable(typing.Protocol):
-    """Holds connections."""
-
-    async def close(self) -> None:
-        """Closes them."""
-
-
 class MeshParts(typing.NamedTuple):
     """Parts that the application object runs."""
 
@@ -60,4 +54,4 @@
     control: pipelined_server.PipelinedServer
     ready: pipelined_server.PipelinedServer
     target: translated_target.TranslatedTarget
-    store: Closable
+    store: counted_table.CountedTable
--- a/src/galenatack/app/mesh_wiring.py
+++ b/src/galenatack/app/mesh_wiring.py
@@ -12,6 +12,7 @@
 from galenatack.app import mesh_rollouts
 from galenatack.app import mesh_store
 from galenatack.app import system_clock
+from galenatack.config import counted_table
 from galenatack.interfaces import clock as clock_interface
 from galenatack.interfaces import random_source
 from galenatack.interfaces import shared_table
@@ -58,7 +59,8 @@
     rollouts = mesh_rollouts.make(base)
     inbound = mesh_inbound.make(base, rollouts)
     outbound = mesh_outbound.make(base, directory, rollouts, inbound)
-    shared = mesh_store.make(base, store)
+    counted = counted_table.CountedTable(table=store)
+    shared = mesh_store.make(base, counted)
     servers = _make_servers(base, inbound, outbound)
     _connect(base, shared, rollouts, inbound, outbound, servers)
     return mesh_parts.MeshParts(
@@ -73,7 +75,7 @@
         watchers=shared.watchers,
         config=outbound.config,
         rollouts=rollouts.book,
-        driver=mesh_rollouts.make_driver(base, store, directory, rollouts),
+        driver=mesh_rollouts.make_driver(base, counted, directory, rollouts),
         registry=inbound.registry,
         gate=inbound.gate,
         router=outbound.router,
@@ -86,7 +88,7 @@
         control=servers.control,
         ready=servers.ready,
         target=inbound.target,
-        store=store,
+        store=counted,
     )
 
 
--- /dev/null
+++ b/tests/mesh/test_metrics.py
@@ -0,0 +1,63 @@
+"""Tests of the metrics of a whole node."""
+
+import asyncio
+import re
+import unittest
+
+from galenatack.links import http_client
+from tests.mesh import small_fleet
+
+SAMPLE = re.compile(
+    r'^galenatack_[a-z_]+(\{[a-z_]+="[^"]*"(,[a-z_]+="[^"]*")*\})? \S+$'
+)
+
+
+async def read(member):
+    """Returns the samples of a node by name and labels."""
+    client = http_client.HttpClient(
+        address=member.settings.metrics_address,
+        max_connections=1,
+        connect_timeout_s=1.0,
+        max_answer_bytes=1_000_000,
+    )
+    answer = await client.request("GET", "/metrics")
+    await client.close()
+    lines = answer.body.decode().splitlines()
+    return dict(line.rsplit(" ", 1) for line in lines)
+
+
+class TestMetrics(unittest.TestCase):
+    def test_calls_and_the_store_are_counted(self):
+        """By their end and its reason; each line is well formed."""
+
+        async def main():
+            async with small_fleet.SmallFleet("a", "b") as fleet:
+                near, far = fleet.members
+                await fleet.call(near, "b.example", "/idempotent/x")
+                before = await read(far)
+                # A watch that was just sent is not sent again.
+                await asyncio.sleep(0.6)
+                fleet.store.faults.refused_nodes |= {"n0", "n1"}
+                for member in fleet.members:
+                    for watcher in member.parts.watchers:
+                        watcher.nudge()
+                await asyncio.sleep(1.0)
+                return before, await read(far)
+
+        before, after = asyncio.run(main())
+        for line in (f"{name} {value}" for name, value in before.items()):
+            self.assertRegex(line, SAMPLE)
+        gate = (
+            'galenatack_calls_total{side="gate",outcome="answer",reason="2xx"}'
+        )
+        self.assertEqual(before[gate], "1")
+        reads = 'galenatack_store_calls_total{kind="read",result="ok"}'
+        self.assertGreaterEqual(float(before[reads]), 2)
+        failed = (
+            'galenatack_store_calls_total{kind="watch",'
+            'result="platform-unavailable"}'
+        )
+        self.assertNotIn(failed, before)
+        self.assertGreaterEqual(float(after[failed]), 1)
+        followed = 'galenatack_store_followed{table="op"}'
+        self.assertEqual((before[followed], after[followed]), ("1", "0"))
