The operator's bound on connections to a target is kept; tests take hosts of their own

max_connections of a configuration was decoded and used by nobody; now it bounds the slots of the gate, since each call at a target has a connection. Trace: the node that was missing had never opened its listeners (status joining, no duty run); its port, free a moment before, had become the source port of an outgoing connection. Change: each member takes a loopback host of its own, where no outgoing connection begins, and a node that fails to start ends the wait with its error.

--- a/src/galenatack/app/mesh_callbacks.py
+++ b/src/galenatack/app/mesh_callbacks.py
@@ -159,8 +159,14 @@
             _LOGGER.warning("event=config-deleted revision=%d", row.revision)
             return
         config = config_document.decode(row.value)
-        if self._parts.config.offer(config):
-            _apply_limits(self._parts.limits, config.limits)
+        parts = self._parts
+        if not parts.config.offer(config):
+            return
+        _apply_limits(parts.limits, config.limits)
+        service = parts.members.own.service
+        parts.gate.limit_connections(
+            parts.config.table.max_connections(service)
+        )
 
 
 def _apply_limits(
--- a/src/galenatack/traffic/route_table.py
+++ b/src/galenatack/traffic/route_table.py
@@ -49,6 +49,6 @@
             end = path.rfind(_SLASH, 0, end)
         return None
 
-    def max_connections(self, service: str) -> int | None:
-        """Returns the most connections to one target of a service."""
-        return self._max_connections.get(service)
+    def max_connections(self, service: str) -> int:
+        """Returns the most connections to one target; 0 for no bound."""
+        return self._max_connections.get(service, 0)
--- a/standins/mesh/operator_config.py
+++ b/standins/mesh/operator_config.py
@@ -23,6 +23,7 @@
     *,
     kinds: tuple[str, ...] = ("idempotent", "non_idempotent"),
     mark: str = "",
+    max_connections: int = 100,
 ) -> bytes:
     """Returns a configuration with one route of each kind a service.
 
@@ -32,6 +33,7 @@
         kinds: Kinds of routes; a route's prefix is its kind.
         mark: Service of a route that only this version has: it begins with
             the version on the host `MARK_HOST`.
+        max_connections: Most connections to one target.
     """
     rows = [
         _row(f"{service}-{kind}", f"{service}.example", kind, kind, service)
@@ -47,7 +49,7 @@
             "routes": {"columns": COLUMNS, "rows": rows},
             "services": {
                 "columns": ["name", "max_connections"],
-                "rows": [[service, 100] for service in services],
+                "rows": [[service, max_connections] for service in services],
             },
             "limits": {},
         }
--- a/tests/mesh/small_fleet.py
+++ b/tests/mesh/small_fleet.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import contextlib
+import itertools
+import os
 import random
 import socket
 
@@ -17,12 +19,20 @@
 
 SETTLE_S = 10.0
 LISTENERS = 6
+_HOSTS = itertools.count()
 
 
 def free_addresses(count):
-    """Returns loopback addresses that were free a moment ago."""
-    sockets = [socket.create_server(("127.0.0.1", 0)) for _ in range(count)]
-    found = [f"127.0.0.1:{item.getsockname()[1]}" for item in sockets]
+    """Returns loopback addresses that were free a moment ago.
+
+    Each call takes a host of its own: outgoing connections use ports of
+    127.0.0.1, and one of them could take a port before its listener opens.
+    """
+    number = next(_HOSTS)
+    process, group = os.getpid() % 250, number // 250 % 250
+    host = f"127.{process + 2}.{group}.{number % 250 + 1}"
+    sockets = [socket.create_server((host, 0)) for _ in range(count)]
+    found = [f"{host}:{item.getsockname()[1]}" for item in sockets]
     for item in sockets:
         item.close()
     return found
@@ -135,6 +145,10 @@
         """Waits until a condition holds."""
         async with asyncio.timeout(SETTLE_S):
             while not condition():
+                for member in self.members:
+                    if member.task is not None and member.task.done():
+                        # A node that could not start tells why.
+                        member.task.result()
                 await asyncio.sleep(0.02)
 
     def _is_settled(self):
--- a/tests/mesh/test_whole_path.py
+++ b/tests/mesh/test_whole_path.py
@@ -142,3 +142,29 @@
             )
 
         run(scenario, "a", "b")
+
+    def test_connections_to_a_target_are_bounded_by_the_configuration(self):
+        """Calls beyond the bound wait, although the target has slots."""
+
+        async def scenario(fleet):
+            near, far = fleet.members
+            fleet.store.operator_writes(
+                "op",
+                "config",
+                operator_config.config(9, {"a", "b"}, max_connections=2),
+            )
+            await fleet.until(lambda: far.parts.config.version == 9)
+            far.target.hold = asyncio.Event()
+            tasks = [
+                asyncio.create_task(
+                    fleet.call(near, "b.example", "/idempotent/x")
+                )
+                for _ in range(4)
+            ]
+            await fleet.until(lambda: far.parts.gate.in_flight == 4)
+            self.assertEqual(len(far.target.ran), 2)
+            far.target.hold.set()
+            answers = await asyncio.gather(*tasks)
+            self.assertEqual({answer.status for answer in answers}, {200})
+
+        run(scenario, "a", "b")
