--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -1,24 +1,39 @@
 """The soak: `python -m soak --seed N --rounds M`."""
 
 import asyncio
+import collections.abc
+import itertools
 import pathlib
 import sys
 import tempfile
 import time
+import typing
 
 import click
 
+from soak import regressions as regressions_module
 from soak import run
 
 S_PER_MIN = 60.0
 
 
+class Case(typing.NamedTuple):
+    """One run to play."""
+
+    seed: int
+    nodes: int
+    seconds: float
+
+
 @click.command()
 @click.option("--seed", default=0, help="First seed; 0 draws a fresh one.")
 @click.option("--rounds", default=1, help="Number of seeds.")
 @click.option("--minutes", default=0.0, help="Run seeds for this long.")
 @click.option("--nodes", default=9, help="Node processes of a run.")
 @click.option("--seconds", default=20.0, help="Time with faults of a run.")
+@click.option(
+    "--regressions", is_flag=True, help="Run the seeds that once failed."
+)
 @click.option("--keep", help="Keep settings and logs in this folder.")
 def main(
     *,
@@ -27,39 +42,64 @@
     minutes: float,
     nodes: int,
     seconds: float,
+    regressions: bool,
     keep: str | None,
 ) -> None:
     """Runs seeds one after the other; exits with 1 when a promise broke."""
-    first = seed or int(time.time()) % 1_000_000
-    end_s = time.monotonic() + minutes * S_PER_MIN
     broken = []
-    number = first
-    while number < first + rounds or time.monotonic() < end_s:
-        result = _run_one(number, nodes, seconds, keep)
-        click.echo(f"seed {number}: {result.summary}")
-        if result.findings:
-            broken.append(number)
-            click.echo(f"  faults: {', '.join(result.faults)}")
-            for line in result.findings:
-                click.echo(f"  BROKEN {line}")
-            click.echo(
-                f"  repeat: python -m soak --seed {number} --nodes {nodes}"
-                f" --seconds {seconds:g} --keep FOLDER"
-            )
-        number += 1
-    click.echo(f"seeds {first} to {number - 1}, {len(broken)} broken: {broken}")
+    played = []
+    end_s = time.monotonic() + minutes * S_PER_MIN
+    cases = _repeated() if regressions else _fresh(seed, nodes, seconds)
+    for case in cases:
+        is_enough = len(played) >= rounds and time.monotonic() >= end_s
+        if is_enough and not regressions:
+            break
+        played.append(case.seed)
+        if _report(case, _run_one(case, keep)):
+            broken.append(case.seed)
+    click.echo(f"{len(played)} seeds, {len(broken)} broken: {broken}")
     sys.exit(1 if broken else 0)
 
 
-def _run_one(
-    number: int, nodes: int, seconds: float, keep: str | None
-) -> run.Result:
+def _fresh(
+    seed: int, nodes: int, seconds: float
+) -> collections.abc.Iterator[Case]:
+    """Yields successive seeds; 0 draws the first one from the clock."""
+    first = seed or int(time.time()) % 1_000_000
+    for number in itertools.count(first):
+        yield Case(number, nodes, seconds)
+
+
+def _repeated() -> collections.abc.Iterator[Case]:
+    for item in regressions_module.REGRESSIONS:
+        yield Case(item.seed, item.nodes, item.seconds)
+
+
+def _report(case: Case, result: run.Result) -> bool:
+    """Prints a result; returns True when a promise was broken."""
+    click.echo(f"seed {case.seed}: {result.summary}")
+    if not result.findings:
+        return False
+    click.echo(f"  faults: {', '.join(result.faults)}")
+    for line in result.findings:
+        click.echo(f"  BROKEN {line}")
+    click.echo(
+        f"  repeat: python -m soak --seed {case.seed} --nodes {case.nodes}"
+        f" --seconds {case.seconds:g} --keep FOLDER"
+    )
+    return True
+
+
+def _run_one(case: Case, keep: str | None) -> run.Result:
     with tempfile.TemporaryDirectory() as scratch:
-        folder = pathlib.Path(keep or scratch) / f"seed-{number}"
+        folder = pathlib.Path(keep or scratch) / f"seed-{case.seed}"
         folder.mkdir(parents=True, exist_ok=True)
         return asyncio.run(
             run.SoakRun(
-                seed=number, nodes=nodes, seconds=seconds, folder=folder
+                seed=case.seed,
+                nodes=case.nodes,
+                seconds=case.seconds,
+                folder=folder,
             ).execute()
         )
 
