Followers are kept while sound; rows come over kept links; one link for calls

Change: a follower is replaced only when it is not heard, or by a follower with a better claim; rows are pulled over kept links only. Links a service: 10 instead of 12, in an order of each node's own.

--- a/src/galenatack/config/row_exchange.py
+++ b/src/galenatack/config/row_exchange.py
@@ -101,7 +101,7 @@
         rows from each of them would cross the links several times.
         """
         revisions = message.table_revisions
-        if not self._mirror.is_behind(revisions):
+        if not self._mirror.is_behind(revisions) or not self._is_asked(sender):
             return
         self._on_behind()
         is_asking = sender in self._told
@@ -113,6 +113,16 @@
         finally:
             del self._told[sender]
 
+    def _is_asked(self, sender: str) -> bool:
+        """Tells whether rows are pulled from a peer.
+
+        The kept links lead to every node over some path. Others carry calls;
+        a pull would first have to dial a link of its own, and a slow one
+        would hold up those of nearer peers.
+        """
+        neighbours = self._peers.neighbours()
+        return sender in neighbours or not neighbours
+
     async def _catch_up(self, sender: str) -> None:
         wait_s = self._wait_s(sender)
         if wait_s:
--- a/src/galenatack/config/store_duty.py
+++ b/src/galenatack/config/store_duty.py
@@ -28,9 +28,9 @@
     """Tells whether this node follows the store or gets rows from peers.
 
     One node of each data centre follows the store, so that a change crosses
-    from the store to a data centre once, however many nodes it has. When the
-    node does not say that it does, the next one in the order of claims takes
-    over; without peers every node follows the store itself.
+    from the store to a data centre once, however many nodes it has. While one
+    says that it does, the others stand by; when nobody does, the first in the
+    order of claims takes over. Without peers every node follows the store.
 
     Args:
         members: Members of the fleet.
@@ -46,6 +46,7 @@
         self._members = members
         self._clock = clock
         self._told_s: dict[str, float] = {}
+        self._is_mine = False
         # A starting node waits as if it had just heard a follower.
         self._led_s = clock.monotonic_s() + START_S
 
@@ -59,16 +60,23 @@
     def is_due(self) -> bool:
         """Tells whether this node should follow the store now."""
         now_s = self._clock.monotonic_s()
-        ahead = 0
-        for node_id in self._claims():
-            if node_id == self._members.own.node_id:
-                break
-            if now_s - self._told_s.get(node_id, -math.inf) <= HEARD_S:
-                self._led_s = max(self._led_s, now_s)
-                return False
-            ahead += 1
-        wait_s = min(ahead * STEP_S, LONGEST_WAIT_S)
-        return now_s - self._led_s >= wait_s
+        claims = self._claims()
+        own_id = self._members.own.node_id
+        rank = claims.index(own_id) if own_id in claims else len(claims)
+        following = [
+            index
+            for index, node_id in enumerate(claims)
+            if now_s - self._told_s.get(node_id, -math.inf) <= HEARD_S
+        ]
+        if self._is_mine:
+            # Of two that follow, the one with the better claim goes on.
+            self._is_mine = not following or rank < following[0]
+        elif following:
+            self._led_s = max(self._led_s, now_s)
+        else:
+            wait_s = min(rank * STEP_S, LONGEST_WAIT_S)
+            self._is_mine = now_s - self._led_s >= wait_s
+        return self._is_mine
 
     def _claims(self) -> collections.abc.Sequence[str]:
         epoch = duties.epoch(self._clock.wall_ms())
--- a/src/galenatack/traffic/link_warmer.py
+++ b/src/galenatack/traffic/link_warmer.py
@@ -1,5 +1,7 @@
 """Keeps links for calls open before calls need them."""
 
+import zlib
+
 from galenatack.interfaces import clock as clock_interface
 from galenatack.interfaces import random_source
 from galenatack.links import peer_network
@@ -13,9 +15,14 @@
 """Bounds of the pause between dials; after a partition calls flow again within
 about this time."""
 
-LINKS_PER_SERVICE = 12
+YIELD_S = 0.3
+"""The node with the higher id gives the other one this long to dial, so that
+two nodes that need each other do not open two links."""
+
+LINKS_PER_SERVICE = 10
 """Targets of one service that a node keeps links to, the nearest first. With
-three choices in four data centres, more links do not even out load better."""
+three choices in four data centres, more links do not even out load better;
+each costs two heartbeats a second."""
 
 _Record = member_record.MemberRecord
 
@@ -81,7 +88,8 @@
                 key=lambda record: (
                     record.data_centre != own.data_centre,
                     record.region != own.region,
-                    record.node_id,
+                    # Nodes prefer different ones of equal distance.
+                    _rank(own.node_id, record.node_id),
                 )
             )
             wanted.extend(records[:LINKS_PER_SERVICE])
@@ -95,10 +103,20 @@
         self._placement.view(record).readmit()
 
     def _dial(self, record: _Record, now_s: float) -> None:
-        due_s, pause_s = self._due_s.get(record.node_id, (0.0, FIRST_PAUSE_S))
+        known = self._due_s.get(record.node_id)
+        if known is None:
+            is_first = self._members.own.node_id < record.node_id
+            due_s = now_s if is_first else now_s + YIELD_S
+            known = self._due_s[record.node_id] = (due_s, FIRST_PAUSE_S)
+        due_s, pause_s = known
         if now_s < due_s:
             return
         wait_s = pause_s * self._rng.uniform(0.7, 1.3)
         longer_s = min(LONGEST_PAUSE_S, 2 * pause_s)
         self._due_s[record.node_id] = (now_s + wait_s, longer_s)
         self._peers.open_soon(record.node_id)
+
+
+def _rank(own_id: str, node_id: str) -> int:
+    """Returns the place of a node in the order of this one."""
+    return zlib.crc32(f"{own_id}/{node_id}".encode())
--- a/tests/config/test_row_exchange.py
+++ b/tests/config/test_row_exchange.py
@@ -29,6 +29,7 @@
         self.tasks = tasks
         self.announced = []
         network = memory_network.MemoryNetwork(tasks, rng=random.Random(1))
+        self.network = network
         self.mirrors = {}
         self.exchanges = {}
         for name in "abc":
@@ -174,6 +175,20 @@
 
         self.play(scenario, is_following=False, distance=NEAR)
 
+    def test_a_peer_without_a_kept_link_is_not_asked(self):
+        """A far one that does not answer would hold up the nearer ones."""
+
+        async def scenario(pair):
+            pair.network.cut("a", "b")
+            pair.hear("b")
+            await asyncio.sleep(0.5)
+            pair.mirrors["c"].apply([test_row_mirror.row("config", 7)])
+            pair.hear("c")
+            await asyncio.sleep(0.1)
+            self.assertEqual(pair.mirror.revisions, (7,))
+
+        self.play(scenario, is_healthy=False)
+
 
 class TestRowCodec(unittest.TestCase):
     def test_rows_are_the_same_after_the_way(self):
--- /dev/null
+++ b/tests/traffic/test_link_warmer.py
@@ -0,0 +1,125 @@
+"""Tests of the links that a node opens before calls need them."""
+
+import collections
+import random
+import unittest
+
+import anyio
+
+from galenatack.membership import member_table
+from galenatack.model import member_record
+from galenatack.traffic import link_warmer
+from galenatack.traffic import target_placement
+from tests.fakes import virtual_loop
+
+
+def record(index, *, data_centre="dc", region="region"):
+    """Returns the record of a node with a target."""
+    return member_record.MemberRecord(
+        node_id=f"n{index:02}",
+        incarnation=1,
+        status="serving",
+        data_centre=data_centre,
+        region=region,
+        service="a",
+        version="v1",
+        peer_address="x:1",
+        call_address="",
+        admin_address="",
+        slots=6,
+        target_id=f"t{index}",
+        target_state="ready",
+    )
+
+
+class StubPeers:
+    """Notes dials; a link is open as soon as one side has dialled."""
+
+    def __init__(self, own_id, world):
+        self._own_id = own_id
+        self._world = world
+
+    def is_connected(self, node_id):
+        """Tells whether either side dialled the other."""
+        pair = frozenset((self._own_id, node_id))
+        return pair in self._world.open
+
+    def open_soon(self, node_id):
+        """Opens a link."""
+        self._world.open[frozenset((self._own_id, node_id))] += 1
+        self._world.dialled[self._own_id].add(node_id)
+
+
+class World:
+    """Warmers of several nodes that know each other."""
+
+    def __init__(self, records):
+        clock = virtual_loop.LoopClock()
+        self.open = collections.Counter()
+        self.dialled = collections.defaultdict(set)
+        self.warmers = {}
+        for own in records:
+            members = member_table.MemberTable(own=own, clock=clock)
+            members.merge(records)
+            peers = StubPeers(own.node_id, self)
+            self.warmers[own.node_id] = link_warmer.LinkWarmer(
+                members=members,
+                peers=peers,
+                placement=target_placement.TargetPlacement(
+                    own=own,
+                    clock=clock,
+                    rng=random.Random(1),
+                    is_connected=peers.is_connected,
+                ),
+                clock=clock,
+                rng=random.Random(1),
+            )
+
+    async def run(self, seconds):
+        """Runs all warmers for a time."""
+        async with anyio.create_task_group() as tasks:
+            for warmer in self.warmers.values():
+                tasks.start_soon(warmer.run)
+            await anyio.sleep(seconds)
+            tasks.cancel_scope.cancel()
+
+
+class TestLinkWarmer(unittest.TestCase):
+    def play(self, records, seconds=2.0):
+        """Returns how often each pair of nodes was dialled."""
+
+        async def main():
+            world = World(records)
+            await world.run(seconds)
+            return world
+
+        return virtual_loop.run(main)
+
+    def test_two_nodes_open_one_link(self):
+        """Although both need it and start at the same moment."""
+        dials = self.play([record(index) for index in range(8)]).open
+        self.assertEqual(len(dials), 8 * 7 / 2)
+        self.assertEqual(set(dials.values()), {1})
+
+    def test_links_of_large_services_are_bounded_and_spread(self):
+        """No target gets the links of all others."""
+        dials = self.play([record(index) for index in range(40)]).open
+        linked = collections.Counter(
+            node_id for pair in dials for node_id in pair
+        )
+        bound = 40 * link_warmer.LINKS_PER_SERVICE
+        self.assertLessEqual(len(dials), bound)
+        self.assertLess(max(linked.values()), 3 * min(linked.values()))
+
+    def test_the_nearest_come_first(self):
+        """Own data centre, own region, then the others."""
+        near = [record(index) for index in range(6)]
+        region = [record(index, data_centre="b") for index in range(6, 12)]
+        far = [
+            record(index, data_centre="c", region="far")
+            for index in range(12, 18)
+        ]
+        # The lowest id dials all that it needs.
+        dialled = self.play([*near, *region, *far]).dialled["n00"]
+        self.assertTrue({item.node_id for item in near[1:]} <= dialled)
+        self.assertFalse({item.node_id for item in far} & dialled)
