Of two crossing links for calls both nodes use one; the other is closed

Cause: yielding before the dial leaves crossing dials whenever a dial takes longer; each surplus link costs two heartbeats a second and a handshake. Ruled out: closing one at once, which would break calls that are on their way. Change: both sides turn to the link of the lower id; the node that dialled the other one closes it when it has carried nothing for a second. The yield is back at 0.3 s, so that a restarted node has its links soon.

--- a/src/galenatack/links/link_book.py
+++ b/src/galenatack/links/link_book.py
@@ -5,6 +5,10 @@
 from galenatack.links import link_purpose
 from galenatack.links import peer_link
 
+SURPLUS_S = 1.0
+"""Both sides have turned to the other link after one way between regions; a
+link without a call for this long carries none any more."""
+
 MAX_DIRECT_LINKS = 32
 """Direct links that this node keeps open by its own dialling."""
 
@@ -13,9 +17,15 @@
     """Open links by peer; the newest of a peer is used first.
 
     A restarted peer can have a new link while its old one is still silent.
+    When two nodes dialled each other at the same moment, both use the link of
+    the lower id, so that the other one can be closed.
+
+    Args:
+        own_id: This node.
     """
 
-    def __init__(self):
+    def __init__(self, *, own_id: str):
+        self._own_id = own_id
         self._links: dict[str, list[peer_link.PeerLink]] = (
             collections.defaultdict(list)
         )
@@ -39,12 +49,33 @@
         self, node_id: str, *, for_calls: bool
     ) -> peer_link.PeerLink | None:
         """Returns an open link to a node for calls or for anything else."""
+        if for_calls:
+            found = self._calls(node_id)
+            return found[0] if found else None
         for link in self._links.get(node_id, ()):
             is_calls = link.purpose == link_purpose.LinkPurpose.CALLS
-            if is_calls == for_calls and not link.closed.is_set():
+            if not is_calls and not link.closed.is_set():
                 return link
         return None
 
+    def _calls(self, node_id: str) -> list[peer_link.PeerLink]:
+        """Returns the open links for calls, the one to use first."""
+        found = [
+            link
+            for link in self._links.get(node_id, ())
+            if link.purpose == link_purpose.LinkPurpose.CALLS
+            and not link.closed.is_set()
+        ]
+        if len(found) > 1:
+            # The sort is stable: of equal ones the newest goes first.
+            found.sort(
+                key=lambda link: (
+                    -link.record.boot_ms,
+                    self._own_id if link.dialled else link.node_id,
+                )
+            )
+        return found
+
     def find_kept(self, node_id: str) -> peer_link.PeerLink | None:
         """Returns an open overlay or carrier link to a node."""
         for link in self._links.get(node_id, ()):
@@ -70,3 +101,15 @@
         )
         idle = [link for link in direct if not link.pending_requests]
         return tuple(idle[: max(0, len(direct) - MAX_DIRECT_LINKS)])
+
+    def surplus_calls(self, now_s: float) -> tuple[peer_link.PeerLink, ...]:
+        """Returns own links for calls that neither side uses any more."""
+        return tuple(
+            link
+            for node_id in self._links
+            for link in self._calls(node_id)[1:]
+            if link.dialled
+            and not link.pending_requests
+            and not link.serving
+            and now_s - link.used_s > SURPLUS_S
+        )
--- a/src/galenatack/links/link_monitor.py
+++ b/src/galenatack/links/link_monitor.py
@@ -65,7 +65,10 @@
                 link.abort()
             elif self._is_idle(link, now_s):
                 link.close_soon(tasks)
-        for link in self._book.surplus_direct():
+        for link in (
+            *self._book.surplus_direct(),
+            *self._book.surplus_calls(now_s),
+        ):
             link.close_soon(tasks)
 
     def _send_heartbeats(self, now_s: float) -> None:
--- a/src/galenatack/links/peer_network.py
+++ b/src/galenatack/links/peer_network.py
@@ -81,7 +81,7 @@
             own_region=own.region
         )
         self._traffic = traffic_counter.TrafficCounter(own_region=own.region)
-        self._book = link_book.LinkBook()
+        self._book = link_book.LinkBook(own_id=own.node_id)
         self._server = message_server.MessageServer()
         self._on_lost: list[OnLost] = []
         self._tasks: anyio.abc.TaskGroup | None = None
--- a/src/galenatack/traffic/link_warmer.py
+++ b/src/galenatack/traffic/link_warmer.py
@@ -15,7 +15,7 @@
 """Bounds of the pause between dials; after a partition calls flow again within
 about this time."""
 
-YIELD_S = 0.7
+YIELD_S = 0.3
 """The node with the higher id gives the other one this long to dial, so that
 two nodes that need each other do not open two links."""
 
--- a/tests/links/test_link_keeper.py
+++ b/tests/links/test_link_keeper.py
@@ -43,7 +43,7 @@
             own = member_records.build("n0")
             table = member_table.MemberTable(own=own, clock=clock)
             table.merge((member_records.build("n1"),))
-            book = link_book.LinkBook()
+            book = link_book.LinkBook(own_id="a")
             dials = []
 
             async def open_link(node_id, purpose):
