--- a/src/galenatack/app/outside.py
+++ b/src/galenatack/app/outside.py
@@ -4,25 +4,15 @@
 import typing
 
 from galenatack.interfaces import clock as clock_interface
+from galenatack.interfaces import closable
+from galenatack.interfaces import closable_target
 from galenatack.interfaces import object_store
 from galenatack.interfaces import random_source
 from galenatack.interfaces import table as table_interface
-from galenatack.interfaces import target_link
 from galenatack.links import peer_network
 from galenatack.timeline import recorder
 
 
-class Closable(typing.Protocol):
-    """Holds connections."""
-
-    async def close(self) -> None:
-        """Closes them."""
-
-
-class ClosableTarget(target_link.TargetLink, Closable, typing.Protocol):
-    """A target link that holds connections."""
-
-
 class Outside(typing.NamedTuple):
     """What a node meets: real for the product, fakes for tests.
 
@@ -43,8 +33,8 @@
     secret_rng: random_source.RandomSource
     table: table_interface.Table
     objects: object_store.ObjectStore
-    platform: Closable
-    target: ClosableTarget
+    platform: closable.Closable
+    target: closable_target.ClosableTarget
     new_peers: collections.abc.Callable[..., peer_network.WebsocketPeers] = (
         peer_network.WebsocketPeers
     )
--- a/src/galenatack/app/parts.py
+++ b/src/galenatack/app/parts.py
@@ -3,7 +3,6 @@
 import collections.abc
 import typing
 
-from galenatack.app import outside
 from galenatack.app import settled_handler
 from galenatack.config import acceptor
 from galenatack.config import log_state
@@ -11,6 +10,8 @@
 from galenatack.config import reader
 from galenatack.config import state_rebuild
 from galenatack.interfaces import clock
+from galenatack.interfaces import closable
+from galenatack.interfaces import closable_target
 from galenatack.interfaces import table
 from galenatack.links import caller_side
 from galenatack.links import fault_injector
@@ -44,7 +45,7 @@
     peer_tls: tls.PeerTls
     faults: fault_injector.FaultInjector
     membership: membership_service.MembershipService
-    platform: outside.Closable
+    platform: closable.Closable
     table: table.Table
     state: log_state.LogState
     propagation: propagation.Propagation
@@ -56,7 +57,7 @@
     withdrawals: withdrawals.Withdrawals
     holder: snapshot_holder.SnapshotHolder
     updater: snapshot_updater.SnapshotUpdater
-    target: outside.ClosableTarget
+    target: closable_target.ClosableTarget
     gate: inbound_gate.InboundGate
     outcomes: target_histogram.TargetHistogram
     guard: posting_guard.PostingGuard
--- /dev/null
+++ b/src/galenatack/interfaces/closable.py
@@ -0,0 +1,10 @@
+"""Holds connections."""
+
+import typing
+
+
+class Closable(typing.Protocol):
+    """Holds connections."""
+
+    async def close(self) -> None:
+        """Closes them."""
--- a/tests/whole/ledger_target.py
+++ b/tests/whole/ledger_target.py
@@ -17,7 +17,7 @@
 
 
 class LedgerTarget:
-    """Implements `app.outside.ClosableTarget`.
+    """Implements `interfaces.closable_target.ClosableTarget`.
 
     A call waits, then starts. What has begun goes on when its node dies.
 
