A starting node has its configuration from a neighbour sooner

Change: the first heartbeat goes with the link, a node without links looks for neighbours every 50 ms and yields 0.1 s, and reads itself after 0.25 s.

--- a/src/galenatack/config/store_duty.py
+++ b/src/galenatack/config/store_duty.py
@@ -19,7 +19,7 @@
 LONGEST_WAIT_S = 1.0
 """No node waits longer for others to take over."""
 
-START_S = 0.4
+START_S = 0.25
 """A node that starts gives its peers this long to link and hand it their rows
 before it reads whole tables itself."""
 
--- a/src/galenatack/links/link_keeper.py
+++ b/src/galenatack/links/link_keeper.py
@@ -21,6 +21,10 @@
 YIELD_S = 0.5
 """How long the node with the higher id waits for the other side's dial."""
 
+FIRST_YIELD_S = 0.1
+"""The same for a node without any link, which has just started: it needs what
+its neighbours hold, and they may not have noticed it yet."""
+
 STABLE_S = 5.0
 """A link that broke sooner counts as a failed attempt.
 
@@ -117,7 +121,8 @@
         delays = backoff.Backoff(rng=self._rng)
         with scope:
             if self._table.own.node_id > node_id:
-                await self._clock.sleep_s(YIELD_S)
+                yield_s = YIELD_S if self._book.links() else FIRST_YIELD_S
+                await self._clock.sleep_s(yield_s)
             while True:
                 link = self._book.find_kept(node_id)
                 try:
--- a/src/galenatack/links/link_monitor.py
+++ b/src/galenatack/links/link_monitor.py
@@ -47,6 +47,13 @@
         self._heartbeat_source = heartbeat_source
         self._ticked_s = clock.monotonic_s()
 
+    def greet(self, link: peer_link.PeerLink) -> None:
+        """Sends the first heartbeat of a link.
+
+        A node that starts learns from it what it lacks.
+        """
+        self._beat((link,), self._clock.monotonic_s())
+
     def tick(self, tasks: anyio.abc.TaskGroup) -> None:
         """Does what is due on each link.
 
@@ -75,11 +82,14 @@
         # Half a tick of slack keeps the mean interval at one second.
         due_s = now_s - HEARTBEAT_S + TICK_S / 2
         due = [link for link in self._book.links() if link.beat_s <= due_s]
-        if not due:
-            return
-        message = self._heartbeat_source()
-        frame = message_codec.encode(message)
-        for link in due:
+        if due:
+            self._beat(due, now_s)
+
+    def _beat(
+        self, links: collections.abc.Iterable[peer_link.PeerLink], now_s: float
+    ) -> None:
+        frame = message_codec.encode(self._heartbeat_source())
+        for link in links:
             link.beat_s = now_s
             try:
                 link.post_frame(frame, heartbeat.Heartbeat)
--- a/src/galenatack/links/peer_link.py
+++ b/src/galenatack/links/peer_link.py
@@ -81,7 +81,7 @@
         self._planned = False
         now_s = clock.monotonic_s()
         self.used_s = self.received_s = now_s
-        # The first heartbeat goes out at once and starts the anti-entropy.
+        # The first heartbeat is due at once; it starts the anti-entropy.
         self.beat_s = -math.inf
         self.closed = asyncio.Event()
         _disable_nagle(connection)
--- a/src/galenatack/links/peer_network.py
+++ b/src/galenatack/links/peer_network.py
@@ -35,6 +35,9 @@
 STOP_S = 0.5
 """Longest time for the closing handshakes of a node that stops."""
 
+UNLINKED_TICK_S = 0.05
+"""How often a node without links looks whom to dial."""
+
 _STREAMED = frozenset({delta.Delta, members.Members})
 """Types that anti-entropy repairs; they cross to a region only once."""
 
@@ -290,6 +293,7 @@
         self, link: peer_link.PeerLink, greeting: hello.Hello
     ) -> None:
         self._server.greet(link, greeting)
+        self._monitor.greet(link)
         try:
             await link.run(self._server.receive)
         finally:
@@ -308,4 +312,8 @@
         while True:
             self._keeper.refresh(tasks)
             self._monitor.tick(tasks)
-            await self._clock.sleep_s(link_monitor.TICK_S)
+            # A node that has just started dials as soon as it knows whom.
+            is_linked = bool(self._book.links())
+            await self._clock.sleep_s(
+                link_monitor.TICK_S if is_linked else UNLINKED_TICK_S
+            )
--- a/tests/links/test_forgotten_connections.py
+++ b/tests/links/test_forgotten_connections.py
@@ -88,6 +88,8 @@
                     self.assertEqual(answer.status, 200)
                     await asyncio.sleep(pause_s)
                 await link.close()
+                # The target sees the end of its connections.
+                await asyncio.sleep(0.05)
                 return target
 
         return asyncio.run(main())
--- a/tests/links/test_link_keeper.py
+++ b/tests/links/test_link_keeper.py
@@ -37,18 +37,23 @@
 
 
 class TestLinkKeeper(unittest.TestCase):
-    def _dials(self, life_s, *, minutes=1):
+    def setUp(self):
+        self.dialled_s = []
+
+    def _dials(self, life_s, *, minutes=1, own_id="n0"):
         async def main():
             clock = virtual_clock.VirtualClock()
-            own = member_records.build("n0")
+            own = member_records.build(own_id)
             table = member_table.MemberTable(own=own, clock=clock)
             table.merge((member_records.build("n1"),))
             book = link_book.LinkBook(own_id="a")
             dials = []
+            started_s = clock.monotonic_s()
 
             async def open_link(node_id, purpose):
                 link = _Link(node_id, purpose, life_s)
                 dials.append((node_id, purpose))
+                self.dialled_s.append(clock.monotonic_s() - started_s)
                 book.add(link)
                 tasks.start_soon(link.live)
                 return link
@@ -83,6 +88,13 @@
         self.assertEqual(dials, [("n1", link_purpose.LinkPurpose.OVERLAY)])
         self.assertEqual((after_death, open_links), (0, []))
 
+    def test_a_node_without_links_hardly_yields(self):
+        """It has just started and needs what its neighbours hold."""
+        self._dials(2 * MINUTE_S, own_id="n2")
+        self.assertAlmostEqual(
+            self.dialled_s[0], link_keeper.FIRST_YIELD_S, delta=0.01
+        )
+
     def test_link_that_breaks_at_once(self):
         """A peer that accepts and drops links is not dialled in a loop."""
         dials, after_death, _ = self._dials(0)
--- a/tests/mesh/test_metrics.py
+++ b/tests/mesh/test_metrics.py
@@ -27,6 +27,12 @@
 
 
 class TestMetrics(unittest.TestCase):
+    def is_lost(self, member):
+        """Asks the store anew; tells whether it refused all watches."""
+        for watcher in member.parts.watchers:
+            watcher.nudge()
+        return not any(w.is_following for w in member.parts.watchers)
+
     def test_calls_and_the_store_are_counted(self):
         """By their end and its reason; each line is well formed."""
 
@@ -35,13 +41,8 @@
                 near, far = fleet.members
                 await fleet.call(near, "b.example", "/idempotent/x")
                 before = await read(far)
-                # A watch that was just sent is not sent again.
-                await asyncio.sleep(0.6)
                 fleet.store.faults.refused_nodes |= {"n0", "n1"}
-                for member in fleet.members:
-                    for watcher in member.parts.watchers:
-                        watcher.nudge()
-                await asyncio.sleep(1.0)
+                await fleet.until(lambda: self.is_lost(far))
                 return before, await read(far)
 
         before, after = asyncio.run(main())
