--- a/soak/run.py
+++ b/soak/run.py
@@ -1,14 +1,17 @@
 """One run: load, faults and the checks at its end."""
 
 import asyncio
+import collections.abc
 import os
 import pathlib
 import random
 import typing
 
 from soak import callers
+from soak import fault
 from soak import fleet
 from soak import injector
+from soak import node_process
 from soak import plan
 from soak import promises
 from soak import record
@@ -87,7 +90,9 @@
             faults=[f"{f.at_s:.1f} {f.kind.value} {f.node}" for f in faults],
         )
 
-    async def _play(self, faults) -> list[str]:
+    async def _play(
+        self, faults: collections.abc.Sequence[fault.Fault]
+    ) -> list[str]:
         await self._world.start()
         # The nodes have found each other's targets after a moment.
         await asyncio.sleep(SETTLE_S)
@@ -116,7 +121,10 @@
             self._seen.exits.extend(node.log_faults())
         return promises.check(self._seen, calm_from_s=calm_from_s)
 
-    def _load(self, node):
+    def _load(
+        self, node: node_process.NodeProcess
+    ) -> collections.abc.Iterator[collections.abc.Coroutine]:
+        """Yields the callers of a node."""
         client = callers.Callers(
             node=node,
             services=fleet.SERVICES,
