--- a/src/galenatack/app/base_parts.py
+++ b/src/galenatack/app/base_parts.py
@@ -52,7 +52,7 @@
         own_region=settings.region,
         region_delay_ms=settings.region_delay_ms,
     )
-    callbacks = node_callbacks.NodeCallbacks(clock=clock)
+    callbacks = node_callbacks.NodeCallbacks()
     peer_tls = tls.PeerTls(trust=settings.trust)
     peers = external.new_peers(
         deployment=settings.deployment,
--- a/src/galenatack/app/mesh_callbacks.py
+++ b/src/galenatack/app/mesh_callbacks.py
@@ -89,8 +89,8 @@
         for watcher in self._parts.watchers:
             watcher.restart_watch()
 
-    async def on_store_rows(self) -> None:
-        """Announces rows received from the store to the neighbours."""
+    async def on_store_changed(self) -> None:
+        """Announces new rows, or that this node follows, to the neighbours."""
         await self._parts.exchange.announce()
 
     def is_following(self) -> bool:
--- a/src/galenatack/app/mesh_parts.py
+++ b/src/galenatack/app/mesh_parts.py
@@ -4,6 +4,7 @@
 
 from galenatack.config import instrumented_table
 from galenatack.config import row_mirror
+from galenatack.config import store_follower_election
 from galenatack.config import table_watcher
 from galenatack.interfaces import clock as clock_interface
 from galenatack.links import peer_network
@@ -39,6 +40,7 @@
     discovery: discovery.Discovery
     mirror: row_mirror.RowMirror
     watchers: tuple[table_watcher.TableWatcher, ...]
+    election: store_follower_election.StoreFollowerElection
     config: config_holder.ConfigHolder
     rollouts: rollout_registry.RolloutRegistry
     driver: rollout_driver.RolloutDriver
--- a/src/galenatack/app/mesh_store.py
+++ b/src/galenatack/app/mesh_store.py
@@ -83,7 +83,7 @@
             clock=base.clock,
             rng=base.rng,
             should_follow=election.should_follow,
-            on_rows=base.callbacks.on_store_rows,
+            on_change=base.callbacks.on_store_changed,
             min_interval_s=min_interval_s,
         )
         for name, min_interval_s in min_intervals_s.items()
--- a/src/galenatack/app/mesh_wiring.py
+++ b/src/galenatack/app/mesh_wiring.py
@@ -73,6 +73,7 @@
         discovery=shared.discovery,
         mirror=shared.mirror,
         watchers=shared.watchers,
+        election=shared.election,
         config=outbound.config,
         rollouts=rollouts.registry,
         driver=mesh_rollouts.make_driver(
--- a/src/galenatack/app/node_callbacks.py
+++ b/src/galenatack/app/node_callbacks.py
@@ -12,7 +12,6 @@
 from galenatack.config import propagation as propagation_module
 from galenatack.config import row_keys
 from galenatack.config import state_rebuild
-from galenatack.interfaces import clock as clock_interface
 from galenatack.interfaces import event_sink
 from galenatack.interfaces import peer_network
 from galenatack.membership import member_table
@@ -34,14 +33,9 @@
 
 
 class NodeCallbacks:
-    """Callbacks of one node; call `connect` before the parts run.
+    """Callbacks of one node; call `connect` before the parts run."""
 
-    Args:
-        clock: Source of time; determines the epoch of node roles.
-    """
-
-    def __init__(self, *, clock: clock_interface.Clock):
-        self._clock = clock
+    def __init__(self):
         self._synced_peers: set[str] = set()
         self._move_states = states_in_force.StatesInForce()
 
@@ -113,7 +107,7 @@
 
     def is_reader(self) -> bool:
         """Returns whether this node reads the platform."""
-        return node_roles.is_reader(self._members, self._epoch())
+        return node_roles.is_reader(self._members)
 
     def is_rebuild_reader(self) -> bool:
         """Returns whether this joining node reads the platform for others.
@@ -139,10 +133,7 @@
 
     def is_cleaner(self) -> bool:
         """Returns whether this node deletes old claim rows."""
-        epoch = self._epoch()
-        elected = self._members.cached(
-            ("cleaner", epoch), lambda: self._elect_cleaner(epoch)
-        )
+        elected = self._members.cached("cleaner", self._elect_cleaner)
         return elected == [self._members.own.node_id]
 
     def on_running(self, entries: tuple[entry.Entry, ...]) -> None:
@@ -191,13 +182,10 @@
             if record.data_centre == own.data_centre
         )
 
-    def _elect_cleaner(self, epoch: int) -> list[str]:
+    def _elect_cleaner(self) -> list[str]:
         node_ids = [
             record.node_id
             for record in self._members.live()
             if record.status == member_status.MemberStatus.SERVING
         ]
-        return node_roles.rank(node_ids, f"claim-cleanup/{epoch}")[:1]
-
-    def _epoch(self) -> int:
-        return node_roles.epoch(self._clock.wall_ms())
+        return node_roles.rank(node_ids, "claim-cleanup")[:1]
--- a/src/galenatack/config/store_follower_election.py
+++ b/src/galenatack/config/store_follower_election.py
@@ -19,6 +19,10 @@
 MAX_TAKEOVER_DELAY_S = 1.0
 """Limit on the takeover delay of any rank."""
 
+PAUSE_S = 0.6
+"""A check this late means that this process was paused. Heartbeats received
+meanwhile have not been handled yet, so their absence proves nothing."""
+
 START_DELAY_S = 0.25
 """Time in which peers can connect to a starting node and send it their rows,
 before it reads whole tables itself."""
@@ -50,6 +54,15 @@
         self._is_elected = False
         # Delays a takeover at the start, as after a follower's heartbeat.
         self._last_follower_s = clock.monotonic_s() + START_DELAY_S
+        self._checked_s = clock.monotonic_s()
+
+    @property
+    def follower(self) -> str | None:
+        """Node that follows the store as far as this node knows, or None."""
+        if self._is_elected:
+            return self._members.own.node_id
+        following = self._following(self._clock.monotonic_s())
+        return following[0] if following else None
 
     def record_heartbeat(self, node_id: str, *, is_following: bool) -> None:
         """Records whether a peer follows the store, from its heartbeat."""
@@ -61,18 +74,16 @@
     def should_follow(self) -> bool:
         """Returns whether this node should follow the store now."""
         now_s = self._clock.monotonic_s()
+        self._forgive_pause(now_s)
         ranking = self._ranking()
         own_id = self._members.own.node_id
         rank = ranking.index(own_id) if own_id in ranking else len(ranking)
-        following = [
-            index
-            for index, node_id in enumerate(ranking)
-            if now_s - self._following_s.get(node_id, -math.inf)
-            <= FOLLOWER_TIMEOUT_S
-        ]
+        following = self._following(now_s)
         if self._is_elected:
             # Of two followers, the one with the lower rank continues.
-            self._is_elected = not following or rank < following[0]
+            self._is_elected = not following or rank < ranking.index(
+                following[0]
+            )
         elif following:
             self._last_follower_s = max(self._last_follower_s, now_s)
         else:
@@ -80,13 +91,29 @@
             self._is_elected = now_s - self._last_follower_s >= delay_s
         return self._is_elected
 
+    def _forgive_pause(self, now_s: float) -> None:
+        """Does not count a pause of this process against the followers."""
+        paused_s = now_s - self._checked_s
+        self._checked_s = now_s
+        if paused_s < PAUSE_S:
+            return
+        self._last_follower_s += paused_s
+        for node_id in self._following_s:
+            self._following_s[node_id] += paused_s
+
+    def _following(self, now_s: float) -> list[str]:
+        """Returns the other nodes that follow, in the order of their rank."""
+        return [
+            node_id
+            for node_id in self._ranking()
+            if now_s - self._following_s.get(node_id, -math.inf)
+            <= FOLLOWER_TIMEOUT_S
+        ]
+
     def _ranking(self) -> collections.abc.Sequence[str]:
-        epoch = node_roles.epoch(self._clock.wall_ms())
-        return self._members.cached(
-            ("store-claims", epoch), lambda: self._rank(epoch)
-        )
+        return self._members.cached("store-followers", self._rank)
 
-    def _rank(self, epoch: int) -> collections.abc.Sequence[str]:
+    def _rank(self) -> collections.abc.Sequence[str]:
         # Includes nodes that were discovered but have not connected yet: when
         # all nodes start at once, none has connected.
         own = self._members.own
@@ -96,4 +123,4 @@
             if record.data_centre == own.data_centre
             and record.status != member_status.MemberStatus.LEAVING
         ]
-        return node_roles.rank(node_ids, f"store/{own.data_centre}/{epoch}")
+        return node_roles.rank(node_ids, f"store/{own.data_centre}")
--- a/src/galenatack/config/table_watcher.py
+++ b/src/galenatack/config/table_watcher.py
@@ -30,7 +30,7 @@
 
 _LOGGER = logging.getLogger(__name__)
 
-OnRows = collections.abc.Callable[[], collections.abc.Awaitable[None]]
+OnChange = collections.abc.Callable[[], collections.abc.Awaitable[None]]
 
 
 class TableWatcher:
@@ -43,7 +43,8 @@
         clock: Source of time.
         rng: Source of jitter.
         should_follow: Returns whether this node should follow the store now.
-        on_rows: Called after the store has returned rows.
+        on_change: Called after the store has returned rows, and when this
+            node starts to follow the table.
         min_interval_s: Minimum time between a change and the next watch.
             Changes in quick succession are then read together.
 
@@ -62,7 +63,7 @@
         clock: clock_interface.Clock,
         rng: random_source.RandomSource,
         should_follow: collections.abc.Callable[[], bool],
-        on_rows: OnRows,
+        on_change: OnChange,
         min_interval_s: float = 0.0,
     ):
         self.name = name
@@ -73,7 +74,7 @@
             rng=rng, base_s=FIRST_RETRY_S, cap_s=MAX_RETRY_S
         )
         self._should_follow = should_follow
-        self._on_rows = on_rows
+        self._on_change = on_change
         self._min_interval_s = min_interval_s
         self._after: int | None = None
         self._has_superseded_rows = False
@@ -134,10 +135,14 @@
         if page is None:
             # The watch was cancelled; the health of the store is unknown.
             return
+        was_following = self.is_following
         self._record_response()
         self._after = page.revision
+        # Nodes of higher rank take over unless they learn of a new follower
+        # at once.
+        if page.rows or not was_following:
+            await self._on_change()
         if page.rows:
-            await self._on_rows()
             await self._clock.sleep_s(self._min_interval_s)
 
     async def _fetch(self) -> table_page.TablePage:
--- a/src/galenatack/links/link_keeper.py
+++ b/src/galenatack/links/link_keeper.py
@@ -44,7 +44,7 @@
 
     Args:
         table: Member table.
-        clock: Clock for the role epoch.
+        clock: Clock of the links.
         rng: Jitter of the backoff.
         registry: The open links.
         open_link: Opens a link to a node.
@@ -66,7 +66,6 @@
         self._open_link = open_link
         self._scopes: dict[str, anyio.CancelScope] = {}
         self._is_stale = True
-        self._epoch = -1
         self._stream_peers: frozenset[str] = frozenset()
         table.subscribe(self._on_changed)
 
@@ -75,15 +74,13 @@
         return node_id in self._stream_peers
 
     def refresh(self, tasks: anyio.abc.TaskGroup) -> None:
-        """Starts and stops tasks after a change of membership or role epoch."""
+        """Starts and stops tasks after a change of membership."""
         self._close_obsolete(tasks)
-        epoch = node_roles.epoch(self._clock.wall_ms())
-        if not self._is_stale and epoch == self._epoch:
+        if not self._is_stale:
             return
         self._is_stale = False
-        self._epoch = epoch
         required = self._required_links()
-        self._stream_peers = node_roles.stream_peers(self._table, epoch)
+        self._stream_peers = node_roles.stream_peers(self._table)
         for node_id in self._scopes.keys() - required.keys():
             self._scopes.pop(node_id).cancel()
         for node_id in sorted(required.keys() - self._scopes.keys()):
@@ -107,7 +104,7 @@
                 if record.data_centre == own.data_centre
             ),
         )
-        carried = node_roles.carrier_peers(self._table, self._epoch)
+        carried = node_roles.carrier_peers(self._table)
         return dict.fromkeys(
             carried, link_purpose.LinkPurpose.CARRIER
         ) | dict.fromkeys(neighbours, link_purpose.LinkPurpose.OVERLAY)
--- a/src/galenatack/links/rejoiner.py
+++ b/src/galenatack/links/rejoiner.py
@@ -90,8 +90,7 @@
         return tuple(sorted((lost | dead | set(self._seeds)) - live_addresses))
 
     async def _find_lost(self) -> None:
-        epoch = node_roles.epoch(self._clock.wall_ms())
-        if not node_roles.is_carrier(self._table, epoch):
+        if not node_roles.is_carrier(self._table):
             return
         lost = self.lost_addresses()
         if lost:
--- a/src/galenatack/membership/membership_service.py
+++ b/src/galenatack/membership/membership_service.py
@@ -5,6 +5,8 @@
 import logging
 import typing
 
+import anyio
+
 from galenatack import exceptions
 from galenatack.interfaces import clock as clock_interface
 from galenatack.interfaces import event_sink
@@ -239,12 +241,15 @@
             )
 
     async def _on_heartbeat(self, sender: str, message: typing.Any) -> None:
-        if message.member_digest == self._table.digest():
-            self._pulls.pop(sender, None)
-        elif self._is_repair_peer(sender):
-            await self._pull(sender, message.member_digest)
-        if self._heartbeat_callback is not None:
-            await self._heartbeat_callback(sender, message)
+        # A pull waits, and the rest of the heartbeat would be out of date by
+        # then.
+        async with anyio.create_task_group() as tasks:
+            if self._heartbeat_callback is not None:
+                tasks.start_soon(self._heartbeat_callback, sender, message)
+            if message.member_digest == self._table.digest():
+                self._pulls.pop(sender, None)
+            elif self._is_repair_peer(sender):
+                tasks.start_soon(self._pull, sender, message.member_digest)
 
     def _is_repair_peer(self, sender: str) -> bool:
         """Returns whether this node repairs its table from a peer.
--- a/src/galenatack/membership/node_roles.py
+++ b/src/galenatack/membership/node_roles.py
@@ -1,4 +1,8 @@
-"""Roles that rotate over nodes, assigned by rendezvous hash."""
+"""Roles of nodes, assigned by rendezvous hash.
+
+A role depends on the members only, not on the time of day: nodes whose clocks
+differ would choose different holders. It moves when its holder leaves.
+"""
 
 import collections.abc
 import hashlib
@@ -11,9 +15,6 @@
 CARRIERS_PER_REGION = 2
 CARRIERS_PER_DATA_CENTRE = 2
 
-EPOCH_MS = 3_600_000
-"""Roles move to other nodes each hour to spread their cost."""
-
 _Records = collections.abc.Iterable[member_record.MemberRecord]
 
 # A leaving node gives up its roles before it stops. A joining node has not
@@ -24,11 +25,6 @@
 )
 
 
-def epoch(wall_ms: int) -> int:
-    """Returns the number of the hour since the Unix epoch."""
-    return wall_ms // EPOCH_MS
-
-
 def rank(node_ids: collections.abc.Iterable[str], salt: str) -> list[str]:
     """Returns the nodes by rendezvous hash, the first choice first."""
 
@@ -39,48 +35,42 @@
     return sorted(node_ids, key=lambda node_id: (weight(node_id), node_id))
 
 
-def is_reader(table: member_table.MemberTable, epoch_number: int) -> bool:
+def is_reader(table: member_table.MemberTable) -> bool:
     """Returns whether this node reads the platform for its data centre."""
     own = table.own
-    ranked = _ranked_in_data_centre(
-        table, "reader", own.data_centre, epoch_number
-    )
+    ranked = _ranked_in_data_centre(table, "reader", own.data_centre)
     return own.node_id in ranked[:READERS_PER_DATA_CENTRE]
 
 
-def carriers(
-    table: member_table.MemberTable, region: str, epoch_number: int
-) -> tuple[str, ...]:
+def carriers(table: member_table.MemberTable, region: str) -> tuple[str, ...]:
     """Returns the carriers of a region, if possible of two data centres."""
     return table.cached(
-        ("carriers", region, epoch_number),
-        lambda: _carriers(table, region, epoch_number),
+        ("carriers", region),
+        lambda: _carriers(table, region),
     )
 
 
 def data_centre_carriers(
-    table: member_table.MemberTable, data_centre: str, epoch_number: int
+    table: member_table.MemberTable, data_centre: str
 ) -> tuple[str, ...]:
     """Returns the nodes that link a data centre to others of its region."""
     return table.cached(
-        ("data-centre-carriers", data_centre, epoch_number),
-        lambda: _data_centre_carriers(table, data_centre, epoch_number),
+        ("data-centre-carriers", data_centre),
+        lambda: _data_centre_carriers(table, data_centre),
     )
 
 
 def _data_centre_carriers(
-    table: member_table.MemberTable, data_centre: str, epoch_number: int
+    table: member_table.MemberTable, data_centre: str
 ) -> tuple[str, ...]:
     node_ids = _eligible(
         record for record in table.live() if record.data_centre == data_centre
     )
-    ranked = rank(node_ids, f"join/{data_centre}/{epoch_number}")
+    ranked = rank(node_ids, f"join/{data_centre}")
     return tuple(ranked[:CARRIERS_PER_DATA_CENTRE])
 
 
-def carrier_peers(
-    table: member_table.MemberTable, epoch_number: int
-) -> frozenset[str]:
+def carrier_peers(table: member_table.MemberTable) -> frozenset[str]:
     """Returns the nodes to which this node keeps carrier links.
 
     Each carrier links to both carriers of the other side. The loss of all
@@ -88,14 +78,12 @@
     single node.
     """
     return table.cached(
-        ("carrier-peers", epoch_number),
-        lambda: _carrier_peers(table, epoch_number),
+        "carrier-peers",
+        lambda: _carrier_peers(table),
     )
 
 
-def stream_peers(
-    table: member_table.MemberTable, epoch_number: int
-) -> frozenset[str]:
+def stream_peers(table: member_table.MemberTable) -> frozenset[str]:
     """Returns the peers in other regions to which this node sends streams.
 
     Only the first carriers of two regions exchange streams; the second ones
@@ -103,49 +91,41 @@
     in each direction.
     """
     own = table.own
-    if own.node_id not in carriers(table, own.region, epoch_number)[:1]:
+    if own.node_id not in carriers(table, own.region)[:1]:
         return frozenset()
     regions = {record.region for record in table.live()} - {own.region}
-    return frozenset(
-        carriers(table, region, epoch_number)[0] for region in regions
-    )
+    return frozenset(carriers(table, region)[0] for region in regions)
 
 
-def is_carrier(table: member_table.MemberTable, epoch_number: int) -> bool:
+def is_carrier(table: member_table.MemberTable) -> bool:
     """Returns whether this node links its data centre or region to others."""
     own = table.own
     return own.node_id in (
-        *carriers(table, own.region, epoch_number),
-        *data_centre_carriers(table, own.data_centre, epoch_number),
+        *carriers(table, own.region),
+        *data_centre_carriers(table, own.data_centre),
     )
 
 
-def _carrier_peers(
-    table: member_table.MemberTable, epoch_number: int
-) -> frozenset[str]:
+def _carrier_peers(table: member_table.MemberTable) -> frozenset[str]:
     own = table.own
     chosen: set[str] = set()
-    if own.node_id in carriers(table, own.region, epoch_number):
+    if own.node_id in carriers(table, own.region):
         for region in {r.region for r in table.live()} - {own.region}:
-            chosen.update(carriers(table, region, epoch_number))
-    own_carriers = data_centre_carriers(table, own.data_centre, epoch_number)
+            chosen.update(carriers(table, region))
+    own_carriers = data_centre_carriers(table, own.data_centre)
     if own.node_id in own_carriers:
         for name in _other_data_centres(table):
-            chosen.update(data_centre_carriers(table, name, epoch_number))
+            chosen.update(data_centre_carriers(table, name))
     return frozenset(chosen)
 
 
-def _carriers(
-    table: member_table.MemberTable, region: str, epoch_number: int
-) -> tuple[str, ...]:
+def _carriers(table: member_table.MemberTable, region: str) -> tuple[str, ...]:
     records = {
         record.node_id: record
         for record in table.live()
         if record.region == region
     }
-    ranked = rank(
-        _eligible(records.values()), f"carrier/{region}/{epoch_number}"
-    )
+    ranked = rank(_eligible(records.values()), f"carrier/{region}")
     first_by_data_centre = {
         records[node_id].data_centre: node_id for node_id in reversed(ranked)
     }
@@ -158,9 +138,8 @@
     table: member_table.MemberTable,
     role: str,
     data_centre: str,
-    epoch_number: int,
 ) -> tuple[str, ...]:
-    salt = f"{role}/{data_centre}/{epoch_number}"
+    salt = f"{role}/{data_centre}"
 
     def ranked() -> tuple[str, ...]:
         records = table.live()
--- a/src/galenatack/membership/suspicion.py
+++ b/src/galenatack/membership/suspicion.py
@@ -131,10 +131,9 @@
     def _remove_unwatched_groups(self) -> None:
         # A closed link is no evidence against a group to which this node no
         # longer has to keep links.
-        epoch = node_roles.epoch(self._clock.wall_ms())
         watched = {
             self._group(self._table.get(node_id))
-            for node_id in node_roles.carrier_peers(self._table, epoch)
+            for node_id in node_roles.carrier_peers(self._table)
         }
         for group in self._last_link_s.keys() - watched:
             del self._last_link_s[group]
--- a/tests/membership/test_repair.py
+++ b/tests/membership/test_repair.py
@@ -52,6 +52,7 @@
         Returns:
             The requests that followed, as (node id, message).
         """
+        self.heartbeats_s = []
 
         async def main():
             clock = virtual_loop.LoopClock()
@@ -65,6 +66,7 @@
                 clock=clock,
                 rng=random.Random(1),
                 events=event_list.EventList(),
+                on_heartbeat=self._on_heartbeat,
             )
             changed = member_table.MemberTable(
                 own=test_store_follower_election.record("own"), clock=clock
@@ -83,6 +85,21 @@
 
         return virtual_loop.run(main)
 
+    async def _on_heartbeat(self, sender, message):
+        del sender, message
+        self.heartbeats_s.append(anyio.current_time())
+
+    def test_the_rest_of_a_heartbeat_does_not_wait_for_the_pull(self):
+        """Its revisions and roles were once handled up to 5 s late."""
+        started_s = []
+
+        async def record_start():
+            started_s.append(anyio.current_time())
+
+        virtual_loop.run(record_start)
+        self.receive_heartbeats("a", neighbours={"a"})
+        self.assertEqual(self.heartbeats_s, started_s)
+
     def test_tables_are_pulled_from_neighbours_only(self):
         """A node has links for calls to many nodes, and tables are large."""
         requests = self.receive_heartbeats("a", "b", "c", "d", neighbours={"b"})
