Serve what can be served of a configuration of a newer release

The same held for messages: an unknown type or an appended field ended the link to a newer node.

Now calls of an unknown kind run at most once; unknown fields are ignored; a route whose destination is unknown answers 503 with the reason and the other routes are served; a malformed value of a known field still refuses the version as a whole, since a version is never applied in part. Each unknown part is logged once with route and version and counted in config_unknown_parts. A message of an unknown type is answered with a failure or skipped.

Measured: the new tests fail on the commit before (TimeoutError in the whole path, link closed by the peer).

--- a/src/galenatack/app/mesh_metrics.py
+++ b/src/galenatack/app/mesh_metrics.py
@@ -77,6 +77,9 @@
         )
         lines = [
             exposition.sample("config_version", parts.config.version),
+            exposition.sample(
+                "config_unknown_parts", parts.config.unknown_parts
+            ),
             exposition.sample("rollouts_active", len(parts.rollouts.active())),
         ]
         for watcher in parts.watchers:
--- a/src/galenatack/exceptions/__init__.py
+++ b/src/galenatack/exceptions/__init__.py
@@ -45,6 +45,7 @@
 OverloadedError = _call_errors.OverloadedError
 NoTargetError = _call_errors.NoTargetError
 NoRouteError = _call_errors.NoRouteError
+UnusableRouteError = _call_errors.UnusableRouteError
 DeadlineExceededError = _call_errors.DeadlineExceededError
 BadCallError = _call_errors.BadCallError
 LeavingError = _call_errors.LeavingError
--- a/src/galenatack/exceptions/_call_errors.py
+++ b/src/galenatack/exceptions/_call_errors.py
@@ -35,6 +35,20 @@
     code = "no-route"
 
 
+class UnusableRouteError(CallError):
+    """The route has a destination that this release does not know.
+
+    Attributes:
+        retry_after_ms: Delay before a retry, in milliseconds.
+    """
+
+    code = "unusable-route"
+
+    def __init__(self, message: str, *, retry_after_ms: int):
+        super().__init__(message)
+        self.retry_after_ms = retry_after_ms
+
+
 class DeadlineExceededError(CallError):
     """The deadline of the call has passed."""
 
--- a/src/galenatack/links/_field_checks.py
+++ b/src/galenatack/links/_field_checks.py
@@ -61,9 +61,10 @@
     required: int,
     value: typing.Any,
 ) -> typing.Any:
-    if type(value) is not list or not required <= len(value) <= len(checks):
+    if type(value) is not list or len(value) < required:
         raise ValueError(f"fields of {kind.__name__} expected")
-    # An older peer omits fields that were appended later.
+    # Fields are only ever appended: an older peer omits the last ones, and
+    # those that a newer peer adds are ignored.
     return kind(
         *[check(item) for check, item in zip(checks, value, strict=False)]
     )
--- a/src/galenatack/links/message_codec.py
+++ b/src/galenatack/links/message_codec.py
@@ -9,6 +9,7 @@
 from galenatack.links import _field_checks
 from galenatack.links import envelope
 from galenatack.links import message_tags
+from galenatack.links import unknown_message
 
 MAX_FRAME_BYTES = 4 * 1024 * 1024
 """Maximum frame size; a larger frame is refused before it is decoded."""
@@ -108,5 +109,6 @@
             raise ValueError("32-bit identifier expected")
     check = _CHECKS.get(tag)
     if check is None:
-        raise ValueError(f"no message type {tag}")
+        message = unknown_message.UnknownMessage(tag)
+        return envelope.Envelope(message, request_id, reply_id)
     return envelope.Envelope(check(fields), request_id, reply_id)
--- a/src/galenatack/links/message_server.py
+++ b/src/galenatack/links/message_server.py
@@ -8,6 +8,7 @@
 from galenatack.interfaces import peer_network
 from galenatack.links import envelope
 from galenatack.links import peer_link
+from galenatack.links import unknown_message
 from galenatack.messages import busy
 from galenatack.messages import hello
 from galenatack.messages import protocol_failure
@@ -37,6 +38,7 @@
     def __init__(self):
         self._handlers: dict[type, peer_network.Handler] = {}
         self._tasks: set[asyncio.Task[None]] = set()
+        self._unknown_tags: set[int] = set()
         self.is_open = False
 
     def on(self, message_type: type, handler: peer_network.Handler) -> None:
@@ -76,7 +78,9 @@
                 message.detail,
             )
             return
-        if link.serving >= MAX_SERVING:
+        if isinstance(message, unknown_message.UnknownMessage):
+            self._refuse_unknown(link, received, message.tag)
+        elif link.serving >= MAX_SERVING:
             self._refuse(link, received, BUSY_RETRY_MS)
         else:
             self._dispatch(link, received)
@@ -93,6 +97,21 @@
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
+    def _refuse_unknown(
+        self, link: peer_link.PeerLink, received: envelope.Envelope, tag: int
+    ) -> None:
+        if tag not in self._unknown_tags:
+            self._unknown_tags.add(tag)
+            _LOGGER.warning(
+                "event=message-unknown peer=%s tag=%d", link.node_id, tag
+            )
+        if received.request_id:
+            detail = f"no message type {tag}"
+            failure = protocol_failure.ProtocolFailure(
+                exceptions.ProtocolError.code, detail
+            )
+            _reply(link, received, failure)
+
     def _refuse(
         self,
         link: peer_link.PeerLink,
--- a/src/galenatack/model/host_route.py
+++ b/src/galenatack/model/host_route.py
@@ -12,13 +12,15 @@
         name: Name of the route.
         host: Host of the matching requests, in lower case, without a port.
         path_prefix: Path prefix, which begins and ends with a slash.
-        services: Services that share the calls; at least one.
+        services: Services that share the calls; empty if this release does
+            not know the destination.
         is_idempotent: False if a call runs at most once.
         timeout_ms: Maximum time until the caller has an answer.
         target_latency_ms: Latency objective: an answer within this time has
             its full value.
         priority: Priority under load; 0 is the highest.
         max_attempts: Maximum number of targets to which a call is sent.
+        unknowns: Parts of the route that this release does not know.
     """
 
     name: str
@@ -30,3 +32,4 @@
     target_latency_ms: int
     priority: int
     max_attempts: int
+    unknowns: tuple[str, ...] = ()
--- a/src/galenatack/platform/config_document.py
+++ b/src/galenatack/platform/config_document.py
@@ -1,4 +1,13 @@
-"""Decodes the operator's configuration."""
+"""Decodes the operator's configuration.
+
+A configuration may come from a newer release of the platform:
+
+- Unknown fields are ignored.
+- Calls of an unknown kind run at most once, which is safe for all kinds.
+- A route without a service that has unknown fields has a destination that this
+  release cannot serve. Its calls are refused; other routes are not affected.
+- A malformed value of a known field refuses the configuration as a whole.
+"""
 
 import collections.abc
 import functools
@@ -16,10 +25,25 @@
 KEY = "config"
 
 _IDEMPOTENT = "idempotent"
-_KINDS = frozenset({_IDEMPOTENT, "non_idempotent"})
+_KINDS = frozenset({_IDEMPOTENT, "non_idempotent", "upload"})
+_ROUTE_FIELDS = frozenset(
+    {
+        "name",
+        "host",
+        "prefix",
+        "kind",
+        "timeout",
+        "target_latency",
+        "priority",
+        "max_attempts",
+        "service",
+        "weighted_clusters",
+    }
+)
 _DEFAULTS = caller_limits.CallerLimits()
 _DEFAULT_TIMEOUT_MS = 10_000
 _LAST_PRIORITY = 9
+_SHOWN_CHARACTERS = 40
 
 _Document = collections.abc.Mapping[str, typing.Any]
 
@@ -106,12 +130,14 @@
     timeout_ms = _values.field(
         row, "timeout", _values.duration_ms, default=_DEFAULT_TIMEOUT_MS
     )
+    kind = _values.field(row, "kind", _values.text)
+    services = _services(row)
     return host_route.HostRoute(
         name=_values.field(row, "name", _values.text),
         host=_values.field(row, "host", _values.text).lower(),
         path_prefix=_values.field(row, "prefix", _values.text),
-        services=_services(row),
-        is_idempotent=_values.field(row, "kind", _kind) == _IDEMPOTENT,
+        services=services,
+        is_idempotent=kind == _IDEMPOTENT,
         timeout_ms=timeout_ms,
         target_latency_ms=_values.field(
             row, "target_latency", _values.duration_ms, default=0
@@ -125,6 +151,25 @@
                 row, "max_attempts", _values.non_negative_int, default=1
             ),
         ),
+        unknowns=_unknowns(row, kind, services),
+    )
+
+
+def _unknowns(
+    row: _Document,
+    kind: str,
+    services: tuple[weighted_service.WeightedService, ...],
+) -> tuple[str, ...]:
+    """Returns the parts of a route that this release does not know."""
+    unknowns = () if kind in _KINDS else (f"kind={kind[:_SHOWN_CHARACTERS]}",)
+    return unknowns if services else (*unknowns, *_unknown_fields(row))
+
+
+def _unknown_fields(row: _Document) -> list[str]:
+    return sorted(
+        str(name)[:_SHOWN_CHARACTERS]
+        for name, value in row.items()
+        if value is not None and name not in _ROUTE_FIELDS
     )
 
 
@@ -133,6 +178,8 @@
 ) -> tuple[weighted_service.WeightedService, ...]:
     parts = _values.field(row, "weighted_clusters", list, default=[])
     if not parts:
+        if row.get("service") is None and _unknown_fields(row):
+            return ()
         only = _values.field(row, "service", _values.text)
         return (_weighted_service(only, 1),)
     weighted = tuple(
@@ -155,12 +202,6 @@
     return weighted_service.WeightedService(service, weight)
 
 
-def _kind(value: typing.Any) -> str:
-    if value not in _KINDS:
-        raise ValueError("a known kind")
-    return value
-
-
 def _limits(limits: _Document) -> caller_limits.CallerLimits:
     return caller_limits.CallerLimits(
         max_header_bytes=_values.field(
--- a/src/galenatack/routing/local_replies.py
+++ b/src/galenatack/routing/local_replies.py
@@ -10,6 +10,7 @@
 _STATUS = {
     exceptions.OverloadedError.code: 503,
     exceptions.NoTargetError.code: 503,
+    exceptions.UnusableRouteError.code: 503,
     exceptions.LeavingError.code: 503,
     exceptions.TargetConnectError.code: 503,
     exceptions.TargetShedError.code: 503,
--- a/src/galenatack/traffic/call_router.py
+++ b/src/galenatack/traffic/call_router.py
@@ -26,6 +26,9 @@
 """A starting target is announced, and a starting node has its configuration,
 within about this time."""
 
+UNUSABLE_ROUTE_RETRY_AFTER_MS = 2000
+"""Only the next configuration or release can make the route usable."""
+
 MAX_REFUSALS = 3
 """Number of gates that may refuse a call before the caller is told to retry
 later; each refusal costs a network round trip."""
@@ -98,6 +101,12 @@
         route = table.find(request.host, request.path)
         if route is None:
             raise exceptions.NoRouteError("no route matches")
+        if not route.services:
+            raise exceptions.UnusableRouteError(
+                f"route {route.name}: unknown to this release:"
+                f" {', '.join(route.unknowns)}",
+                retry_after_ms=UNUSABLE_ROUTE_RETRY_AFTER_MS,
+            )
         timeout_ms = route.timeout_ms
         if request.deadline_ms:
             timeout_ms = min(timeout_ms, request.deadline_ms)
--- a/src/galenatack/traffic/config_holder.py
+++ b/src/galenatack/traffic/config_holder.py
@@ -14,10 +14,14 @@
 
     Attributes:
         table: Index of the configuration in force; None before the first one.
+        unknown_parts: Number of parts of its routes that this release does
+            not know.
     """
 
     def __init__(self):
         self.table: route_table.RouteTable | None = None
+        self.unknown_parts = 0
+        self._reported_unknowns: set[tuple[str, str]] = set()
 
     def apply_if_newer(self, config: traffic_config.TrafficConfig) -> bool:
         """Applies a configuration unless the same or a newer one is in force.
@@ -35,8 +39,26 @@
             known,
             len(config.routes),
         )
+        self._report_unknowns(config)
         return True
 
+    def _report_unknowns(self, config: traffic_config.TrafficConfig) -> None:
+        """Logs each unknown part of a route when it first occurs."""
+        unknowns = {
+            (route.name, unknown)
+            for route in config.routes
+            for unknown in route.unknowns
+        }
+        self.unknown_parts = len(unknowns)
+        for name, unknown in sorted(unknowns - self._reported_unknowns):
+            _LOGGER.warning(
+                "event=route-part-unknown version=%d route=%s part=%s",
+                config.version,
+                name,
+                unknown,
+            )
+        self._reported_unknowns = unknowns
+
     @property
     def version(self) -> int:
         """Version in force; 0 before the first one."""
--- a/tests/links/test_peer_network.py
+++ b/tests/links/test_peer_network.py
@@ -4,6 +4,7 @@
 
 import anyio
 import anyio.lowlevel
+import cbor2
 import websockets.exceptions
 
 from galenatack import exceptions
@@ -146,6 +147,27 @@
         self.assertNotIn(key._replace(crosses_region=False), sent_traffic)
 
 
+class TestReleases(unittest.TestCase):
+    def test_a_message_of_an_unknown_type_does_not_end_the_link(self):
+        """A node of a newer release may send types that are not known here."""
+
+        async def scenario(tasks):
+            first, second = await loopback.start_pair(tasks, "a1-0", "a1-1")
+            second.peers.on(call.Call, loopback.answer_call)
+            await first.peers.request(
+                "a1-1", loopback.call_message(), timeout_s=TIMEOUT_S
+            )
+            links = first.peers._registry.links()
+            for link in links:
+                link.post_frame(cbor2.dumps([9_999, 0, 0, ["new"]]), dict)
+            await first.peers.request(
+                "a1-1", loopback.call_message(), timeout_s=TIMEOUT_S
+            )
+            return [link.closed.is_set() for link in links]
+
+        self.assertFalse(any(loopback.run(scenario)))
+
+
 class TestOverlay(unittest.TestCase):
     def test_planned_stop(self):
         """A node that announced its stop is never suspected."""
--- a/tests/mesh/test_whole_path.py
+++ b/tests/mesh/test_whole_path.py
@@ -1,6 +1,7 @@
 """Tests of the path of a call through complete nodes."""
 
 import asyncio
+import json
 import unittest
 
 from standins.mesh import operator_config
@@ -42,6 +43,46 @@
 
         run(scenario, "a", "b")
 
+    def test_one_unknown_route_does_not_affect_the_others(self):
+        """A kind or a destination of a newer release costs one route at most.
+
+        An unknown kind runs at most once: a failed answer is not retried.
+        """
+
+        async def scenario(fleet):
+            document = json.loads(
+                operator_config.config(
+                    3, ("a",), kinds=("idempotent", "sometime")
+                )
+            )
+            columns, rows = document["routes"].values()
+            columns.append("redirect")
+            for values in rows:
+                values.append(None)
+            moved = dict(zip(columns, rows[0], strict=True))
+            moved |= {"prefix": "/moved/", "service": None, "redirect": "x"}
+            rows.append(list(moved.values()))
+            fleet.store.operator_writes(
+                "op", "config", json.dumps(document).encode()
+            )
+            (member,) = fleet.members
+            await fleet.until(lambda: member.parts.config.version == 3)
+            answer = await fleet.call(member, "a.example", "/idempotent/")
+            self.assertEqual(answer.status, 200)
+            member.target.status = 500
+            answer = await fleet.call(
+                member, "a.example", "/sometime/", attempt=b"once"
+            )
+            self.assertEqual(answer.status, 500)
+            self.assertEqual(member.target.ran.count("once"), 1)
+            answer = await fleet.call(member, "a.example", "/moved/")
+            self.assertEqual(answer.status, 503)
+            self.assertIn(b"redirect", answer.body)
+            self.assertIn(b"retry-after", dict(answer.headers))
+            self.assertEqual(member.parts.config.unknown_parts, 2)
+
+        run(scenario, "a")
+
     def test_a_path_without_a_route_is_final(self):
         """A 404 has no retry-after header."""
 
