Two followers of the store a region; one discovery read a start

Each start read the table of nodes twice.

Now two nodes of a region follow, in different data centres if there are several; who follows is part of the member record, so that nodes without a link to a follower know it too. A watch is restarted only when a peer still has newer rows after a second. A node reads the table of nodes once, and again only while it has no link.

--- a/src/galenatack/app/mesh_callbacks.py
+++ b/src/galenatack/app/mesh_callbacks.py
@@ -90,7 +90,10 @@
             watcher.restart_watch()
 
     async def on_store_changed(self) -> None:
-        """Announces new rows, or that this node follows, to the neighbours."""
+        """Announces new rows, and whether this node follows the store."""
+        members = self._parts.members
+        if members.own.follows_store != self.is_following():
+            members.update_own(follows_store=self.is_following())
         await self._parts.exchange.announce()
 
     def is_following(self) -> bool:
--- a/src/galenatack/app/mesh_store.py
+++ b/src/galenatack/app/mesh_store.py
@@ -60,6 +60,7 @@
             clock=base.clock,
             rng=base.rng,
             is_discovery_reader=election.should_follow,
+            is_linked=lambda: bool(base.peers.neighbours()),
         ),
     )
 
--- a/src/galenatack/config/row_exchange.py
+++ b/src/galenatack/config/row_exchange.py
@@ -24,20 +24,20 @@
 
 PASSIVE_PULL_DELAY_S = {
     _Proximity.OWN_DATA_CENTRE: 0.0,
-    _Proximity.OWN_REGION: 0.4,
+    _Proximity.OWN_REGION: 0.0,
     _Proximity.OTHER_REGION: 0.9,
 }
 """Delay before a node without a watch pulls newer rows from a peer. Usually a
-node of its own data centre has the rows within a quarter of a second; a change
-must be in force within 2.5 s."""
+node of its own region has the rows within a quarter of a second; a change must
+be in force within 2.5 s."""
 
 FOLLOWER_PULL_DELAY_S = {
     _Proximity.OWN_DATA_CENTRE: 1.0,
     _Proximity.OWN_REGION: 1.0,
-    _Proximity.OTHER_REGION: 2.0,
+    _Proximity.OTHER_REGION: 1.2,
 }
-"""The same delay for a node that watches the store. Its watches are half a
-second apart and may stall."""
+"""The same delay for a node that watches the store: the answer to its watch may
+still be under way. Its watches are half a second apart."""
 
 MAX_FRAME_ROW_BYTES = 3_000_000
 """Limit on the row data of one reply, below the frame limit of 4 MiB."""
@@ -54,7 +54,8 @@
         mirror: Rows of this node.
         peers: Links to other nodes.
         own_heartbeat: Returns the heartbeat of this node.
-        on_newer_peer: Called when a peer holds newer rows.
+        on_newer_peer: Called when a peer still holds newer rows after the
+            delay, although this node may watch the store.
         is_following: Returns whether this node watches the store.
         is_store_healthy: Returns whether the store responds to this node.
         proximity_of: Returns the proximity of a node.
@@ -105,7 +106,6 @@
         revisions = message.table_revisions
         if not self._mirror.is_behind(revisions) or not self._may_pull(sender):
             return
-        self._on_newer_peer()
         is_pulling = sender in self._announced
         self._announced[sender] = revisions
         if is_pulling:
@@ -130,6 +130,8 @@
         delay_s = self._pull_delay_s(sender)
         if delay_s:
             await self._clock.sleep_s(delay_s)
+        if self._mirror.is_behind(self._announced[sender]):
+            self._on_newer_peer()
         async with self._lock:
             # The peer may have announced more rows in the meantime.
             while self._mirror.is_behind(self._announced[sender]):
--- a/src/galenatack/config/store_follower_election.py
+++ b/src/galenatack/config/store_follower_election.py
@@ -1,22 +1,30 @@
-"""Elects the node that follows the shared tables in each data centre."""
+"""Elects the nodes that follow the shared tables in each region."""
 
+import collections
 import collections.abc
-import math
+import typing
 
 from galenatack.interfaces import clock as clock_interface
 from galenatack.membership import member_table
 from galenatack.membership import node_roles
 from galenatack.model import member_status
 
-FOLLOWER_TIMEOUT_S = 1.6
-"""A follower without a heartbeat for this long is considered gone; heartbeats
-are sent each second."""
+FOLLOWERS_PER_REGION = 2
+"""The store may be silent to one of them without an error."""
 
-TAKEOVER_STEP_S = 0.25
-"""Extra delay of each rank before a node takes over, so that one node does and
-not all of them."""
+HEARTBEAT_TIMEOUT_S = 1.6
+"""A linked follower without a heartbeat for this long is considered gone;
+heartbeats are sent each second."""
 
-MAX_TAKEOVER_DELAY_S = 1.0
+LINK_TIMEOUT_S = 3.5
+"""After this time without a heartbeat there is no link any more, and the member
+table tells whether the node lives: silent links have raised a suspicion."""
+
+TAKEOVER_STEP_S = 0.4
+"""Extra delay of each rank before a node takes over, so that few nodes do and
+not all of them. A follower is known to all nodes within this time."""
+
+MAX_TAKEOVER_DELAY_S = 8.0
 """Limit on the takeover delay of any rank."""
 
 PAUSE_S = 0.6
@@ -27,15 +35,27 @@
 """Time in which peers can connect to a starting node and send it their rows,
 before it reads whole tables itself."""
 
+_ELIGIBLE = frozenset(
+    {member_status.MemberStatus.JOINING, member_status.MemberStatus.SERVING}
+)
+
+
+class _Heard(typing.NamedTuple):
+    """The last heartbeat of a linked node."""
+
+    time_s: float
+    is_following: bool
+
 
 class StoreFollowerElection:
     """Decides whether this node follows the store or gets rows from peers.
 
-    One node of each data centre follows the store, so a change is sent from
-    the store to a data centre once, however many nodes it has. The other
-    nodes are passive while the heartbeats of one node show that it follows.
-    Without such heartbeats, the node of the lowest rank takes over. A node
-    without peers follows the store itself.
+    Two nodes of each region follow the store, in different data centres if
+    possible, so a change is sent from the store to a region twice, however
+    many nodes and data centres it has. The other nodes are passive while two
+    nodes of the region say that they follow: in their heartbeats to linked
+    nodes, and in their member records to all. Otherwise the nodes of the lowest
+    ranks take over. A node without peers follows the store itself.
 
     Args:
         members: Members of the fleet.
@@ -50,45 +70,39 @@
     ):
         self._members = members
         self._clock = clock
-        self._following_s: dict[str, float] = {}
+        self._heard: dict[str, _Heard] = {}
         self._is_elected = False
-        # Delays a takeover at the start, as after a follower's heartbeat.
-        self._last_follower_s = clock.monotonic_s() + START_DELAY_S
+        # Delays a takeover at the start, as after the loss of a follower.
+        self._complete_s = clock.monotonic_s() + START_DELAY_S
         self._checked_s = clock.monotonic_s()
 
     @property
-    def follower(self) -> str | None:
-        """Node that follows the store as far as this node knows, or None."""
-        if self._is_elected:
-            return self._members.own.node_id
-        following = self._following(self._clock.monotonic_s())
-        return following[0] if following else None
+    def followers(self) -> tuple[str, ...]:
+        """Nodes of the region that follow the store as far as is known."""
+        own_id = self._members.own.node_id
+        others = self._following(self._clock.monotonic_s())
+        return tuple(sorted([own_id, *others] if self._is_elected else others))
 
     def record_heartbeat(self, node_id: str, *, is_following: bool) -> None:
         """Records whether a peer follows the store, from its heartbeat."""
-        if is_following:
-            self._following_s[node_id] = self._clock.monotonic_s()
-        else:
-            self._following_s.pop(node_id, None)
+        now_s = self._clock.monotonic_s()
+        self._heard[node_id] = _Heard(now_s, is_following)
 
     def should_follow(self) -> bool:
         """Returns whether this node should follow the store now."""
         now_s = self._clock.monotonic_s()
         self._forgive_pause(now_s)
-        ranking = self._ranking()
-        own_id = self._members.own.node_id
-        rank = ranking.index(own_id) if own_id in ranking else len(ranking)
         following = self._following(now_s)
         if self._is_elected:
-            # Of two followers, the one with the lower rank continues.
-            self._is_elected = not following or rank < ranking.index(
-                following[0]
-            )
-        elif following:
-            self._last_follower_s = max(self._last_follower_s, now_s)
+            # Of too many followers, those with the lower ranks continue.
+            own_rank = self._rank(self._members.own.node_id)
+            ahead = sum(self._rank(node_id) < own_rank for node_id in following)
+            self._is_elected = ahead < FOLLOWERS_PER_REGION
+        elif len(following) >= FOLLOWERS_PER_REGION:
+            self._complete_s = max(self._complete_s, now_s)
         else:
-            delay_s = min(rank * TAKEOVER_STEP_S, MAX_TAKEOVER_DELAY_S)
-            self._is_elected = now_s - self._last_follower_s >= delay_s
+            delay_s = self._takeover_delay_s(following)
+            self._is_elected = now_s - self._complete_s >= delay_s
         return self._is_elected
 
     def _forgive_pause(self, now_s: float) -> None:
@@ -97,30 +111,67 @@
         self._checked_s = now_s
         if paused_s < PAUSE_S:
             return
-        self._last_follower_s += paused_s
-        for node_id in self._following_s:
-            self._following_s[node_id] += paused_s
+        self._complete_s += paused_s
+        for node_id, heard in self._heard.items():
+            self._heard[node_id] = heard._replace(
+                time_s=heard.time_s + paused_s
+            )
+
+    def _takeover_delay_s(self, following: list[str]) -> float:
+        """Returns how long this node lets nodes of lower rank take over."""
+        own_rank = self._rank(self._members.own.node_id)
+        ahead = own_rank - sum(
+            self._rank(node_id) < own_rank for node_id in following
+        )
+        vacant = FOLLOWERS_PER_REGION - len(following)
+        steps = max(0, ahead - vacant + 1)
+        return min(steps * TAKEOVER_STEP_S, MAX_TAKEOVER_DELAY_S)
 
     def _following(self, now_s: float) -> list[str]:
-        """Returns the other nodes that follow, in the order of their rank."""
+        """Returns the other nodes of the region that follow, by rank."""
+        own_id = self._members.own.node_id
         return [
             node_id
             for node_id in self._ranking()
-            if now_s - self._following_s.get(node_id, -math.inf)
-            <= FOLLOWER_TIMEOUT_S
+            if node_id != own_id and self._is_following(node_id, now_s)
         ]
 
-    def _ranking(self) -> collections.abc.Sequence[str]:
-        return self._members.cached("store-followers", self._rank)
+    def _is_following(self, node_id: str, now_s: float) -> bool:
+        heard = self._heard.get(node_id)
+        if heard is not None:
+            silent_s = now_s - heard.time_s
+            if silent_s <= HEARTBEAT_TIMEOUT_S:
+                return heard.is_following
+            if silent_s <= LINK_TIMEOUT_S:
+                return False
+        record = self._members.get(node_id)
+        return record is not None and record.follows_store
+
+    def _rank(self, node_id: str) -> int:
+        ranking = self._ranking()
+        return ranking.get(node_id, len(ranking))
+
+    def _ranking(self) -> collections.abc.Mapping[str, int]:
+        return self._members.cached("store-followers", self._rank_nodes)
 
-    def _rank(self) -> collections.abc.Sequence[str]:
-        # Includes nodes that were discovered but have not connected yet: when
-        # all nodes start at once, none has connected.
+    def _rank_nodes(self) -> dict[str, int]:
+        """Returns the ranks of the nodes; data centres take turns.
+
+        Includes nodes that were discovered but have not connected yet: when
+        all nodes start at once, none has connected.
+        """
         own = self._members.own
-        node_ids = [
-            record.node_id
+        data_centres = {
+            record.node_id: record.data_centre
             for record in self._members.live()
-            if record.data_centre == own.data_centre
-            and record.status != member_status.MemberStatus.LEAVING
-        ]
-        return node_roles.rank(node_ids, f"store/{own.data_centre}")
+            if record.region == own.region and record.status in _ELIGIBLE
+        }
+        turns: collections.Counter[str] = collections.Counter()
+        order = []
+        for node_id in node_roles.rank(data_centres, f"store/{own.region}"):
+            data_centre = data_centres[node_id]
+            order.append((turns[data_centre], len(order), node_id))
+            turns[data_centre] += 1
+        return {
+            node_id: rank for rank, (_, _, node_id) in enumerate(sorted(order))
+        }
--- a/src/galenatack/config/table_watcher.py
+++ b/src/galenatack/config/table_watcher.py
@@ -44,7 +44,7 @@
         rng: Source of jitter.
         should_follow: Returns whether this node should follow the store now.
         on_change: Called after the store has returned rows, and when this
-            node starts to follow the table.
+            node starts or stops to follow the table.
         min_interval_s: Minimum time between a change and the next watch.
             Changes in quick succession are then read together.
 
@@ -88,7 +88,7 @@
         """Follows the table until cancelled."""
         while True:
             if not self._should_follow():
-                self._stop_following()
+                await self._stop_following()
                 await self._clock.sleep_s(POLL_S)
                 continue
             try:
@@ -102,7 +102,7 @@
                 )
                 self._after = None
             except exceptions.PlatformError as error:
-                self._record_failure(error)
+                await self._record_failure(error)
                 await self._clock.sleep_s(self._delays.next_s())
 
     def restart_watch(self) -> None:
@@ -116,12 +116,14 @@
         if self._scope is not None and not self._should_follow():
             self._scope.cancel()
 
-    def _stop_following(self) -> None:
+    async def _stop_following(self) -> None:
         """Marks this node as passive; it gets rows from another node."""
-        if self.is_following:
-            _LOGGER.info("event=store-left table=%s", self.name)
+        was_following = self.is_following
         self.is_following = False
         self.is_healthy = True
+        if was_following:
+            _LOGGER.info("event=store-left table=%s", self.name)
+            await self._on_change()
         # Rows received from peers in the meantime are not read again.
         if self._mirror.revision(self.name):
             self._after = self._mirror.revision(self.name)
@@ -166,7 +168,7 @@
         self._has_superseded_rows = len(keys) < len(page.rows)
         return page
 
-    def _record_failure(self, error: exceptions.PlatformError) -> None:
+    async def _record_failure(self, error: exceptions.PlatformError) -> None:
         if self.is_healthy:
             _LOGGER.warning(
                 "event=store-lost table=%s error=%s detail=%r",
@@ -174,8 +176,11 @@
                 error.code,
                 str(error),
             )
+        was_following = self.is_following
         self.is_healthy = False
         self.is_following = False
+        if was_following:
+            await self._on_change()
 
     def _record_response(self) -> None:
         if not self.is_healthy:
--- a/src/galenatack/membership/discovery.py
+++ b/src/galenatack/membership/discovery.py
@@ -23,18 +23,15 @@
 """Bounds of the delay after a failure; nodes must discover each other within
 2 s after the store has recovered."""
 
-SECOND_READ_DELAY_S = 1.5
-"""Delay of the second read; nodes that start together write their rows within
-this time."""
-
-INITIAL_READS = 2
-"""Reads that each node makes after its start."""
+CHECK_INTERVAL_S = 1.5
+"""Interval at which a node checks whether it has to read."""
 
 READ_INTERVAL_S = 30.0
-"""Interval at which the discovery reader of a data centre reads."""
+"""Interval at which a discovery reader reads."""
 
 LONE_READ_INTERVAL_S = 1.0
-"""Interval at which a node that knows no other nodes reads."""
+"""Interval at which a node without links reads. The nodes that it knows may
+all be gone."""
 
 REAP_DELAY_S = 120.0
 """A row is deleted after its node has been dead for this long."""
@@ -50,13 +47,19 @@
     The row holds only the location, service and address of the node, so a
     restart does not write it again. Nodes send all other facts over links.
 
+    Each node reads once. Of nodes that start together, each one that finds no
+    other row reads again after it has written its own, so that each node but
+    the first writer finds an earlier one: all of them are connected, and learn
+    of the others over links.
+
     Args:
         table: The store.
         members: Member table; discovered nodes are added as unconfirmed.
         clock: Source of time.
         rng: Source of jitter.
         is_discovery_reader: Returns whether this node reads on behalf of its
-            data centre, whose other nodes get new members from it.
+            region, whose other nodes get new members from it.
+        is_linked: Returns whether this node has a link to another one.
     """
 
     def __init__(
@@ -67,14 +70,17 @@
         clock: clock_interface.Clock,
         rng: random_source.RandomSource,
         is_discovery_reader: collections.abc.Callable[[], bool],
+        is_linked: collections.abc.Callable[[], bool],
     ):
         self._table = table
         self._members = members
         self._clock = clock
         self._rng = rng
         self._is_discovery_reader = is_discovery_reader
+        self._is_linked = is_linked
         self._dead_since_s: dict[str, float] = {}
-        self._reads = 0
+        self._has_read = False
+        self._next_read_s = clock.monotonic_s()
 
     async def run(self) -> None:
         """Runs discovery until cancelled."""
@@ -94,7 +100,7 @@
                 await self._clock.sleep_s(FIRST_RETRY_S + delays.next_s())
             else:
                 delays.reset()
-                await self._clock.sleep_s(self._next_delay_s())
+                await self._clock.sleep_s(self._check_delay_s())
 
     async def unregister(self) -> None:
         """Deletes the own row, when the instance is shut down permanently.
@@ -107,19 +113,13 @@
         await self._table.commit(change)
 
     def _is_read_due(self) -> bool:
-        is_new = self._reads < INITIAL_READS
-        return is_new or self._is_alone() or self._is_discovery_reader()
-
-    def _is_alone(self) -> bool:
-        return len(self._members.live()) <= 1
+        if not self._has_read or not self._is_linked():
+            return True
+        is_due = self._clock.monotonic_s() >= self._next_read_s
+        return is_due and self._is_discovery_reader()
 
-    def _next_delay_s(self) -> float:
-        self._reads += 1
-        if self._is_alone():
-            return LONE_READ_INTERVAL_S
-        if self._reads == 1:
-            return SECOND_READ_DELAY_S
-        return READ_INTERVAL_S * self._rng.uniform(0.8, 1.2)
+    def _check_delay_s(self) -> float:
+        return CHECK_INTERVAL_S if self._is_linked() else LONE_READ_INTERVAL_S
 
     async def _refresh(self) -> None:
         page = await self._table.read(TABLE)
@@ -133,6 +133,9 @@
                 page = await self._table.read(TABLE)
         self._merge_rows(page.rows)
         await self._reap(page.rows)
+        self._has_read = True
+        interval_s = READ_INTERVAL_S * self._rng.uniform(0.8, 1.2)
+        self._next_read_s = self._clock.monotonic_s() + interval_s
 
     async def _write(self, value: bytes) -> None:
         own_id = self._members.own.node_id
--- a/src/galenatack/model/member_record.py
+++ b/src/galenatack/model/member_record.py
@@ -31,6 +31,8 @@
         target_id: Identifier of the target; empty while there is none.
         target_state: State announced by the target; empty if the target does
             not announce its state.
+        follows_store: True if the node follows the shared tables; other nodes
+            of its region then get the changes from it.
     """
 
     node_id: str
@@ -50,3 +52,4 @@
     boot_ms: int = 0
     target_id: str = ""
     target_state: str = ""
+    follows_store: bool = False
