A node that is elected to follow the store says so at once

Now an elected node claims for 0.8 s until the store answers, a new node pulls its first table at once, and two followers of one data centre are spread again when others are up.

--- a/src/galenatack/app/mesh_callbacks.py
+++ b/src/galenatack/app/mesh_callbacks.py
@@ -69,7 +69,7 @@
             member_digest=parts.members.digest(),
             hlc=parts.hlc.now(),
             table_revisions=parts.mirror.revisions,
-            follows_store=self.is_following(),
+            follows_store=self._claims_to_follow(),
         )
 
     async def on_heartbeat(
@@ -92,14 +92,19 @@
     async def on_store_changed(self) -> None:
         """Announces new rows, and whether this node follows the store."""
         members = self._parts.members
-        if members.own.follows_store != self.is_following():
-            members.update_own(follows_store=self.is_following())
+        if members.own.follows_store != self._claims_to_follow():
+            members.update_own(follows_store=self._claims_to_follow())
         await self._parts.exchange.announce()
 
     def is_following(self) -> bool:
         """Returns whether this node follows all tables of the store."""
         return all(watcher.is_following for watcher in self._parts.watchers)
 
+    def _claims_to_follow(self) -> bool:
+        return self.is_following() or (
+            self._parts.election.is_claiming and self.is_store_healthy()
+        )
+
     def is_store_healthy(self) -> bool:
         """Returns whether the store answers all watches."""
         return all(watcher.is_healthy for watcher in self._parts.watchers)
--- a/src/galenatack/config/store_follower_election.py
+++ b/src/galenatack/config/store_follower_election.py
@@ -2,6 +2,7 @@
 
 import collections
 import collections.abc
+import math
 import typing
 
 from galenatack.interfaces import clock as clock_interface
@@ -31,6 +32,10 @@
 """A check this late means that this process was paused. Heartbeats received
 meanwhile have not been handled yet, so their absence proves nothing."""
 
+CLAIM_S = 0.8
+"""Time in which an elected node claims to follow before the store has answered,
+so that no further node takes over meanwhile."""
+
 START_DELAY_S = 0.25
 """Time in which peers can connect to a starting node and send it their rows,
 before it reads whole tables itself."""
@@ -72,6 +77,7 @@
         self._clock = clock
         self._heard: dict[str, _Heard] = {}
         self._is_elected = False
+        self._elected_s = -math.inf
         # Delays a takeover at the start, as after the loss of a follower.
         self._complete_s = clock.monotonic_s() + START_DELAY_S
         self._checked_s = clock.monotonic_s()
@@ -83,6 +89,12 @@
         others = self._following(self._clock.monotonic_s())
         return tuple(sorted([own_id, *others] if self._is_elected else others))
 
+    @property
+    def is_claiming(self) -> bool:
+        """True for a short time after the election of this node."""
+        age_s = self._clock.monotonic_s() - self._elected_s
+        return self._is_elected and age_s <= CLAIM_S
+
     def record_heartbeat(self, node_id: str, *, is_following: bool) -> None:
         """Records whether a peer follows the store, from its heartbeat."""
         now_s = self._clock.monotonic_s()
@@ -92,19 +104,56 @@
         """Returns whether this node should follow the store now."""
         now_s = self._clock.monotonic_s()
         self._forgive_pause(now_s)
-        following = self._following(now_s)
+        following = self._spread(self._following(now_s))
         if self._is_elected:
             # Of too many followers, those with the lower ranks continue.
             own_rank = self._rank(self._members.own.node_id)
-            ahead = sum(self._rank(node_id) < own_rank for node_id in following)
-            self._is_elected = ahead < FOLLOWERS_PER_REGION
-        elif len(following) >= FOLLOWERS_PER_REGION:
+            ahead = [n for n in following if self._rank(n) < own_rank]
+            self._is_elected = self._is_vacant_beside(ahead)
+        elif not self._is_vacant_beside(following):
             self._complete_s = max(self._complete_s, now_s)
         else:
             delay_s = self._takeover_delay_s(following)
             self._is_elected = now_s - self._complete_s >= delay_s
+            self._elected_s = now_s
         return self._is_elected
 
+    def _is_vacant_beside(self, following: list[str]) -> bool:
+        """Returns whether this node may follow in addition to other nodes."""
+        return len(following) < FOLLOWERS_PER_REGION and self._is_candidate(
+            self._members.own.node_id, following
+        )
+
+    def _is_candidate(self, node_id: str, following: list[str]) -> bool:
+        """Returns whether a node's data centre has no follower yet."""
+        covered = {self._data_centre(other) for other in following}
+        return (
+            self._has_one_data_centre()
+            or self._data_centre(node_id) not in covered
+        )
+
+    def _spread(self, following: list[str]) -> list[str]:
+        """Returns the first follower of each data centre.
+
+        In a region with a single data centre, returns all followers.
+        """
+        if self._has_one_data_centre():
+            return following
+        first: dict[str, str] = {}
+        for node_id in following:
+            first.setdefault(self._data_centre(node_id), node_id)
+        return list(first.values())
+
+    def _has_one_data_centre(self) -> bool:
+        return self._members.cached(
+            "has-one-data-centre",
+            lambda: len({self._data_centre(n) for n in self._ranking()}) <= 1,
+        )
+
+    def _data_centre(self, node_id: str) -> str:
+        record = self._members.get(node_id)
+        return record.data_centre if record else ""
+
     def _forgive_pause(self, now_s: float) -> None:
         """Does not count a pause of this process against the followers."""
         paused_s = now_s - self._checked_s
@@ -120,11 +169,14 @@
     def _takeover_delay_s(self, following: list[str]) -> float:
         """Returns how long this node lets nodes of lower rank take over."""
         own_rank = self._rank(self._members.own.node_id)
-        ahead = own_rank - sum(
-            self._rank(node_id) < own_rank for node_id in following
+        candidates_ahead = sum(
+            rank < own_rank
+            and node_id not in following
+            and self._is_candidate(node_id, following)
+            for node_id, rank in self._ranking().items()
         )
         vacant = FOLLOWERS_PER_REGION - len(following)
-        steps = max(0, ahead - vacant + 1)
+        steps = max(0, candidates_ahead - vacant + 1)
         return min(steps * TAKEOVER_STEP_S, MAX_TAKEOVER_DELAY_S)
 
     def _following(self, now_s: float) -> list[str]:
--- a/src/galenatack/config/table_watcher.py
+++ b/src/galenatack/config/table_watcher.py
@@ -44,7 +44,7 @@
         rng: Source of jitter.
         should_follow: Returns whether this node should follow the store now.
         on_change: Called after the store has returned rows, and when this
-            node starts or stops to follow the table.
+            node is elected or starts or stops to follow the table.
         min_interval_s: Minimum time between a change and the next watch.
             Changes in quick succession are then read together.
 
@@ -78,6 +78,7 @@
         self._min_interval_s = min_interval_s
         self._after: int | None = None
         self._has_superseded_rows = False
+        self._is_elected = False
         self._scope: anyio.CancelScope | None = None
         self._requested_s = 0.0
         self.is_healthy = True
@@ -89,8 +90,12 @@
         while True:
             if not self._should_follow():
                 await self._stop_following()
+                self._is_elected = False
                 await self._clock.sleep_s(POLL_S)
                 continue
+            if not self._is_elected:
+                self._is_elected = True
+                await self._on_change()
             try:
                 await self._step()
             except exceptions.HistoryLostError as error:
--- a/src/galenatack/membership/membership_service.py
+++ b/src/galenatack/membership/membership_service.py
@@ -94,6 +94,7 @@
         ] = collections.OrderedDict()
         self._statuses: dict[str, str] = {}
         self._merge_source: str | None = None
+        self._has_pulled = False
         self._ticked_s = clock.monotonic_s()
         table.subscribe(self._on_changed)
         peers.on(hello.Hello, self._on_hello)
@@ -270,8 +271,11 @@
         next_interval_s = min(2 * interval_s, MAX_PULL_INTERVAL_S)
         self._pulls[sender] = (now_s + interval_s, next_interval_s)
         # Digests also differ while a change is being flooded. The delay lets
-        # it arrive before a whole table is transferred.
-        await self._clock.sleep_s(self._rng.uniform(0.2, 0.8))
+        # it arrive before a whole table is transferred. A node that has just
+        # started needs the table at once.
+        is_first, self._has_pulled = not self._has_pulled, True
+        if not is_first:
+            await self._clock.sleep_s(self._rng.uniform(0.2, 0.8))
         digest = self._table.digest()
         if digest == peer_digest:
             return
--- a/tests/config/test_store_follower_election.py
+++ b/tests/config/test_store_follower_election.py
@@ -160,6 +160,22 @@
             places = {fleet.data_centres[name] for name in fleet.following}
             self.assertEqual(len(places), FOLLOWERS)
 
+    def test_followers_of_one_data_centre_are_spread_again(self):
+        """The others may have been away when they were elected."""
+        fleet = Fleet(20, data_centres=4)
+        fleet.run(0.1)
+        only = [n for n in fleet.names if fleet.data_centres[n] == "dc0"]
+        fleet.kill(*(set(fleet.names) - set(only)))
+        fleet.run(3.0)
+        self.assertEqual(len(fleet.following), FOLLOWERS)
+        self.assertLessEqual(fleet.following, set(only))
+        for name in set(fleet.names) - set(only):
+            fleet.start(name)
+            fleet.tables[name].update_own(incarnation=5)
+        fleet.run(4.0)
+        places = {fleet.data_centres[name] for name in fleet.following}
+        self.assertEqual((len(fleet.following), len(places)), (2, 2))
+
     def test_nodes_that_are_not_linked_to_a_follower_stay_passive(self):
         """In a large fleet most nodes know the followers by their records."""
         fleet = Fleet(120, data_centres=4, links=3)
