Send the calls of a version on trial in bursts to few targets

Now the trial's calls go to one new target at a time, in bursts in which it gets the load of an old target (share * old targets = the number of new targets that can be loaded so). During the trial a fault has to show on two targets if the version has several, so that one failing target does not take it back. The trial's share is 0.75 of the bound instead of 0.55, since this is where faults are found.

Ruled out: leaving out each single target in the last phase as well (a late fault with two targets was completed), and a larger share in the last phases.

--- a/src/galenatack/app/mesh_rollouts.py
+++ b/src/galenatack/app/mesh_rollouts.py
@@ -13,7 +13,7 @@
 from galenatack.rollouts import version_chooser
 from galenatack.traffic import target_directory
 
-TRIAL_SHARE_OF_BOUND = 0.55
+TRIAL_SHARE_OF_BOUND = 0.75
 """Fraction of the allowed share that a version on trial gets. The rest is a
 reserve for the moment in which all calls switch to the new version."""
 
--- a/src/galenatack/rollouts/evidence_pool.py
+++ b/src/galenatack/rollouts/evidence_pool.py
@@ -91,14 +91,9 @@
 
     def evidence(
         self, order: rollout_order.RolloutOrder
-    ) -> tuple[route_evidence.RouteEvidence, ...]:
-        """Returns the outcomes of all gates for an order."""
-        return tuple(
-            outcomes
-            for (revision, _), report in self._reports.items()
-            if revision == order.revision
-            for outcomes in report.routes
-        )
+    ) -> dict[str, tuple[route_evidence.RouteEvidence, ...]]:
+        """Returns the outcomes of each gate for an order."""
+        return {report.node_id: report.routes for report in self.reports(order)}
 
     def reports(self, order: rollout_order.RolloutOrder) -> list[_Report]:
         """Returns the latest report of each gate for an order."""
--- a/src/galenatack/rollouts/recent_evidence.py
+++ b/src/galenatack/rollouts/recent_evidence.py
@@ -38,8 +38,8 @@
         order_revision: int,
         reports: collections.abc.Iterable[_Report],
         version: str,
-    ) -> tuple[_Route, ...]:
-        """Returns the outcomes of the last window.
+    ) -> dict[str, list[_Route]]:
+        """Returns the outcomes of each gate in the last window.
 
         Args:
             order_revision: Revision of the order.
@@ -63,12 +63,12 @@
         while len(history) > 1 and history[1][0] <= now_s - WINDOW_S:
             history.popleft()
         baseline = history[0][1]
-        return tuple(
-            _difference(evidence, baseline.get(key))
-            if key[3] == version
-            else evidence
-            for key, evidence in latest.items()
-        )
+        by_gate: dict[str, list[_Route]] = collections.defaultdict(list)
+        for key, evidence in latest.items():
+            if key[3] == version:
+                evidence = _difference(evidence, baseline.get(key))
+            by_gate[key[0]].append(evidence)
+        return by_gate
 
     def retain_only(self, order_revisions: set[int]) -> None:
         """Removes the snapshots of all other orders."""
--- a/src/galenatack/rollouts/rollout_driver.py
+++ b/src/galenatack/rollouts/rollout_driver.py
@@ -138,11 +138,13 @@
             order.revision, self._pool.reports(order), version
         )
         if self._registry.phase(order) == _Phase.ALL:
-            return trial_judge.fault(recent, version, is_alone=True)
-        evidence = self._pool.evidence(order)
-        return trial_judge.fault(evidence, version) or trial_judge.fault(
-            recent, version
-        )
+            return trial_judge.fault(
+                trial_judge.joined(recent), version, is_alone=True
+            )
+        targets = self._targets.count(order.service, version)
+        return trial_judge.confirmed_fault(
+            self._pool.evidence(order), version, targets=targets
+        ) or trial_judge.confirmed_fault(recent, version, targets=targets)
 
     def _next_phase(
         self, order: _Order, reason: str | None, takeover_delay_s: float
--- a/src/galenatack/rollouts/version_chooser.py
+++ b/src/galenatack/rollouts/version_chooser.py
@@ -3,8 +3,11 @@
 import collections.abc
 
 from galenatack.interfaces import clock as clock_interface
+from galenatack.model import member_record
+from galenatack.model import rollout_order
 from galenatack.model import rollout_phase
 from galenatack.rollouts import rollout_registry
+from galenatack.rollouts import trial_bursts
 from galenatack.rollouts import trial_share
 
 UNKNOWN_VERSION_DELAY_S = 3.0
@@ -13,6 +16,10 @@
 bound."""
 
 
+_Record = member_record.MemberRecord
+_Targets = collections.abc.Mapping[str, collections.abc.Sequence[_Record]]
+
+
 class VersionChooser:
     """Chooses versions by orders, progress and withdrawals.
 
@@ -37,35 +44,64 @@
     def choose(
         self,
         service: str,
-        versions: collections.abc.Collection[str],
+        targets: _Targets,
         *,
         is_retry: bool,
-    ) -> tuple[str, ...]:
-        """Returns the versions that the call may be sent to.
+    ) -> tuple[list[_Record], ...]:
+        """Returns the targets that the call may be sent to.
 
         Args:
             service: Service of the call.
-            versions: Versions with targets.
+            targets: Targets of the service by version.
             is_retry: Whether the call is a retry; retries are not sent to a
                 version on trial.
+
+        Returns:
+            Groups of targets; a later one is used if no target of those before
+            it has room. Not empty.
         """
         allowed = [
             version
-            for version in versions
+            for version in targets
             if not self._registry.is_withdrawn(service, version)
         ]
-        if len(allowed) <= 1:
-            return tuple(allowed)
         order = self._registry.active_order(service)
+        if len(allowed) <= 1:
+            return (_members(targets, allowed),)
         if order is None or order.version not in allowed:
-            return self._without_order(service, allowed)
-        others = tuple(v for v in allowed if v != order.version)
+            versions = self._without_order(service, allowed)
+            return (_members(targets, versions),)
+        others = _members(targets, [v for v in allowed if v != order.version])
+        new = list(targets[order.version])
         phase = self._registry.phase(order)
-        if is_retry and phase == rollout_phase.RolloutPhase.TRIAL:
-            return others
-        if self._share.admits(order.revision, phase):
-            return (order.version,)
-        return others
+        if phase == rollout_phase.RolloutPhase.TRIAL:
+            return self._on_trial(order, new, others, is_retry=is_retry)
+        if self._share.admits(order.revision, phase, None):
+            return (new,)
+        return (others,)
+
+    def _on_trial(
+        self,
+        order: rollout_order.RolloutOrder,
+        new: list[_Record],
+        others: list[_Record],
+        *,
+        is_retry: bool,
+    ) -> tuple[list[_Record], ...]:
+        if is_retry:
+            return (others,)
+        burst = trial_bursts.burst_at(
+            self._registry.age_s(order),
+            share=self._share.trial_share,
+            old_targets=len(others),
+        )
+        phase = rollout_phase.RolloutPhase.TRIAL
+        if not self._share.admits(order.revision, phase, burst):
+            return (others,)
+        chosen = trial_bursts.targets_of(
+            burst, new, order_revision=order.revision
+        )
+        return (chosen, others)
 
     def _without_order(
         self, service: str, allowed: list[str]
@@ -90,3 +126,9 @@
             )
         since_s = first_seen_s.setdefault(version, now_s)
         return now_s - since_s >= UNKNOWN_VERSION_DELAY_S
+
+
+def _members(
+    targets: _Targets, versions: collections.abc.Iterable[str]
+) -> list[_Record]:
+    return [record for version in versions for record in targets[version]]
--- a/src/galenatack/traffic/call_router.py
+++ b/src/galenatack/traffic/call_router.py
@@ -1,5 +1,7 @@
 """Routes the calls of callers and of the local target."""
 
+import logging
+
 from galenatack import exceptions
 from galenatack.interfaces import clock as clock_interface
 from galenatack.messages import call_answer
@@ -19,6 +21,8 @@
 from galenatack.traffic import target_placement
 from galenatack.traffic import weighted_choice
 
+_LOGGER = logging.getLogger(__name__)
+
 MS_PER_S = 1000.0
 BODY_TOO_LARGE = 413
 
@@ -147,20 +151,34 @@
                 "budget of repeats is used up",
                 retry_after_ms=local_replies.DEFAULT_RETRY_AFTER_MS,
             )
-        by_version = self._directory.by_version(attempts.service)
-        allowed = self._versions.choose(
-            attempts.service, by_version, is_retry=bool(attempts.tried)
+        *preferred, last = self._versions.choose(
+            attempts.service,
+            self._directory.by_version(attempts.service),
+            is_retry=bool(attempts.tried),
         )
-        members = [item for version in allowed for item in by_version[version]]
-        member = self._placement.choose(
+        member = None
+        for members in preferred:
+            try:
+                member = self._place(members, attempts, left_ms)
+            except exceptions.OverloadedError as error:
+                _LOGGER.debug("event=trial-targets-full error=%s", error)
+        member = member or self._place(last, attempts, left_ms)
+        if attempts.arrivals:
+            self._budget.try_spend(attempts.service)
+        return member
+
+    def _place(
+        self,
+        members: list[member_record.MemberRecord],
+        attempts: request_attempts.RequestAttempts,
+        left_ms: float,
+    ) -> member_record.MemberRecord:
+        return self._placement.choose(
             members,
             route=attempts.route,
             left_ms=left_ms,
             tried=attempts.tried,
         )
-        if attempts.arrivals:
-            self._budget.try_spend(attempts.service)
-        return member
 
     def _may_retry(
         self,
