Bring rows to a data centre once, and keep few idle links between regions

The first carrier pulls at once, others after 0.3 s; of each service, links to three targets of other regions are kept warm.

--- a/src/galenatack/app/mesh_store.py
+++ b/src/galenatack/app/mesh_store.py
@@ -9,6 +9,7 @@
 from galenatack.config import table_watcher
 from galenatack.interfaces import shared_table
 from galenatack.membership import discovery
+from galenatack.membership import node_roles
 from galenatack.platform import config_document
 from galenatack.platform import rollout_rows
 
@@ -51,6 +52,7 @@
             on_newer_peer=base.callbacks.on_newer_peer,
             is_following=base.callbacks.is_following,
             is_store_healthy=base.callbacks.is_store_healthy,
+            is_first_carrier=lambda: node_roles.is_first_carrier(base.members),
             proximity_of=base.callbacks.proximity_of,
             clock=base.clock,
         ),
--- a/src/galenatack/config/row_exchange.py
+++ b/src/galenatack/config/row_exchange.py
@@ -31,6 +31,10 @@
 node of its own region has the rows within a quarter of a second; a change must
 be in force within 2.5 s."""
 
+STANDBY_PULL_DELAY_S = 0.3
+"""Delay before the other carriers of a data centre pull from their region. The
+first one brings the rows to the data centre once."""
+
 FOLLOWER_PULL_DELAY_S = {
     _Proximity.OWN_DATA_CENTRE: 1.0,
     _Proximity.OWN_REGION: 1.0,
@@ -58,6 +62,8 @@
             delay, although this node may watch the store.
         is_following: Returns whether this node watches the store.
         is_store_healthy: Returns whether the store responds to this node.
+        is_first_carrier: Returns whether this node is the first one that links
+            its data centre to others.
         proximity_of: Returns the proximity of a node.
         clock: Source of time.
     """
@@ -71,6 +77,7 @@
         on_newer_peer: OnNewerPeer,
         is_following: collections.abc.Callable[[], bool],
         is_store_healthy: collections.abc.Callable[[], bool],
+        is_first_carrier: collections.abc.Callable[[], bool],
         proximity_of: collections.abc.Callable[[str], _Proximity],
         clock: clock_interface.Clock,
     ):
@@ -80,6 +87,7 @@
         self._on_newer_peer = on_newer_peer
         self._is_following = is_following
         self._is_store_healthy = is_store_healthy
+        self._is_first_carrier = is_first_carrier
         self._proximity_of = proximity_of
         self._clock = clock
         self._announced: dict[str, tuple[int, ...]] = {}
@@ -143,12 +151,12 @@
     def _pull_delay_s(self, sender: str) -> float:
         if not self._is_store_healthy():
             return 0.0
-        delays_s = (
-            FOLLOWER_PULL_DELAY_S
-            if self._is_following()
-            else PASSIVE_PULL_DELAY_S
-        )
-        return delays_s[self._proximity_of(sender)]
+        distance = self._proximity_of(sender)
+        if self._is_following():
+            return FOLLOWER_PULL_DELAY_S[distance]
+        if distance == _Proximity.OWN_REGION and not self._is_first_carrier():
+            return STANDBY_PULL_DELAY_S
+        return PASSIVE_PULL_DELAY_S[distance]
 
     async def _pull(self, sender: str) -> None:
         try:
--- a/src/galenatack/membership/node_roles.py
+++ b/src/galenatack/membership/node_roles.py
@@ -106,6 +106,13 @@
     )
 
 
+def is_first_carrier(table: member_table.MemberTable) -> bool:
+    """Returns whether this node is the first carrier of its data centre."""
+    own = table.own
+    carriers = data_centre_carriers(table, own.data_centre)
+    return carriers[:1] == (own.node_id,)
+
+
 def _carrier_peers(table: member_table.MemberTable) -> frozenset[str]:
     own = table.own
     chosen: set[str] = set()
--- a/src/galenatack/traffic/link_warmer.py
+++ b/src/galenatack/traffic/link_warmer.py
@@ -24,6 +24,10 @@
 three choices in four data centres, more links do not balance the load better,
 and each link costs two heartbeats a second."""
 
+LINKS_TO_OTHER_REGIONS = 3
+"""Targets of one service in other regions that a node keeps links to. They are
+a last resort, and the heartbeats cross a link that is billed by volume."""
+
 _Record = member_record.MemberRecord
 
 
@@ -92,7 +96,11 @@
                     _preference(own.node_id, record.node_id),
                 )
             )
-            wanted.extend(records[:LINKS_PER_SERVICE])
+            near = [r for r in records if r.region == own.region]
+            far = [r for r in records if r.region != own.region]
+            vacant = LINKS_PER_SERVICE - len(near[:LINKS_PER_SERVICE])
+            wanted.extend(near[:LINKS_PER_SERVICE])
+            wanted.extend(far[: min(vacant, LINKS_TO_OTHER_REGIONS)])
         return tuple(wanted)
 
     def _record_open(self, record: _Record) -> None:
--- a/tests/config/test_row_exchange.py
+++ b/tests/config/test_row_exchange.py
@@ -25,7 +25,9 @@
 class Peers:
     """A node `a` behind a node `b`, and a node `c` with the rows of `a`."""
 
-    def __init__(self, tasks, *, is_healthy, is_following, distance):
+    def __init__(
+        self, tasks, *, is_healthy, is_following, distance, is_first_carrier
+    ):
         self.tasks = tasks
         self.announced = []
         self.newer_peers_s = []
@@ -43,6 +45,7 @@
                 on_newer_peer=self._record_newer_peer,
                 is_following=lambda: is_following,
                 is_store_healthy=lambda: is_healthy,
+                is_first_carrier=lambda: is_first_carrier,
                 proximity_of=lambda node_id: distance,
                 clock=virtual_loop.LoopClock(),
             )
@@ -74,7 +77,13 @@
 
 class TestRowExchange(unittest.TestCase):
     def play(
-        self, scenario, *, is_healthy=True, is_following=True, distance=NEAR
+        self,
+        scenario,
+        *,
+        is_healthy=True,
+        is_following=True,
+        distance=NEAR,
+        is_first_carrier=True,
     ):
         async def main():
             async with anyio.create_task_group() as tasks:
@@ -84,6 +93,7 @@
                         is_healthy=is_healthy,
                         is_following=is_following,
                         distance=distance,
+                        is_first_carrier=is_first_carrier,
                     )
                 )
 
@@ -122,6 +132,12 @@
         self.play(scenario, is_following=False, distance=NEAREST)
         self.play(scenario, is_following=False, distance=NEAR)
 
+    def test_one_carrier_brings_the_rows_to_a_data_centre(self):
+        """The other one pulls only if the first one does not."""
+        self.check_delay(
+            0.3, is_following=False, distance=NEAR, is_first_carrier=False
+        )
+
     def test_a_passive_node_waits_for_the_followers_of_its_region(self):
         """Rows are sent to another region only if necessary."""
         self.check_delay(0.9, is_following=False, distance=FAR)
--- a/tests/rollouts/test_trial_bursts.py
+++ b/tests/rollouts/test_trial_bursts.py
@@ -6,7 +6,7 @@
 from tests.traffic import fleet_load
 
 SHARE = 0.075
-STEP_S = 0.01
+STEP_S = 0.0025
 
 
 class TestTrialBursts(unittest.TestCase):
--- a/tests/traffic/test_link_warmer.py
+++ b/tests/traffic/test_link_warmer.py
@@ -127,3 +127,16 @@
         dialled = self.run_warmers([*near, *region, *far]).dialled["n00"]
         self.assertTrue({item.node_id for item in near[1:]} <= dialled)
         self.assertFalse({item.node_id for item in far} & dialled)
+
+    def test_few_links_to_other_regions_are_kept(self):
+        """Their heartbeats cross a link that is billed by volume."""
+        near = [record(index) for index in range(3)]
+        far = [
+            record(index, data_centre="c", region="far")
+            for index in range(3, 20)
+        ]
+        dialled = self.run_warmers([*near, *far]).dialled["n00"]
+        far_ids = {item.node_id for item in far}
+        self.assertEqual(
+            len(far_ids & dialled), link_warmer.LINKS_TO_OTHER_REGIONS
+        )
