Send large messages between nodes in parts

Cause: an upload (360 KB) or a configuration is one frame on a link; at 5 Mbit/s heartbeats and small calls behind it wait 0.6 s each, and ten of them make the link look silent (limit 2 s).

Frames above 16 KB are now sent in parts of 8 KB as the connection accepts them, taking turns; small frames go between them. A cancellation does not overtake its call. A request of which the last part was not sent has not run and is reported so.

Not done: a node still holds the whole body of an upload.

--- a/src/galenatack/links/handshake.py
+++ b/src/galenatack/links/handshake.py
@@ -15,10 +15,10 @@
 from galenatack.messages import protocol_failure
 from galenatack.model import member_record
 
-PROTOCOL = 1
+PROTOCOL = 2
 """Protocol version of this release."""
 
-OLDEST_PROTOCOL = 1
+OLDEST_PROTOCOL = 2
 """Oldest protocol version that this release supports."""
 
 TIMEOUT_S = 2.0
--- a/src/galenatack/links/message_tags.py
+++ b/src/galenatack/links/message_tags.py
@@ -7,6 +7,7 @@
 from galenatack.messages import cancel_call
 from galenatack.messages import delta
 from galenatack.messages import evidence
+from galenatack.messages import fragment
 from galenatack.messages import heartbeat
 from galenatack.messages import held
 from galenatack.messages import hello
@@ -41,6 +42,7 @@
     17: pull_rows.PullRows,
     18: rows.Rows,
     19: trial_evidence.TrialEvidence,
+    20: fragment.Fragment,
 }
 """Message type by tag."""
 
--- a/src/galenatack/links/peer_link.py
+++ b/src/galenatack/links/peer_link.py
@@ -4,6 +4,7 @@
 import collections
 import collections.abc
 import contextlib
+import logging
 import math
 import socket
 import typing
@@ -15,12 +16,16 @@
 
 from galenatack import exceptions
 from galenatack.interfaces import clock as clock_interface
+from galenatack.links import bulk_queue
 from galenatack.links import envelope
 from galenatack.links import fault_injector
+from galenatack.links import fragment_assembler
 from galenatack.links import link_purpose
 from galenatack.links import message_codec
 from galenatack.links import traffic_counter
 from galenatack.messages import busy
+from galenatack.messages import cancel_call
+from galenatack.messages import fragment
 from galenatack.messages import heartbeat
 from galenatack.messages import protocol_failure
 from galenatack.model import member_record
@@ -30,18 +35,35 @@
 
 MAX_REQUEST_ID = (1 << 32) - 1
 
+BULK_BYTES = 2 * bulk_queue.CHUNK_BYTES
+"""Larger frames are sent in parts, between which other frames are sent."""
+
+BULK_PROTOCOL = 2
+"""First protocol version in which frames may be sent in parts."""
+
+BULK_POLL_S = 0.004
+"""How often a link whose buffer is full is checked while parts wait."""
+
+TCP_NOTSENT_LOWAT = 25
+UNSENT_KERNEL_BYTES = 32 * 1024
+"""Limit on bytes that the kernel buffers in front of later, more urgent ones.
+The constant is missing in the socket module."""
+
 CLOSE_NORMAL = 1000
 CLOSE_GOING_AWAY = 1001
 CLOSE_PROTOCOL_ERROR = 1002
 
+_LOGGER = logging.getLogger(__name__)
+
 OnMessage = collections.abc.Callable[["PeerLink", envelope.Envelope], None]
 
 
 class PeerLink:
     """Sends frames and requests over one connection, and receives replies.
 
-    Writes never block: the transport buffers up to `MAX_UNSENT_BYTES`, then
-    the link is dropped. A slow peer therefore delays no other peer.
+    Writes never block: the link buffers up to `MAX_UNSENT_BYTES`, then it is
+    dropped. A slow peer therefore delays no other peer. Large frames are sent
+    in parts, so that they delay no small ones.
 
     Attributes:
         record: The peer's member record, from its Hello.
@@ -60,6 +82,7 @@
         *,
         connection: websockets_connection.Connection,
         record: member_record.MemberRecord,
+        protocol: int,
         purpose: link_purpose.LinkPurpose,
         dialled: bool,
         clock: clock_interface.Clock,
@@ -77,6 +100,10 @@
         self._delay_s = faults.delay_s(record.region)
         self._delayed: collections.deque[bytes] = collections.deque()
         self._delayed_bytes = 0
+        self._can_split = protocol >= BULK_PROTOCOL
+        self._bulk = bulk_queue.BulkQueue()
+        self._bulk_task: asyncio.Task[None] | None = None
+        self._assembler = fragment_assembler.FragmentAssembler()
         self._pending: dict[int, asyncio.Future[typing.Any]] = {}
         self._last_id = 0
         self._is_planned = False
@@ -85,7 +112,7 @@
         # The first heartbeat is due at once; it triggers anti-entropy.
         self.heartbeat_sent_s = -math.inf
         self.closed = asyncio.Event()
-        _disable_nagle(connection)
+        _set_socket_options(connection)
 
     @property
     def node_id(self) -> str:
@@ -104,9 +131,12 @@
 
     def post(
         self, message: typing.Any, *, request_id: int = 0, reply_id: int = 0
-    ) -> None:
+    ) -> int:
         """Sends a message without waiting.
 
+        Returns:
+            Id of a message that is sent in parts, else 0.
+
         Raises:
             exceptions.PeerUnreachableError: The link is closed.
             exceptions.ProtocolError: The message is too large.
@@ -114,11 +144,14 @@
         frame = message_codec.encode(
             message, request_id=request_id, reply_id=reply_id
         )
-        self.post_frame(frame, type(message))
+        return self.post_frame(frame, type(message))
 
-    def post_frame(self, frame: bytes, message_type: type) -> None:
+    def post_frame(self, frame: bytes, message_type: type) -> int:
         """Sends an encoded message without waiting.
 
+        Returns:
+            Id of a message that is sent in parts, else 0.
+
         Raises:
             exceptions.PeerUnreachableError: The link is closed.
         """
@@ -129,15 +162,23 @@
         if message_type is not heartbeat.Heartbeat:
             self.used_s = self._clock.monotonic_s()
         if self._faults.is_cut(self.record.data_centre):
-            return
+            return 0
         self._traffic.count_sent(message_type, len(frame), self.record.region)
         if not self._delay_s:
+            # A cancellation must not overtake its call.
+            in_order = message_type is cancel_call.CancelCall
+            has_parts = self._bulk.unsent_bytes > 0
+            if self._can_split and (
+                len(frame) > BULK_BYTES or (in_order and has_parts)
+            ):
+                return self._write_in_parts(frame, in_order=in_order)
             self._write(frame)
-            return
+            return 0
         self._delayed.append(frame)
         self._delayed_bytes += len(frame)
         loop = asyncio.get_running_loop()
         loop.call_later(self._delay_s, self._write_delayed)
+        return 0
 
     async def request(
         self, message: typing.Any, *, timeout_s: float
@@ -145,7 +186,8 @@
         """Sends a request and returns its reply.
 
         Raises:
-            exceptions.PeerUnreachableError: Nothing was sent.
+            exceptions.PeerUnreachableError: The request was not sent, or not
+                as a whole.
             exceptions.PeerTimeoutError: No reply was received; the request
                 may have run.
             exceptions.PeerBusyError: The peer refused; retry later.
@@ -154,12 +196,21 @@
         request_id = self._last_id
         future = asyncio.get_running_loop().create_future()
         self._pending[request_id] = future
+        message_id = 0
+        reply = None
         try:
-            self.post(message, request_id=request_id)
+            message_id = self.post(message, request_id=request_id)
             with anyio.move_on_after(timeout_s):
-                return _unwrap_reply(await future)
+                reply = await future
         finally:
             self._pending.pop(request_id, None)
+            is_incomplete = self._bulk.discard(message_id)
+        if is_incomplete:
+            raise exceptions.PeerUnreachableError(
+                f"request to {self.node_id} was sent only in part"
+            )
+        if future.done():
+            return _unwrap_reply(reply)
         raise exceptions.PeerTimeoutError(
             f"no reply from {self.node_id} in {timeout_s:.3f} s"
         )
@@ -202,6 +253,12 @@
         if self._faults.is_cut(self.record.data_centre):
             return
         received = message_codec.decode(frame)
+        if isinstance(received.message, fragment.Fragment):
+            self.used_s = self.received_s = self._clock.monotonic_s()
+            frame = self._assembler.add(received.message)
+            if frame is None:
+                return
+            received = message_codec.decode(frame)
         kind = type(received.message)
         self._traffic.count_received(kind, len(frame), self.record.region)
         self.received_s = self._clock.monotonic_s()
@@ -233,9 +290,31 @@
     def _write(self, frame: bytes) -> None:
         websockets_connection.broadcast((self._connection,), frame)
         unsent = self._connection.transport.get_write_buffer_size()
+        unsent += self._bulk.unsent_bytes
         if unsent + self._delayed_bytes > MAX_UNSENT_BYTES:
             self.abort()
 
+    def _write_in_parts(self, frame: bytes, *, in_order: bool) -> int:
+        message_id = self._bulk.add(frame, in_order=in_order)
+        if self._bulk.unsent_bytes > MAX_UNSENT_BYTES:
+            self.abort()
+        elif self._bulk_task is None or self._bulk_task.done():
+            self._bulk_task = asyncio.create_task(self._send_parts())
+        return message_id
+
+    async def _send_parts(self) -> None:
+        """Sends parts as the connection accepts them, small frames first."""
+        transport = self._connection.transport
+        while not self.closed.is_set():
+            if transport.get_write_buffer_size() >= bulk_queue.CHUNK_BYTES:
+                await asyncio.sleep(BULK_POLL_S)
+                continue
+            part = self._bulk.take()
+            if part is None:
+                return
+            self._write(message_codec.encode(part))
+            await asyncio.sleep(0)
+
     def _finish(self) -> None:
         self.closed.set()
         for future in self._pending.values():
@@ -255,7 +334,15 @@
     return reply
 
 
-def _disable_nagle(connection: websockets_connection.Connection) -> None:
+def _set_socket_options(connection: websockets_connection.Connection) -> None:
     raw = connection.transport.get_extra_info("socket")
-    if raw is not None:
-        raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    if raw is None:
+        return
+    raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    try:
+        raw.setsockopt(
+            socket.IPPROTO_TCP, TCP_NOTSENT_LOWAT, UNSENT_KERNEL_BYTES
+        )
+    except OSError as error:
+        # Only costs latency of small frames behind large ones.
+        _LOGGER.debug("event=socket-option-refused error=%s", error)
