Bound the bytes that a target or a caller sends beside a message

Now bytes beside the body of an answer are limited to 256 KB plus the size of the body, those of a request to 512 KB plus its body, and bytes that are read and dropped before a close to 1 MB. The call is lost at once (it may have run), and the connection is closed. All 18 kinds end within 5 s, answers within 16 MB.

--- a/src/galenatack/links/pipelined_connection.py
+++ b/src/galenatack/links/pipelined_connection.py
@@ -24,6 +24,9 @@
 MAX_UNREAD_BYTES = 262_144
 """Bytes read ahead while `MAX_CONCURRENT_REQUESTS` requests run."""
 
+MAX_DISCARDED_BYTES = 1_000_000
+"""Limit on bytes that are read and dropped before a connection is closed."""
+
 LINGER_S = 1.0
 """Delay before closing after the last answer.
 
@@ -81,6 +84,7 @@
             on_continue=self._send_continue,
         )
         self._unread = b""
+        self._discarded_bytes = 0
         self._pending: collections.deque[_Exchange] = collections.deque()
         self._is_draining = False
         self._is_writing_paused = False
@@ -101,6 +105,7 @@
     def data_received(self, data: bytes) -> None:
         """Feeds received bytes to the reader, or buffers them."""
         if not self._reader.is_open:
+            self._discard(data)
             return
         self._last_active_s = self._loop.time()
         if self._request_began_s is None:
@@ -177,6 +182,12 @@
             or len(self._pending) >= MAX_CONCURRENT_REQUESTS
         )
 
+    def _discard(self, data: bytes) -> None:
+        """Drops bytes behind the last request, up to a limit."""
+        self._discarded_bytes += len(data)
+        if self._discarded_bytes > MAX_DISCARDED_BYTES:
+            self._transport.abort()
+
     def _limit_unread(self) -> None:
         if len(self._unread) > MAX_UNREAD_BYTES:
             self._transport.pause_reading()
--- a/src/galenatack/links/request_reader.py
+++ b/src/galenatack/links/request_reader.py
@@ -16,6 +16,12 @@
 HEADERS_TOO_LARGE = 431
 
 
+MAX_OVERHEAD_BYTES = 524_288
+"""Limit on received bytes that are not the body of a request, beyond the size
+of that body, such as chunk sizes and trailers. The bytes of one read, which may
+hold several requests, count for the last of them."""
+
+
 class OnRequest(typing.Protocol):
     """Handles a complete request."""
 
@@ -73,6 +79,7 @@
         try:
             self._parser.feed_data(data)
             self._count_partial_head(len(data))
+            self._count_overhead(len(data))
         except httptools.HttpParserUpgrade as error:
             # Upgrades are not supported: the request was handled as a plain
             # one, and the remaining bytes are the next request.
@@ -112,9 +119,8 @@
 
     def on_body(self, body: bytes) -> None:
         """Parser callback: a part of the body."""
-        self._body.append(body)
-        self._body_bytes += len(body)
-        if self._body_bytes > self._limits.max_body_bytes:
+        self._body += body
+        if len(self._body) > self._limits.max_body_bytes:
             self._refuse(BODY_TOO_LARGE)
 
     def on_message_complete(self) -> None:
@@ -126,15 +132,15 @@
             method=self._parser.get_method().decode("ascii"),
             target=self._target.decode("latin-1"),
             headers=tuple(self._headers),
-            body=b"".join(self._body),
+            body=bytes(self._body),
         )
         self._on_request(request, keeps_alive=self._parser.should_keep_alive())
 
     def _begin_message(self) -> None:
         self._target = b""
         self._headers: list[tuple[str, str]] = []
-        self._body: list[bytes] = []
-        self._body_bytes = 0
+        self._body = bytearray()
+        self._received_bytes = 0
         self._head_bytes = 0
         self._partial_bytes = 0
         self.has_head = False
@@ -152,6 +158,14 @@
         if self._partial_bytes > self._limits.max_header_bytes:
             self._refuse(HEADERS_TOO_LARGE)
 
+    def _count_overhead(self, size_bytes: int) -> None:
+        if not self.has_begun:
+            return
+        self._received_bytes += size_bytes
+        body_bytes = len(self._body)
+        if self._received_bytes - body_bytes > MAX_OVERHEAD_BYTES + body_bytes:
+            self._refuse(BAD_REQUEST)
+
     def _refuse(self, status: int) -> None:
         if self.is_open:
             self.close()
--- a/src/galenatack/links/target_connection.py
+++ b/src/galenatack/links/target_connection.py
@@ -13,6 +13,12 @@
 
 _LENGTHS = frozenset({b"content-length", b"transfer-encoding"})
 _FIRST_FINAL_STATUS = 200
+
+MAX_OVERHEAD_BYTES = 262_144
+"""Limit on received bytes that are not the body of the answer, beyond the size
+of that body: heads, interim and skipped answers, chunk sizes and trailers. A
+faulty target may send them without end."""
+
 _KEEP_ALIVE = b"keep-alive"
 _TIMEOUT = b"timeout="
 
@@ -48,6 +54,7 @@
         self._waiter: asyncio.Future[RawAnswer] | None = None
         self._is_answer: IsAnswer | None = None
         self._is_head_request = False
+        self._received_bytes = 0
         self._begin_message()
         self.is_usable = False
         self.released_s = 0.0
@@ -65,6 +72,7 @@
             # connection could be attributed to the wrong call.
             self.close()
             return
+        self._received_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -72,6 +80,9 @@
         except httptools.HttpParserError as error:
             # Bytes after a complete answer only close the connection.
             self._fail(str(error))
+        body_bytes = len(self._body)
+        if self._received_bytes - body_bytes > MAX_OVERHEAD_BYTES + body_bytes:
+            self._fail("too many bytes beside the answer")
 
     def eof_received(self) -> None:
         """Completes an answer without a length; the transport closes itself."""
@@ -108,6 +119,7 @@
             raise exceptions.TargetConnectError("connection is closed")
         self._is_answer = is_answer
         self._is_head_request = is_head_request
+        self._received_bytes = 0
         self._waiter = asyncio.get_running_loop().create_future()
         # The connection is reusable only after the end of the answer.
         self.is_usable = False
@@ -143,9 +155,8 @@
 
     def on_body(self, body: bytes) -> None:
         """Parser callback: a part of the body."""
-        self._parts.append(body)
-        self._size += len(body)
-        if self._size > self._max_answer_bytes:
+        self._body += body
+        if len(self._body) > self._max_answer_bytes:
             self._fail("answer too large")
 
     def on_message_complete(self) -> None:
@@ -159,8 +170,7 @@
 
     def _begin_message(self) -> None:
         self._headers: list[tuple[bytes, bytes]] = []
-        self._parts: list[bytes] = []
-        self._size = 0
+        self._body = bytearray()
         self._has_head = False
         self._has_length = False
 
@@ -180,7 +190,7 @@
             RawAnswer(
                 self._parser.get_status_code(),
                 self._headers,
-                b"".join(self._parts),
+                bytes(self._body),
             )
         )
 
--- /dev/null
+++ b/tests/links/test_endless_bytes.py
@@ -0,0 +1,164 @@
+"""Tests of targets and callers that send bytes without end."""
+
+import asyncio
+import contextlib
+import tracemalloc
+import unittest
+
+from galenatack import exceptions
+from galenatack.links import connection_limits
+from galenatack.links import http_client
+from galenatack.links import http_response
+from galenatack.links import pipelined_server
+from tests.mesh import small_fleet
+
+TIME_LIMIT_S = 5.0
+"""Time in which the failure must be noticed; the bytes come at full speed."""
+
+MAX_ANSWER_BYTES = 3_500_000
+MEMORY_LIMIT_BYTES = 16_000_000
+"""Several times the largest answer, far below the memory of a node."""
+
+OK = b"HTTP/1.1 200 OK\r\n"
+CHUNKED = b"transfer-encoding: chunked\r\n\r\n"
+ENDLESS_ANSWERS = {
+    "no protocol": (b"", b"\x00\xff" * 500),
+    "status line": (b"HTTP/1.1 200 ", b"a" * 1000),
+    "header line": (OK + b"x: ", b"a" * 1000),
+    "headers": (OK, b"x-filler: aaaaaaaa\r\n" * 50),
+    "body without a length": (OK + b"\r\n", b"a" * 1000),
+    "body": (OK + b"content-length: 99999999999\r\n\r\n", b"a" * 1000),
+    "chunks of one byte": (OK + CHUNKED, b"1\r\na\r\n" * 200),
+    "chunk extension": (OK + CHUNKED + b"1;", b"a" * 1000),
+    "trailers": (OK + CHUNKED + b"0\r\n", b"x-filler: aaaaaaaa\r\n" * 50),
+    "interim answers": (b"", b"HTTP/1.1 102 Processing\r\n\r\n" * 40),
+    "answers of others": (
+        b"",
+        b"HTTP/1.1 200 OK\r\nx-id: other\r\ncontent-length: 0\r\n\r\n" * 20,
+    ),
+}
+
+
+async def send_without_end(writer, begin, more):
+    """Sends bytes until the other side closes; returns their number."""
+    sent = 0
+    with contextlib.suppress(OSError):
+        writer.write(begin)
+        while not writer.is_closing():
+            writer.write(more)
+            sent += len(more)
+            await writer.drain()
+            await asyncio.sleep(0)
+    return sent
+
+
+class TestTargets(unittest.TestCase):
+    def ask(self, begin, more):
+        """Returns the error of a request to an endless target."""
+
+        async def main():
+            ended = asyncio.Event()
+
+            async def serve(reader, writer):
+                await reader.read(100)
+                await send_without_end(writer, begin, more)
+                writer.close()
+                ended.set()
+
+            (address,) = small_fleet.free_addresses(1)
+            host, port = address.split(":")
+            server = await asyncio.start_server(serve, host, int(port))
+            client = http_client.HttpClient(
+                address=address,
+                max_connections=1,
+                connect_timeout_s=1.0,
+                max_answer_bytes=MAX_ANSWER_BYTES,
+            )
+            try:
+                async with asyncio.timeout(TIME_LIMIT_S):
+                    await client.request(
+                        "GET",
+                        "/",
+                        is_answer=lambda headers: (
+                            (b"x-id", b"other") not in headers
+                        ),
+                    )
+            finally:
+                async with asyncio.timeout(TIME_LIMIT_S):
+                    await ended.wait()
+                await client.close()
+                server.close()
+
+        tracemalloc.start()
+        try:
+            asyncio.run(main())
+        finally:
+            self.peak_bytes = tracemalloc.get_traced_memory()[1]
+            tracemalloc.stop()
+
+    def test_answers_without_end_are_lost_soon(self):
+        """The caller gets its answer at once, with little memory used.
+
+        The call may have run: it must not be reported as not run.
+        """
+        for name, (begin, more) in ENDLESS_ANSWERS.items():
+            with self.subTest(name):
+                with self.assertRaises(exceptions.TargetAnswerLostError):
+                    self.ask(begin, more)
+                self.assertLess(self.peak_bytes, MEMORY_LIMIT_BYTES)
+
+
+ENDLESS_REQUESTS = {
+    "request line": (b"GET /", b"a" * 1000),
+    "header line": (b"GET / HTTP/1.1\r\nx: ", b"a" * 1000),
+    "headers": (b"GET / HTTP/1.1\r\n", b"x-filler: aaaaaaaa\r\n" * 50),
+    "body": (
+        b"POST / HTTP/1.1\r\ncontent-length: 99999999999\r\n\r\n",
+        b"a" * 1000,
+    ),
+    "chunks of one byte": (
+        b"POST / HTTP/1.1\r\n" + CHUNKED,
+        b"1\r\na\r\n" * 200,
+    ),
+    "chunk extension": (b"POST / HTTP/1.1\r\n" + CHUNKED + b"1;", b"a" * 1000),
+    "trailers": (
+        b"POST / HTTP/1.1\r\n" + CHUNKED + b"0\r\n",
+        b"x-filler: aaaaaaaa\r\n" * 50,
+    ),
+}
+
+
+class TestCallers(unittest.TestCase):
+    def send(self, begin, more):
+        """Sends an endless request; returns the bytes that were taken."""
+
+        async def respond(request):
+            self.requests.append(request)
+            return http_response.HttpResponse(200)
+
+        async def main():
+            (address,) = small_fleet.free_addresses(1)
+            host, port = address.split(":")
+            server = pipelined_server.PipelinedServer(
+                address=address, respond=respond
+            )
+            await server.listen()
+            _, writer = await asyncio.open_connection(host, int(port))
+            async with asyncio.timeout(TIME_LIMIT_S):
+                sent = await send_without_end(writer, begin, more)
+            server.close()
+            return sent
+
+        self.requests = []
+        return asyncio.run(main())
+
+    def test_requests_without_end_are_refused_soon(self):
+        """Not more than the limits allow is read, and nothing is run."""
+        limits = connection_limits.ConnectionLimits()
+        for name, (begin, more) in ENDLESS_REQUESTS.items():
+            with self.subTest(name):
+                sent = self.send(begin, more)
+                self.assertEqual(self.requests, [])
+                # Each body byte in a chunk of its own takes six bytes; the
+                # kernels of both sides buffer some more.
+                self.assertLess(sent, 7 * limits.max_body_bytes + 12_000_000)
