A restarted node remembers what its peers know of it

Looked for: a server that had left, or a key that had been withdrawn, in use again after a restart. It could happen here: a node that was restarted forgot that its target had left, and an announcement that was delayed by a partition brought the target back; and it forgot a withdrawal that had been flooded while the store was away, so that the gate of a withdrawn version took calls again.

Now a peer that gets the Hello of a restarted node returns the record of the run before, with birth and sequence of the target; the node restores a target that stayed at once, too, instead of waiting for its next announcement. Withdrawals are sent to each new neighbour, by the class that the product's other nodes use.

--- a/bench/idle_scale.py
+++ b/bench/idle_scale.py
@@ -13,12 +13,13 @@
 _US_PER_S = 1_000_000
 _UNUSED_PARTS = (
     "hlc",
-    "peers",
     "state",
     "propagation",
     "updater",
     "move_runner",
-    "withdrawals",
+    "withdrawal_sync",
+    "holder",
+    "gate",
     "events",
 )
 
--- a/src/galenatack/app/mesh_callbacks.py
+++ b/src/galenatack/app/mesh_callbacks.py
@@ -15,6 +15,7 @@
 from galenatack.model import member_record
 from galenatack.model import proximity
 from galenatack.model import table_row
+from galenatack.moves import withdrawal_sync
 from galenatack.platform import config_document
 from galenatack.platform import rollout_rows
 from galenatack.rollouts import rollout_registry
@@ -46,6 +47,7 @@
     budget: attempt_budget.AttemptBudget
     placement: target_placement.TargetPlacement
     limits: connection_limits.ConnectionLimits
+    withdrawal_sync: withdrawal_sync.WithdrawalSync
 
 
 class MeshCallbacks:
@@ -82,6 +84,7 @@
         )
         for watcher in self._parts.watchers:
             watcher.stop_if_not_elected()
+        await self._parts.withdrawal_sync.on_heartbeat(sender)
         await self._parts.exchange.on_heartbeat(sender, message)
 
     def on_newer_peer(self) -> None:
@@ -126,8 +129,14 @@
             target_state=target.state,
             version=target.version,
             slots=target.slots,
+            target_born_ms=target.born_ms,
+            target_sequence=target.sequence,
         )
 
+    def on_former_record(self, former: member_record.MemberRecord) -> None:
+        """Restores the target from the record of this node's previous run."""
+        self._parts.registry.restore(former)
+
     def members_changed(
         self, changed: tuple[member_record.MemberRecord, ...]
     ) -> None:
--- a/src/galenatack/app/mesh_parts.py
+++ b/src/galenatack/app/mesh_parts.py
@@ -13,6 +13,7 @@
 from galenatack.membership import discovery
 from galenatack.membership import member_table
 from galenatack.membership import membership_service
+from galenatack.moves import withdrawals
 from galenatack.rollouts import rollout_driver
 from galenatack.rollouts import rollout_registry
 from galenatack.settings import mesh_settings
@@ -43,6 +44,7 @@
     election: store_follower_election.StoreFollowerElection
     config: config_holder.ConfigHolder
     rollouts: rollout_registry.RolloutRegistry
+    withdrawn: withdrawals.Withdrawals
     driver: rollout_driver.RolloutDriver
     registry: target_registry.TargetRegistry
     gate: target_gate.TargetGate
--- a/src/galenatack/app/mesh_wiring.py
+++ b/src/galenatack/app/mesh_wiring.py
@@ -19,6 +19,7 @@
 from galenatack.links import pipelined_server
 from galenatack.membership import membership_service
 from galenatack.model import member_status
+from galenatack.moves import withdrawal_sync
 from galenatack.platform import caller_dialect
 from galenatack.platform import control_dialect
 from galenatack.platform import store_table
@@ -76,6 +77,7 @@
         election=shared.election,
         config=outbound.config,
         rollouts=rollouts.registry,
+        withdrawn=rollouts.withdrawn,
         driver=mesh_rollouts.make_driver(
             base, instrumented, directory, rollouts
         ),
@@ -111,6 +113,9 @@
     outbound: mesh_outbound.MeshOutbound,
     servers: _Servers,
 ) -> None:
+    sync = withdrawal_sync.WithdrawalSync(
+        withdrawn=rollouts.withdrawn, peers=base.peers
+    )
     base.callbacks.connect(
         mesh_callbacks.CallbackParts(
             members=base.members,
@@ -126,8 +131,10 @@
             budget=outbound.budget,
             placement=outbound.placement,
             limits=servers.callers.limits,
+            withdrawal_sync=sync,
         )
     )
+    base.peers.on_lost(sync.on_link_lost)
     shared.mirror.subscribe(base.callbacks.rows_changed)
     base.members.subscribe(base.callbacks.members_changed)
 
@@ -142,6 +149,7 @@
         rng=base.rng,
         events=base.events,
         on_heartbeat=base.callbacks.on_heartbeat,
+        on_former_record=base.callbacks.on_former_record,
     )
     base.peers.on_lost(membership.on_link_lost)
     return membership
--- a/src/galenatack/app/node_callbacks.py
+++ b/src/galenatack/app/node_callbacks.py
@@ -5,7 +5,6 @@
 created first, and `connect` sets the parts afterwards.
 """
 
-from galenatack import exceptions
 from galenatack.config import entry_codec
 from galenatack.config import log_state
 from galenatack.config import profile_codec
@@ -13,7 +12,6 @@
 from galenatack.config import row_keys
 from galenatack.config import state_rebuild
 from galenatack.interfaces import event_sink
-from galenatack.interfaces import peer_network
 from galenatack.membership import member_table
 from galenatack.membership import node_roles
 from galenatack.messages import heartbeat as heartbeat_message
@@ -22,7 +20,7 @@
 from galenatack.model import rejection
 from galenatack.moves import move_runner as move_runner_module
 from galenatack.moves import states_in_force
-from galenatack.moves import withdrawals as withdrawals_module
+from galenatack.moves import withdrawal_sync as withdrawal_sync_module
 from galenatack.routing import inbound_gate
 from galenatack.routing import snapshot_holder
 from galenatack.routing import snapshot_updater
@@ -36,7 +34,6 @@
     """Callbacks of one node; call `connect` before the parts run."""
 
     def __init__(self):
-        self._synced_peers: set[str] = set()
         self._move_states = states_in_force.StatesInForce()
 
     def connect(
@@ -44,12 +41,11 @@
         *,
         hlc: hybrid_clock.HybridClock,
         members: member_table.MemberTable,
-        peers: peer_network.PeerNetwork,
         state: log_state.LogState,
         propagation: propagation_module.Propagation,
         updater: snapshot_updater.SnapshotUpdater,
         move_runner: move_runner_module.MoveRunner,
-        withdrawals: withdrawals_module.Withdrawals,
+        withdrawal_sync: withdrawal_sync_module.WithdrawalSync,
         holder: snapshot_holder.SnapshotHolder,
         gate: inbound_gate.InboundGate,
         events: event_sink.EventSink,
@@ -57,12 +53,11 @@
         """Sets the parts that the callbacks use."""
         self._hlc = hlc
         self._members = members
-        self._peers = peers
         self._state = state
         self._propagation = propagation
         self._updater = updater
         self._move_runner = move_runner
-        self._withdrawals = withdrawals
+        self._withdrawal_sync = withdrawal_sync
         self._holder = holder
         self._gate = gate
         self._events = events
@@ -82,22 +77,11 @@
         """Handles a peer's heartbeat; sends all withdrawals to a new peer."""
         self._hlc.observe(beat.hlc)
         self._propagation.on_heartbeat(peer_id, beat.held_seq)
-        if peer_id in self._synced_peers:
-            return
-        self._synced_peers = {
-            peer_id,
-            *(self._synced_peers & self._peers.neighbours()),
-        }
-        try:
-            for message in self._withdrawals.all():
-                await self._peers.send(peer_id, message)
-        except exceptions.PeerError:
-            # Retried at the next heartbeat of the peer.
-            self._synced_peers.discard(peer_id)
+        await self._withdrawal_sync.on_heartbeat(peer_id)
 
     def on_link_lost(self, node_id: str) -> None:
         """Marks a peer to be sent all withdrawals when it is back."""
-        self._synced_peers.discard(node_id)
+        self._withdrawal_sync.on_link_lost(node_id)
 
     def live_in_data_centre(self) -> list[str]:
         """Returns the live node ids of the own data centre."""
@@ -172,7 +156,7 @@
                 member_status.MemberStatus.JOINING,
             ):
                 self._propagation.remove_peer(record.node_id)
-                self._synced_peers.discard(record.node_id)
+                self._withdrawal_sync.on_link_lost(record.node_id)
 
     def _scan_data_centre(self) -> tuple[str, ...]:
         own = self._members.own
--- a/src/galenatack/app/wiring.py
+++ b/src/galenatack/app/wiring.py
@@ -17,6 +17,7 @@
 from galenatack.membership import membership_service
 from galenatack.moves import move_runner
 from galenatack.moves import move_service
+from galenatack.moves import withdrawal_sync
 from galenatack.moves import withdrawals
 from galenatack.postings import claim_cleanup
 from galenatack.routing import balancer
@@ -86,12 +87,13 @@
     base.callbacks.connect(
         hlc=base.hlc,
         members=base.members,
-        peers=base.peers,
         state=config.state,
         propagation=config.propagation,
         updater=updater,
         move_runner=runner,
-        withdrawals=withdrawn,
+        withdrawal_sync=withdrawal_sync.WithdrawalSync(
+            withdrawn=withdrawn, peers=base.peers
+        ),
         holder=calls.holder,
         gate=calls.gate,
         events=base.events,
--- a/src/galenatack/membership/membership_service.py
+++ b/src/galenatack/membership/membership_service.py
@@ -50,6 +50,7 @@
 
 _LOGGER = logging.getLogger(__name__)
 
+OnFormerRecord = collections.abc.Callable[[member_record.MemberRecord], None]
 OnHeartbeat = collections.abc.Callable[
     [str, heartbeat.Heartbeat], collections.abc.Awaitable[None]
 ]
@@ -67,6 +68,8 @@
         events: Records one event for each change of a status in the own data
             centre, and counts of changes for other data centres.
         on_heartbeat: Called for each heartbeat of a peer.
+        on_former_record: Called with the record of a previous run of this
+            node that a peer knows.
     """
 
     def __init__(
@@ -78,6 +81,7 @@
         rng: random_source.RandomSource,
         events: event_sink.EventSink,
         on_heartbeat: OnHeartbeat | None = None,
+        on_former_record: OnFormerRecord | None = None,
     ):
         self._table = table
         self._peers = peers
@@ -85,6 +89,7 @@
         self._rng = rng
         self._events = events
         self._heartbeat_callback = on_heartbeat
+        self._former_record_callback = on_former_record
         self._suspicion = suspicion.Suspicion(table=table, clock=clock)
         self._outgoing: dict[str, tuple[_Record, str | None]] = {}
         self._lost_links: list[str] = []
@@ -184,7 +189,11 @@
                 )
 
     async def _on_hello(self, sender: str, message: typing.Any) -> None:
+        former = self._table.get(sender)
         await self._receive_records(sender, (message.record,))
+        if former is not None and _is_former(former, message.record):
+            # A restarted node has forgotten a target that was leaving.
+            await self._send(sender, members.Members((former,)))
 
     async def _on_members(self, sender: str, message: typing.Any) -> None:
         await self._handle_accusations(sender, message.accusations)
@@ -197,6 +206,8 @@
         accusing = []
         plain = []
         for record in records:
+            if _is_former(record, self._table.own):
+                self._restore(record)
             is_accusation = self._is_accusation(sender, record)
             (accusing if is_accusation else plain).append(record)
         await self._handle_accusations(sender, tuple(accusing))
@@ -205,6 +216,10 @@
         if stale:
             await self._send(sender, members.Members(stale))
 
+    def _restore(self, former: _Record) -> None:
+        if self._former_record_callback is not None:
+            self._former_record_callback(former)
+
     def _is_accusation(self, sender: str, record: _Record) -> bool:
         own = self._table.own
         known = self._table.get(record.node_id)
@@ -308,6 +323,16 @@
             _LOGGER.debug("event=send-failed peer=%s error=%s", node_id, error)
 
 
+def _is_former(former: _Record, current: _Record) -> bool:
+    """Returns whether a record is of a previous run with a target."""
+    return (
+        former.node_id == current.node_id
+        and former.boot_ms != current.boot_ms
+        and former.incarnation != UNCONFIRMED
+        and bool(former.target_id)
+    )
+
+
 def _pages(records: tuple[_Record, ...]) -> list[tuple[_Record, ...]]:
     return [
         records[start : start + PAGE_RECORDS]
--- a/src/galenatack/model/member_record.py
+++ b/src/galenatack/model/member_record.py
@@ -31,6 +31,9 @@
         target_id: Identifier of the target; empty while there is none.
         target_state: State announced by the target; empty if the target does
             not announce its state.
+        target_born_ms: Start time of the target, wall clock in milliseconds.
+        target_sequence: Sequence number of the announcement that last changed
+            this record.
         follows_store: True if the node follows the shared tables; other nodes
             of its region then get the changes from it.
     """
@@ -53,3 +56,5 @@
     target_id: str = ""
     target_state: str = ""
     follows_store: bool = False
+    target_born_ms: int = 0
+    target_sequence: int = 0
--- a/src/galenatack/traffic/target_registry.py
+++ b/src/galenatack/traffic/target_registry.py
@@ -4,6 +4,7 @@
 import typing
 
 from galenatack.interfaces import clock as clock_interface
+from galenatack.model import member_record
 from galenatack.model import target_announcement
 from galenatack.model import target_state
 
@@ -104,6 +105,34 @@
         while len(self._gone) > MAX_GONE_TARGETS:
             del self._gone[next(iter(self._gone))]
 
+    def restore(self, record: member_record.MemberRecord) -> None:
+        """Applies what a previous run of this node announced to its peers.
+
+        The target has often outlived the node. It is used again at once, unless
+        it was leaving: then a late announcement must not bring it back.
+        """
+        if record.target_state == target_state.TargetState.GONE:
+            self.leave(record.target_id, record.target_born_ms)
+            return
+        is_applied = self.announce(
+            target_announcement.TargetAnnouncement(
+                target_id=record.target_id,
+                service=record.service,
+                version=record.version,
+                slots=record.slots,
+                state=record.target_state,
+                warm_up_left_ms=0,
+                born_ms=record.target_born_ms,
+                sequence=record.target_sequence,
+            )
+        )
+        if is_applied:
+            _LOGGER.info(
+                "event=target-restored target=%s state=%s",
+                record.target_id,
+                record.target_state,
+            )
+
     @property
     def state(self) -> str:
         """State of the target; empty before its first announcement."""
--- a/tests/traffic/test_target_registry.py
+++ b/tests/traffic/test_target_registry.py
@@ -6,6 +6,7 @@
 from galenatack.model import target_state
 from galenatack.traffic import target_registry
 from tests.fakes import manual_clock
+from tests.traffic import fleet_load
 
 READY = target_state.TargetState.READY.value
 DRAINING = target_state.TargetState.DRAINING.value
@@ -48,6 +49,55 @@
         self.assertFalse(self.registry.announce(announcement(sequence=4)))
         self.assertEqual(self.registry.state, DRAINING)
 
+    def restore(self, state, *, sequence=5, target_id="i-1"):
+        """Applies the record of a previous run of the node."""
+        self.registry.restore(
+            fleet_load.member("n")._replace(
+                service="s",
+                version="v1",
+                target_id=target_id,
+                target_state=state,
+                target_born_ms=100,
+                target_sequence=sequence,
+            )
+        )
+
+    def test_a_restarted_node_does_not_use_a_target_that_had_left(self):
+        """A late announcement must not bring it back."""
+        self.registry.announce(announcement(sequence=7))
+        self.restore(target_state.TargetState.GONE.value)
+        self.assertEqual(
+            self.registry.state, target_state.TargetState.GONE.value
+        )
+        self.assertFalse(self.registry.announce(announcement(sequence=8)))
+        # The same identifier may be used by a target that starts again.
+        self.assertTrue(self.registry.announce(announcement(born_ms=200)))
+
+    def test_a_restarted_node_learns_of_a_departure_before_it_hears_of_it(self):
+        """Whatever arrives first, the target stays gone."""
+        self.restore(target_state.TargetState.GONE.value)
+        self.assertFalse(self.registry.announce(announcement(sequence=9)))
+        self.assertFalse(self.registry.is_accepting())
+
+    def test_a_restarted_node_keeps_a_target_draining(self):
+        """An announcement from before the notice changes nothing."""
+        self.registry.announce(announcement(sequence=4))
+        self.restore(DRAINING)
+        self.assertFalse(self.registry.announce(announcement(sequence=4)))
+        self.assertEqual(self.registry.state, DRAINING)
+
+    def test_a_restarted_node_uses_its_target_at_once(self):
+        """It does not wait for the next announcement."""
+        self.restore(READY)
+        self.assertTrue(self.registry.is_accepting())
+        self.assertEqual(self.registry.current.target_id, "i-1")
+
+    def test_a_newer_announcement_wins_over_the_previous_run(self):
+        """The target may have changed while the node was down."""
+        self.registry.announce(announcement("i-2", born_ms=300))
+        self.restore(READY)
+        self.assertEqual(self.registry.current.target_id, "i-2")
+
     def test_a_late_announcement_of_a_dead_target_is_ignored(self):
         """A heartbeat delayed by a partition does not replace the target."""
         self.registry.announce(announcement("i-2", born_ms=200))
