--- a/src/galenatack/config/store_follower_election.py
+++ b/src/galenatack/config/store_follower_election.py
@@ -76,6 +76,8 @@
         self._members = members
         self._clock = clock
         self._heard: dict[str, _Heard] = {}
+        # Nodes whose last heartbeat claimed to follow.
+        self._claimants: set[str] = set()
         self._is_elected = False
         self._elected_s = -math.inf
         # Delays a takeover at the start, as after the loss of a follower.
@@ -99,6 +101,10 @@
         """Records whether a peer follows the store, from its heartbeat."""
         now_s = self._clock.monotonic_s()
         self._heard[node_id] = _Heard(now_s, is_following)
+        if is_following:
+            self._claimants.add(node_id)
+        else:
+            self._claimants.discard(node_id)
 
     def should_follow(self) -> bool:
         """Returns whether this node should follow the store now."""
@@ -181,12 +187,24 @@
 
     def _following(self, now_s: float) -> list[str]:
         """Returns the other nodes of the region that follow, by rank."""
-        own_id = self._members.own.node_id
-        return [
+        ranking = self._ranking()
+        claimants = self._claimants | self._members.cached(
+            "store-claimants", self._find_claimants
+        )
+        claimants.discard(self._members.own.node_id)
+        following = [
             node_id
-            for node_id in self._ranking()
-            if node_id != own_id and self._is_following(node_id, now_s)
+            for node_id in claimants
+            if node_id in ranking and self._is_following(node_id, now_s)
         ]
+        return sorted(following, key=ranking.__getitem__)
+
+    def _find_claimants(self) -> frozenset[str]:
+        return frozenset(
+            record.node_id
+            for record in self._members.live()
+            if record.follows_store
+        )
 
     def _is_following(self, node_id: str, now_s: float) -> bool:
         heard = self._heard.get(node_id)
--- a/src/galenatack/membership/membership_service.py
+++ b/src/galenatack/membership/membership_service.py
@@ -257,15 +257,23 @@
             )
 
     async def _on_heartbeat(self, sender: str, message: typing.Any) -> None:
-        # A pull waits, and the rest of the heartbeat would be out of date by
-        # then.
-        async with anyio.create_task_group() as tasks:
-            if self._heartbeat_callback is not None:
-                tasks.start_soon(self._heartbeat_callback, sender, message)
-            if message.member_digest == self._table.digest():
-                self._pulls.pop(sender, None)
-            elif self._is_repair_peer(sender):
-                tasks.start_soon(self._pull, sender, message.member_digest)
+        digest = message.member_digest
+        if digest == self._table.digest():
+            self._pulls.pop(sender, None)
+        elif self._is_repair_peer(sender):
+            # A pull waits, and the rest of the heartbeat would be out of date
+            # by then.
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(self._handle_heartbeat, sender, message)
+                tasks.start_soon(self._pull, sender, digest)
+            return
+        await self._handle_heartbeat(sender, message)
+
+    async def _handle_heartbeat(
+        self, sender: str, message: heartbeat.Heartbeat
+    ) -> None:
+        if self._heartbeat_callback is not None:
+            await self._heartbeat_callback(sender, message)
 
     def _is_repair_peer(self, sender: str) -> bool:
         """Returns whether this node repairs its table from a peer.
