Count suspended time in leases, deadlines and idle times

Looked for: a process that was paused acts on a permission that has run out. It could happen here: the monotonic clock stands still while a machine is suspended, and the loop's time, by which idle connections were judged, is read once in each iteration. After a pause a node would have sent a posting on a connection that its target had dropped, handed targets more time than was left, and kept a drain or a lease open.

The node's clock and the idle time of connections now use CLOCK_BOOTTIME, read at the moment of use.

--- a/src/galenatack/app/system_clock.py
+++ b/src/galenatack/app/system_clock.py
@@ -4,13 +4,15 @@
 
 import anyio
 
+from galenatack import steady_clock
+
 
 class SystemClock:
     """Implements `interfaces.clock.Clock` on the system's clocks."""
 
     def monotonic_s(self) -> float:
-        """Returns the monotonic clock in seconds."""
-        return time.monotonic()
+        """Returns a monotonic clock in seconds that counts suspended time."""
+        return steady_clock.now_s()
 
     def wall_ms(self) -> int:
         """Returns the wall clock in milliseconds."""
--- a/src/galenatack/links/connection_pool.py
+++ b/src/galenatack/links/connection_pool.py
@@ -6,6 +6,7 @@
 import anyio
 
 from galenatack import exceptions
+from galenatack import steady_clock
 from galenatack.links import keep_alive
 from galenatack.links import target_connection
 
@@ -71,7 +72,7 @@
     def release(self, connection: target_connection.TargetConnection) -> None:
         """Returns a connection to the pool, or closes it if unusable."""
         if connection.is_usable:
-            connection.released_s = asyncio.get_running_loop().time()
+            connection.released_s = steady_clock.now_s()
             self._idle.append(connection)
         else:
             connection.close()
@@ -96,7 +97,7 @@
         self._idle = kept
 
     def _idle_s(self, connection: target_connection.TargetConnection) -> float:
-        return asyncio.get_running_loop().time() - connection.released_s
+        return steady_clock.now_s() - connection.released_s
 
     async def _connect(self) -> target_connection.TargetConnection:
         loop = asyncio.get_running_loop()
--- a/tests/links/test_idle_connections.py
+++ b/tests/links/test_idle_connections.py
@@ -1,8 +1,11 @@
 """Tests with a target that silently drops idle connections."""
 
 import asyncio
+import itertools
 import unittest
+import unittest.mock
 
+from galenatack import steady_clock
 from galenatack.links import translated_target
 from galenatack.model import call_request
 from galenatack.platform import target_headers
@@ -100,6 +103,15 @@
         self.assertEqual(target.resets, 0)
         self.assertEqual(target.connections, 2)
 
+    def test_a_suspension_counts_as_idle_time(self):
+        """Meanwhile, the target may have dropped the connection."""
+        times_s = itertools.count(step=5.0)
+        with unittest.mock.patch.object(
+            steady_clock, "now_s", lambda: next(times_s)
+        ):
+            target = self.send_two_calls(0.0, posting=True)
+        self.assertEqual(target.connections, 2)
+
     def test_a_connection_in_use_is_reused(self):
         """A new connection for each call would occupy a slot of the target."""
         target = self.send_two_calls(0.05, posting=True)
