Suspect a group of nodes to which no link was ever noticed

Trace of the tables: a data centre was cut off before the first check of its links; no time of a link was stored for it, so its nodes stayed for ever on the other side, whose calls would have gone to them. Not the load itself: it only moves the cut before the first check.

A group that a node must keep links to is now watched from the moment on at which it has to. The new unit test fails before.

--- a/src/galenatack/membership/suspicion.py
+++ b/src/galenatack/membership/suspicion.py
@@ -52,7 +52,8 @@
         self._clock = clock
         self._suspected_s: dict[str, tuple[int, float]] = {}
         self._own_suspicions: set[str] = set()
-        self._last_link_s: dict[tuple[str, str], float] = {}
+        # The time is None once a group is suspected, until a link to it opens.
+        self._last_link_s: dict[tuple[str, str], float | None] = {}
         table.subscribe(self._on_changed)
 
     def on_link_lost(self, node_id: str) -> tuple[_Record, ...]:
@@ -94,8 +95,9 @@
         now_s = self._clock.monotonic_s()
         for node_id, (incarnation, _) in self._suspected_s.items():
             self._suspected_s[node_id] = (incarnation, now_s)
-        for group in self._last_link_s:
-            self._last_link_s[group] = now_s
+        for group, last_link_s in self._last_link_s.items():
+            if last_link_s is not None:
+                self._last_link_s[group] = now_s
 
     def check_groups(
         self, neighbours: collections.abc.Iterable[str]
@@ -110,16 +112,17 @@
             record = self._table.get(node_id)
             if record is not None:
                 self._last_link_s[self._group(record)] = now_s
-        self._remove_unwatched_groups()
+        self._update_watched_groups(now_s)
         lost = {
             group
             for group, last_link_s in self._last_link_s.items()
-            if now_s - last_link_s >= GROUP_TIMEOUT_S
+            if last_link_s is not None
+            and now_s - last_link_s >= GROUP_TIMEOUT_S
         }
-        # The group is removed so that it is not suspected again until a link
-        # to it was open: its members may refute over another path.
+        # The group is not suspected again until a link to it was open: its
+        # members may refute over another path.
         for group in lost:
-            del self._last_link_s[group]
+            self._last_link_s[group] = None
         if not lost:
             return ()
         return self._suspect(
@@ -128,15 +131,18 @@
             if self._group(record) in lost and record.status != _Status.SUSPECT
         )
 
-    def _remove_unwatched_groups(self) -> None:
+    def _update_watched_groups(self, now_s: float) -> None:
         # A closed link is no evidence against a group to which this node no
-        # longer has to keep links.
+        # longer has to keep links. A group to which no link ever opened is
+        # suspected, too.
         watched = {
             self._group(self._table.get(node_id))
             for node_id in node_roles.carrier_peers(self._table)
         }
         for group in self._last_link_s.keys() - watched:
             del self._last_link_s[group]
+        for group in watched - self._last_link_s.keys():
+            self._last_link_s[group] = now_s
 
     def _group(self, record: _Record) -> tuple[str, str]:
         own = self._table.own
--- a/tests/membership/test_suspicion.py
+++ b/tests/membership/test_suspicion.py
@@ -84,6 +84,14 @@
         changed = self._check_after_timeout()
         self.assertEqual({r.node_id for r in changed}, {"b0", "b1"})
 
+    def test_a_group_that_was_never_linked_is_suspected(self):
+        """It may have been cut off before the first link to it was noticed."""
+        unlinked = suspicion.Suspicion(table=self.table, clock=self.clock)
+        self.assertEqual(unlinked.check_groups([]), ())
+        self.clock.advance(suspicion.GROUP_TIMEOUT_S)
+        changed = unlinked.check_groups([])
+        self.assertEqual({r.node_id for r in changed}, {"b0", "b1"})
+
     def test_one_link_is_enough(self):
         """A region is not suspected while one link to it is open."""
         self.assertEqual(self._check_after_timeout("b1"), ())
