--- a/src/galenatack/moves/withdrawal_sync.py
+++ b/src/galenatack/moves/withdrawal_sync.py
@@ -28,12 +28,16 @@
 
     async def on_heartbeat(self, peer_id: str) -> None:
         """Sends all withdrawals to a neighbour that has not got them yet."""
+        known = self._withdrawn.all()
+        # Without any, a later one is flooded to all neighbours.
+        if not known or peer_id in self._synced:
+            return
         neighbours = self._peers.neighbours()
-        if peer_id in self._synced or peer_id not in neighbours:
+        if peer_id not in neighbours:
             return
         self._synced = {peer_id, *(self._synced & neighbours)}
         try:
-            for message in self._withdrawn.all():
+            for message in known:
                 await self._peers.send(peer_id, message)
         except exceptions.PeerError:
             # Retried at the next heartbeat of the peer.
