--- a/src/galenatack/links/handshake.py
+++ b/src/galenatack/links/handshake.py
@@ -18,7 +18,7 @@
 PROTOCOL = 2
 """Protocol version of this release."""
 
-OLDEST_PROTOCOL = 2
+OLDEST_PROTOCOL = 1
 """Oldest protocol version that this release supports."""
 
 TIMEOUT_S = 2.0
