Speak protocol version 2 only

Cause: member records have three appended fields; nodes of version 1 refuse any record with more fields than they know, so the range 1 to 2 was a promise that no link could keep. Ruled out: leaving the fields out of Hello, which does not know the peer's version yet.

From version 2 on, appended fields and unknown messages are accepted.

--- a/src/galenatack/links/handshake.py
+++ b/src/galenatack/links/handshake.py
@@ -18,8 +18,9 @@
 PROTOCOL = 2
 """Protocol version of this release."""
 
-OLDEST_PROTOCOL = 1
-"""Oldest protocol version that this release supports."""
+OLDEST_PROTOCOL = 2
+"""Oldest protocol version that this release supports. Version 1 refuses records
+with appended fields."""
 
 TIMEOUT_S = 2.0
 """Timeout for the peer's Hello; the same as for a silent link."""
--- a/src/galenatack/links/link_factory.py
+++ b/src/galenatack/links/link_factory.py
@@ -157,7 +157,6 @@
         return peer_link.PeerLink(
             connection=connection,
             record=peer_hello.record,
-            protocol=peer_hello.protocol,
             purpose=purpose,
             dialled=dialled,
             clock=self._clock,
--- a/src/galenatack/links/peer_link.py
+++ b/src/galenatack/links/peer_link.py
@@ -38,9 +38,6 @@
 BULK_BYTES = 2 * bulk_queue.CHUNK_BYTES
 """Larger frames are sent in parts, between which other frames are sent."""
 
-BULK_PROTOCOL = 2
-"""First protocol version in which frames may be sent in parts."""
-
 BULK_POLL_S = 0.004
 """How often a link whose buffer is full is checked while parts wait."""
 
@@ -82,7 +79,6 @@
         *,
         connection: websockets_connection.Connection,
         record: member_record.MemberRecord,
-        protocol: int,
         purpose: link_purpose.LinkPurpose,
         dialled: bool,
         clock: clock_interface.Clock,
@@ -100,7 +96,6 @@
         self._delay_s = faults.delay_s(record.region)
         self._delayed: collections.deque[bytes] = collections.deque()
         self._delayed_bytes = 0
-        self._can_split = protocol >= BULK_PROTOCOL
         self._bulk = bulk_queue.BulkQueue()
         self._bulk_task: asyncio.Task[None] | None = None
         self._assembler = fragment_assembler.FragmentAssembler()
@@ -168,9 +163,7 @@
             # A cancellation must not overtake its call.
             in_order = message_type is cancel_call.CancelCall
             has_parts = self._bulk.unsent_bytes > 0
-            if self._can_split and (
-                len(frame) > BULK_BYTES or (in_order and has_parts)
-            ):
+            if len(frame) > BULK_BYTES or (in_order and has_parts):
                 return self._write_in_parts(frame, in_order=in_order)
             self._write(frame)
             return 0
