Withdraw the claim of an elected node that never followed the store

Cause, found while rereading the diff: a node claims to follow when it is elected; if another node outranked it, or the store refused it, before the store had answered, nothing told the others. Its member record named a follower that did not exist, to all nodes without a link to it. Both tests fail before.

--- a/src/galenatack/config/table_watcher.py
+++ b/src/galenatack/config/table_watcher.py
@@ -90,7 +90,6 @@
         while True:
             if not self._should_follow():
                 await self._stop_following()
-                self._is_elected = False
                 await self._clock.sleep_s(POLL_S)
                 continue
             if not self._is_elected:
@@ -123,11 +122,14 @@
 
     async def _stop_following(self) -> None:
         """Marks this node as passive; it gets rows from another node."""
-        was_following = self.is_following
+        if self.is_following:
+            _LOGGER.info("event=store-left table=%s", self.name)
+        # An elected node has claimed to follow, even if the store has not
+        # answered it.
+        was_elected, self._is_elected = self._is_elected, False
         self.is_following = False
         self.is_healthy = True
-        if was_following:
-            _LOGGER.info("event=store-left table=%s", self.name)
+        if was_elected:
             await self._on_change()
         # Rows received from peers in the meantime are not read again.
         if self._mirror.revision(self.name):
@@ -181,10 +183,10 @@
                 error.code,
                 str(error),
             )
-        was_following = self.is_following
+        was_healthy = self.is_healthy
         self.is_healthy = False
         self.is_following = False
-        if was_following:
+        if was_healthy:
             await self._on_change()
 
     def _record_response(self) -> None:
--- a/tests/config/test_row_mirror.py
+++ b/tests/config/test_row_mirror.py
@@ -88,6 +88,31 @@
 
         virtual_loop.run(main)
 
+    def test_a_claim_is_withdrawn_when_the_store_refuses(self):
+        """An elected node claims to follow before the store has answered."""
+
+        async def scenario(store, mirror, watcher):
+            store.faults.is_down = True
+            await asyncio.sleep(0.5)
+            self.assertFalse(watcher.is_healthy)
+            self.assertEqual(self.on_change_calls, 2)
+
+        self.follow(scenario)
+
+    def test_a_claim_is_withdrawn_when_another_node_follows(self):
+        """Its record would name a follower that does not exist."""
+
+        async def scenario(store, mirror, watcher):
+            store.faults.silent_nodes.add("n")
+            await asyncio.sleep(0.5)
+            self.assertEqual(self.on_change_calls, 1)
+            self.should_follow = False
+            watcher.stop_if_not_elected()
+            await asyncio.sleep(0.2)
+            self.assertEqual(self.on_change_calls, 2)
+
+        self.follow(scenario)
+
     def test_changes_arrive_one_after_the_other(self):
         """Each write is mirrored at once."""
 
