Send the record of a run before over a link that exists

Cause, found while rereading the diff: the record went to every sender of a Hello, by a new direct link if only a link for calls was open: after a herd kill each restarted node would have been dialled by dozens. It is now kept until the restarted node is a neighbour, whoever told of the restart first, and sent once.

--- a/src/galenatack/membership/membership_service.py
+++ b/src/galenatack/membership/membership_service.py
@@ -44,6 +44,10 @@
 
 MAX_SEEN_ACCUSATIONS = 16_384
 
+MAX_FORMER_RECORDS = 512
+"""Records of runs before a restart that are kept until the restarted node is a
+neighbour. A node has few neighbours, and each of them sends the record."""
+
 _Record = member_record.MemberRecord
 _Status = member_status.MemberStatus
 _ACCUSING_STATUSES = frozenset({_Status.SUSPECT, _Status.DEAD})
@@ -100,6 +104,9 @@
         self._statuses: dict[str, str] = {}
         self._merge_source: str | None = None
         self._has_pulled = False
+        self._formers: collections.OrderedDict[str, _Record] = (
+            collections.OrderedDict()
+        )
         self._ticked_s = clock.monotonic_s()
         table.subscribe(self._on_changed)
         peers.on(hello.Hello, self._on_hello)
@@ -189,11 +196,8 @@
                 )
 
     async def _on_hello(self, sender: str, message: typing.Any) -> None:
-        former = self._table.get(sender)
         await self._receive_records(sender, (message.record,))
-        if former is not None and _is_former(former, message.record):
-            # A restarted node has forgotten a target that was leaving.
-            await self._send(sender, members.Members((former,)))
+        await self._send_former(sender)
 
     async def _on_members(self, sender: str, message: typing.Any) -> None:
         await self._handle_accusations(sender, message.accusations)
@@ -206,8 +210,7 @@
         accusing = []
         plain = []
         for record in records:
-            if _is_former(record, self._table.own):
-                self._restore(record)
+            self._compare_runs(record)
             is_accusation = self._is_accusation(sender, record)
             (accusing if is_accusation else plain).append(record)
         await self._handle_accusations(sender, tuple(accusing))
@@ -216,9 +219,28 @@
         if stale:
             await self._send(sender, members.Members(stale))
 
-    def _restore(self, former: _Record) -> None:
-        if self._former_record_callback is not None:
-            self._former_record_callback(former)
+    def _compare_runs(self, record: _Record) -> None:
+        """Keeps or applies the record of a run before a restart.
+
+        A restarted node has forgotten a target that was leaving.
+        """
+        if _is_former(record, self._table.own):
+            if self._former_record_callback is not None:
+                self._former_record_callback(record)
+            return
+        known = self._table.get(record.node_id)
+        if known is None or known.incarnation >= record.incarnation:
+            return
+        if _is_former(known, record):
+            self._formers[record.node_id] = known
+            while len(self._formers) > MAX_FORMER_RECORDS:
+                self._formers.popitem(last=False)
+
+    async def _send_former(self, node_id: str) -> None:
+        """Sends a restarted neighbour the record of the run before."""
+        if node_id in self._formers and node_id in self._peers.neighbours():
+            former = self._formers.pop(node_id)
+            await self._send(node_id, members.Members((former,)))
 
     def _is_accusation(self, sender: str, record: _Record) -> bool:
         own = self._table.own
@@ -272,6 +294,7 @@
     async def _handle_heartbeat(
         self, sender: str, message: heartbeat.Heartbeat
     ) -> None:
+        await self._send_former(sender)
         if self._heartbeat_callback is not None:
             await self._heartbeat_callback(sender, message)
 
