Let a cancellation wait for the parts of its own call only

A cancellation waited for all parts on its link, that is for the uploads of other callers; that came with the parts. The changed test fails before.

--- a/src/galenatack/links/bulk_queue.py
+++ b/src/galenatack/links/bulk_queue.py
@@ -26,23 +26,27 @@
         self._frames: collections.OrderedDict[int, memoryview] = (
             collections.OrderedDict()
         )
-        self._predecessors: dict[int, frozenset[int]] = {}
+        self._predecessors: dict[int, int] = {}
         self._last_id = 0
         self.unsent_bytes = 0
 
-    def add(self, frame: bytes, *, in_order: bool = False) -> int:
+    def is_waiting(self, message_id: int) -> bool:
+        """Returns whether a part of a message has not been taken yet."""
+        return message_id in self._frames
+
+    def add(self, frame: bytes, *, after: int = 0) -> int:
         """Adds a frame.
 
         Args:
             frame: The frame.
-            in_order: Whether it must not overtake the frames added before.
+            after: Id of a message that it must not overtake; 0 for none.
 
         Returns:
             The id of the message, which is not 0.
         """
         self._last_id = self._last_id % MAX_MESSAGE_ID + 1
-        if in_order:
-            self._predecessors[self._last_id] = frozenset(self._frames)
+        if after:
+            self._predecessors[self._last_id] = after
         self._frames[self._last_id] = memoryview(frame)
         self.unsent_bytes += len(frame)
         return self._last_id
@@ -76,7 +80,6 @@
 
     def _next_id(self) -> int | None:
         for message_id in self._frames:
-            predecessors = self._predecessors.get(message_id)
-            if not predecessors or predecessors.isdisjoint(self._frames):
+            if self._predecessors.get(message_id) not in self._frames:
                 return message_id
         return None
--- a/src/galenatack/links/peer_link.py
+++ b/src/galenatack/links/peer_link.py
@@ -24,6 +24,7 @@
 from galenatack.links import message_codec
 from galenatack.links import traffic_counter
 from galenatack.messages import busy
+from galenatack.messages import call
 from galenatack.messages import cancel_call
 from galenatack.messages import fragment
 from galenatack.messages import heartbeat
@@ -97,6 +98,7 @@
         self._delayed: collections.deque[bytes] = collections.deque()
         self._delayed_bytes = 0
         self._bulk = bulk_queue.BulkQueue()
+        self._call_parts: dict[str, int] = {}
         self._bulk_task: asyncio.Task[None] | None = None
         self._assembler = fragment_assembler.FragmentAssembler()
         self._pending: dict[int, asyncio.Future[typing.Any]] = {}
@@ -139,11 +141,25 @@
         frame = message_codec.encode(
             message, request_id=request_id, reply_id=reply_id
         )
-        return self.post_frame(frame, type(message))
+        after = 0
+        if isinstance(message, cancel_call.CancelCall):
+            # A cancellation must not overtake its call.
+            after = self._call_parts.get(message.call_id, 0)
+        message_id = self.post_frame(frame, type(message), after=after)
+        if message_id and isinstance(message, call.Call):
+            self._remember_parts(message.request.call_id, message_id)
+        return message_id
 
-    def post_frame(self, frame: bytes, message_type: type) -> int:
+    def post_frame(
+        self, frame: bytes, message_type: type, *, after: int = 0
+    ) -> int:
         """Sends an encoded message without waiting.
 
+        Args:
+            frame: The encoded message.
+            message_type: Its type.
+            after: Id of a message in parts that it must not overtake.
+
         Returns:
             Id of a message that is sent in parts, else 0.
 
@@ -160,11 +176,8 @@
             return 0
         self._traffic.count_sent(message_type, len(frame), self.record.region)
         if not self._delay_s:
-            # A cancellation must not overtake its call.
-            in_order = message_type is cancel_call.CancelCall
-            has_parts = self._bulk.unsent_bytes > 0
-            if len(frame) > BULK_BYTES or (in_order and has_parts):
-                return self._write_in_parts(frame, in_order=in_order)
+            if len(frame) > BULK_BYTES or self._bulk.is_waiting(after):
+                return self._write_in_parts(frame, after=after)
             self._write(frame)
             return 0
         self._delayed.append(frame)
@@ -287,8 +300,17 @@
         if unsent + self._delayed_bytes > MAX_UNSENT_BYTES:
             self.abort()
 
-    def _write_in_parts(self, frame: bytes, *, in_order: bool) -> int:
-        message_id = self._bulk.add(frame, in_order=in_order)
+    def _remember_parts(self, call_id: str, message_id: int) -> None:
+        """Keeps which message in parts is which call, while any is unsent."""
+        self._call_parts = {
+            known: parts
+            for known, parts in self._call_parts.items()
+            if self._bulk.is_waiting(parts)
+        }
+        self._call_parts[call_id] = message_id
+
+    def _write_in_parts(self, frame: bytes, *, after: int) -> int:
+        message_id = self._bulk.add(frame, after=after)
         if self._bulk.unsent_bytes > MAX_UNSENT_BYTES:
             self.abort()
         elif self._bulk_task is None or self._bulk_task.done():
--- a/tests/links/test_bulk_queue.py
+++ b/tests/links/test_bulk_queue.py
@@ -36,17 +36,16 @@
         self.assertEqual(order.count(long), 10)
         self.assertEqual(self.queue.unsent_bytes, 0)
 
-    def test_a_frame_in_order_waits_for_those_before(self):
-        """It does not wait for frames that are added later."""
+    def test_a_cancellation_waits_for_its_call_only(self):
+        """Behind the uploads of other callers it would come too late."""
+        upload = self.queue.add(bytes(20 * CHUNK_BYTES))
         call = self.queue.add(bytes(3 * CHUNK_BYTES))
-        cancel = self.queue.add(b"cancel", in_order=True)
-        later = self.queue.add(bytes(5 * CHUNK_BYTES))
+        cancel = self.queue.add(b"cancel", after=call)
         order = [part.message_id for part in self.take_all()]
-        self.assertGreater(
-            order.index(cancel), len(order) - order[::-1].index(call) - 1
-        )
-        self.assertLess(order.index(cancel), len(order) - 1)
-        self.assertEqual(order[-1], later)
+        last_of_call = len(order) - order[::-1].index(call) - 1
+        self.assertGreater(order.index(cancel), last_of_call)
+        self.assertLessEqual(order.index(cancel), last_of_call + 2)
+        self.assertEqual(order[-1], upload)
 
     def test_a_discarded_frame_is_never_complete(self):
         """Only then may its call be reported as not run."""
