Keep the rate limit that a target names

Callers saw: nothing; the target got up to twice the calls that its limit allows.

Cause: nothing read the limit. Ruled out: that nodes send past a gate (all calls to a target are admitted by its gate). Class: state of a target that only its answers tell, while admission looks at announcements and slots.

Now the gate paces its calls by a token bucket in front of the slots. They wait in the same queue; a call whose turn would come too late is refused at once, also when a new limit meets a queue. Answers carry the limit back, and callers place by the slots that it leaves. Messages between nodes may hold a float for it; the field is appended, so that nodes of the release before are not affected.

--- a/src/galenatack/app/mesh_callbacks.py
+++ b/src/galenatack/app/mesh_callbacks.py
@@ -15,6 +15,7 @@
 from galenatack.model import member_record
 from galenatack.model import proximity
 from galenatack.model import table_row
+from galenatack.model import target_condition
 from galenatack.moves import withdrawal_sync
 from galenatack.platform import config_document
 from galenatack.platform import rollout_rows
@@ -133,6 +134,12 @@
             target_sequence=target.sequence,
         )
 
+    def on_target_condition(
+        self, target_id: str, condition: target_condition.TargetCondition
+    ) -> None:
+        """Applies what the target says of itself in an answer."""
+        self._parts.gate.apply_condition(target_id, condition)
+
     def on_former_record(self, former: member_record.MemberRecord) -> None:
         """Restores the target from the record of this node's previous run."""
         self._parts.registry.restore(former)
--- a/src/galenatack/app/mesh_inbound.py
+++ b/src/galenatack/app/mesh_inbound.py
@@ -47,6 +47,7 @@
         address=base.settings.target_address,
         dialect=target_headers.TargetHeaders(),
         max_connections=TARGET_CONNECTIONS,
+        on_condition=base.callbacks.on_target_condition,
     )
     times = service_times.ServiceTimes()
     gate = target_gate.TargetGate(
--- a/src/galenatack/app/mesh_metrics.py
+++ b/src/galenatack/app/mesh_metrics.py
@@ -1,6 +1,7 @@
 """Text exposition of the metrics of a node on a shared platform."""
 
 import collections
+import math
 import resource
 import time
 
@@ -58,7 +59,12 @@
 
     def _load(self) -> list[str]:
         parts = self._parts
+        limit_per_s = parts.gate.rate_limit_per_s
         return [
+            exposition.sample(
+                "gate_rate_limit_per_second",
+                math.inf if limit_per_s is None else limit_per_s,
+            ),
             exposition.sample("calls_in_flight", parts.router.in_flight),
             exposition.sample("gate_running", parts.gate.running),
             exposition.sample("gate_queued", parts.gate.queued),
--- a/src/galenatack/interfaces/target_dialect.py
+++ b/src/galenatack/interfaces/target_dialect.py
@@ -4,6 +4,7 @@
 
 from galenatack.model import call_request
 from galenatack.model import target_answer
+from galenatack.model import target_condition
 
 Headers = tuple[tuple[bytes, bytes], ...]
 
@@ -19,6 +20,14 @@
     ) -> bool:
         """Returns whether a response with these headers answers a call."""
 
+    def condition(
+        self, status: int, headers: Headers
+    ) -> target_condition.TargetCondition | None:
+        """Returns what the target says of itself in a response.
+
+        None if the response comes from another target than the called one.
+        """
+
     def answer(
         self, status: int, headers: Headers, body: bytes
     ) -> target_answer.TargetAnswer:
--- a/src/galenatack/links/_field_checks.py
+++ b/src/galenatack/links/_field_checks.py
@@ -2,6 +2,7 @@
 
 import collections.abc
 import functools
+import math
 import types
 import typing
 
@@ -29,6 +30,12 @@
     return value
 
 
+def _check_number(value: typing.Any) -> float:
+    if type(value) not in (int, float) or not math.isfinite(value):
+        raise ValueError("finite number expected")
+    return float(value)
+
+
 def _check_exact_type(kind: type, value: typing.Any) -> typing.Any:
     if type(value) is not kind:
         raise ValueError(f"{kind.__name__} expected")
@@ -93,13 +100,15 @@
     tuples, or raises ValueError.
 
     Args:
-        hint: `str`, `int`, `bool`, `bytes`, a NamedTuple type, a tuple or
-            an optional of these.
+        hint: `str`, `int`, `float`, `bool`, `bytes`, a NamedTuple type, a
+            tuple or an optional of these.
     """
     if hint is str:
         return _check_text
     if hint is int:
         return _check_integer
+    if hint is float:
+        return _check_number
     if hint in (bool, bytes):
         return functools.partial(_check_exact_type, hint)
     if not hasattr(hint, "_fields"):
--- a/src/galenatack/links/translated_target.py
+++ b/src/galenatack/links/translated_target.py
@@ -1,11 +1,13 @@
 """HTTP link to the node's target, in the target's dialect."""
 
+import collections.abc
 import functools
 
 from galenatack.interfaces import target_dialect
 from galenatack.links import http_client
 from galenatack.model import call_request
 from galenatack.model import target_answer
+from galenatack.model import target_condition
 
 CONNECT_TIMEOUT_S = 0.5
 """The target is on the same machine; if connecting takes longer, it is down."""
@@ -24,6 +26,11 @@
 MAX_ANSWER_BYTES = 3_500_000
 """An answer must fit into a 4 MiB frame between nodes."""
 
+OnCondition = collections.abc.Callable[
+    [str, target_condition.TargetCondition], None
+]
+"""Receives the id of a target and what it says of itself."""
+
 
 class TranslatedTarget:
     """Implements `interfaces.target_link.TargetLink`.
@@ -34,6 +41,7 @@
         address: host:port of the target.
         dialect: Translates headers and answers of the target.
         max_connections: Maximum number of connections to the target.
+        on_condition: Called with each answer of the target, refusals included.
     """
 
     def __init__(
@@ -42,8 +50,10 @@
         address: str,
         dialect: target_dialect.TargetDialect,
         max_connections: int,
+        on_condition: OnCondition,
     ):
         self._dialect = dialect
+        self._on_condition = on_condition
         self._client = http_client.HttpClient(
             address=address,
             max_connections=max_connections,
@@ -73,7 +83,11 @@
             max_idle_s=idle_s,
             is_answer=functools.partial(self._dialect.is_answer, request),
         )
-        return self._dialect.answer(raw.status, tuple(raw.headers), raw.body)
+        headers = tuple(raw.headers)
+        condition = self._dialect.condition(raw.status, headers)
+        if condition is not None:
+            self._on_condition(request.target_id, condition)
+        return self._dialect.answer(raw.status, headers, raw.body)
 
     async def cancel(self, call_id: str) -> bool:
         """Returns False: the target cannot confirm a cancellation."""
--- a/src/galenatack/model/gate_report.py
+++ b/src/galenatack/model/gate_report.py
@@ -2,6 +2,8 @@
 
 import typing
 
+from galenatack.model import target_condition
+
 
 class GateReport(typing.NamedTuple):
     """Load of an inbound gate when it answers a call.
@@ -14,6 +16,8 @@
         failure_permille: Recent share of calls that failed at the target or
             were refused by it.
         wait_ms: Time that a new call of the same route would wait for a slot.
+        condition: What the target said of itself in its latest answer; None
+            if it has not answered since the gate or the target started.
     """
 
     running: int
@@ -21,3 +25,4 @@
     ran_ms: int
     failure_permille: int
     wait_ms: int
+    condition: target_condition.TargetCondition | None = None
--- /dev/null
+++ b/src/galenatack/model/target_condition.py
@@ -0,0 +1,17 @@
+"""What a target says about itself beside an answer."""
+
+import typing
+
+
+class TargetCondition(typing.NamedTuple):
+    """What a target says about itself beside an answer.
+
+    Attributes:
+        rate_limit_per_s: Calls per second that the target takes from all nodes
+            together; None without a limit.
+    """
+
+    rate_limit_per_s: float | None = None
+
+
+NORMAL = TargetCondition()
--- a/src/galenatack/platform/target_headers.py
+++ b/src/galenatack/platform/target_headers.py
@@ -1,10 +1,16 @@
 """Translates calls to a target and the target's answers."""
 
+import logging
+import math
+
 from galenatack import exceptions
 from galenatack.model import call_request
 from galenatack.model import target_answer
+from galenatack.model import target_condition
 from galenatack.platform import _headers
 
+_LOGGER = logging.getLogger(__name__)
+
 _MISDIRECTED = 421
 _SUCCESS = range(200, 300)
 _SHED_RETRY_AFTER_MS = 100
@@ -14,11 +20,15 @@
 _ATTEMPT_ID = _headers.ATTEMPT_ID.encode()
 _NOT_EXECUTED = _headers.NOT_EXECUTED.encode()
 _STAMP = _headers.STAMP.encode()
+_LIMIT = _headers.TARGET_LIMIT.encode()
 
 
 class TargetHeaders:
     """Implements `interfaces.target_dialect.TargetDialect`."""
 
+    def __init__(self):
+        self._reported_limit = b""
+
     def headers(self, request: call_request.CallRequest) -> Headers:
         """Returns the headers of a call, except its content length."""
         added = (
@@ -42,6 +52,31 @@
                 return value == request.request_id.encode("latin-1")
         return True
 
+    def condition(
+        self, status: int, headers: Headers
+    ) -> target_condition.TargetCondition | None:
+        """Returns what the target says of itself, None if another answered."""
+        if status == _MISDIRECTED:
+            return None
+        for name, value in headers:
+            if name == _LIMIT:
+                limit_per_s = self._limit_per_s(value)
+                return target_condition.TargetCondition(limit_per_s)
+        return target_condition.NORMAL
+
+    def _limit_per_s(self, value: bytes) -> float | None:
+        try:
+            limit_per_s = float(value)
+        except ValueError:
+            limit_per_s = math.nan
+        if math.isfinite(limit_per_s) and limit_per_s >= 0:
+            return limit_per_s
+        # Each distinct value is logged once: all answers may carry it.
+        if value != self._reported_limit:
+            self._reported_limit = value
+            _LOGGER.warning("event=target-limit-unreadable value=%r", value)
+        return None
+
     def answer(
         self, status: int, headers: Headers, body: bytes
     ) -> target_answer.TargetAnswer:
--- a/src/galenatack/routing/token_bucket.py
+++ b/src/galenatack/routing/token_bucket.py
@@ -45,6 +45,19 @@
         self._refill()
         self._tokens -= tokens
 
+    def delay_s(self, tokens: float) -> float:
+        """Returns the time in seconds until this many tokens are available."""
+        self._refill()
+        missing = min(tokens, self._capacity) - self._tokens
+        return max(0.0, missing / self._rate_per_s)
+
+    def set_rate(self, *, rate_per_s: float, capacity: float) -> None:
+        """Changes the rate and the capacity; the balance is kept."""
+        self._refill()
+        self._rate_per_s = rate_per_s
+        self._capacity = capacity
+        self._tokens = min(capacity, self._tokens)
+
     def _refill(self) -> None:
         now_s = self._clock.monotonic_s()
         refilled = (now_s - self._refilled_s) * self._rate_per_s
--- a/src/galenatack/traffic/admission_queue.py
+++ b/src/galenatack/traffic/admission_queue.py
@@ -3,7 +3,8 @@
 Protects a target that receives more calls than it can run. Calls wait only
 while their answer can still be in time, and urgent calls go first. A call that
 would be late is refused at once, with the time after which the queue is
-expected to have room.
+expected to have room. A target may also limit the rate of its calls; then they
+wait for their turn in the same queue, by the same rules.
 """
 
 import asyncio
@@ -13,6 +14,7 @@
 from galenatack import exceptions
 from galenatack.interfaces import clock as clock_interface
 from galenatack.interfaces import random_source
+from galenatack.traffic import call_pacer
 from galenatack.traffic import service_times
 
 MS_PER_S = 1000.0
@@ -32,24 +34,29 @@
 call that waits and is then late has used a slot that another call could have
 used in time."""
 
+MIN_GRANT_DELAY_S = 0.001
+"""Timer resolution; the pace may ask for a shorter delay."""
+
 MIN_ALLOWED_WAIT_MS = 150.0
 """A wait of this length is shorter than a refusal and a retry, so it is allowed
 even if the target latency leaves less; the deadline still applies."""
 
 
 class _Waiter:
-    __slots__ = ("call_id", "expected_ms", "future", "order")
+    __slots__ = ("call_id", "expected_ms", "expires_s", "future", "order")
 
     def __init__(
         self,
         call_id: str,
         order: tuple[int, float, int],
         expected_ms: float,
+        expires_s: float,
         future: "asyncio.Future[str]",
     ):
         self.call_id = call_id
         self.order = order
         self.expected_ms = expected_ms
+        self.expires_s = expires_s
         self.future = future
 
     def __lt__(self, other: "_Waiter") -> bool:
@@ -84,6 +91,8 @@
         self._heap: list[_Waiter] = []
         self._waiting: dict[str, _Waiter] = {}
         self._running: dict[str, tuple[float, float]] = {}
+        self._pacer = call_pacer.CallPacer(clock=clock)
+        self._grant_timer: asyncio.TimerHandle | None = None
         self.slots = 1
 
     @property
@@ -96,6 +105,20 @@
         """Number of calls that wait for a slot."""
         return len(self._waiting)
 
+    @property
+    def rate_limit_per_s(self) -> float | None:
+        """Calls per second that the target takes; None without a limit."""
+        return self._pacer.limit_per_s
+
+    def limit_rate(self, limit_per_s: float | None) -> None:
+        """Limits the calls per second that get a slot; None lifts the limit.
+
+        Waiting calls whose turn would now come too late are refused at once.
+        """
+        self._pacer.set_limit(limit_per_s)
+        self._refuse_hopeless()
+        self._grant()
+
     async def acquire(
         self,
         call_id: str,
@@ -123,7 +146,7 @@
                 waited.
         """
         expected_ms = self._times.expected_ms(route)
-        if len(self._running) < self.slots and not self._waiting:
+        if self._is_idle() and not self._pacer.wait_s():
             self._start(call_id, expected_ms)
             return
         allowed_ms = self._allowed_ms(
@@ -153,6 +176,8 @@
         self._heap.clear()
         for waiter in waiting.values():
             _resolve(waiter, _CLOSED)
+        if self._grant_timer is not None:
+            self._grant_timer.cancel()
 
     def expected_wait_ms(self, priority: int, deadline_s: float) -> float:
         """Returns how long a call would wait for a slot.
@@ -160,14 +185,20 @@
         Only calls that would be admitted earlier count: a call with a near
         deadline is hardly delayed by a long queue.
         """
-        if len(self._running) < self.slots and not self._waiting:
-            return 0.0
-        ahead_ms = sum(
+        ahead = [
             waiter.expected_ms
             for waiter in self._waiting.values()
             if waiter.order[:2] <= (priority, deadline_s)
-        )
-        return (ahead_ms + self._running_ms()) / max(1, self.slots)
+        ]
+        paced_ms = self._pacer.wait_s(len(ahead)) * MS_PER_S
+        if self._is_idle():
+            return paced_ms
+        slot_ms = (sum(ahead) + self._running_ms()) / max(1, self.slots)
+        return max(slot_ms, paced_ms)
+
+    def _is_idle(self) -> bool:
+        """Returns whether a slot is free and no call waits for it."""
+        return len(self._running) < self.slots and not self._waiting
 
     def _running_ms(self) -> float:
         """Returns the mean duration of the calls that hold slots.
@@ -207,7 +238,8 @@
         retry_after_ms = max(MIN_RETRY_AFTER_MS, excess_ms) * jitter
         return exceptions.OverloadedError(
             f"wait of {wait_ms:.0f} ms exceeds {max(0.0, allowed_ms):.0f} ms"
-            f" with {self.queued} queued and {self.running} running",
+            f" with {self.queued} queued, {self.running} running and"
+            f" {_limit_text(self._pacer.limit_per_s)}",
             retry_after_ms=int(min(MAX_RETRY_AFTER_MS, retry_after_ms)),
         )
 
@@ -222,12 +254,18 @@
         loop = asyncio.get_running_loop()
         future: asyncio.Future[str] = loop.create_future()
         order = (priority, deadline_s, next(self._arrival_numbers))
-        waiter = _Waiter(call_id, order, expected_ms, future)
+        allowed_s = allowed_ms / MS_PER_S
+        waiter = _Waiter(
+            call_id,
+            order,
+            expected_ms,
+            self._clock.monotonic_s() + allowed_s,
+            future,
+        )
         self._waiting[call_id] = waiter
         heapq.heappush(self._heap, waiter)
-        timer = loop.call_later(
-            allowed_ms / MS_PER_S, _expire, self._waiting, waiter
-        )
+        self._grant()
+        timer = loop.call_later(allowed_s, _expire, self._waiting, waiter)
         try:
             result = await future
         except BaseException:
@@ -249,9 +287,14 @@
 
     def _start(self, call_id: str, expected_ms: float) -> None:
         self._running[call_id] = (self._clock.monotonic_s(), expected_ms)
+        self._pacer.record_start()
 
     def _grant(self) -> None:
         while self._heap and len(self._running) < self.slots:
+            wait_s = self._pacer.wait_s()
+            if wait_s:
+                self._grant_after(wait_s)
+                return
             waiter = heapq.heappop(self._heap)
             if self._waiting.get(waiter.call_id) is not waiter:
                 continue
@@ -259,6 +302,30 @@
             self._start(waiter.call_id, waiter.expected_ms)
             _resolve(waiter, _GRANTED)
 
+    def _grant_after(self, wait_s: float) -> None:
+        """Resumes granting once the pace allows another call."""
+        if self._grant_timer is not None:
+            self._grant_timer.cancel()
+        self._grant_timer = asyncio.get_running_loop().call_later(
+            max(MIN_GRANT_DELAY_S, wait_s), self._grant
+        )
+
+    def _refuse_hopeless(self) -> None:
+        """Refuses the waiting calls whose turn would come too late."""
+        now_s = self._clock.monotonic_s()
+        ahead = 0
+        for waiter in sorted(self._waiting.values()):
+            if now_s + self._pacer.wait_s(ahead) > waiter.expires_s:
+                _expire(self._waiting, waiter)
+            else:
+                ahead += 1
+
+
+def _limit_text(limit_per_s: float | None) -> str:
+    if limit_per_s is None:
+        return "no rate limit"
+    return f"a limit of {limit_per_s:g} calls/s"
+
 
 _EXPIRED = "expired"
 
--- a/src/galenatack/traffic/gate_view.py
+++ b/src/galenatack/traffic/gate_view.py
@@ -13,6 +13,12 @@
 """Time for which a gate that refused a call is considered full. A few slots
 become free in this time, and as many other calls take them."""
 
+MIN_USABLE_SLOTS = 0.1
+"""Slots of a target with a very low rate limit: it is still tried if all other
+targets are loaded ten times as much."""
+
+MS_PER_S = 1000.0
+
 MIN_EJECTION_S = 0.5
 MAX_EJECTION_S = 4.0
 """Bounds of the time without calls after a failed connection."""
@@ -29,6 +35,8 @@
         in_flight: This node's calls at the gate.
         failure_permille: Share of calls that its target fails, in thousandths.
         times: Service times by route.
+        rate_limit_per_s: Calls per second that its target takes; None without
+            a limit.
     """
 
     def __init__(self, *, boot_ms: int):
@@ -36,6 +44,7 @@
         self.in_flight = 0
         self.failure_permille = 0
         self.times = service_times.ServiceTimes()
+        self.rate_limit_per_s: float | None = None
         self._other_calls = 0
         self._reported_s = -math.inf
         self._wait_reports: dict[str, tuple[float, float]] = {}
@@ -54,6 +63,8 @@
         self._wait_reports[route] = (now_s, float(report.wait_ms))
         self._ejections = 0
         self.failure_permille = report.failure_permille
+        if report.condition is not None:
+            self.rate_limit_per_s = report.condition.rate_limit_per_s
         if report.ran_ms:
             self.times.record(route, report.ran_ms)
 
@@ -89,7 +100,21 @@
             -age_s / REPORT_DECAY_S
         )
 
-    def wait_ms(self, route: str, slots: int, now_s: float) -> float:
+    def usable_slots(self, slots: int, service_ms: float) -> float:
+        """Returns how many slots the rate limit lets the target use.
+
+        By Little's law, calls at the limited rate occupy this many slots.
+
+        Args:
+            slots: Slots of the target.
+            service_ms: Service time of a call; 0 if it is not known.
+        """
+        if self.rate_limit_per_s is None or not service_ms:
+            return slots
+        limited = self.rate_limit_per_s * service_ms / MS_PER_S
+        return max(MIN_USABLE_SLOTS, min(slots, limited))
+
+    def wait_ms(self, route: str, slots: float, now_s: float) -> float:
         """Returns how long a call of a route would wait for a slot.
 
         A recent report of the gate for this route has precedence, because an
--- a/src/galenatack/traffic/target_gate.py
+++ b/src/galenatack/traffic/target_gate.py
@@ -1,6 +1,7 @@
 """Admission of calls to the local target."""
 
 import collections.abc
+import logging
 
 import anyio
 
@@ -13,6 +14,7 @@
 from galenatack.model import gate_report
 from galenatack.model import outcome
 from galenatack.model import target_answer
+from galenatack.model import target_condition
 from galenatack.routing import dispatcher
 from galenatack.routing import local_replies
 from galenatack.routing import running_call
@@ -23,6 +25,8 @@
 from galenatack.traffic import service_times
 from galenatack.traffic import target_registry
 
+_LOGGER = logging.getLogger(__name__)
+
 MS_PER_S = 1000
 SERVER_ERROR = 500
 
@@ -85,6 +89,8 @@
         self._is_closed = False
         self._accepted_calls = 0
         self._max_connections = 0
+        self._incarnation: tuple[str, int] | None = None
+        self._condition: target_condition.TargetCondition | None = None
 
     @property
     def in_flight(self) -> int:
@@ -106,6 +112,11 @@
         """Share of recent calls that the target failed or refused."""
         return self._failures.permille
 
+    @property
+    def rate_limit_per_s(self) -> float | None:
+        """Calls per second that the target takes; None without a limit."""
+        return self._queue.rate_limit_per_s
+
     def close(self) -> None:
         """Refuses new calls; accepted calls end as usual."""
         self._is_closed = True
@@ -115,6 +126,38 @@
         self._set_slots()
         self._connect_failures = 0
         self._failures.reset()
+        current = self._registry.current
+        incarnation = (current.target_id, current.born_ms)
+        if incarnation != self._incarnation:
+            self._incarnation = incarnation
+            self._condition = None
+            self._limit_rate(None)
+
+    def apply_condition(
+        self, target_id: str, condition: target_condition.TargetCondition
+    ) -> None:
+        """Applies what the target said of itself in its latest answer."""
+        current = self._registry.current
+        if current is None or current.target_id != target_id:
+            return
+        self._condition = condition
+        self._limit_rate(condition.rate_limit_per_s)
+
+    def _limit_rate(self, limit_per_s: float | None) -> None:
+        known = self._queue.rate_limit_per_s
+        if limit_per_s == known:
+            return
+        # A target may name another limit in each answer.
+        has_begun_or_ended = known is None or limit_per_s is None
+        _LOGGER.log(
+            logging.INFO if has_begun_or_ended else logging.DEBUG,
+            "event=target-rate-limit target=%s per_s=%s before=%s queued=%d",
+            self._registry.current.target_id,
+            limit_per_s,
+            known,
+            self._queue.queued,
+        )
+        self._queue.limit_rate(limit_per_s)
 
     def limit_connections(self, maximum: int) -> None:
         """Limits the connections to the target; 0 means only by its slots.
@@ -161,6 +204,7 @@
                     self._clock.monotonic_s() + request.deadline_ms / MS_PER_S,
                 )
             ),
+            condition=self._condition,
         )
         return call_answer.CallAnswer(request.call_id, result, report)
 
--- a/src/galenatack/traffic/target_placement.py
+++ b/src/galenatack/traffic/target_placement.py
@@ -273,7 +273,7 @@
     service_ms = view.times.known_ms(route)
     if service_ms is None:
         service_ms = typical_ms
-    slots = max(1, candidate.member.slots)
+    slots = view.usable_slots(max(1, candidate.member.slots), service_ms)
     wait_ms = view.wait_ms(route, slots, now_s)
     # No call waits while slots are free; the load term balances the targets.
     return service_ms + wait_ms + view.calls(now_s) / slots
--- a/standins/mesh/fake_target.py
+++ b/standins/mesh/fake_target.py
@@ -16,6 +16,7 @@
         seen: Headers of the last call.
         work_s: Duration of a call.
         status: Status of its answers.
+        extra_headers: Further headers of its answers.
         hold: If set, an event that calls wait for before they answer.
         on_run: If set, called with this target and the attempt id of each run.
     """
@@ -34,6 +35,7 @@
         self.seen = {}
         self.work_s = 0.0
         self.status = 200
+        self.extra_headers = ()
         self.hold = None
         self._sequence = 0
         self.server = pipelined_server.PipelinedServer(
@@ -100,6 +102,6 @@
         stamp_header = (("x-upstream-stamp", f"{self.target_id}.{attempt}"),)
         return http_response.HttpResponse(
             self.status,
-            attempt_header + stamp_header,
+            attempt_header + stamp_header + self.extra_headers,
             request.target.encode() + request.body,
         )
--- a/tests/links/test_idle_connections.py
+++ b/tests/links/test_idle_connections.py
@@ -85,6 +85,7 @@
                     address=f"127.0.0.1:{target.port}",
                     dialect=target_headers.TargetHeaders(),
                     max_connections=4,
+                    on_condition=lambda *_: None,
                 )
                 for _ in range(2):
                     answer = await link.call(call(posting=posting))
--- a/tests/links/test_message_codec.py
+++ b/tests/links/test_message_codec.py
@@ -24,6 +24,7 @@
         bytes: strategies.binary(max_size=8),
         bool: strategies.booleans(),
         int: strategies.integers(-(1 << 63), (1 << 64) - 1),
+        float: strategies.floats(allow_nan=False, allow_infinity=False),
         type(None): strategies.none(),
     }
     if hint in plain:
--- a/tests/platform/test_boundary.py
+++ b/tests/platform/test_boundary.py
@@ -13,6 +13,7 @@
     "x-expected-instance",
     "x-upstream-load",
     "x-not-executed",
+    "server-limit",
     "x-caller-service",
     "x-instance-id",
     "rows-tx",
--- a/tests/platform/test_target_headers.py
+++ b/tests/platform/test_target_headers.py
@@ -58,6 +58,20 @@
             with self.assertRaises(exceptions.TargetAnswerLostError):
                 self.dialect.answer(200, headers, b"x")
 
+    def test_the_rate_limit_of_a_target_is_read_from_any_answer(self):
+        """An unreadable limit counts as none, another target's as nothing."""
+        for value, limit_per_s in (
+            (b" 42.5", 42.5),
+            (b"0", 0.0),
+            (b"-1", None),
+            (b"inf", None),
+            (b"x", None),
+        ):
+            headers = ((b"server-limit", value),)
+            condition = self.dialect.condition(503, headers)
+            self.assertEqual(condition.rate_limit_per_s, limit_per_s)
+            self.assertIsNone(self.dialect.condition(421, headers))
+
     def test_hop_by_hop_headers_are_not_forwarded(self):
         """The target's connection headers do not reach the caller."""
         answer = self.dialect.answer(
--- a/tests/traffic/test_admission_queue.py
+++ b/tests/traffic/test_admission_queue.py
@@ -1,6 +1,7 @@
 """Tests of the admission queue of a target, in virtual time."""
 
 import asyncio
+import functools
 import random
 import unittest
 
@@ -26,6 +27,7 @@
         )
         self.queue.slots = slots
         self.served = []
+        self.starts_s = []
         self.refused = []
 
     async def call(
@@ -49,6 +51,7 @@
         except exceptions.CallError as error:
             self.refused.append((name, self.clock.monotonic_s(), error))
             return
+        self.starts_s.append(self.clock.monotonic_s())
         try:
             await asyncio.sleep(WORK_S)
         finally:
@@ -155,6 +158,50 @@
 
         virtual_loop.run(main)
 
+    def test_a_rate_limit_is_kept_and_used(self):
+        """Any 4 s hold at most 1.5 times the limit and 5; the rest is refused.
+
+        Half of the calls are served in time once the limit is lifted again.
+        """
+
+        async def main(limit_per_s):
+            rig = Rig(slots=12)
+            rig.queue.limit_rate(limit_per_s)
+            async with asyncio.TaskGroup() as tasks:
+                for number in range(1000):
+                    tasks.create_task(rig.call(f"c{number}"))
+                    await asyncio.sleep(0.01)
+            return rig
+
+        for limit_per_s in (0.0, 0.4, 3.0, 14.2, 42.5):
+            rig = virtual_loop.run(functools.partial(main, limit_per_s))
+            for first_s in rig.starts_s:
+                last_s = first_s + 4.0
+                count = sum(first_s <= at <= last_s for at in rig.starts_s)
+                self.assertLessEqual(count, 1.5 * 4 * limit_per_s + 5)
+            self.assertGreaterEqual(len(rig.served), 0.9 * limit_per_s * 10)
+            for _, _, error in rig.refused:
+                self.assertIsInstance(error, exceptions.OverloadedError)
+
+    def test_a_new_rate_limit_refuses_waiting_calls_that_are_hopeless(self):
+        """They are refused at once; the end of the limit frees the others."""
+
+        async def main():
+            rig = Rig(slots=1)
+            async with asyncio.TaskGroup() as tasks:
+                for number in range(4):
+                    tasks.create_task(rig.call(f"c{number}"))
+                    await asyncio.sleep(0.001)
+                rig.queue.limit_rate(6.0)
+                await asyncio.sleep(0.001)
+                self.assertEqual(rig.queue.queued, 1)
+                await asyncio.sleep(WORK_S)
+                rig.queue.limit_rate(None)
+                await asyncio.sleep(0.001)
+                self.assertEqual(rig.queue.running, 1)
+
+        virtual_loop.run(main)
+
     def test_a_cancelled_call_leaves_the_queue(self):
         """A cancelled call is removed and the next one is admitted."""
 
