Callers tell a restarted gate the rate limit of its target

Cause, found by asking what the gate forgets: after a restart it knew no limit until the first answer, and gave all slots at once. Class: state that one process learned and that its restart loses while others rely on it.

Callers keep the last limit of each target, by its identifier and birth, and send it with each call; a gate uses it only until its target has answered. Ruled out: the limit in the member record, which would flood each change to all nodes.

The test fails without the use of the caller's limit: 12 calls before the first answer instead of 1.

--- a/src/galenatack/app/mesh_outbound.py
+++ b/src/galenatack/app/mesh_outbound.py
@@ -10,6 +10,7 @@
 from galenatack.traffic import call_sender
 from galenatack.traffic import call_telemetry
 from galenatack.traffic import config_holder
+from galenatack.traffic import known_conditions
 from galenatack.traffic import target_directory
 from galenatack.traffic import target_placement
 
@@ -39,6 +40,7 @@
         window_s=bounds.repeat_window_ms / MS_PER_S,
         slack=bounds.repeat_slack,
     )
+    conditions = known_conditions.KnownConditions()
     placement = target_placement.TargetPlacement(
         own=base.members.own,
         clock=base.clock,
@@ -55,9 +57,11 @@
             own=base.members.own,
             peers=base.peers,
             gate=inbound.gate,
+            conditions=conditions,
             clock=base.clock,
             rng=base.rng,
         ),
+        conditions=conditions,
         clock=base.clock,
         telemetry=call_telemetry.CallTelemetry(
             config=config,
--- a/src/galenatack/model/call_request.py
+++ b/src/galenatack/model/call_request.py
@@ -23,6 +23,8 @@
             this time has its full value; 0 if the route has none.
         caller_service: Service of the instance from which the call originates.
         target_id: Target to which the call is addressed; empty for any.
+        target_rate_limit_per_s: Rate limit that the target named to the
+            sender, for a gate that has restarted since; None without one.
     """
 
     call_id: str
@@ -40,3 +42,4 @@
     target_latency_ms: int = 0
     caller_service: str = ""
     target_id: str = ""
+    target_rate_limit_per_s: float | None = None
--- a/src/galenatack/traffic/call_router.py
+++ b/src/galenatack/traffic/call_router.py
@@ -15,6 +15,7 @@
 from galenatack.traffic import call_sender
 from galenatack.traffic import call_telemetry
 from galenatack.traffic import config_holder
+from galenatack.traffic import known_conditions
 from galenatack.traffic import request_attempts
 from galenatack.traffic import target_directory
 from galenatack.traffic import target_gate
@@ -48,6 +49,7 @@
         placement: Chooses the target.
         budget: Retry budget.
         sender: Sends calls to gates.
+        conditions: Receives what targets say of themselves.
         clock: Source of time.
         telemetry: Log lines and counters.
     """
@@ -61,6 +63,7 @@
         placement: target_placement.TargetPlacement,
         budget: attempt_budget.AttemptBudget,
         sender: call_sender.CallSender,
+        conditions: known_conditions.KnownConditions,
         clock: clock_interface.Clock,
         telemetry: call_telemetry.CallTelemetry,
     ):
@@ -70,6 +73,7 @@
         self._placement = placement
         self._budget = budget
         self._sender = sender
+        self._conditions = conditions
         self._clock = clock
         self._telemetry = telemetry
         self._weights = weighted_choice.WeightedChoice()
@@ -223,6 +227,8 @@
         now_s = self._clock.monotonic_s()
         if answer.report is not None:
             view.apply_report(answer.report, attempts.route.name, now_s)
+            if answer.report.condition is not None:
+                self._conditions.record(member, answer.report.condition)
         if answer.result.failure == exceptions.OverloadedError.code:
             view.record_refusal(attempts.route.name, now_s)
         if answer.result.failure == exceptions.TargetConnectError.code:
--- a/src/galenatack/traffic/call_sender.py
+++ b/src/galenatack/traffic/call_sender.py
@@ -14,6 +14,7 @@
 from galenatack.model import call_result
 from galenatack.model import member_record
 from galenatack.routing import local_replies
+from galenatack.traffic import known_conditions
 from galenatack.traffic import request_attempts
 from galenatack.traffic import target_gate
 
@@ -42,6 +43,7 @@
         own: Record of this node, for its region and service.
         peers: Links to other nodes.
         gate: Gate of the local target.
+        conditions: What targets have said of themselves.
         clock: Source of time.
         rng: Source of randomness, for call ids.
     """
@@ -52,12 +54,14 @@
         own: member_record.MemberRecord,
         peers: peer_network.PeerNetwork,
         gate: target_gate.TargetGate,
+        conditions: known_conditions.KnownConditions,
         clock: clock_interface.Clock,
         rng: random_source.RandomSource,
     ):
         self._own = own
         self._peers = peers
         self._gate = gate
+        self._conditions = conditions
         self._clock = clock
         self._call_prefix = f"{rng.getrandbits(CALL_ID_BITS):010x}"
         self._calls = 0
@@ -107,6 +111,7 @@
             target_latency_ms=route.target_latency_ms,
             caller_service=self._own.service,
             target_id=member.target_id,
+            target_rate_limit_per_s=self._conditions.rate_limit_per_s(member),
         )
 
     async def _send_local(
--- a/src/galenatack/traffic/target_gate.py
+++ b/src/galenatack/traffic/target_gate.py
@@ -214,6 +214,7 @@
         deadline_s = started_s + request.deadline_ms / MS_PER_S
         try:
             self._check(request)
+            self._learn_limit(request)
             await self._queue.acquire(
                 request.call_id,
                 route=request.route,
@@ -269,6 +270,13 @@
         if self._connect_failures >= CONNECT_FAILURE_THRESHOLD:
             self._probe()
 
+    def _learn_limit(self, request: call_request.CallRequest) -> None:
+        """Uses the limit that a caller knows until the target answers."""
+        if self._condition is None and (
+            request.target_rate_limit_per_s is not None
+        ):
+            self._limit_rate(request.target_rate_limit_per_s)
+
     def _probe(self) -> None:
         now_s = self._clock.monotonic_s()
         if now_s - self._last_probe_s < PROBE_INTERVAL_S:
--- /dev/null
+++ b/tests/traffic/test_known_conditions.py
@@ -0,0 +1,81 @@
+"""Tests of what callers remember of targets whose gate has restarted."""
+
+import asyncio
+import random
+import unittest
+from unittest import mock
+
+from galenatack.model import target_condition
+from galenatack.traffic import admission_queue
+from galenatack.traffic import known_conditions
+from galenatack.traffic import service_times
+from galenatack.traffic import target_gate
+from galenatack.traffic import target_registry
+from tests.fakes import virtual_loop
+from tests.platform import test_target_headers
+from tests.traffic import fleet_load
+from tests.traffic import test_target_registry
+
+MEMBER = fleet_load.member("1")._replace(target_born_ms=100)
+
+
+async def never_answer(_):
+    """Waits until it is cancelled."""
+    await asyncio.Event().wait()
+
+
+def restarted_gate():
+    """Returns a gate whose target has not answered it yet, and its link."""
+    clock = virtual_loop.LoopClock()
+    times = service_times.ServiceTimes()
+    link = mock.Mock(call=mock.AsyncMock(side_effect=never_answer))
+    registry = target_registry.TargetRegistry(
+        service="s", clock=clock, drain_notice_s=1.0, on_changed=mock.Mock()
+    )
+    registry.announce(test_target_registry.announcement())
+    gate = target_gate.TargetGate(
+        registry=registry,
+        queue=admission_queue.AdmissionQueue(
+            clock=clock, rng=random.Random(1), times=times
+        ),
+        times=times,
+        link=link,
+        clock=clock,
+        log=mock.Mock(),
+        stats=mock.Mock(),
+        is_withdrawn=lambda *_: False,
+        on_outcome=mock.Mock(),
+    )
+    gate.on_target_changed()
+    return gate, link
+
+
+class TestKnownConditions(unittest.TestCase):
+    def setUp(self):
+        self.known = known_conditions.KnownConditions()
+
+    def test_a_restarted_gate_keeps_the_limit_that_callers_know(self):
+        """Without it, all slots would be taken before the first answer."""
+
+        async def main():
+            gate, link = restarted_gate()
+            call = test_target_headers.REQUEST._replace(
+                service="s",
+                target_rate_limit_per_s=self.known.rate_limit_per_s(MEMBER),
+            )
+            tasks = [
+                asyncio.create_task(gate.handle(call._replace(call_id=f"{n}")))
+                for n in range(12)
+            ]
+            await asyncio.sleep(0.6)
+            self.assertEqual(link.call.await_count, 1)
+            gate.apply_condition("i-1", target_condition.NORMAL)
+            later = asyncio.create_task(gate.handle(call))
+            await asyncio.sleep(0.01)
+            self.assertEqual(link.call.await_count, 2)
+            for task in (*tasks, later):
+                task.cancel()
+
+        limited = target_condition.TargetCondition(rate_limit_per_s=2.0)
+        self.known.record(MEMBER, limited)
+        virtual_loop.run(main)
