Send nothing more to a target that says in an answer that it leaves

Callers saw: nothing yet. A target that leaves says so in all its answers; a node that has passed on such an answer must stop sending within the drain time, whether the announcement arrived or not. Nothing read the header: a target that had said so went on getting calls as long as its announcements called it ready (fails before, in a clone of: mesh/test_target_condition, 40 calls instead of 20).

Cause and class as for rate limits: state that only answers tell. The gate now treats such an answer like an announcement of draining, until the target starts again. Callers remember it by the target's identifier and birth, so that a gate that restarts and hears an old announcement gets no calls from them either (traffic/test_known_conditions fails if either is left out of the choice).

--- a/src/galenatack/app/mesh_outbound.py
+++ b/src/galenatack/app/mesh_outbound.py
@@ -46,6 +46,7 @@
         clock=base.clock,
         rng=base.rng,
         is_connected=base.peers.is_connected,
+        conditions=conditions,
     )
     router = call_router.CallRouter(
         config=config,
--- a/src/galenatack/model/target_condition.py
+++ b/src/galenatack/model/target_condition.py
@@ -9,9 +9,11 @@
     Attributes:
         rate_limit_per_s: Calls per second that the target takes from all nodes
             together; None without a limit.
+        is_leaving: True if the target is about to leave.
     """
 
     rate_limit_per_s: float | None = None
+    is_leaving: bool = False
 
 
 NORMAL = TargetCondition()
--- a/src/galenatack/platform/_headers.py
+++ b/src/galenatack/platform/_headers.py
@@ -8,6 +8,7 @@
 CALLER_SERVICE = "x-caller-service"
 RETRY_AFTER = "retry-after"
 TARGET_LIMIT = "server-limit"
+TARGET_LEAVING = "server-leaving"
 
 _HOP_BY_HOP = frozenset(
     {
--- a/src/galenatack/platform/target_headers.py
+++ b/src/galenatack/platform/target_headers.py
@@ -21,6 +21,7 @@
 _NOT_EXECUTED = _headers.NOT_EXECUTED.encode()
 _STAMP = _headers.STAMP.encode()
 _LIMIT = _headers.TARGET_LIMIT.encode()
+_LEAVING = _headers.TARGET_LEAVING.encode()
 
 
 class TargetHeaders:
@@ -58,11 +59,16 @@
         """Returns what the target says of itself, None if another answered."""
         if status == _MISDIRECTED:
             return None
+        limit_per_s = None
+        is_leaving = False
         for name, value in headers:
             if name == _LIMIT:
                 limit_per_s = self._limit_per_s(value)
-                return target_condition.TargetCondition(limit_per_s)
-        return target_condition.NORMAL
+            elif name == _LEAVING:
+                is_leaving = value.strip() == b"1"
+        if limit_per_s is None and not is_leaving:
+            return target_condition.NORMAL
+        return target_condition.TargetCondition(limit_per_s, is_leaving)
 
     def _limit_per_s(self, value: bytes) -> float | None:
         try:
--- a/src/galenatack/traffic/known_conditions.py
+++ b/src/galenatack/traffic/known_conditions.py
@@ -15,7 +15,8 @@
     """Latest condition of each target, from the reports in its answers.
 
     The gate of a target acts on its condition. A restarted gate knows nothing
-    of it, so callers keep what they have seen and tell the gate of a limit.
+    of it, so callers keep what they have seen: they tell the gate of a limit,
+    and send nothing more to a target that was leaving.
     """
 
     def __init__(self):
@@ -28,10 +29,15 @@
         member: member_record.MemberRecord,
         condition: target_condition.TargetCondition,
     ) -> None:
-        """Records the condition that a target's answer came with."""
+        """Records the condition that a target's answer came with.
+
+        A target that was leaving stays so until it starts again.
+        """
         if not self._conditions and condition == target_condition.NORMAL:
             return
         identity = _identity(member)
+        if self.is_leaving(member):
+            condition = condition._replace(is_leaving=True)
         self._conditions.pop(identity, None)
         if condition == target_condition.NORMAL:
             return
@@ -39,12 +45,20 @@
         if len(self._conditions) > MAX_TARGETS:
             self._conditions.popitem(last=False)
 
+    def is_leaving(self, member: member_record.MemberRecord) -> bool:
+        """Returns whether the target of a node was leaving."""
+        return self._known(member).is_leaving
+
     def rate_limit_per_s(
         self, member: member_record.MemberRecord
     ) -> float | None:
         """Returns the last known rate limit of a target, if any."""
-        known = self._conditions.get(_identity(member), target_condition.NORMAL)
-        return known.rate_limit_per_s
+        return self._known(member).rate_limit_per_s
+
+    def _known(
+        self, member: member_record.MemberRecord
+    ) -> target_condition.TargetCondition:
+        return self._conditions.get(_identity(member), target_condition.NORMAL)
 
 
 def _identity(member: member_record.MemberRecord) -> _Identity:
--- a/src/galenatack/traffic/target_gate.py
+++ b/src/galenatack/traffic/target_gate.py
@@ -142,6 +142,8 @@
             return
         self._condition = condition
         self._limit_rate(condition.rate_limit_per_s)
+        if condition.is_leaving:
+            self._registry.note_leaving(target_id)
 
     def _limit_rate(self, limit_per_s: float | None) -> None:
         known = self._queue.rate_limit_per_s
--- a/src/galenatack/traffic/target_placement.py
+++ b/src/galenatack/traffic/target_placement.py
@@ -17,6 +17,7 @@
 from galenatack.model import member_record
 from galenatack.model import proximity
 from galenatack.traffic import gate_view
+from galenatack.traffic import known_conditions
 
 MS_PER_S = 1000.0
 
@@ -77,6 +78,7 @@
         clock: Source of time.
         rng: Source of randomness.
         is_connected: Returns whether a link to a node is open.
+        conditions: What targets have said of themselves.
     """
 
     def __init__(
@@ -86,11 +88,13 @@
         clock: clock_interface.Clock,
         rng: random_source.RandomSource,
         is_connected: collections.abc.Callable[[str], bool],
+        conditions: known_conditions.KnownConditions,
     ):
         self._own = own
         self._clock = clock
         self._rng = rng
         self._is_connected = is_connected
+        self._conditions = conditions
         self._views: dict[str, gate_view.GateView] = {}
 
     def view(self, member: member_record.MemberRecord) -> gate_view.GateView:
@@ -135,6 +139,7 @@
             )
             for member in members
             if member.node_id not in tried
+            and not self._conditions.is_leaving(member)
         ]
         if not untried:
             raise exceptions.NoTargetError(
--- a/src/galenatack/traffic/target_registry.py
+++ b/src/galenatack/traffic/target_registry.py
@@ -51,6 +51,7 @@
         self._on_changed = on_changed
         self._gone: dict[tuple[str, int], None] = {}
         self._leaving_s: float | None = None
+        self._has_said_leaving = False
         self._warm_from_s = 0.0
         self.current: target_announcement.TargetAnnouncement | None = None
         self.announced_s = 0.0
@@ -75,10 +76,14 @@
             )
             return False
         before = self.current
-        self.current = announcement
         self.announced_s = self._clock.monotonic_s()
         if before is None or _identity(before) != _identity(announcement):
             self._start_incarnation(announcement)
+        if self._has_said_leaving:
+            announcement = announcement._replace(
+                state=target_state.TargetState.DRAINING.value
+            )
+        self.current = announcement
         if announcement.state == target_state.TargetState.DRAINING:
             self._start_leaving()
         else:
@@ -105,6 +110,25 @@
         while len(self._gone) > MAX_GONE_TARGETS:
             del self._gone[next(iter(self._gone))]
 
+    def note_leaving(self, target_id: str) -> None:
+        """Handles an answer in which a target says that it is leaving.
+
+        Its announcements may still say otherwise; it leaves all the same.
+        """
+        current = self.current
+        if self._has_said_leaving or current is None:
+            return
+        if current.target_id != target_id:
+            return
+        self._has_said_leaving = True
+        if current.state != target_state.TargetState.READY:
+            return
+        self.current = current._replace(
+            state=target_state.TargetState.DRAINING.value
+        )
+        self._start_leaving()
+        self._report()
+
     def restore(self, record: member_record.MemberRecord) -> None:
         """Applies what a previous run of this node announced to its peers.
 
@@ -156,6 +180,7 @@
         self, announcement: target_announcement.TargetAnnouncement
     ) -> None:
         self._leaving_s = None
+        self._has_said_leaving = False
         self._warm_from_s = (
             self.announced_s + announcement.warm_up_left_ms / 1000
         )
--- a/tests/mesh/test_target_condition.py
+++ b/tests/mesh/test_target_condition.py
@@ -39,3 +39,26 @@
             self.assertGreater(len(other.ran), 5 * len(starts))
 
         asyncio.run(main())
+
+    def test_a_target_that_says_it_leaves_gets_no_more_calls(self):
+        """Its announcements still call it ready."""
+
+        async def main():
+            async with small_fleet.SmallFleet("a", "b", "b") as fleet:
+                leaving = fleet.members[1].target
+                leaving.extra_headers = (("server-leaving", "1"),)
+
+                async def call_all():
+                    for member in fleet.members * 20:
+                        await fleet.call(member, "b.example", "/idempotent/x")
+
+                await call_all()
+                await leaving.announce(
+                    fleet.members[1].settings.control_address
+                )
+                known = len(leaving.ran)
+                await call_all()
+                self.assertGreater(known, 0)
+                self.assertEqual(len(leaving.ran), known)
+
+        asyncio.run(main())
--- a/tests/platform/test_target_headers.py
+++ b/tests/platform/test_target_headers.py
@@ -58,18 +58,17 @@
             with self.assertRaises(exceptions.TargetAnswerLostError):
                 self.dialect.answer(200, headers, b"x")
 
-    def test_the_rate_limit_of_a_target_is_read_from_any_answer(self):
+    def test_the_condition_of_a_target_is_read_from_any_answer(self):
         """An unreadable limit counts as none, another target's as nothing."""
-        for value, limit_per_s in (
-            (b" 42.5", 42.5),
-            (b"0", 0.0),
-            (b"-1", None),
-            (b"inf", None),
-            (b"x", None),
+        for headers, limit_per_s, is_leaving in (
+            (((b"server-limit", b" 42.5"),), 42.5, False),
+            (((b"server-limit", b"0"), (b"server-leaving", b"1")), 0.0, True),
+            (((b"server-limit", b"-1"),), None, False),
+            (((b"server-limit", b"inf"),), None, False),
+            (((b"server-limit", b"x"), (b"server-leaving", b"0")), None, False),
         ):
-            headers = ((b"server-limit", value),)
             condition = self.dialect.condition(503, headers)
-            self.assertEqual(condition.rate_limit_per_s, limit_per_s)
+            self.assertEqual(condition, (limit_per_s, is_leaving))
             self.assertIsNone(self.dialect.condition(421, headers))
 
     def test_hop_by_hop_headers_are_not_forwarded(self):
--- a/tests/traffic/fleet_load.py
+++ b/tests/traffic/fleet_load.py
@@ -13,6 +13,7 @@
 from galenatack.model import member_record
 from galenatack.model import weighted_service
 from galenatack.traffic import admission_queue
+from galenatack.traffic import known_conditions
 from galenatack.traffic import service_times
 from galenatack.traffic import target_placement
 from tests.fakes import virtual_loop
@@ -158,6 +159,7 @@
             clock=virtual_loop.LoopClock(),
             rng=rng,
             is_connected=lambda node_id: True,
+            conditions=known_conditions.KnownConditions(),
         )
 
     def counting_in(self, outcomes):
--- a/tests/traffic/test_known_conditions.py
+++ b/tests/traffic/test_known_conditions.py
@@ -5,11 +5,13 @@
 import unittest
 from unittest import mock
 
+from galenatack import exceptions
 from galenatack.model import target_condition
 from galenatack.traffic import admission_queue
 from galenatack.traffic import known_conditions
 from galenatack.traffic import service_times
 from galenatack.traffic import target_gate
+from galenatack.traffic import target_placement
 from galenatack.traffic import target_registry
 from tests.fakes import virtual_loop
 from tests.platform import test_target_headers
@@ -17,6 +19,7 @@
 from tests.traffic import test_target_registry
 
 MEMBER = fleet_load.member("1")._replace(target_born_ms=100)
+LEAVING = target_condition.TargetCondition(is_leaving=True)
 
 
 async def never_answer(_):
@@ -54,6 +57,24 @@
     def setUp(self):
         self.known = known_conditions.KnownConditions()
 
+    def test_a_leaving_target_is_not_chosen_after_its_gate_restarted(self):
+        """It may be chosen again once it has started anew."""
+        placement = target_placement.TargetPlacement(
+            own=MEMBER,
+            clock=mock.Mock(monotonic_s=lambda: 0.0),
+            rng=random.Random(1),
+            is_connected=lambda node_id: True,
+            conditions=self.known,
+        )
+        choose = {"route": fleet_load.route(), "left_ms": 800, "tried": set()}
+        self.known.record(MEMBER, LEAVING)
+        self.known.record(MEMBER, target_condition.NORMAL)
+        restarted = MEMBER._replace(boot_ms=2, target_state="ready")
+        with self.assertRaises(exceptions.NoTargetError):
+            placement.choose([restarted], **choose)
+        anew = restarted._replace(target_born_ms=200)
+        self.assertEqual(placement.choose([anew], **choose), anew)
+
     def test_a_restarted_gate_keeps_the_limit_that_callers_know(self):
         """Without it, all slots would be taken before the first answer."""
 
--- a/tests/traffic/test_link_warmer.py
+++ b/tests/traffic/test_link_warmer.py
@@ -8,6 +8,7 @@
 
 from galenatack.membership import member_table
 from galenatack.model import member_record
+from galenatack.traffic import known_conditions
 from galenatack.traffic import link_warmer
 from galenatack.traffic import target_placement
 from tests.fakes import virtual_loop
@@ -70,6 +71,7 @@
                     clock=clock,
                     rng=random.Random(1),
                     is_connected=peers.is_connected,
+                    conditions=known_conditions.KnownConditions(),
                 ),
                 clock=clock,
                 rng=random.Random(1),
--- a/tests/traffic/test_target_registry.py
+++ b/tests/traffic/test_target_registry.py
@@ -49,6 +49,19 @@
         self.assertFalse(self.registry.announce(announcement(sequence=4)))
         self.assertEqual(self.registry.state, DRAINING)
 
+    def test_a_target_that_said_it_leaves_does_so_until_it_starts_again(self):
+        """Later announcements of the same incarnation do not undo it."""
+        self.registry.announce(announcement(sequence=1))
+        self.registry.note_leaving("i-2")
+        self.assertEqual(self.registry.state, READY)
+        self.registry.note_leaving("i-1")
+        self.registry.announce(announcement(sequence=2))
+        self.assertEqual(self.registry.state, DRAINING)
+        self.clock.advance(1.5)
+        self.assertFalse(self.registry.is_accepting())
+        self.registry.announce(announcement(born_ms=200))
+        self.assertTrue(self.registry.is_accepting())
+
     def restore(self, state, *, sequence=5, target_id="i-1"):
         """Applies the record of a previous run of the node."""
         self.registry.restore(
