Tell the eras of a restored store apart in every revision

Cause: revisions were bare numbers. A store that comes back from a copy gives them out again, so that a watch from a lost number could miss changes, and a write under the condition of a lost row could pass. Class: a number that identifies something only as long as its source loses nothing.

A revision is now the era above the number, still one integer: nodes compare, send and announce it as before, and a store without eras has the revisions it had. An answer of a former era, a watch across a restore and a condition on a row of a former era fail with the types that callers already handle. The stand-in learns copies, restore, 410 for numbers that it lacks, and the era in each answer.

The test fails without the checks of the era (number 1 given out twice).

--- a/src/galenatack/platform/_headers.py
+++ b/src/galenatack/platform/_headers.py
@@ -7,6 +7,7 @@
 NOT_EXECUTED = "x-not-executed"
 CALLER_SERVICE = "x-caller-service"
 RETRY_AFTER = "retry-after"
+STORE_ERA = "store-era"
 TARGET_LIMIT = "server-limit"
 TARGET_LEAVING = "server-leaving"
 
--- a/src/galenatack/platform/store_table.py
+++ b/src/galenatack/platform/store_table.py
@@ -3,6 +3,7 @@
 import base64
 import binascii
 import json
+import logging
 import typing
 import urllib.parse
 
@@ -12,8 +13,12 @@
 from galenatack.links import http_client
 from galenatack.links import target_connection
 from galenatack.model import row_change
+from galenatack.model import store_revision
 from galenatack.model import table_page
 from galenatack.model import table_row
+from galenatack.platform import _headers
+
+_LOGGER = logging.getLogger(__name__)
 
 TIMEOUT_S = 2.0
 """Allows two attempts within the time limit for applying a change."""
@@ -24,6 +29,7 @@
 MAX_ANSWER_BYTES = 4_000_000
 PAGE_ROWS = 500
 
+_ERA = _headers.STORE_ERA.encode()
 _JSON = ((b"content-type", b"application/json"),)
 _OK = 200
 _HISTORY_LOST = 410
@@ -35,7 +41,8 @@
 class StoreTable:
     """Implements `interfaces.shared_table.SharedTable`.
 
-    The store divides tables into parts; only the unnamed part is used.
+    The store divides tables into parts; only the unnamed part is used. It may
+    be restored from a copy; the revisions of this client tell the eras apart.
 
     Args:
         address: host:port of the store.
@@ -48,6 +55,7 @@
             connect_timeout_s=CONNECT_TIMEOUT_S,
             max_answer_bytes=MAX_ANSWER_BYTES,
         )
+        self._era: int | None = None
 
     async def close(self) -> None:
         """Closes the idle connections."""
@@ -69,10 +77,14 @@
                 "from": start,
                 "limit": PAGE_ROWS,
             }
-            document = await self._get("/v1/rows-get", query, TIMEOUT_S)
-            page = _page(document)
+            document, era = await self._get("/v1/rows-get", query, TIMEOUT_S)
+            page = _page(document, era)
             rows.extend(page.rows)
             revisions.append(page.revision)
+            if era != store_revision.era(revisions[0]):
+                raise exceptions.PlatformUnavailableError(
+                    "the store was restored during a read"
+                )
             if not document.get("has_more") or not page.rows:
                 # The watch delivers changes made between two pages again.
                 return table_page.TablePage(tuple(rows), min(revisions))
@@ -89,13 +101,18 @@
         """
         query = {
             "table": table,
-            "after": after,
+            "after": store_revision.number(after),
             "wait_ms": int(wait_s * _MS_PER_S),
         }
-        document = await self._get(
+        document, era = await self._get(
             "/v1/rows-feed", query, wait_s + WATCH_MARGIN_S
         )
-        return _page(document)
+        if era != store_revision.era(after):
+            raise exceptions.HistoryLostError(
+                f"the store is in era {era}, the watch began in"
+                f" {store_revision.era(after)}"
+            )
+        return _page(document, era)
 
     async def commit(self, change: row_change.RowChange) -> int:
         """Writes rows in one transaction and returns its revision.
@@ -106,6 +123,12 @@
             exceptions.OutcomeUnknownError: It may have been written, or be
                 written later.
         """
+        if self._era is not None:
+            keys = _keys_of_other_eras(change, self._era)
+            if keys:
+                raise exceptions.TransactionConflictError(
+                    f"store restored since: {', '.join(keys)}", keys=keys
+                )
         try:
             with anyio.fail_after(TIMEOUT_S):
                 raw = await self._client.request(
@@ -120,24 +143,69 @@
             raise exceptions.OutcomeUnknownError(
                 f"no answer to a write: {error!r}"
             ) from error
-        return _commit_result(raw, change)
+        era = self._note_era(raw)
+        number = _commit_result(raw, change)
+        if _keys_of_other_eras(change, era):
+            raise exceptions.OutcomeUnknownError(
+                "the store was restored before a conditional write"
+            )
+        return store_revision.make(era, number)
+
+    def _note_era(self, raw: target_connection.RawAnswer) -> int:
+        """Returns the era of an answer.
+
+        Raises:
+            exceptions.PlatformUnavailableError: The era is unreadable, or the
+                answer is late and from a former era.
+        """
+        text = next((value for name, value in raw.headers if name == _ERA), b"")
+        known = self._era or 0
+        if not text:
+            return known
+        if not text.isdigit() or int(text) > store_revision.MAX_ERA:
+            raise exceptions.PlatformUnavailableError(f"store era {text!r}")
+        era = int(text)
+        if era < known:
+            raise exceptions.PlatformUnavailableError(
+                f"late answer of era {era}, the store is in {known}"
+            )
+        if era > known and self._era is not None:
+            _LOGGER.warning("event=store-restored era=%d before=%d", era, known)
+        self._era = era
+        return era
 
     async def _get(
         self, path: str, query: dict[str, typing.Any], timeout_s: float
-    ) -> dict[str, typing.Any]:
+    ) -> tuple[dict[str, typing.Any], int]:
+        """Returns the answer and its era."""
         target = f"{path}?{urllib.parse.urlencode(query)}"
         try:
             with anyio.fail_after(timeout_s):
                 raw = await self._client.request("GET", target)
         except (exceptions.CallError, TimeoutError) as error:
             raise _unavailable(error) from error
+        era = self._note_era(raw)
         if raw.status == _HISTORY_LOST:
             raise exceptions.HistoryLostError(f"{path}: history is gone")
         if raw.status != _OK:
             raise exceptions.PlatformUnavailableError(
                 f"{path}: answer {raw.status}"
             )
-        return _document(raw)
+        return _document(raw), era
+
+
+def _keys_of_other_eras(
+    change: row_change.RowChange, era: int
+) -> tuple[str, ...]:
+    """Returns the keys of the conditions on rows that were read in other eras.
+
+    Their numbers may belong to other rows by now.
+    """
+    return tuple(
+        key
+        for _, key, revision in change.expected
+        if revision and store_revision.era(revision) != era
+    )
 
 
 def _commit_result(
@@ -172,22 +240,23 @@
     return document
 
 
-def _page(document: dict[str, typing.Any]) -> table_page.TablePage:
+def _page(document: dict[str, typing.Any], era: int) -> table_page.TablePage:
     try:
-        rows = tuple(_row(row) for row in document.get("rows") or ())
-        # `ver` of an answer is the latest revision of the entire store.
-        return table_page.TablePage(rows, int(document["ver"]))
+        rows = tuple(_row(row, era) for row in document.get("rows") or ())
+        # `ver` of an answer is the latest number of the entire store.
+        revision = store_revision.make(era, int(document["ver"]))
+        return table_page.TablePage(rows, revision)
     except (KeyError, TypeError, ValueError, binascii.Error) as error:
         raise _unavailable(error) from error
 
 
-def _row(row: dict[str, typing.Any]) -> table_row.TableRow:
+def _row(row: dict[str, typing.Any], era: int) -> table_row.TableRow:
     is_deleted = bool(row.get("deleted"))
     return table_row.TableRow(
         table=row["table"],
         key=row["key"],
         value=b"" if is_deleted else base64.b64decode(row["value"]),
-        revision=int(row["ver"]),
+        revision=store_revision.make(era, int(row["ver"])),
         is_deleted=is_deleted,
     )
 
@@ -195,7 +264,12 @@
 def _encode(change: row_change.RowChange) -> bytes:
     document = {
         "expected": [
-            {"table": table, "part": "", "key": key, "ver": revision}
+            {
+                "table": table,
+                "part": "",
+                "key": key,
+                "ver": store_revision.number(revision),
+            }
             for table, key, revision in change.expected
         ],
         "writes": [
--- a/standins/store/app.py
+++ b/standins/store/app.py
@@ -54,7 +54,7 @@
             # The answer is lost: the client times out.
             await anyio.sleep(LOST_ANSWER_S)
             return
-        await _send(send, status, answer)
+        await _send(send, status, answer, era=self._store.rows.era)
 
     async def _answer(self, scope, body: bytes) -> typing.Any:
         if self._store.faults.slow_s:
@@ -165,8 +165,11 @@
             return
 
 
-async def _send(send, status: int, answer: typing.Any) -> None:
-    headers = [(b"content-type", b"application/json")]
+async def _send(send, status: int, answer: typing.Any, *, era: int) -> None:
+    headers = [
+        (b"content-type", b"application/json"),
+        (b"store-era", b"%d" % era),
+    ]
     await send(
         {"type": "http.response.start", "status": status, "headers": headers}
     )
--- a/standins/store/node_table.py
+++ b/standins/store/node_table.py
@@ -6,6 +6,7 @@
 
 from galenatack import exceptions
 from galenatack.model import row_change
+from galenatack.model import store_revision
 from galenatack.model import table_page
 from galenatack.model import table_row
 from standins.store import faults as faults_module
@@ -37,9 +38,17 @@
     def commit(self, expected, writes, deletes) -> int:
         """Applies a transaction and wakes all watchers."""
         version = self.rows.commit(expected, writes, deletes)
+        self._wake()
+        return version
+
+    def restore(self, former: row_store.RowStore) -> None:
+        """Restores the rows from a copy and wakes all watchers."""
+        self.rows.restore(former)
+        self._wake()
+
+    def _wake(self) -> None:
         changed, self._changed = self._changed, anyio.Event()
         changed.set()
-        return version
 
     async def wait_for_change(self) -> None:
         """Returns after the next transaction."""
@@ -69,11 +78,15 @@
     ) -> table_page.TablePage:
         """Returns rows that changed after a revision; waits for the first."""
         await self._enter("watch")
+        era = store_revision.era(after)
+        number = store_revision.number(after)
         with anyio.move_on_after(wait_s):
-            while not self._changes(table, after):
+            while not self._changes(table, number):
                 await self._store.wait_for_change()
         await self._check_available()
-        return self._page(self._changes(table, after))
+        if after and era != self._store.rows.era:
+            raise exceptions.HistoryLostError("the store was restored")
+        return self._page(self._changes(table, number))
 
     async def commit(self, change: row_change.RowChange) -> int:
         """Commits rows atomically and returns their revision."""
@@ -89,12 +102,22 @@
         raise exceptions.OutcomeUnknownError("answer lost")
 
     def _apply(self, change: row_change.RowChange) -> int:
+        era = self._store.rows.era
+        for _, key, revision in change.expected:
+            if revision and store_revision.era(revision) != era:
+                raise exceptions.TransactionConflictError(
+                    "the store was restored", keys=(key,)
+                )
         try:
-            return self._store.commit(
-                [(t, "", k, v) for t, k, v in change.expected],
+            number = self._store.commit(
+                [
+                    (table, "", key, store_revision.number(revision))
+                    for table, key, revision in change.expected
+                ],
                 [(t, "", k, v) for t, k, v in change.writes],
                 [(t, "", k) for t, k in change.deletes],
             )
+            return store_revision.make(era, number)
         except row_store.ConflictError as error:
             keys = tuple(key for _, _, key in error.rows)
             raise exceptions.TransactionConflictError(
@@ -122,12 +145,17 @@
             raise exceptions.PlatformUnavailableError("503")
 
     def _page(self, rows: list[row_store.StoredRow]) -> table_page.TablePage:
+        era = self._store.rows.era
         return table_page.TablePage(
             tuple(
                 table_row.TableRow(
-                    row.table, row.key, row.value, row.version, row.is_deleted
+                    row.table,
+                    row.key,
+                    row.value,
+                    store_revision.make(era, row.version),
+                    row.is_deleted,
                 )
                 for row in rows
             ),
-            self._store.rows.version,
+            store_revision.make(era, self._store.rows.version),
         )
--- a/standins/store/row_store.py
+++ b/standins/store/row_store.py
@@ -1,5 +1,6 @@
 """Rows of the store stand-in, with conditions and a bounded history."""
 
+import copy
 import typing
 
 PAGE_ROWS = 500
@@ -45,6 +46,17 @@
         self._history = history
         self._oldest = 0
         self.version = 0
+        self.era = 0
+
+    def copy(self) -> "RowStore":
+        """Returns a copy, from which the store may be restored later."""
+        return copy.deepcopy(self)
+
+    def restore(self, former: "RowStore") -> None:
+        """Loses all that was written since a copy was made."""
+        era = self.era + 1
+        self.__dict__ = copy.deepcopy(former.__dict__)
+        self.era = era
 
     def commit(
         self,
@@ -93,6 +105,8 @@
         Raises:
             HistoryGoneError: Some of these changes were dropped.
         """
+        if after > self.version:
+            raise HistoryGoneError(f"newest is {self.version}")
         if after < self._oldest:
             raise HistoryGoneError(f"oldest is {self._oldest}")
         return [
--- a/tests/platform/test_boundary.py
+++ b/tests/platform/test_boundary.py
@@ -14,6 +14,7 @@
     "x-upstream-load",
     "x-not-executed",
     "server-limit",
+    "store-era",
     "server-leaving",
     "x-caller-service",
     "x-instance-id",
--- a/tests/platform/test_store_table.py
+++ b/tests/platform/test_store_table.py
@@ -6,6 +6,7 @@
 
 from galenatack import exceptions
 from galenatack.model import row_change
+from galenatack.model import store_revision
 from galenatack.platform import store_table
 from standins.platform import server
 from standins.store import app
@@ -119,3 +120,27 @@
                 await table.commit(change)
 
         run(scenario)
+
+
+class TestRestoredStore(unittest.TestCase):
+    def test_a_revision_of_a_former_era_is_no_base_for_reads_and_writes(self):
+        """Its number has been given to another row meanwhile."""
+
+        async def scenario(store, table):
+            copied = store.rows.copy()
+            lost = await table.commit(write("a", b"lost"))
+            store.restore(copied)
+            again = store.operator_writes("t", "a", b"other")
+            self.assertEqual(store_revision.number(lost), again)
+            with self.assertRaises(exceptions.OutcomeUnknownError):
+                await table.commit(
+                    write("a", b"by the old holder", expected=lost)
+                )
+            with self.assertRaises(exceptions.HistoryLostError):
+                await table.watch("t", after=lost, wait_s=0.0)
+            page = await table.read("t")
+            self.assertGreater(page.rows[0].revision, lost)
+            with self.assertRaises(exceptions.TransactionConflictError):
+                await table.commit(write("a", b"again", expected=lost))
+
+        run(scenario)
