Write a verdict again that a restored store has lost, and give no second one

Cause: orders and progress were ordered by the store's numbers alone. A restored store shows an old order or phase under a number that counts as newer, or none: a finished rollout started over, a version taken back was on trial again, and a write under the condition of the lost row conflicted for ever.

An order is now identified by the number of its row; the row itself may be of any era. An order that the operator writes again is continued, one that an older copy shows is not carried out, and progress never goes back. The evaluators of an order write lost progress again in turn, on the condition of the restored row.

Ruled out: taking the restored store's word, which gives a second verdict.

--- a/src/galenatack/app/mesh_callbacks.py
+++ b/src/galenatack/app/mesh_callbacks.py
@@ -109,6 +109,10 @@
             self._parts.election.is_claiming and self.is_store_healthy()
         )
 
+    def held_version(self) -> int:
+        """Returns the configuration version that this node runs."""
+        return self._parts.config.version
+
     def is_store_healthy(self) -> bool:
         """Returns whether the store answers all watches."""
         return all(watcher.is_healthy for watcher in self._parts.watchers)
@@ -170,7 +174,9 @@
     def _apply_row(self, row: table_row.TableRow) -> None:
         parts = self._parts
         if row.table == rollout_rows.PROGRESS_TABLE:
-            if not row.is_deleted:
+            if row.is_deleted:
+                parts.rollouts.remove_progress(row.key, row.revision)
+            else:
                 parts.rollouts.update_progress(
                     rollout_rows.decode_progress(row)
                 )
@@ -179,7 +185,7 @@
         elif row.key.startswith(rollout_rows.ORDER_PREFIX):
             if row.is_deleted:
                 service = row.key.removeprefix(rollout_rows.ORDER_PREFIX)
-                parts.rollouts.remove_order(service)
+                parts.rollouts.remove_order(service, row.revision)
             else:
                 parts.rollouts.update_order(rollout_rows.decode_order(row))
 
--- a/src/galenatack/platform/rollout_rows.py
+++ b/src/galenatack/platform/rollout_rows.py
@@ -8,6 +8,7 @@
 from galenatack.model import rollout_phase
 from galenatack.model import rollout_progress
 from galenatack.model import row_change
+from galenatack.model import store_revision
 from galenatack.model import table_row
 from galenatack.platform import _values
 
@@ -37,7 +38,8 @@
         # `to` is the version that receives the traffic.
         version=_values.field(document, "to", _values.text),
         duration_ms=_values.field(document, "duration", _values.duration_ms),
-        revision=row.revision,
+        revision=store_revision.number(row.revision),
+        row_revision=row.revision,
     )
 
 
--- a/src/galenatack/rollouts/rollout_driver.py
+++ b/src/galenatack/rollouts/rollout_driver.py
@@ -95,6 +95,8 @@
             self._recent.retain_only(revisions)
             for order in active:
                 await self._drive(order)
+            for progress, lost_s in self._registry.lost():
+                await self._write_again(progress, lost_s)
             await self._clock.sleep_s(TICK_S)
 
     async def _drive(self, order: _Order) -> None:
@@ -110,6 +112,30 @@
         if transition is not None:
             await self._write(order, *transition)
 
+    async def _write_again(self, progress: _Progress, lost_s: float) -> None:
+        """Writes progress that a restored store has lost.
+
+        The evaluators of the order take turns, so that one node writes.
+        """
+        evaluators = self._pool.evaluators(
+            _Order(
+                progress.service, progress.version, 0, progress.order_revision
+            )
+        )
+        if self._node_id not in evaluators:
+            return
+        turn_s = evaluators.index(self._node_id) * TAKEOVER_DELAY_S
+        retry_s = self._retry_at_s.get(progress.order_revision, 0.0) + turn_s
+        if lost_s < turn_s or self._clock.monotonic_s() < retry_s:
+            return
+        _LOGGER.warning(
+            "event=rollout-written-again service=%s version=%s phase=%s",
+            progress.service,
+            progress.version,
+            progress.phase,
+        )
+        await self._commit(progress._replace(written_by=self._node_id))
+
     async def _withdraw_if_faulty(self, order: _Order) -> str | None:
         """Withdraws a faulty version; returns the reason, or None."""
         withdrawal = self._withdrawn.get(
@@ -117,6 +143,8 @@
         )
         if withdrawal is not None:
             return withdrawal.reason
+        if self._registry.is_withdrawn(order.service, order.version):
+            return "withdrawn before the store was restored"
         reason = self._find_fault(order)
         if reason is not None:
             await self._withdrawn.add(
@@ -197,19 +225,22 @@
             reason=reason,
             written_by=self._node_id,
         )
-        expected = self._registry.known_revision(order.service)
+        await self._commit(progress)
+
+    async def _commit(self, progress: _Progress) -> None:
+        expected = self._registry.known_revision(progress.service)
         try:
             revision = await self._journal.write(progress, expected=expected)
         except exceptions.PlatformError as error:
             _LOGGER.warning(
                 "event=rollout-not-written service=%s phase=%s error=%s"
                 " detail=%r",
-                order.service,
-                phase.value,
+                progress.service,
+                progress.phase,
                 error.code,
                 str(error),
             )
-            self._retry_at_s[order.revision] = (
+            self._retry_at_s[progress.order_revision] = (
                 self._clock.monotonic_s() + WRITE_RETRY_S
             )
             return
--- a/tests/rollouts/test_rollout_driver.py
+++ b/tests/rollouts/test_rollout_driver.py
@@ -8,6 +8,8 @@
 
 import anyio
 
+from galenatack.config import row_mirror
+from galenatack.config import table_watcher
 from galenatack.membership import member_table
 from galenatack.model import rollout_order
 from galenatack.model import rollout_phase
@@ -75,6 +77,14 @@
             clock=clock,
         )
 
+    def apply_rows(self, rows):
+        """Passes mirrored progress on to the registry."""
+        for row in rows:
+            if row.is_deleted:
+                self.registry.remove_progress(row.key, row.revision)
+            else:
+                self.registry.update_progress(rollout_rows.decode_progress(row))
+
     def count(self, service, version):
         """Returns the number of targets, the same for both versions."""
         return self.world.node_count // 2
@@ -145,19 +155,17 @@
             tasks.cancel_scope.cancel()
 
     async def _mirror(self, node):
-        seen = 0
-        while True:
-            rows = self.store.rows.changes(rollout_rows.PROGRESS_TABLE, seen)
-            for row in rows:
-                seen = max(seen, row.version)
-                node.registry.update_progress(
-                    rollout_rows.decode_progress(
-                        rollout_rows.table_row.TableRow(
-                            row.table, row.key, row.value, row.version
-                        )
-                    )
-                )
-            await asyncio.sleep(0.02)
+        mirror = row_mirror.RowMirror(tables=(rollout_rows.PROGRESS_TABLE,))
+        mirror.subscribe(node.apply_rows)
+        await table_watcher.TableWatcher(
+            name=rollout_rows.PROGRESS_TABLE,
+            table=node_table.NodeTable(store=self.store, node_id=node.name),
+            mirror=mirror,
+            clock=virtual_loop.LoopClock(),
+            rng=self.rng,
+            should_follow=lambda: True,
+            on_change=_do_nothing,
+        ).run()
 
     async def _call(self, node):
         gates = {gate.name: gate for gate in self.nodes}
@@ -321,6 +329,26 @@
         expected = [phase.value for phase in FORWARD]
         self.assertEqual(phases, expected)
 
+    def test_a_verdict_that_the_store_lost_is_written_again(self):
+        """It is given once, whether the copy has an older phase or no row."""
+        for copied_s in (0.1, 5.0, 9.3):
+
+            async def during(world, copied_s=copied_s):
+                await asyncio.sleep(copied_s)
+                copied = world.store.rows.copy()
+                await asyncio.sleep(11.9 - copied_s)
+                world.store.restore(copied)
+
+            world = self.run_rollout(16.0, during=during)
+            self.assertIn('"completed"', world.status)
+            rows = world.store.rows.changes(rollout_rows.PROGRESS_TABLE, 0)
+            verdicts = [json.loads(row.value)["phase"] for row in rows].count(
+                rollout_phase.RolloutPhase.DONE.value
+            )
+            self.assertEqual(verdicts, 1)
+            for node in world.nodes:
+                self.assertEqual(node.registry.settled_version("s"), "v2")
+
     def test_a_fault_during_an_outage_of_the_store_is_withdrawn(self):
         """Withdrawals need no store; the verdict is written afterwards."""
         rng = random.Random(5)
