A node that starts after a restore of the store runs what its peers run

Cause: a row of the restored store replaced the newer one that it had lost, in each node's copy; running nodes kept their configuration, but one that started got the old one from the store or its peers, and nothing told it of a newer one.

A node whose rows are as new as a peer's, but whose configuration is older, pulls all rows of that peer once. How 'restored, older' differs from 'rolled back by the operator': the operator's versions only rise, so a lower version is never a roll-back.

--- a/src/galenatack/app/mesh_store.py
+++ b/src/galenatack/app/mesh_store.py
@@ -53,6 +53,7 @@
             is_following=base.callbacks.is_following,
             is_store_healthy=base.callbacks.is_store_healthy,
             is_first_carrier=lambda: node_roles.is_first_carrier(base.members),
+            held_version=base.callbacks.held_version,
             proximity_of=base.callbacks.proximity_of,
             clock=base.clock,
         ),
--- a/src/galenatack/config/row_exchange.py
+++ b/src/galenatack/config/row_exchange.py
@@ -64,6 +64,7 @@
         is_store_healthy: Returns whether the store responds to this node.
         is_first_carrier: Returns whether this node is the first one that links
             its data centre to others.
+        held_version: Returns the configuration version that this node runs.
         proximity_of: Returns the proximity of a node.
         clock: Source of time.
     """
@@ -78,6 +79,7 @@
         is_following: collections.abc.Callable[[], bool],
         is_store_healthy: collections.abc.Callable[[], bool],
         is_first_carrier: collections.abc.Callable[[], bool],
+        held_version: collections.abc.Callable[[], int],
         proximity_of: collections.abc.Callable[[str], _Proximity],
         clock: clock_interface.Clock,
     ):
@@ -88,6 +90,8 @@
         self._is_following = is_following
         self._is_store_healthy = is_store_healthy
         self._is_first_carrier = is_first_carrier
+        self._held_version = held_version
+        self._requested_version = 0
         self._proximity_of = proximity_of
         self._clock = clock
         self._announced: dict[str, tuple[int, ...]] = {}
@@ -112,7 +116,10 @@
         links several times.
         """
         revisions = message.table_revisions
-        if not self._mirror.is_behind(revisions) or not self._may_pull(sender):
+        if not self._may_pull(sender):
+            return
+        if not self._mirror.is_behind(revisions):
+            await self._recover_version(sender, message.held_seq)
             return
         is_pulling = sender in self._announced
         self._announced[sender] = revisions
@@ -123,6 +130,24 @@
         finally:
             del self._announced[sender]
 
+    async def _recover_version(self, sender: str, version: int) -> None:
+        """Pulls the rows of a peer that runs a newer configuration.
+
+        If its revisions are not newer, the store was restored from a copy and
+        has lost the configuration, and this node has started since.
+        """
+        if version <= max(self._held_version(), self._requested_version):
+            return
+        self._requested_version = version
+        _LOGGER.warning(
+            "event=config-lost-by-store version=%d own=%d peer=%s",
+            version,
+            self._held_version(),
+            sender,
+        )
+        if not await self._pull(sender, (0,) * len(self._mirror.revisions)):
+            self._requested_version = 0
+
     def _may_pull(self, sender: str) -> bool:
         """Returns whether rows may be pulled from a peer.
 
@@ -144,7 +169,7 @@
             # The peer may have announced more rows in the meantime.
             while self._mirror.is_behind(self._announced[sender]):
                 before = self._mirror.revisions
-                await self._pull(sender)
+                await self._pull(sender, before)
                 if self._mirror.revisions == before:
                     return
 
@@ -158,21 +183,22 @@
             return STANDBY_PULL_DELAY_S
         return PASSIVE_PULL_DELAY_S[distance]
 
-    async def _pull(self, sender: str) -> None:
+    async def _pull(self, sender: str, revisions: tuple[int, ...]) -> bool:
+        """Pulls the rows above some revisions; returns False if that failed."""
         try:
             reply = await self._peers.request(
                 sender,
-                pull_rows.PullRows(self._mirror.revisions),
+                pull_rows.PullRows(revisions),
                 timeout_s=PULL_TIMEOUT_S,
             )
             if not isinstance(reply, rows_message.Rows):
-                return
+                return False
             applied = self._mirror.apply(row_codec.unpack(reply))
         except (exceptions.PeerError, exceptions.DocumentError) as error:
             _LOGGER.info(
                 "event=rows-not-pulled peer=%s error=%s", sender, error
             )
-            return
+            return False
         _LOGGER.info(
             "event=rows-pulled peer=%s rows=%d taken=%d",
             sender,
@@ -181,6 +207,7 @@
         )
         if applied:
             await self.announce(source=sender)
+        return True
 
     async def _on_pull(
         self, sender: str, message: pull_rows.PullRows
--- a/tests/config/test_row_exchange.py
+++ b/tests/config/test_row_exchange.py
@@ -46,6 +46,7 @@
                 is_following=lambda: is_following,
                 is_store_healthy=lambda: is_healthy,
                 is_first_carrier=lambda: is_first_carrier,
+                held_version=lambda: 0,
                 proximity_of=lambda node_id: distance,
                 clock=virtual_loop.LoopClock(),
             )
--- a/tests/config/test_row_mirror.py
+++ b/tests/config/test_row_mirror.py
@@ -6,6 +6,7 @@
 
 from galenatack.config import row_mirror
 from galenatack.config import table_watcher
+from galenatack.model import store_revision
 from galenatack.model import table_page
 from galenatack.model import table_row
 from standins.store import node_table
@@ -44,6 +45,26 @@
         self.mirror.replace("op", table_page.TablePage((), 9))
         self.assertFalse(self.changes[-1].is_deleted)
 
+    def test_what_a_restored_store_lost_is_handed_on_until_written_again(self):
+        """Also if it was restored twice, from ever older copies."""
+        lost = row("config", 9, value=b"newest")
+        self.mirror.apply([row("config", 7), lost])
+        for era, rows in (
+            (1, (row("config", store_revision.make(1, 7)),)),
+            (2, ()),
+        ):
+            revision = store_revision.make(era, 8)
+            self.mirror.replace("op", table_page.TablePage(rows, revision))
+            started = row_mirror.RowMirror(tables=TABLES)
+            started.apply(rows)
+            handed_on = self.mirror.since((0, 0))
+            self.assertIn(lost, handed_on)
+            started.apply(handed_on)
+            self.assertIn(lost, started.since((0, 0)))
+        again = lost._replace(revision=store_revision.make(2, 10))
+        self.mirror.apply([again])
+        self.assertEqual(self.mirror.since((0, 0)), (again,))
+
     def test_a_peer_gets_newer_rows(self):
         """Revisions are compared separately for each table."""
         self.mirror.apply([row("a", 3), row("s", 5, table="rollouts")])
