Write discovery rows again that a restored store has lost

Cause: a node writes its address once; after a restore a node that had joined since the copy was in no table, and nodes that start without links could not find it.

Each node writes its row again if it is missing, at a random time within 10 s after it learns of the new era: at 74 nodes 74 calls at most and less than a quarter of them in any second (membership/test_discovery). Metrics tell the era and what was lost.

--- a/src/galenatack/app/mesh_metrics.py
+++ b/src/galenatack/app/mesh_metrics.py
@@ -87,6 +87,15 @@
                 "config_unknown_parts", parts.config.unknown_parts
             ),
             exposition.sample("rollouts_active", len(parts.rollouts.active())),
+            exposition.sample("store_era", parts.mirror.era or 0),
+            exposition.sample(
+                "store_lost_rows", parts.mirror.lost_rows, {"owner": "any"}
+            ),
+            exposition.sample(
+                "store_lost_rows",
+                len(parts.rollouts.lost()),
+                {"owner": "nodes"},
+            ),
         ]
         for watcher in parts.watchers:
             labels = {"table": watcher.name}
--- a/src/galenatack/app/mesh_store.py
+++ b/src/galenatack/app/mesh_store.py
@@ -64,6 +64,7 @@
             rng=base.rng,
             is_discovery_reader=election.should_follow,
             is_linked=lambda: bool(base.peers.neighbours()),
+            store_era=lambda: mirror.era,
         ),
     )
 
--- a/src/galenatack/membership/discovery.py
+++ b/src/galenatack/membership/discovery.py
@@ -33,6 +33,10 @@
 """Interval at which a node without links reads. The nodes that it knows may
 all be gone."""
 
+REWRITE_SPREAD_S = 10.0
+"""Time over which nodes write their rows again after the store was restored; it
+is not met by all of them at once."""
+
 REAP_DELAY_S = 120.0
 """A row is deleted after its node has been dead for this long."""
 
@@ -60,6 +64,8 @@
         is_discovery_reader: Returns whether this node reads on behalf of its
             region, whose other nodes get new members from it.
         is_linked: Returns whether this node has a link to another one.
+        store_era: Returns the era of the store, which rises when it is restored
+            from a copy; None before anything is known of the store.
     """
 
     def __init__(
@@ -71,6 +77,7 @@
         rng: random_source.RandomSource,
         is_discovery_reader: collections.abc.Callable[[], bool],
         is_linked: collections.abc.Callable[[], bool],
+        store_era: collections.abc.Callable[[], int | None],
     ):
         self._table = table
         self._members = members
@@ -78,6 +85,9 @@
         self._rng = rng
         self._is_discovery_reader = is_discovery_reader
         self._is_linked = is_linked
+        self._store_era = store_era
+        self._known_era: int | None = None
+        self._rewrite_at_s: float | None = None
         self._dead_since_s: dict[str, float] = {}
         self._has_read = False
         self._next_read_s = clock.monotonic_s()
@@ -91,6 +101,8 @@
             try:
                 if self._is_read_due():
                     await self._refresh()
+                if self._is_rewrite_due():
+                    await self._write_again()
             except exceptions.PlatformError as error:
                 _LOGGER.info(
                     "event=discovery-failed error=%s detail=%r",
@@ -118,6 +130,31 @@
         is_due = self._clock.monotonic_s() >= self._next_read_s
         return is_due and self._is_discovery_reader()
 
+    def _is_rewrite_due(self) -> bool:
+        """Returns whether a restored store may have lost the own row."""
+        now_s = self._clock.monotonic_s()
+        era = self._store_era()
+        if era != self._known_era:
+            if self._known_era is not None:
+                delay_s = self._rng.uniform(0.0, REWRITE_SPREAD_S)
+                self._rewrite_at_s = now_s + delay_s
+            self._known_era = era
+        return self._rewrite_at_s is not None and now_s >= self._rewrite_at_s
+
+    async def _write_again(self) -> None:
+        own = self._members.own
+        change = row_change.RowChange(
+            expected=((TABLE, own.node_id, 0),),
+            writes=((TABLE, own.node_id, _encode(own)),),
+        )
+        try:
+            await self._table.commit(change)
+        except exceptions.TransactionConflictError:
+            _LOGGER.debug("event=node-row-kept era=%s", self._known_era)
+        else:
+            _LOGGER.info("event=node-row-written-again era=%s", self._known_era)
+        self._rewrite_at_s = None
+
     def _check_delay_s(self) -> float:
         return CHECK_INTERVAL_S if self._is_linked() else LONE_READ_INTERVAL_S
 
--- a/tests/membership/test_discovery.py
+++ b/tests/membership/test_discovery.py
@@ -36,6 +36,7 @@
             rng=random.Random(index),
             is_discovery_reader=lambda: self.is_discovery_reader,
             is_linked=lambda: bool(self.found & up - {name}),
+            store_era=lambda: store.rows.era,
         )
 
     @property
@@ -155,6 +156,25 @@
 
         self.play(scenario, 2)
 
+    def test_rows_that_a_restored_store_lost_are_written_again_over_time(self):
+        """Each node makes one call, and no second has a quarter of them."""
+
+        async def scenario(store, nodes):
+            await asyncio.sleep(5.0)
+            store.restore(node_table.row_store.RowStore())
+            store.calls.clear()
+            most = calls = 0
+            for _ in range(12):
+                await asyncio.sleep(1.0)
+                before, calls = calls, sum(store.calls.values())
+                most = max(most, calls - before)
+            rows, _ = store.rows.range(discovery.TABLE, "", "", 1000)
+            self.assertEqual({row.key for row in rows}, nodes[0].found)
+            self.assertLessEqual(calls, len(nodes))
+            self.assertLess(most, len(nodes) / 4)
+
+        self.play(scenario, 74)
+
     def test_the_discovery_reader_deletes_rows_of_long_dead_nodes(self):
         """The row of a node that died recently is kept."""
 
