Notice a restored store although none of its rows change

The store was restored, the watch of the rollout rows went on waiting for the next change, and the driver's writes conflicted with a row that it did not know, for as long as the run lasted.

Cause and class: a watch tells of changes, and a restore is none. A watch that began in a former era now ends as soon as any other row shows the new one, and a driver whose write conflicts reads the table before it tries again; its peers get the rows from it.

--- a/src/galenatack/app/mesh_callbacks.py
+++ b/src/galenatack/app/mesh_callbacks.py
@@ -8,6 +8,7 @@
 from galenatack.config import row_mirror
 from galenatack.config import store_follower_election
 from galenatack.config import table_watcher
+from galenatack.interfaces import shared_table
 from galenatack.links import connection_limits
 from galenatack.membership import member_table
 from galenatack.messages import heartbeat
@@ -39,6 +40,7 @@
     hlc: hybrid_clock.HybridClock
     mirror: row_mirror.RowMirror
     exchange: row_exchange.RowExchange
+    store: shared_table.SharedTable
     watchers: tuple[table_watcher.TableWatcher, ...]
     election: store_follower_election.StoreFollowerElection
     config: config_holder.ConfigHolder
@@ -100,6 +102,16 @@
             members.update_own(follows_store=self._claims_to_follow())
         await self._parts.exchange.announce()
 
+    async def refresh(self, table: str) -> None:
+        """Reads a table, after a write met rows that this node did not know.
+
+        Raises:
+            exceptions.PlatformUnavailableError: There was no valid response.
+        """
+        page = await self._parts.store.read(table)
+        if self._parts.mirror.replace(table, page):
+            await self._parts.exchange.announce()
+
     def is_following(self) -> bool:
         """Returns whether this node follows all tables of the store."""
         return all(watcher.is_following for watcher in self._parts.watchers)
@@ -159,6 +171,8 @@
 
     def rows_changed(self, rows: tuple[table_row.TableRow, ...]) -> None:
         """Applies changed rows; malformed ones are logged and skipped."""
+        for watcher in self._parts.watchers:
+            watcher.restart_if_restored()
         for row in rows:
             try:
                 self._apply_row(row)
--- a/src/galenatack/app/mesh_rollouts.py
+++ b/src/galenatack/app/mesh_rollouts.py
@@ -65,6 +65,7 @@
         pool=rollouts.pool,
         withdrawn=rollouts.withdrawn,
         journal=rollout_rows.RolloutRows(table=store),
+        refresh=lambda: base.callbacks.refresh(rollout_rows.PROGRESS_TABLE),
         targets=directory,
         clock=base.clock,
     )
--- a/src/galenatack/app/mesh_wiring.py
+++ b/src/galenatack/app/mesh_wiring.py
@@ -63,7 +63,7 @@
     instrumented = instrumented_table.InstrumentedTable(table=store)
     shared = mesh_store.make(base, instrumented)
     servers = _make_servers(base, inbound, outbound)
-    _connect(base, shared, rollouts, inbound, outbound, servers)
+    _connect(base, instrumented, shared, rollouts, inbound, outbound, servers)
     return mesh_parts.MeshParts(
         settings=settings,
         clock=clock,
@@ -107,6 +107,7 @@
 
 def _connect(
     base: mesh_base.MeshBase,
+    store: shared_table.SharedTable,
     shared: mesh_store.MeshStore,
     rollouts: mesh_rollouts.MeshRollouts,
     inbound: mesh_inbound.MeshInbound,
@@ -122,6 +123,7 @@
             hlc=base.hlc,
             mirror=shared.mirror,
             exchange=shared.exchange,
+            store=store,
             watchers=shared.watchers,
             election=shared.election,
             config=outbound.config,
--- a/src/galenatack/config/table_watcher.py
+++ b/src/galenatack/config/table_watcher.py
@@ -11,6 +11,7 @@
 from galenatack.interfaces import clock as clock_interface
 from galenatack.interfaces import random_source
 from galenatack.interfaces import shared_table
+from galenatack.model import store_revision
 from galenatack.model import table_page
 
 WATCH_S = 25.0
@@ -115,6 +116,13 @@
         if self._scope is not None and age_s >= MIN_RESTART_S:
             self._scope.cancel()
 
+    def restart_if_restored(self) -> None:
+        """Restarts a watch that began before the store was restored."""
+        if self._scope is None or self._after is None:
+            return
+        if self._is_of_former_era(self._after):
+            self._scope.cancel()
+
     def stop_if_not_elected(self) -> None:
         """Cancels the watch if another node has taken over."""
         if self._scope is not None and not self._should_follow():
@@ -155,6 +163,8 @@
             await self._clock.sleep_s(self._min_interval_s)
 
     async def _fetch(self) -> table_page.TablePage:
+        if self._after is not None and self._is_of_former_era(self._after):
+            self._after = None
         if self._after is None or self._has_superseded_rows:
             page = await self._table.read(self.name)
             applied = self._mirror.replace(self.name, page)
@@ -175,6 +185,11 @@
         self._has_superseded_rows = len(keys) < len(page.rows)
         return page
 
+    def _is_of_former_era(self, revision: int) -> bool:
+        """Returns whether the store was restored after a revision."""
+        era = self._mirror.era
+        return era is not None and store_revision.era(revision) < era
+
     async def _record_failure(self, error: exceptions.PlatformError) -> None:
         if self.is_healthy:
             _LOGGER.warning(
--- a/src/galenatack/rollouts/rollout_driver.py
+++ b/src/galenatack/rollouts/rollout_driver.py
@@ -1,5 +1,6 @@
 """Drives rollouts through their phases until the verdict."""
 
+import collections.abc
 import logging
 
 from galenatack import exceptions
@@ -46,6 +47,8 @@
 
 WRITE_RETRY_S = 0.5
 
+Refresh = collections.abc.Callable[[], collections.abc.Awaitable[None]]
+
 
 class RolloutDriver:
     """Drives the orders for which this node is an evaluator.
@@ -59,6 +62,7 @@
         pool: Evidence of all gates.
         withdrawn: Withdrawn versions, shared with other nodes.
         journal: Stores progress.
+        refresh: Reads the progress of all rollouts from the store.
         targets: Counts the targets of a version.
         clock: Source of time.
     """
@@ -71,6 +75,7 @@
         pool: evidence_pool.EvidencePool,
         withdrawn: withdrawals.Withdrawals,
         journal: rollout_journal.RolloutJournal,
+        refresh: Refresh,
         targets: target_count.TargetCount,
         clock: clock_interface.Clock,
     ):
@@ -79,6 +84,7 @@
         self._pool = pool
         self._withdrawn = withdrawn
         self._journal = journal
+        self._refresh = refresh
         self._targets = targets
         self._clock = clock
         self._phase_since_s: dict[tuple[int, str], float] = {}
@@ -228,9 +234,8 @@
         await self._commit(progress)
 
     async def _commit(self, progress: _Progress) -> None:
-        expected = self._registry.known_revision(progress.service)
         try:
-            revision = await self._journal.write(progress, expected=expected)
+            revision = await self._write_row(progress)
         except exceptions.PlatformError as error:
             _LOGGER.warning(
                 "event=rollout-not-written service=%s phase=%s error=%s"
@@ -245,3 +250,14 @@
             )
             return
         self._registry.update_progress(progress._replace(revision=revision))
+
+    async def _write_row(self, progress: _Progress) -> int:
+        """Writes progress on the condition of the known row."""
+        expected = self._registry.known_revision(progress.service)
+        try:
+            return await self._journal.write(progress, expected=expected)
+        except exceptions.TransactionConflictError:
+            # The store may have been restored. No watch tells of that before
+            # another row of the table changes.
+            await self._refresh()
+            raise
--- a/tests/mesh/test_restored_store.py
+++ b/tests/mesh/test_restored_store.py
@@ -4,6 +4,7 @@
 import unittest
 
 from standins.mesh import operator_config
+from tests.mesh import restore_run
 from tests.mesh import small_fleet
 from tests.mesh import test_restart
 
@@ -48,3 +49,11 @@
                     await fleet.until(lambda: versions(fleet) == {6})
 
         asyncio.run(main())
+
+    def test_seeded_restores_take_nothing_back(self):
+        """Seeds 3 and 7: no watch told of the restored rollout rows."""
+        for seed in (3, 7):
+            outcome = asyncio.run(restore_run.play(seed))
+            self.assertEqual(outcome.went_back, 0)
+            self.assertLessEqual(outcome.agreed_s, AGREED_S)
+            self.assertEqual(outcome.verdict, "completed")
--- a/tests/rollouts/test_rollout_driver.py
+++ b/tests/rollouts/test_rollout_driver.py
@@ -73,6 +73,7 @@
             pool=self.pool,
             withdrawn=self.withdrawn,
             journal=rollout_rows.RolloutRows(table=table),
+            refresh=_do_nothing,
             targets=self,
             clock=clock,
         )
