--- a/src/galenatack/app/mesh_metrics.py
+++ b/src/galenatack/app/mesh_metrics.py
@@ -40,6 +40,7 @@
             *self._process(),
             *self._load(),
             *self._node_state(),
+            *self._store_state(),
             *self._store(),
             *self._traffic(),
             *self._parts.stats.samples(),
@@ -76,7 +77,6 @@
 
     def _node_state(self) -> list[str]:
         parts = self._parts
-        now_s = parts.clock.monotonic_s()
         states = collections.Counter(
             (record.status, record.target_state or "none")
             for record in parts.members.records()
@@ -87,6 +87,16 @@
                 "config_unknown_parts", parts.config.unknown_parts
             ),
             exposition.sample("rollouts_active", len(parts.rollouts.active())),
+        ]
+        for (status, state), count in sorted(states.items()):
+            labels = {"status": status, "target": state}
+            lines.append(exposition.sample("members", count, labels))
+        return lines
+
+    def _store_state(self) -> list[str]:
+        parts = self._parts
+        now_s = parts.clock.monotonic_s()
+        lines = [
             exposition.sample("store_era", parts.mirror.era or 0),
             exposition.sample(
                 "store_lost_rows", parts.mirror.lost_rows, {"owner": "any"}
@@ -111,9 +121,6 @@
             lines.append(
                 exposition.sample("store_heard_age_seconds", age_s, labels)
             )
-        for (status, state), count in sorted(states.items()):
-            labels = {"status": status, "target": state}
-            lines.append(exposition.sample("members", count, labels))
         return lines
 
     def _store(self) -> list[str]:
