Look for neighbours only for a heartbeat that tells of something newer

Found while rereading the diff: the check of neighbours had moved in front of the cheap comparison of revisions, for each of up to 77 heartbeats a second.

--- a/src/galenatack/config/row_exchange.py
+++ b/src/galenatack/config/row_exchange.py
@@ -116,9 +116,12 @@
         links several times.
         """
         revisions = message.table_revisions
+        is_behind = self._mirror.is_behind(revisions)
+        if not is_behind and message.held_seq <= self._held_version():
+            return
         if not self._may_pull(sender):
             return
-        if not self._mirror.is_behind(revisions):
+        if not is_behind:
             await self._recover_version(sender, message.held_seq)
             return
         is_pulling = sender in self._announced
@@ -136,7 +139,7 @@
         If its revisions are not newer, the store was restored from a copy and
         has lost the configuration, and this node has started since.
         """
-        if version <= max(self._held_version(), self._requested_version):
+        if version <= self._requested_version:
             return
         self._requested_version = version
         _LOGGER.warning(
