A verdict on a former order withdraws no version that was ordered again

Found while rereading the registry: the tables of orders and of progress are read one after the other, so that a starting node may know the second order for a version before the verdict that took the first one back. It then counted the version as withdrawn, and as an evaluator would have taken it back again. The test fails before.

--- a/src/galenatack/rollouts/rollout_registry.py
+++ b/src/galenatack/rollouts/rollout_registry.py
@@ -194,10 +194,21 @@
         order = self._orders.get(first.service)
         return order is not None and order.revision == second.order_revision
 
+    def _is_ordered_again(self, progress: _Progress) -> bool:
+        """Returns whether another order for the same version is known."""
+        order = self._orders.get(progress.service)
+        return (
+            order is not None
+            and order.version == progress.version
+            and order.revision != progress.order_revision
+        )
+
     def _store(self, progress: _Progress) -> None:
         self._lost_since_s.pop(progress.service, None)
         self._progress[progress.service] = progress
-        if progress.phase == rollout_phase.RolloutPhase.TAKEN_BACK:
+        if progress.phase == _Phase.TAKEN_BACK and not self._is_ordered_again(
+            progress
+        ):
             self._taken_back.add((progress.service, progress.version))
         _LOGGER.info(
             "event=rollout-phase service=%s version=%s phase=%s by=%s"
--- a/tests/rollouts/test_rollout_registry.py
+++ b/tests/rollouts/test_rollout_registry.py
@@ -43,6 +43,16 @@
         self.assertEqual(self.registry.active(), ())
         self.assertTrue(self.registry.is_withdrawn("s", "v2"))
 
+    def test_a_version_that_was_taken_back_may_be_ordered_again(self):
+        """Also if the new order arrives before the former verdict."""
+        started = rollout_registry.RolloutRegistry(
+            clock=manual_clock.ManualClock(),
+            withdrawn=mock.Mock(is_withdrawn=lambda *_: False),
+        )
+        started.update_order(order(12))
+        started.update_progress(progress(5, Phase.TAKEN_BACK, 9))
+        self.assertFalse(started.is_withdrawn("s", "v2"))
+
     def test_a_finished_order_does_not_start_over(self):
         """The restored store shows it, or an order before it, or none."""
         self.registry.update_order(order(5, era=1))
