Use rows that a peer sends late instead of asking the next one for them

Cause, from the logs of both: seven and eight pulls in a row, each from another peer, failed 0.8 s after they began. On a slow and busy link no reply of 2,500 routes came within that time; each pull was given up and the next one asked for the same rows once more over the same link. The log said 'link lost', which is also wrong: a reply that timed out was reported so. Class: a timeout below the time of the transfer, with what was under way thrown away, so that retries feed the jam.

Ruled out: followers of the store (none was lost between 20.5 s and 26 s), late announcements (the pulls had begun), processor time (the pulls failed at even intervals).

A pull now goes on for 4 s; after 0.8 s the next peer may be asked as well, three at most at a time, and whichever reply comes is used. The test fails before: with replies after 1.3 s the node never gets the rows.

--- a/src/galenatack/config/row_exchange.py
+++ b/src/galenatack/config/row_exchange.py
@@ -1,5 +1,6 @@
 """Anti-entropy for mirrored rows between nodes, also without the store."""
 
+import asyncio
 import collections.abc
 import logging
 
@@ -15,10 +16,17 @@
 from galenatack.messages import rows as rows_message
 from galenatack.model import proximity
 
-PULL_TIMEOUT_S = 0.8
-"""Timeout of one pull. A node that cannot reach the store must get a change
-within about 7 s, so a frozen peer must not delay the pull from the next one
-for long."""
+PULL_PATIENCE_S = 0.8
+"""Time after which rows are pulled from the next peer as well. A node that
+cannot reach the store must get a change within about 7 s, so a frozen peer must
+not delay the next pull for long."""
+
+PULL_TIMEOUT_S = 4.0
+"""Timeout of one pull. A reply that comes after the patience is still used: on
+a slow and busy link every reply takes that long."""
+
+MAX_PULLS = 3
+"""Maximum number of pulls under way; their replies may share a slow link."""
 
 _Proximity = proximity.Proximity
 
@@ -96,6 +104,7 @@
         self._clock = clock
         self._announced: dict[str, tuple[int, ...]] = {}
         self._lock = anyio.Lock()
+        self._pulls: set[asyncio.Task[bool]] = set()
         peers.on(pull_rows.PullRows, self._on_pull)
 
     async def announce(self, *, source: str | None = None) -> None:
@@ -169,6 +178,7 @@
         if self._mirror.is_behind(self._announced[sender]):
             self._on_newer_peer()
         async with self._lock:
+            await self._wait_for_pulls()
             # The peer may have announced more rows in the meantime.
             while self._mirror.is_behind(self._announced[sender]):
                 before = self._mirror.revisions
@@ -186,8 +196,26 @@
             return STANDBY_PULL_DELAY_S
         return PASSIVE_PULL_DELAY_S[distance]
 
+    async def _wait_for_pulls(self) -> None:
+        """Waits until another pull may start."""
+        while len(self._pulls) >= MAX_PULLS:
+            await asyncio.wait(self._pulls, return_when=asyncio.FIRST_COMPLETED)
+
     async def _pull(self, sender: str, revisions: tuple[int, ...]) -> bool:
-        """Pulls the rows above some revisions; returns False if that failed."""
+        """Pulls the rows above some revisions; returns True if they came.
+
+        A pull that takes longer than the patience goes on in the background.
+        """
+        pull = asyncio.create_task(self._request_rows(sender, revisions))
+        self._pulls.add(pull)
+        pull.add_done_callback(self._pulls.discard)
+        done, _ = await asyncio.wait({pull}, timeout=PULL_PATIENCE_S)
+        return bool(done) and pull.result()
+
+    async def _request_rows(
+        self, sender: str, revisions: tuple[int, ...]
+    ) -> bool:
+        """Applies the rows of a peer; returns False if none came."""
         try:
             reply = await self._peers.request(
                 sender,
--- a/src/galenatack/links/peer_link.py
+++ b/src/galenatack/links/peer_link.py
@@ -215,7 +215,7 @@
             raise exceptions.PeerUnreachableError(
                 f"request to {self.node_id} was sent only in part"
             )
-        if future.done():
+        if future.done() and not future.cancelled():
             return _unwrap_reply(reply)
         raise exceptions.PeerTimeoutError(
             f"no reply from {self.node_id} in {timeout_s:.3f} s"
--- a/tests/config/test_row_exchange.py
+++ b/tests/config/test_row_exchange.py
@@ -26,12 +26,21 @@
     """A node `a` behind a node `b`, and a node `c` with the rows of `a`."""
 
     def __init__(
-        self, tasks, *, is_healthy, is_following, distance, is_first_carrier
+        self,
+        tasks,
+        *,
+        is_healthy,
+        is_following,
+        distance,
+        is_first_carrier,
+        delay_s,
     ):
         self.tasks = tasks
         self.announced = []
         self.newer_peers_s = []
-        network = memory_network.MemoryNetwork(tasks, rng=random.Random(1))
+        network = memory_network.MemoryNetwork(
+            tasks, rng=random.Random(1), delay_s=delay_s
+        )
         self.network = network
         self.mirrors = {}
         self.exchanges = {}
@@ -85,6 +94,7 @@
         is_following=True,
         distance=NEAR,
         is_first_carrier=True,
+        delay_s=(0.001, 0.005),
     ):
         async def main():
             async with anyio.create_task_group() as tasks:
@@ -95,6 +105,7 @@
                         is_following=is_following,
                         distance=distance,
                         is_first_carrier=is_first_carrier,
+                        delay_s=delay_s,
                     )
                 )
 
@@ -122,6 +133,17 @@
 
         self.play(scenario, is_healthy=False)
 
+    def test_rows_that_come_late_over_a_slow_link_are_used(self):
+        """Pulls that are given up and repeated would never end there."""
+
+        async def scenario(peers):
+            for _ in range(3):
+                peers.deliver_heartbeat("b")
+                await asyncio.sleep(1.0)
+            self.assertEqual(peers.mirror.revisions, (7,))
+
+        self.play(scenario, is_healthy=False, delay_s=(0.6, 0.7))
+
     def test_a_passive_node_pulls_at_once_from_its_own_region(self):
         """The followers of its region get the rows first."""
 
