Log the fingerprint of a request whose answer the target lost

A digest of caller, method, path and body tells it without writing them out. Computed for lost answers only.

--- a/src/galenatack/traffic/target_gate.py
+++ b/src/galenatack/traffic/target_gate.py
@@ -15,6 +15,7 @@
 from galenatack.model import outcome
 from galenatack.model import target_answer
 from galenatack.model import target_condition
+from galenatack.quarantine import request_fingerprint
 from galenatack.routing import dispatcher
 from galenatack.routing import local_replies
 from galenatack.routing import running_call
@@ -371,6 +372,7 @@
                 request.route, has_failed, ran_ms, self._registry.is_warm()
             )
         write = self._log.log_failure if has_failed else self._log.log_decision
+        is_lost = result.outcome == outcome.Outcome.UNKNOWN
         write(
             request.request_id,
             "target-ended",
@@ -384,6 +386,9 @@
             ran_ms=ran_ms,
             queued=self._queue.queued,
             running=self._queue.running,
+            fingerprint=request_fingerprint.of(request).hex()
+            if is_lost
+            else "-",
         )
 
     def _elapsed_ms(self, since_s: float) -> float:
