--- a/standins/mesh/fake_target.py
+++ b/standins/mesh/fake_target.py
@@ -1,6 +1,7 @@
 """A target that implements the users' protocol."""
 
 import asyncio
+import collections
 import json
 
 from galenatack.links import http_client
@@ -19,6 +20,10 @@
         extra_headers: Further headers of its answers.
         hold: If set, an event that calls wait for before they answer.
         on_run: If set, called with this target and the attempt id of each run.
+        deadly_body: Runs of requests with this body crash the target.
+        crash_delay_s: Duration of such a run.
+        on_crash: If set, called with this target and the bodies of its runs
+            when it crashes.
     """
 
     def __init__(
@@ -37,9 +42,39 @@
         self.status = 200
         self.extra_headers = ()
         self.hold = None
+        self.deadly_body = None
+        self.crash_delay_s = 0.02
+        self.on_crash = None
+        self._running = collections.Counter()
+        self._starts = 1
+        self._has_crashed = False
         self._sequence = 0
+        self._make_server()
+
+    def crash(self):
+        """Ends abruptly; its runs get no answer."""
+        if self._has_crashed:
+            return
+        self._has_crashed = True
+        bodies = list(self._running.elements())
+        self._running.clear()
+        self.server.close()
+        if self.on_crash is not None:
+            self.on_crash(self, bodies)
+
+    async def restart(self, control_address):
+        """Starts again as another target and announces itself."""
+        self._starts += 1
+        self.target_id = f"{self.target_id.partition('-r')[0]}-r{self._starts}"
+        self.born_ms += 1000
+        self._make_server()
+        await self.server.listen()
+        self._has_crashed = False
+        return await self.announce(control_address)
+
+    def _make_server(self):
         self.server = pipelined_server.PipelinedServer(
-            address=address, respond=self._respond
+            address=self.address, respond=self._respond
         )
 
     async def announce(self, control_address, *, state="ready"):
@@ -64,6 +99,15 @@
             control_address, "deregister", {"born": self.born_ms}
         )
 
+    async def _work(self, request):
+        if self.deadly_body is not None and request.body == self.deadly_body:
+            await asyncio.sleep(self.crash_delay_s)
+            self.crash()
+        if self.work_s:
+            await asyncio.sleep(self.work_s)
+        if self.hold is not None:
+            await self.hold.wait()
+
     async def _post(self, control_address, action, body):
         client = http_client.HttpClient(
             address=control_address,
@@ -91,14 +135,14 @@
         if self.on_run is not None:
             self.on_run(self, attempt)
         self.seen = headers
+        self._running[request.body] += 1
         try:
-            if self.work_s:
-                await asyncio.sleep(self.work_s)
-            if self.hold is not None:
-                await self.hold.wait()
+            await self._work(request)
         except asyncio.CancelledError:
             self.cancelled.append(attempt)
             raise
+        finally:
+            self._running -= collections.Counter((request.body,))
         stamp_header = (("x-upstream-stamp", f"{self.target_id}.{attempt}"),)
         return http_response.HttpResponse(
             self.status,
