One sync of flooded messages for new neighbours, of whatever kind

Withdrawals are flooded once, and sent to each new neighbour after that. What is to be known of crashes needs the same, so the sync takes its messages from a function and lies with the membership. It looks at the messages only for a neighbour that has not got them. No change of behaviour.

--- a/src/galenatack/app/mesh_callbacks.py
+++ b/src/galenatack/app/mesh_callbacks.py
@@ -11,13 +11,13 @@
 from galenatack.interfaces import shared_table
 from galenatack.links import connection_limits
 from galenatack.membership import member_table
+from galenatack.membership import neighbour_sync
 from galenatack.messages import heartbeat
 from galenatack.model import caller_limits
 from galenatack.model import member_record
 from galenatack.model import proximity
 from galenatack.model import table_row
 from galenatack.model import target_condition
-from galenatack.moves import withdrawal_sync
 from galenatack.platform import config_document
 from galenatack.platform import rollout_rows
 from galenatack.rollouts import rollout_registry
@@ -50,7 +50,7 @@
     budget: attempt_budget.AttemptBudget
     placement: target_placement.TargetPlacement
     limits: connection_limits.ConnectionLimits
-    withdrawal_sync: withdrawal_sync.WithdrawalSync
+    syncs: tuple[neighbour_sync.NeighbourSync, ...]
 
 
 class MeshCallbacks:
@@ -87,7 +87,8 @@
         )
         for watcher in self._parts.watchers:
             watcher.stop_if_not_elected()
-        await self._parts.withdrawal_sync.on_heartbeat(sender)
+        for sync in self._parts.syncs:
+            await sync.on_heartbeat(sender)
         await self._parts.exchange.on_heartbeat(sender, message)
 
     def on_newer_peer(self) -> None:
--- a/src/galenatack/app/mesh_wiring.py
+++ b/src/galenatack/app/mesh_wiring.py
@@ -18,8 +18,8 @@
 from galenatack.interfaces import shared_table
 from galenatack.links import pipelined_server
 from galenatack.membership import membership_service
+from galenatack.membership import neighbour_sync
 from galenatack.model import member_status
-from galenatack.moves import withdrawal_sync
 from galenatack.platform import caller_dialect
 from galenatack.platform import control_dialect
 from galenatack.platform import store_table
@@ -63,7 +63,14 @@
     instrumented = instrumented_table.InstrumentedTable(table=store)
     shared = mesh_store.make(base, instrumented)
     servers = _make_servers(base, inbound, outbound)
-    _connect(base, instrumented, shared, rollouts, inbound, outbound, servers)
+    syncs = (
+        neighbour_sync.NeighbourSync(
+            messages=rollouts.withdrawn.all, peers=base.peers
+        ),
+    )
+    _connect(
+        base, instrumented, shared, rollouts, inbound, outbound, servers, syncs
+    )
     return mesh_parts.MeshParts(
         settings=settings,
         clock=clock,
@@ -113,10 +120,8 @@
     inbound: mesh_inbound.MeshInbound,
     outbound: mesh_outbound.MeshOutbound,
     servers: _Servers,
+    syncs: tuple[neighbour_sync.NeighbourSync, ...],
 ) -> None:
-    sync = withdrawal_sync.WithdrawalSync(
-        withdrawn=rollouts.withdrawn, peers=base.peers
-    )
     base.callbacks.connect(
         mesh_callbacks.CallbackParts(
             members=base.members,
@@ -133,10 +138,11 @@
             budget=outbound.budget,
             placement=outbound.placement,
             limits=servers.callers.limits,
-            withdrawal_sync=sync,
+            syncs=syncs,
         )
     )
-    base.peers.on_lost(sync.on_link_lost)
+    for sync in syncs:
+        base.peers.on_lost(sync.on_link_lost)
     shared.mirror.subscribe(base.callbacks.rows_changed)
     base.members.subscribe(base.callbacks.members_changed)
 
--- a/src/galenatack/app/node_callbacks.py
+++ b/src/galenatack/app/node_callbacks.py
@@ -13,6 +13,7 @@
 from galenatack.config import state_rebuild
 from galenatack.interfaces import event_sink
 from galenatack.membership import member_table
+from galenatack.membership import neighbour_sync
 from galenatack.membership import node_roles
 from galenatack.messages import heartbeat as heartbeat_message
 from galenatack.model import entry
@@ -20,7 +21,6 @@
 from galenatack.model import rejection
 from galenatack.moves import move_runner as move_runner_module
 from galenatack.moves import states_in_force
-from galenatack.moves import withdrawal_sync as withdrawal_sync_module
 from galenatack.routing import inbound_gate
 from galenatack.routing import snapshot_holder
 from galenatack.routing import snapshot_updater
@@ -45,7 +45,7 @@
         propagation: propagation_module.Propagation,
         updater: snapshot_updater.SnapshotUpdater,
         move_runner: move_runner_module.MoveRunner,
-        withdrawal_sync: withdrawal_sync_module.WithdrawalSync,
+        withdrawal_sync: neighbour_sync.NeighbourSync,
         holder: snapshot_holder.SnapshotHolder,
         gate: inbound_gate.InboundGate,
         events: event_sink.EventSink,
--- a/src/galenatack/app/wiring.py
+++ b/src/galenatack/app/wiring.py
@@ -15,9 +15,9 @@
 from galenatack.config import state_rebuild
 from galenatack.invariants import violations
 from galenatack.membership import membership_service
+from galenatack.membership import neighbour_sync
 from galenatack.moves import move_runner
 from galenatack.moves import move_service
-from galenatack.moves import withdrawal_sync
 from galenatack.moves import withdrawals
 from galenatack.postings import claim_cleanup
 from galenatack.routing import balancer
@@ -91,8 +91,8 @@
         propagation=config.propagation,
         updater=updater,
         move_runner=runner,
-        withdrawal_sync=withdrawal_sync.WithdrawalSync(
-            withdrawn=withdrawn, peers=base.peers
+        withdrawal_sync=neighbour_sync.NeighbourSync(
+            messages=withdrawn.all, peers=base.peers
         ),
         holder=calls.holder,
         gate=calls.gate,
--- a/src/galenatack/moves/withdrawal_sync.py
+++ b/src/galenatack/membership/neighbour_sync.py
@@ -1,36 +1,39 @@
-"""Sends the known withdrawals to peers that may not know them."""
+"""Sends what was flooded before to neighbours that may not know it."""
+
+import collections.abc
+import typing
 
 from galenatack import exceptions
 from galenatack.interfaces import peer_network
-from galenatack.moves import withdrawals
+
+Messages = collections.abc.Callable[
+    [], collections.abc.Collection[typing.NamedTuple]
+]
 
 
-class WithdrawalSync:
-    """Sends all withdrawals to each new neighbour.
+class NeighbourSync:
+    """Sends all messages of a kind to each new neighbour.
 
-    A withdrawal is flooded once. A node that was restarted or cut off at that
-    moment would use the withdrawn version again.
+    They are flooded once. A node that was restarted or cut off at that moment
+    would not know them.
 
     Args:
-        withdrawn: The known withdrawals.
+        messages: Returns all messages that a node has to know.
         peers: Links to other nodes.
     """
 
-    def __init__(
-        self,
-        *,
-        withdrawn: withdrawals.Withdrawals,
-        peers: peer_network.PeerNetwork,
-    ):
-        self._withdrawn = withdrawn
+    def __init__(self, *, messages: Messages, peers: peer_network.PeerNetwork):
+        self._messages = messages
         self._peers = peers
         self._synced: set[str] = set()
 
     async def on_heartbeat(self, peer_id: str) -> None:
-        """Sends all withdrawals to a neighbour that has not got them yet."""
-        known = self._withdrawn.all()
+        """Sends all messages to a neighbour that has not got them yet."""
+        if peer_id in self._synced:
+            return
+        known = self._messages()
         # Without any, a later one is flooded to all neighbours.
-        if not known or peer_id in self._synced:
+        if not known:
             return
         neighbours = self._peers.neighbours()
         if peer_id not in neighbours:
@@ -44,5 +47,5 @@
             self._synced.discard(peer_id)
 
     def on_link_lost(self, peer_id: str) -> None:
-        """Marks a peer to be sent all withdrawals when it is back."""
+        """Marks a peer to be sent all messages when it is back."""
         self._synced.discard(peer_id)
