Judge a request by the targets that end under it, and keep it from others

Cause: what ended under an attempt was forgotten with its answer, and what was learned, failure shares and ejections, spoke of targets. After a crash it steered the same request to the next sound target.

Change: a gate that loses answers looks whether its target takes a connection. If not, the requests that it was running are suspected, by fingerprint, on all nodes. A target that answers a suspect clears it. Suspects run one at a time at a gate, so that those beside the cause are not beside it twice.

--- a/src/galenatack/app/explanation.py
+++ b/src/galenatack/app/explanation.py
@@ -30,6 +30,8 @@
         "may have run: the target's connection broke before its whole answer"
         " came"
     ),
+    "target-crashed": "may have run: its target crashed while it ran",
+    "quarantined": "was refused and did not run: {detail}",
     "deadline-exceeded": (
         "may have run: its time was over before the target answered"
     ),
--- a/src/galenatack/app/mesh_inbound.py
+++ b/src/galenatack/app/mesh_inbound.py
@@ -3,9 +3,11 @@
 import typing
 
 from galenatack.app import mesh_base
+from galenatack.app import mesh_quarantine
 from galenatack.app import mesh_rollouts
 from galenatack.links import translated_target
 from galenatack.platform import target_headers
+from galenatack.quarantine import crash_detector
 from galenatack.traffic import admission_queue
 from galenatack.traffic import call_message_handler
 from galenatack.traffic import service_times
@@ -32,7 +34,9 @@
 
 
 def make(
-    base: mesh_base.MeshBase, rollouts: mesh_rollouts.MeshRollouts
+    base: mesh_base.MeshBase,
+    rollouts: mesh_rollouts.MeshRollouts,
+    quarantine: mesh_quarantine.MeshQuarantine,
 ) -> MeshInbound:
     """Makes the parts around the own target."""
     registry = target_registry.TargetRegistry(
@@ -49,6 +53,7 @@
         max_connections=TARGET_CONNECTIONS,
         on_condition=base.callbacks.on_target_condition,
     )
+    own = base.members.own
     times = service_times.ServiceTimes()
     gate = target_gate.TargetGate(
         registry=registry,
@@ -62,6 +67,12 @@
         stats=base.stats,
         is_withdrawn=rollouts.registry.is_withdrawn,
         on_outcome=rollouts.pool.record,
+        quarantine=quarantine.quarantine,
+        crashes=crash_detector.CrashDetector(
+            name=f"{own.node_id}/{own.boot_ms}",
+            reports=quarantine.reports,
+            is_reachable=target.is_reachable,
+        ),
     )
     call_message_handler.CallMessageHandler(peers=base.peers, gate=gate)
     return MeshInbound(registry, target, gate)
--- a/src/galenatack/app/mesh_metrics.py
+++ b/src/galenatack/app/mesh_metrics.py
@@ -87,6 +87,10 @@
                 "config_unknown_parts", parts.config.unknown_parts
             ),
             exposition.sample("rollouts_active", len(parts.rollouts.active())),
+            exposition.sample("crash_requests_known", len(parts.crashes)),
+            exposition.sample(
+                "crash_requests_quarantined", parts.crashes.quarantined
+            ),
         ]
         for (status, state), count in sorted(states.items()):
             labels = {"status": status, "target": state}
--- a/src/galenatack/app/mesh_outbound.py
+++ b/src/galenatack/app/mesh_outbound.py
@@ -4,6 +4,7 @@
 
 from galenatack.app import mesh_base
 from galenatack.app import mesh_inbound
+from galenatack.app import mesh_quarantine
 from galenatack.app import mesh_rollouts
 from galenatack.traffic import attempt_budget
 from galenatack.traffic import call_router
@@ -30,6 +31,7 @@
     base: mesh_base.MeshBase,
     directory: target_directory.TargetDirectory,
     rollouts: mesh_rollouts.MeshRollouts,
+    quarantine: mesh_quarantine.MeshQuarantine,
     inbound: mesh_inbound.MeshInbound,
 ) -> MeshOutbound:
     """Makes the parts between callers and targets."""
@@ -63,6 +65,7 @@
             rng=base.rng,
         ),
         conditions=conditions,
+        quarantine=quarantine.quarantine,
         clock=base.clock,
         telemetry=call_telemetry.CallTelemetry(
             config=config,
--- a/src/galenatack/app/mesh_parts.py
+++ b/src/galenatack/app/mesh_parts.py
@@ -14,6 +14,7 @@
 from galenatack.membership import member_table
 from galenatack.membership import membership_service
 from galenatack.moves import withdrawals
+from galenatack.quarantine import crash_ledger
 from galenatack.rollouts import rollout_driver
 from galenatack.rollouts import rollout_registry
 from galenatack.settings import mesh_settings
@@ -45,6 +46,7 @@
     config: config_holder.ConfigHolder
     rollouts: rollout_registry.RolloutRegistry
     withdrawn: withdrawals.Withdrawals
+    crashes: crash_ledger.CrashLedger
     driver: rollout_driver.RolloutDriver
     registry: target_registry.TargetRegistry
     gate: target_gate.TargetGate
--- /dev/null
+++ b/src/galenatack/app/mesh_quarantine.py
@@ -0,0 +1,32 @@
+"""Parts of a mesh node that keep requests from crashing its targets."""
+
+import typing
+
+from galenatack.app import mesh_base
+from galenatack.membership import neighbour_sync
+from galenatack.quarantine import crash_ledger
+from galenatack.quarantine import crash_reports
+from galenatack.quarantine import quarantine
+
+
+class MeshQuarantine(typing.NamedTuple):
+    """Parts that keep requests from crashing targets."""
+
+    ledger: crash_ledger.CrashLedger
+    reports: crash_reports.CrashReports
+    quarantine: quarantine.Quarantine
+    sync: neighbour_sync.NeighbourSync
+
+
+def make(base: mesh_base.MeshBase) -> MeshQuarantine:
+    """Makes the parts that keep requests from crashing targets."""
+    ledger = crash_ledger.CrashLedger(clock=base.clock)
+    reports = crash_reports.CrashReports(ledger=ledger, peers=base.peers)
+    return MeshQuarantine(
+        ledger=ledger,
+        reports=reports,
+        quarantine=quarantine.Quarantine(ledger=ledger, reports=reports),
+        sync=neighbour_sync.NeighbourSync(
+            messages=reports.messages, peers=base.peers
+        ),
+    )
--- a/src/galenatack/app/mesh_wiring.py
+++ b/src/galenatack/app/mesh_wiring.py
@@ -9,6 +9,7 @@
 from galenatack.app import mesh_inbound
 from galenatack.app import mesh_outbound
 from galenatack.app import mesh_parts
+from galenatack.app import mesh_quarantine
 from galenatack.app import mesh_rollouts
 from galenatack.app import mesh_store
 from galenatack.app import system_clock
@@ -58,8 +59,11 @@
     base = mesh_base.make(settings, clock, rng)
     directory = target_directory.TargetDirectory(members=base.members)
     rollouts = mesh_rollouts.make(base)
-    inbound = mesh_inbound.make(base, rollouts)
-    outbound = mesh_outbound.make(base, directory, rollouts, inbound)
+    quarantine = mesh_quarantine.make(base)
+    inbound = mesh_inbound.make(base, rollouts, quarantine)
+    outbound = mesh_outbound.make(
+        base, directory, rollouts, quarantine, inbound
+    )
     instrumented = instrumented_table.InstrumentedTable(table=store)
     shared = mesh_store.make(base, instrumented)
     servers = _make_servers(base, inbound, outbound)
@@ -67,6 +71,7 @@
         neighbour_sync.NeighbourSync(
             messages=rollouts.withdrawn.all, peers=base.peers
         ),
+        quarantine.sync,
     )
     _connect(
         base, instrumented, shared, rollouts, inbound, outbound, servers, syncs
@@ -85,6 +90,7 @@
         config=outbound.config,
         rollouts=rollouts.registry,
         withdrawn=rollouts.withdrawn,
+        crashes=quarantine.ledger,
         driver=mesh_rollouts.make_driver(
             base, instrumented, directory, rollouts
         ),
--- a/src/galenatack/exceptions/_call_errors.py
+++ b/src/galenatack/exceptions/_call_errors.py
@@ -75,6 +75,20 @@
     code = "leaving"
 
 
+class QuarantinedError(CallError):
+    """Targets have crashed under this request; it is not sent to another one.
+
+    Attributes:
+        retry_after_ms: Time until it may be sent again, in milliseconds.
+    """
+
+    code = "quarantined"
+
+    def __init__(self, message: str, *, retry_after_ms: int):
+        super().__init__(message)
+        self.retry_after_ms = retry_after_ms
+
+
 class CancelledCallError(CallError):
     """The call was cancelled because its caller disconnected.
 
--- a/src/galenatack/exceptions/_target_errors.py
+++ b/src/galenatack/exceptions/_target_errors.py
@@ -21,6 +21,12 @@
     code = "target-answer-lost"
 
 
+class TargetCrashedError(TargetAnswerLostError):
+    """The target crashed while it ran the call."""
+
+    code = "target-crashed"
+
+
 class TargetShedError(TargetError):
     """The target refused the call before it started.
 
--- a/src/galenatack/links/connection_pool.py
+++ b/src/galenatack/links/connection_pool.py
@@ -56,9 +56,7 @@
             exceptions.TargetConnectError: No connection could be made.
         """
         if self._limit is None:
-            self._limit = anyio.Semaphore(
-                self._max_connections, fast_acquire=True
-            )
+            self._limit = self._make_limit()
         await self._limit.acquire()
         try:
             self._drop_stale()
@@ -69,6 +67,22 @@
             self._limit.release()
             raise
 
+    async def open_idle(self) -> None:
+        """Opens a new connection, which stays idle.
+
+        Raises:
+            exceptions.TargetConnectError: No connection could be made.
+        """
+        if self._limit is None:
+            self._limit = self._make_limit()
+        await self._limit.acquire()
+        try:
+            connection = await self._connect()
+        except BaseException:
+            self._limit.release()
+            raise
+        self.release(connection)
+
     def release(self, connection: target_connection.TargetConnection) -> None:
         """Returns a connection to the pool, or closes it if unusable."""
         if connection.is_usable:
@@ -83,6 +97,9 @@
         while self._idle:
             self._idle.pop().close()
 
+    def _make_limit(self) -> anyio.Semaphore:
+        return anyio.Semaphore(self._max_connections, fast_acquire=True)
+
     def _drop_stale(self) -> None:
         kept = []
         for connection in self._idle:
--- a/src/galenatack/links/http_client.py
+++ b/src/galenatack/links/http_client.py
@@ -70,6 +70,14 @@
         finally:
             self._pool.release(connection)
 
+    async def connect(self) -> None:
+        """Opens a new connection, which later requests use.
+
+        Raises:
+            exceptions.TargetConnectError: The server accepts none.
+        """
+        await self._pool.open_idle()
+
     async def close(self) -> None:
         """Closes the idle connections."""
         await self._pool.close()
--- a/src/galenatack/links/message_tags.py
+++ b/src/galenatack/links/message_tags.py
@@ -5,6 +5,7 @@
 from galenatack.messages import call
 from galenatack.messages import call_answer
 from galenatack.messages import cancel_call
+from galenatack.messages import crash_report
 from galenatack.messages import delta
 from galenatack.messages import evidence
 from galenatack.messages import fragment
@@ -43,6 +44,7 @@
     18: rows.Rows,
     19: trial_evidence.TrialEvidence,
     20: fragment.Fragment,
+    21: crash_report.CrashReport,
 }
 """Message type by tag."""
 
--- a/src/galenatack/links/translated_target.py
+++ b/src/galenatack/links/translated_target.py
@@ -2,13 +2,17 @@
 
 import collections.abc
 import functools
+import logging
 
+from galenatack import exceptions
 from galenatack.interfaces import target_dialect
 from galenatack.links import http_client
 from galenatack.model import call_request
 from galenatack.model import target_answer
 from galenatack.model import target_condition
 
+_LOGGER = logging.getLogger(__name__)
+
 CONNECT_TIMEOUT_S = 0.5
 """The target is on the same machine; if connecting takes longer, it is down."""
 
@@ -94,6 +98,15 @@
         del call_id
         return False
 
+    async def is_reachable(self) -> bool:
+        """Returns whether the target accepts a new connection."""
+        try:
+            await self._client.connect()
+        except exceptions.TargetConnectError as error:
+            _LOGGER.debug("event=target-unreachable error=%s", error)
+            return False
+        return True
+
     async def close(self) -> None:
         """Closes the idle connections."""
         await self._client.close()
--- a/src/galenatack/routing/local_replies.py
+++ b/src/galenatack/routing/local_replies.py
@@ -17,11 +17,13 @@
     exceptions.PeerUnreachableError.code: 503,
     exceptions.PeerBusyError.code: 503,
     exceptions.CancelledCallError.code: 503,
+    exceptions.QuarantinedError.code: 503,
     exceptions.NoRouteError.code: 404,
     exceptions.NotFoundError.code: 404,
     exceptions.DeadlineExceededError.code: 504,
     exceptions.PeerTimeoutError.code: 504,
     exceptions.TargetAnswerLostError.code: 502,
+    exceptions.TargetCrashedError.code: 502,
     exceptions.TicketGoneError.code: 502,
 }
 _BAD_GATEWAY = 502
--- a/src/galenatack/traffic/call_router.py
+++ b/src/galenatack/traffic/call_router.py
@@ -9,6 +9,7 @@
 from galenatack.model import caller_request
 from galenatack.model import member_record
 from galenatack.model import outcome
+from galenatack.quarantine import quarantine as quarantine_module
 from galenatack.rollouts import version_chooser
 from galenatack.routing import local_replies
 from galenatack.traffic import attempt_budget
@@ -39,6 +40,11 @@
 later; each refusal costs a network round trip."""
 
 
+_TARGET_DOWN = frozenset(
+    {exceptions.TargetConnectError.code, exceptions.TargetCrashedError.code}
+)
+
+
 class CallRouter:
     """Finds the route of a request and sends it to targets until one answers.
 
@@ -50,6 +56,7 @@
         budget: Retry budget.
         sender: Sends calls to gates.
         conditions: Receives what targets say of themselves.
+        quarantine: Decides on requests under which targets crash.
         clock: Source of time.
         telemetry: Log lines and counters.
     """
@@ -64,6 +71,7 @@
         budget: attempt_budget.AttemptBudget,
         sender: call_sender.CallSender,
         conditions: known_conditions.KnownConditions,
+        quarantine: quarantine_module.Quarantine,
         clock: clock_interface.Clock,
         telemetry: call_telemetry.CallTelemetry,
     ):
@@ -74,6 +82,7 @@
         self._budget = budget
         self._sender = sender
         self._conditions = conditions
+        self._quarantine = quarantine
         self._clock = clock
         self._telemetry = telemetry
         self._weights = weighted_choice.WeightedChoice()
@@ -115,6 +124,7 @@
                 f" {', '.join(route.unknowns)}",
                 retry_after_ms=UNUSABLE_ROUTE_RETRY_AFTER_MS,
             )
+        self._quarantine.check(request)
         timeout_ms = route.timeout_ms
         if request.deadline_ms:
             timeout_ms = min(timeout_ms, request.deadline_ms)
@@ -191,6 +201,8 @@
     ) -> bool:
         if attempts.arrivals >= attempts.route.max_attempts:
             return False
+        if not self._quarantine.may_retry(attempts.request):
+            return False
         if result.outcome == outcome.Outcome.ANSWER:
             is_failure = result.status >= target_gate.SERVER_ERROR
             return is_failure and attempts.route.is_idempotent
@@ -231,7 +243,7 @@
                 self._conditions.record(member, answer.report.condition)
         if answer.result.failure == exceptions.OverloadedError.code:
             view.record_refusal(attempts.route.name, now_s)
-        if answer.result.failure == exceptions.TargetConnectError.code:
+        if answer.result.failure in _TARGET_DOWN:
             view.eject(now_s)
 
 
--- a/src/galenatack/traffic/target_gate.py
+++ b/src/galenatack/traffic/target_gate.py
@@ -15,6 +15,9 @@
 from galenatack.model import outcome
 from galenatack.model import target_answer
 from galenatack.model import target_condition
+from galenatack.model import target_state
+from galenatack.quarantine import crash_detector
+from galenatack.quarantine import quarantine as quarantine_module
 from galenatack.quarantine import request_fingerprint
 from galenatack.routing import dispatcher
 from galenatack.routing import local_replies
@@ -59,6 +62,8 @@
         stats: Counters and histograms.
         is_withdrawn: Returns whether a version of a service is withdrawn.
         on_outcome: Receives the outcome of each call as rollout evidence.
+        quarantine: Decides on requests under which targets crash.
+        crashes: Finds out whether the target crashed.
     """
 
     def __init__(
@@ -73,6 +78,8 @@
         stats: call_stats.CallStats,
         is_withdrawn: collections.abc.Callable[[str, str], bool],
         on_outcome: dispatcher.OnOutcome,
+        quarantine: quarantine_module.Quarantine,
+        crashes: crash_detector.CrashDetector,
     ):
         self._registry = registry
         self._queue = queue
@@ -83,6 +90,8 @@
         self._stats = stats
         self._is_withdrawn = is_withdrawn
         self._on_outcome = on_outcome
+        self._quarantine = quarantine
+        self._crashes = crashes
         self._failures = failure_rate.FailureRate()
         self._running: dict[str, running_call.RunningCall] = {}
         self._connect_failures = 0
@@ -179,7 +188,7 @@
 
     def cancel(self, call_id: str) -> None:
         """Drops a call if it is waiting, or if it is running and idempotent."""
-        if self._queue.cancel(call_id):
+        if self._queue.cancel(call_id) or self._quarantine.cancel(call_id):
             return
         running = self._running.get(call_id)
         if running is not None and not running.is_posting:
@@ -218,13 +227,8 @@
         try:
             self._check(request)
             self._learn_limit(request)
-            await self._queue.acquire(
-                request.call_id,
-                route=request.route,
-                priority=request.priority,
-                deadline_s=deadline_s,
-                target_latency_ms=request.target_latency_ms,
-            )
+            async with self._quarantine.turn(request):
+                return await self._queue_and_run(request, started_s, deadline_s)
         except exceptions.CallError as error:
             self._stats.count(
                 "gate", outcome=outcome.Outcome.NOT_RUN, reason=error.code
@@ -242,12 +246,26 @@
                 waited_ms=self._elapsed_ms(started_s),
             )
             return local_replies.not_run(error), 0.0
+
+    async def _queue_and_run(
+        self,
+        request: call_request.CallRequest,
+        started_s: float,
+        deadline_s: float,
+    ) -> tuple[call_result.CallResult, float]:
+        await self._queue.acquire(
+            request.call_id,
+            route=request.route,
+            priority=request.priority,
+            deadline_s=deadline_s,
+            target_latency_ms=request.target_latency_ms,
+        )
         try:
-            # The target may have left while the call was queued.
+            # While the call was queued, the target may have left, and others
+            # may have crashed under the same request.
             self._check(request)
+            self._quarantine.check(request)
             return await self._dispatch(request, started_s, deadline_s)
-        except exceptions.CallError as error:
-            return local_replies.not_run(error), 0.0
         finally:
             self._queue.release(request.call_id)
 
@@ -314,7 +332,10 @@
             running = running_call.RunningCall(scope, request.posting)
             self._running[request.call_id] = running
             try:
-                return self._to_result(await self._link.call(request))
+                answer = await self._link.call(request)
+                self._crashes.note_alive()
+                await self._quarantine.clear(request)
+                return self._to_result(answer)
             except exceptions.TargetConnectError as error:
                 self._connect_failures += 1
                 return local_replies.not_run(error)
@@ -322,6 +343,8 @@
                 return local_replies.not_run(error)._replace(
                     has_reached_target=True
                 )
+            except exceptions.TargetAnswerLostError as error:
+                return await self._lost_answer(request, error)
             except exceptions.CallError as error:
                 return local_replies.unknown(error)._replace(
                     has_reached_target=True
@@ -336,6 +359,19 @@
             error = exceptions.DeadlineExceededError("no answer in time")
         return local_replies.unknown(error)._replace(has_reached_target=True)
 
+    async def _lost_answer(
+        self,
+        request: call_request.CallRequest,
+        error: exceptions.TargetAnswerLostError,
+    ) -> call_result.CallResult:
+        # A target that leaves ends its last calls on purpose.
+        is_ready = self._registry.state == target_state.TargetState.READY
+        if is_ready and await self._crashes.has_crashed(
+            request_fingerprint.of(request)
+        ):
+            error = exceptions.TargetCrashedError(f"target crashed: {error}")
+        return local_replies.unknown(error)._replace(has_reached_target=True)
+
     def _to_result(
         self, answer: target_answer.TargetAnswer
     ) -> call_result.CallResult:
--- /dev/null
+++ b/tests/quarantine/test_quarantine.py
@@ -0,0 +1,63 @@
+"""Tests of how suspected requests are kept apart."""
+
+import asyncio
+import unittest
+from unittest import mock
+
+from galenatack import exceptions
+from galenatack.model import crash_entry
+from galenatack.quarantine import crash_detector
+from galenatack.quarantine import crash_ledger
+from galenatack.quarantine import crash_reports
+from galenatack.quarantine import quarantine
+from galenatack.quarantine import request_fingerprint
+from tests.fakes import manual_clock
+from tests.quarantine import requests
+
+
+def make(*suspects):
+    """Returns a quarantine that suspects some requests, and its reports."""
+    ledger = crash_ledger.CrashLedger(clock=manual_clock.ManualClock())
+    ledger.add(
+        crash_entry.CrashEntry(request_fingerprint.of(item), "0", 0, False)
+        for item in suspects
+    )
+    peers = mock.Mock(broadcast=mock.AsyncMock())
+    reports = crash_reports.CrashReports(ledger=ledger, peers=peers)
+    return quarantine.Quarantine(ledger=ledger, reports=reports), reports
+
+
+class TestQuarantine(unittest.IsolatedAsyncioTestCase):
+    async def test_suspects_run_one_at_a_time_and_others_beside_them(self):
+        suspects = [requests.request(b"%d" % n, call_id=f"{n}") for n in (1, 2)]
+        gate, _ = make(*suspects)
+        async with gate.turn(suspects[0]):
+            async with gate.turn(requests.request(b"other")):
+                pass
+            with self.assertRaises(exceptions.OverloadedError):
+                async with gate.turn(suspects[1]):
+                    self.fail("two suspects at once")
+        async with gate.turn(suspects[1]):
+            pass
+
+    async def test_calls_lost_in_one_crash_are_reported_together(self):
+        _, reports = make()
+        reports.add = mock.AsyncMock()
+        detector = crash_detector.CrashDetector(
+            name="n",
+            reports=reports,
+            is_reachable=mock.AsyncMock(side_effect=[True, False, False]),
+        )
+        self.assertFalse(await detector.has_crashed(b"0"))
+        reports.add.assert_not_awaited()
+        await asyncio.gather(
+            *(detector.has_crashed(b"%d" % number) for number in (1, 2))
+        )
+        # It is the same crash until the target has answered again.
+        await detector.has_crashed(b"3")
+        ids = [
+            entry.crash_id
+            for call in reports.add.await_args_list
+            for entry in call.args[0]
+        ]
+        self.assertEqual(ids, ["n:1"] * 3)
--- a/tests/traffic/test_known_conditions.py
+++ b/tests/traffic/test_known_conditions.py
@@ -15,6 +15,7 @@
 from galenatack.traffic import target_registry
 from tests.fakes import virtual_loop
 from tests.platform import test_target_headers
+from tests.quarantine import test_quarantine
 from tests.traffic import fleet_load
 from tests.traffic import test_target_registry
 
@@ -48,6 +49,8 @@
         stats=mock.Mock(),
         is_withdrawn=lambda *_: False,
         on_outcome=mock.Mock(),
+        quarantine=test_quarantine.make()[0],
+        crashes=mock.Mock(),
     )
     gate.on_target_changed()
     return gate, link
