Keep quarantined requests in the store, for the case that all nodes restart

Fault: the nodes tell each other of crashes, so that a request is forgotten when all of them are restarted at once; three more targets end before it is known again.

Change: the node beside the last target that crashed under a request writes a row from the third crash on; each node reads the table once at its start. The row is deleted when the request was answered, or when it has expired. Ruled out: a third mirrored table, whose watches cost calls all the time for rows that are rare, and a row for each suspect, most of which are cleared within milliseconds.

--- a/src/galenatack/app/mesh_node.py
+++ b/src/galenatack/app/mesh_node.py
@@ -120,6 +120,7 @@
             "discovery": parts.discovery.run,
             "links": parts.warmer.run,
             "rollouts": parts.driver.run,
+            "crash-archive": parts.crash_archive.run,
             "log-report": self._report_dropped_lines,
         }
         for watcher in parts.watchers:
--- a/src/galenatack/app/mesh_parts.py
+++ b/src/galenatack/app/mesh_parts.py
@@ -14,6 +14,7 @@
 from galenatack.membership import member_table
 from galenatack.membership import membership_service
 from galenatack.moves import withdrawals
+from galenatack.quarantine import crash_archive
 from galenatack.quarantine import crash_ledger
 from galenatack.rollouts import rollout_driver
 from galenatack.rollouts import rollout_registry
@@ -47,6 +48,7 @@
     rollouts: rollout_registry.RolloutRegistry
     withdrawn: withdrawals.Withdrawals
     crashes: crash_ledger.CrashLedger
+    crash_archive: crash_archive.CrashArchive
     driver: rollout_driver.RolloutDriver
     registry: target_registry.TargetRegistry
     gate: target_gate.TargetGate
--- a/src/galenatack/app/mesh_wiring.py
+++ b/src/galenatack/app/mesh_wiring.py
@@ -59,12 +59,12 @@
     base = mesh_base.make(settings, clock, rng)
     directory = target_directory.TargetDirectory(members=base.members)
     rollouts = mesh_rollouts.make(base)
-    quarantine = mesh_quarantine.make(base)
+    instrumented = instrumented_table.InstrumentedTable(table=store)
+    quarantine = mesh_quarantine.make(base, instrumented)
     inbound = mesh_inbound.make(base, rollouts, quarantine)
     outbound = mesh_outbound.make(
         base, directory, rollouts, quarantine, inbound
     )
-    instrumented = instrumented_table.InstrumentedTable(table=store)
     shared = mesh_store.make(base, instrumented)
     servers = _make_servers(base, inbound, outbound)
     syncs = (
@@ -91,6 +91,7 @@
         rollouts=rollouts.registry,
         withdrawn=rollouts.withdrawn,
         crashes=quarantine.ledger,
+        crash_archive=quarantine.archive,
         driver=mesh_rollouts.make_driver(
             base, instrumented, directory, rollouts
         ),
--- a/src/galenatack/quarantine/crash_ledger.py
+++ b/src/galenatack/quarantine/crash_ledger.py
@@ -108,12 +108,9 @@
 
     def clear(self, fingerprint: bytes) -> tuple[crash_entry.CrashEntry, ...]:
         """Clears all crashes of a request and returns their entries."""
-        record = self._records.get(fingerprint)
-        if record is None:
-            return ()
         return self.add(
             entry._replace(is_cleared=True)
-            for entry in self._entries_of(fingerprint, record)
+            for entry in self.entries_of(fingerprint)
             if not entry.is_cleared
         )
 
@@ -123,14 +120,16 @@
             entry
             for fingerprint, record in self._records.items()
             if record.crashes and not self._is_expired(record)
-            for entry in self._entries_of(fingerprint, record)
+            for entry in self.entries_of(fingerprint)
         )
 
-    def _entries_of(
-        self, fingerprint: bytes, record: "_Record"
-    ) -> list[crash_entry.CrashEntry]:
+    def entries_of(
+        self, fingerprint: bytes
+    ) -> tuple[crash_entry.CrashEntry, ...]:
+        """Returns the entries of one request, also those that were cleared."""
         now_s = self._clock.monotonic_s()
-        return [
+        record = self._records.get(fingerprint) or _Record()
+        return tuple(
             crash_entry.CrashEntry(
                 fingerprint,
                 crash_id,
@@ -138,7 +137,7 @@
                 crash.is_cleared,
             )
             for crash_id, crash in record.by_id.items()
-        ]
+        )
 
     def _merge(self, entry: crash_entry.CrashEntry) -> bool:
         crashed_s = self._clock.monotonic_s() - entry.age_ms / MS_PER_S
--- a/src/galenatack/quarantine/crash_reports.py
+++ b/src/galenatack/quarantine/crash_reports.py
@@ -3,6 +3,7 @@
 from galenatack.interfaces import peer_network
 from galenatack.messages import crash_report
 from galenatack.model import crash_entry
+from galenatack.quarantine import crash_archive
 from galenatack.quarantine import crash_ledger
 
 MAX_ENTRIES = 128
@@ -14,6 +15,7 @@
 
     Args:
         ledger: Crashes known to this node.
+        archive: Keeps the requests in quarantine.
         peers: Links to other nodes.
     """
 
@@ -21,9 +23,11 @@
         self,
         *,
         ledger: crash_ledger.CrashLedger,
+        archive: crash_archive.CrashArchive,
         peers: peer_network.PeerNetwork,
     ):
         self._ledger = ledger
+        self._archive = archive
         self._peers = peers
         peers.on(crash_report.CrashReport, self._receive)
 
@@ -32,13 +36,23 @@
         return _messages(self._ledger.entries())
 
     async def add(self, entries: tuple[crash_entry.CrashEntry, ...]) -> None:
-        """Applies entries here, then floods those that are news."""
-        await self._flood(self._ledger.add(entries), exclude=None)
+        """Applies crashes of the own target, then floods those not known."""
+        news = self._ledger.add(entries)
+        for entry in news:
+            if self._is_quarantined(entry.fingerprint):
+                self._archive.note(entry.fingerprint)
+        await self._flood(news, exclude=None)
 
     async def clear(self, fingerprint: bytes) -> None:
         """Clears all crashes of a request, here and elsewhere."""
+        if self._is_quarantined(fingerprint):
+            self._archive.note(fingerprint)
         await self._flood(self._ledger.clear(fingerprint), exclude=None)
 
+    def _is_quarantined(self, fingerprint: bytes) -> bool:
+        crashes = self._ledger.crashes(fingerprint)
+        return crashes >= crash_ledger.QUARANTINE_CRASHES
+
     async def _receive(
         self, sender: str, message: crash_report.CrashReport
     ) -> None:
--- a/tests/mesh/crash_run.py
+++ b/tests/mesh/crash_run.py
@@ -160,12 +160,18 @@
     async def _restart_nodes(self):
         while self.loop.time() < self.end_s - 1.0:
             await asyncio.sleep(self.rng.uniform(1.0, 2.0))
-            member = self.rng.choice(self.fleet.members)
-            member.task.cancel()
-            await asyncio.gather(member.task, return_exceptions=True)
-            await member.parts.target.close()
-            member.rebuild(self.fleet.store)
-            member.task = asyncio.create_task(member.node.run())
+            members = self.fleet.members
+            if self.rng.random() < 0.7:
+                members = [self.rng.choice(members)]
+            for member in members:
+                member.task.cancel()
+            await asyncio.gather(
+                *(member.task for member in members), return_exceptions=True
+            )
+            for member in members:
+                await member.parts.target.close()
+                member.rebuild(self.fleet.store)
+                member.task = asyncio.create_task(member.node.run())
 
 
 def _is_quarantined(answer):
--- a/tests/quarantine/test_quarantine.py
+++ b/tests/quarantine/test_quarantine.py
@@ -23,7 +23,9 @@
         for item in suspects
     )
     peers = mock.Mock(broadcast=mock.AsyncMock())
-    reports = crash_reports.CrashReports(ledger=ledger, peers=peers)
+    reports = crash_reports.CrashReports(
+        ledger=ledger, archive=mock.Mock(), peers=peers
+    )
     return quarantine.Quarantine(ledger=ledger, reports=reports), reports
 
 
