Count equal requests on targets that crash together once

Cause: a request that many callers send runs on several targets at once. Two of them that crash within the same moment, one for another reason, were two crashes under it, and its answers could not clear it any more, since it was refused. Looked for elsewhere: any crash of several targets at once, such as of a rack, would have quarantined the popular requests of its services.

Change: only runs that began as suspects, with no other suspect beside them, count one by one; all others together count once. A call tells the gate that it is a suspect, since the report of the crash may come later than the retry.

--- a/src/galenatack/model/call_request.py
+++ b/src/galenatack/model/call_request.py
@@ -25,6 +25,8 @@
         target_id: Target to which the call is addressed; empty for any.
         target_rate_limit_per_s: Rate limit that the target named to the
             sender, for a gate that has restarted since; None without one.
+        is_suspect: True if the sender knows of a target that crashed under
+            this request, of which the gate may not have heard.
     """
 
     call_id: str
@@ -43,3 +45,4 @@
     caller_service: str = ""
     target_id: str = ""
     target_rate_limit_per_s: float | None = None
+    is_suspect: bool = False
--- a/src/galenatack/model/crash_entry.py
+++ b/src/galenatack/model/crash_entry.py
@@ -10,6 +10,8 @@
         fingerprint: Fingerprint of the request.
         crash_id: Identifier of the crash, unique in the deployment.
         age_ms: Time since the crash.
+        was_suspect: True if the request was a suspect when the run began, so
+            that no other suspect was running beside it.
         is_cleared: True if a target has answered the request since, so that
             the crash is not held against it.
     """
@@ -17,4 +19,5 @@
     fingerprint: bytes
     crash_id: str
     age_ms: int
+    was_suspect: bool
     is_cleared: bool
--- a/src/galenatack/quarantine/crash_archive.py
+++ b/src/galenatack/quarantine/crash_archive.py
@@ -125,8 +125,8 @@
         now_ms = self._clock.wall_ms()
         return json.dumps(
             {
-                "crashed_ms": {
-                    entry.crash_id: now_ms - entry.age_ms
+                "crashes": {
+                    entry.crash_id: [now_ms - entry.age_ms, entry.was_suspect]
                     for entry in self._ledger.entries_of(fingerprint)
                     if not entry.is_cleared
                 }
@@ -138,15 +138,16 @@
     ) -> tuple[crash_entry.CrashEntry, ...]:
         now_ms = self._clock.wall_ms()
         try:
-            crashed_ms = json.loads(row.value)["crashed_ms"]
+            crashes = json.loads(row.value)["crashes"]
             return tuple(
                 crash_entry.CrashEntry(
                     bytes.fromhex(row.key),
                     crash_id,
                     max(0, now_ms - at_ms),
+                    was_suspect,
                     False,
                 )
-                for crash_id, at_ms in crashed_ms.items()
+                for crash_id, (at_ms, was_suspect) in crashes.items()
             )
         except (ValueError, KeyError, TypeError, AttributeError) as error:
             _LOGGER.warning(
--- a/src/galenatack/quarantine/crash_detector.py
+++ b/src/galenatack/quarantine/crash_detector.py
@@ -37,10 +37,12 @@
         self._is_reachable = is_reachable
         self._crashes = 0
         self._is_down = False
-        self._lost: set[bytes] = set()
+        self._lost: dict[bytes, bool] = {}
         self._check: asyncio.Task[bool] | None = None
 
-    async def has_crashed(self, fingerprint: bytes) -> bool:
+    async def has_crashed(
+        self, fingerprint: bytes, *, was_suspect: bool
+    ) -> bool:
         """Returns whether the target crashed under a call.
 
         The calls that a crash ends ask at the same moment; they share one
@@ -48,8 +50,11 @@
 
         Args:
             fingerprint: Fingerprint of the call that lost its answer.
+            was_suspect: Whether it ran as a suspect.
         """
-        self._lost.add(fingerprint)
+        self._lost[fingerprint] = was_suspect or self._lost.get(
+            fingerprint, False
+        )
         if self._check is None:
             self._check = asyncio.create_task(self._find_out())
         return await asyncio.shield(self._check)
@@ -69,7 +74,7 @@
             await self._report()
             return True
         finally:
-            self._lost = set()
+            self._lost = {}
             self._check = None
 
     async def _report(self) -> None:
@@ -79,7 +84,13 @@
         )
         await self._reports.add(
             tuple(
-                crash_entry.CrashEntry(fingerprint, crash_id, 0, False)
-                for fingerprint in sorted(self._lost)
+                crash_entry.CrashEntry(
+                    fingerprint,
+                    crash_id,
+                    age_ms=0,
+                    was_suspect=was_suspect,
+                    is_cleared=False,
+                )
+                for fingerprint, was_suspect in self._lost.items()
             )
         )
--- a/src/galenatack/quarantine/crash_ledger.py
+++ b/src/galenatack/quarantine/crash_ledger.py
@@ -38,9 +38,11 @@
 class CrashLedger:
     """Counts the crashes under each request; all nodes hold the same ones.
 
-    Every call that a target was running when it crashed is held against its
-    request. The request that caused it crashes the next target too, while
-    the others are answered there, which clears them.
+    Every call that a target was running when it crashed makes its request a
+    suspect. The request that caused it crashes the next target too, while
+    the others are answered there, which clears them. Equal requests may have
+    been running on several targets that crash together for another reason:
+    only runs that began as suspects count one by one.
 
     Entries are merged as sets in which a cleared entry wins, so that they may
     arrive in any order and repeatedly.
@@ -134,6 +136,7 @@
                 fingerprint,
                 crash_id,
                 int((now_s - crash.at_s) * MS_PER_S),
+                crash.was_suspect,
                 crash.is_cleared,
             )
             for crash_id, crash in record.by_id.items()
@@ -146,7 +149,7 @@
         record = self._records.get(entry.fingerprint)
         if record is None or self._is_expired(record):
             record = self._start_record(entry.fingerprint)
-        crash = _Crash(crashed_s, entry.is_cleared)
+        crash = _Crash(crashed_s, entry.was_suspect, entry.is_cleared)
         if not record.merge(entry.crash_id, crash):
             return False
         self._records.move_to_end(entry.fingerprint)
@@ -193,6 +196,7 @@
     """A crash under one request."""
 
     at_s: float
+    was_suspect: bool
     is_cleared: bool
 
 
@@ -204,8 +208,12 @@
 
     @property
     def crashes(self) -> int:
-        """Number of crashes that are not cleared."""
-        return sum(not crash.is_cleared for crash in self.by_id.values())
+        """Number of crashes that count; those of first runs count once."""
+        open_crashes = [
+            crash for crash in self.by_id.values() if not crash.is_cleared
+        ]
+        as_suspect = sum(crash.was_suspect for crash in open_crashes)
+        return as_suspect + (as_suspect < len(open_crashes))
 
     @property
     def last_s(self) -> float:
--- a/src/galenatack/quarantine/quarantine.py
+++ b/src/galenatack/quarantine/quarantine.py
@@ -42,6 +42,7 @@
         self._reports = reports
         self._turn = anyio.Semaphore(1)
         self._waiting: dict[str, anyio.CancelScope] = {}
+        self._suspect_id = ""
 
     def check(self, request: request_fingerprint.Request) -> None:
         """Checks that a request may be sent to targets.
@@ -50,16 +51,28 @@
             exceptions.QuarantinedError: Targets have crashed under it.
         """
         fingerprint = self._ledger.find(request)
-        if fingerprint is not None:
-            self._check(fingerprint)
+        if fingerprint is None:
+            return
+        refusal_ms = self._ledger.refusal_ms(fingerprint)
+        if refusal_ms:
+            crashes = self._ledger.crashes(fingerprint)
+            raise exceptions.QuarantinedError(
+                f"{crashes} targets crashed while they ran this request"
+                f" (fingerprint {fingerprint.hex()})",
+                retry_after_ms=refusal_ms,
+            )
 
     def may_retry(self, request: request_fingerprint.Request) -> bool:
         """Returns whether a request may be sent to one more target."""
-        fingerprint = self._ledger.find(request)
-        return (
-            fingerprint is None
-            or self._ledger.crashes(fingerprint) < crash_ledger.BACKOFF_CRASHES
-        )
+        return self._crashes(request) < crash_ledger.BACKOFF_CRASHES
+
+    def is_suspect(self, request: request_fingerprint.Request) -> bool:
+        """Returns whether targets have crashed under a request."""
+        return self._crashes(request) > 0
+
+    def runs_as_suspect(self, call_id: str) -> bool:
+        """Returns whether a call at the target of this node is a suspect."""
+        return call_id == self._suspect_id
 
     async def clear(self, request: request_fingerprint.Request) -> None:
         """Clears a request that a target has answered."""
@@ -77,17 +90,18 @@
             exceptions.QuarantinedError: Targets have crashed under it.
             exceptions.OverloadedError: Its turn did not come in time.
         """
-        fingerprint = self._ledger.find(request)
-        if fingerprint is None:
+        if not request.is_suspect and not self.is_suspect(request):
             yield
             return
-        self._check(fingerprint)
+        self.check(request)
         await self._wait(request)
+        self._suspect_id = request.call_id
         try:
             # The call before may have been the same request.
-            self._check(fingerprint)
+            self.check(request)
             yield
         finally:
+            self._suspect_id = ""
             self._turn.release()
 
     def cancel(self, call_id: str) -> bool:
@@ -98,15 +112,9 @@
         scope.cancel()
         return True
 
-    def _check(self, fingerprint: bytes) -> None:
-        refusal_ms = self._ledger.refusal_ms(fingerprint)
-        if refusal_ms:
-            crashes = self._ledger.crashes(fingerprint)
-            raise exceptions.QuarantinedError(
-                f"{crashes} targets crashed while they ran this request"
-                f" (fingerprint {fingerprint.hex()})",
-                retry_after_ms=refusal_ms,
-            )
+    def _crashes(self, request: request_fingerprint.Request) -> int:
+        fingerprint = self._ledger.find(request)
+        return 0 if fingerprint is None else self._ledger.crashes(fingerprint)
 
     async def _wait(self, request: call_request.CallRequest) -> None:
         wait_s = request.deadline_ms * MAX_WAIT_SHARE / MS_PER_S
--- a/src/galenatack/traffic/call_router.py
+++ b/src/galenatack/traffic/call_router.py
@@ -9,6 +9,7 @@
 from galenatack.model import caller_request
 from galenatack.model import member_record
 from galenatack.model import outcome
+from galenatack.quarantine import crash_ledger
 from galenatack.quarantine import quarantine as quarantine_module
 from galenatack.rollouts import version_chooser
 from galenatack.routing import local_replies
@@ -201,7 +202,9 @@
     ) -> bool:
         if attempts.arrivals >= attempts.route.max_attempts:
             return False
-        if not self._quarantine.may_retry(attempts.request):
+        if attempts.crashes >= crash_ledger.BACKOFF_CRASHES or (
+            not self._quarantine.may_retry(attempts.request)
+        ):
             return False
         if result.outcome == outcome.Outcome.ANSWER:
             is_failure = result.status >= target_gate.SERVER_ERROR
--- a/src/galenatack/traffic/call_sender.py
+++ b/src/galenatack/traffic/call_sender.py
@@ -112,6 +112,7 @@
             caller_service=self._own.service,
             target_id=member.target_id,
             target_rate_limit_per_s=self._conditions.rate_limit_per_s(member),
+            is_suspect=attempts.crashes > 0,
         )
 
     async def _send_local(
--- a/src/galenatack/traffic/request_attempts.py
+++ b/src/galenatack/traffic/request_attempts.py
@@ -1,5 +1,6 @@
 """State of the attempts of one request."""
 
+from galenatack import exceptions
 from galenatack.model import call_result
 from galenatack.model import caller_request
 from galenatack.model import host_route
@@ -21,6 +22,7 @@
         trail: Result of each attempt, as `node:failure` or `node:status`.
         arrivals: Number of attempts that reached a target, or may have.
         refusals: Number of attempts that were refused.
+        crashes: Number of attempts under which the target crashed.
     """
 
     def __init__(
@@ -41,6 +43,7 @@
         self.trail: list[str] = []
         self.arrivals = 0
         self.refusals = 0
+        self.crashes = 0
         self._answer: call_result.CallResult | None = None
         self._unknown: call_result.CallResult | None = None
         self._refusal: call_result.CallResult | None = None
@@ -52,6 +55,7 @@
         is_unknown = result.outcome == outcome.Outcome.UNKNOWN
         if is_unknown or result.has_reached_target:
             self.arrivals += 1
+        self.crashes += result.failure == exceptions.TargetCrashedError.code
         if result.outcome == outcome.Outcome.ANSWER:
             self._answer = result
         elif is_unknown:
--- a/src/galenatack/traffic/target_gate.py
+++ b/src/galenatack/traffic/target_gate.py
@@ -367,7 +367,8 @@
         # A target that leaves ends its last calls on purpose.
         is_ready = self._registry.state == target_state.TargetState.READY
         if is_ready and await self._crashes.has_crashed(
-            request_fingerprint.of(request)
+            request_fingerprint.of(request),
+            was_suspect=self._quarantine.runs_as_suspect(request.call_id),
         ):
             error = exceptions.TargetCrashedError(f"target crashed: {error}")
         return local_replies.unknown(error)._replace(has_reached_target=True)
--- a/standins/mesh/fake_target.py
+++ b/standins/mesh/fake_target.py
@@ -1,7 +1,6 @@
 """A target that implements the users' protocol."""
 
 import asyncio
-import collections
 import json
 
 from galenatack.links import http_client
@@ -20,10 +19,10 @@
         extra_headers: Further headers of its answers.
         hold: If set, an event that calls wait for before they answer.
         on_run: If set, called with this target and the attempt id of each run.
-        deadly_body: Runs of requests with this body crash the target.
+        is_deadly: Returns whether a run of a request crashes the target.
         crash_delay_s: Duration of such a run.
-        on_crash: If set, called with this target and the bodies of its runs
-            when it crashes.
+        on_crash: If set, called with this target and the attempt ids of its
+            runs when it crashes.
     """
 
     def __init__(
@@ -42,10 +41,10 @@
         self.status = 200
         self.extra_headers = ()
         self.hold = None
-        self.deadly_body = None
+        self.is_deadly = lambda request: False
         self.crash_delay_s = 0.02
         self.on_crash = None
-        self._running = collections.Counter()
+        self._running = set()
         self._starts = 1
         self._has_crashed = False
         self._sequence = 0
@@ -56,11 +55,11 @@
         if self._has_crashed:
             return
         self._has_crashed = True
-        bodies = list(self._running.elements())
+        attempts = list(self._running)
         self._running.clear()
         self.server.close()
         if self.on_crash is not None:
-            self.on_crash(self, bodies)
+            self.on_crash(self, attempts)
 
     async def restart(self, control_address):
         """Starts again as another target and announces itself."""
@@ -100,7 +99,7 @@
         )
 
     async def _work(self, request):
-        if self.deadly_body is not None and request.body == self.deadly_body:
+        if self.is_deadly(request):
             await asyncio.sleep(self.crash_delay_s)
             self.crash()
         if self.work_s:
@@ -135,14 +134,14 @@
         if self.on_run is not None:
             self.on_run(self, attempt)
         self.seen = headers
-        self._running[request.body] += 1
+        self._running.add(attempt)
         try:
             await self._work(request)
         except asyncio.CancelledError:
             self.cancelled.append(attempt)
             raise
         finally:
-            self._running -= collections.Counter((request.body,))
+            self._running.discard(attempt)
         stamp_header = (("x-upstream-stamp", f"{self.target_id}.{attempt}"),)
         return http_response.HttpResponse(
             self.status,
--- a/tests/mesh/crash_run.py
+++ b/tests/mesh/crash_run.py
@@ -17,7 +17,7 @@
 from tests.mesh import small_fleet
 
 SERVICES = ("a", "b", "b", "b", "b")
-DEADLY = b"deadly"
+CALLER = b"caller"
 TARGETS_ENDED = 3
 CONTACT_S = 4.0
 ALLOWED_LATE_RUNS = 3
@@ -67,7 +67,7 @@
         self._members = [m for m in fleet.members if m.target.service == "b"]
         for member in self._members:
             target = member.target
-            target.deadly_body = DEADLY
+            target.is_deadly = _is_deadly
             target.work_s = self.rng.uniform(0.01, 0.06)
             target.crash_delay_s = self.rng.uniform(0.005, 0.08)
             target.on_run = self._record_run
@@ -97,16 +97,17 @@
         )
 
     def _record_run(self, _, attempt):
-        if attempt.startswith(DEADLY.decode()):
+        if attempt.startswith("deadly"):
             self.deadly_runs_s.append(self.loop.time())
 
-    def _record_crash(self, member, _, bodies):
+    def _record_crash(self, member, _, attempts):
         """Counts a crash and restarts the target some time later."""
-        if DEADLY in bodies:
+        beside = sum(not name.startswith("deadly") for name in attempts)
+        if beside < len(attempts):
             self.crashes_s.append(self.loop.time())
         else:
             self.other_crashes += 1
-        self.counts["innocent beside"] += sum(b != DEADLY for b in bodies)
+        self.counts["innocent beside"] += beside
         self._restarts.add(asyncio.create_task(self._restart(member)))
 
     async def _restart(self, member):
@@ -116,13 +117,18 @@
     async def _call_innocent(self):
         while self.loop.time() < self.end_s:
             # Some requests are equal to earlier ones, others are new.
-            number = next(self._numbers)
-            body = b"%d" % (
-                self.rng.randrange(REPEATED_BODIES)
-                if self.rng.random() < 0.3
-                else 1000 + number
-            )
-            answer = await self._call(body)
+            draw = self.rng.random()
+            if draw < 0.1:
+                answer = await self._call(b"deadly", caller=b"other")
+            elif draw < 0.2:
+                answer = await self._call(b"deadly", name="y")
+            elif draw < 0.5:
+                number = self.rng.randrange(REPEATED_BODIES)
+                answer = await self._call(b"%d" % number)
+            else:
+                kind = self.rng.choice(("idempotent", "non_idempotent"))
+                body = b"new%d" % next(self._numbers)
+                answer = await self._call(body, kind=kind)
             self.counts["innocent"] += 1
             if _is_quarantined(answer):
                 self.counts["innocent quarantined"] += 1
@@ -131,22 +137,22 @@
     async def _call_deadly(self):
         while self.loop.time() < self.end_s:
             for _ in range(self.rng.choice((1, 1, 2))):
-                answer = await self._call(DEADLY)
+                answer = await self._call(b"deadly", attempt=b"deadly-")
                 if _is_quarantined(answer):
                     self.counts["deadly refused"] += 1
             await asyncio.sleep(self.rng.uniform(0.0, 2 * DEADLY_GAP_S))
 
-    async def _call(self, body):
+    async def _call(self, body, *, kind="idempotent", name="x", **more):
         member = self.rng.choice(self.fleet.members)
-        kind = "idempotent" if self.rng.random() < 0.8 else "post"
         try:
             return await self.fleet.call(
                 member,
                 "b.example",
-                f"/{kind}/x",
+                f"/{kind}/{name}",
                 method="POST",
                 body=body,
-                attempt=b"%s-%d" % (body, next(self._numbers)),
+                attempt=more.get("attempt", b"a") + b"%d" % next(self._numbers),
+                headers=((b"authorization", more.get("caller", CALLER)),),
             )
         except exceptions.CallError:
             # The node is restarting.
@@ -155,7 +161,9 @@
     async def _crash_others(self):
         while self.loop.time() < self.end_s:
             await asyncio.sleep(self.rng.uniform(1.0, 4.0))
-            self.rng.choice(self._members).target.crash()
+            count = self.rng.choice((1, 1, 2, 3))
+            for member in self.rng.sample(self._members, count):
+                member.target.crash()
 
     async def _restart_nodes(self):
         while self.loop.time() < self.end_s - 1.0:
@@ -174,6 +182,12 @@
                 member.task = asyncio.create_task(member.node.run())
 
 
+def _is_deadly(request):
+    caller = dict(request.headers)["authorization"].encode()
+    path = request.target.rpartition("/")[2]
+    return (caller, path, request.body) == (CALLER, "x", b"deadly")
+
+
 def _is_quarantined(answer):
     if answer is None or answer.status != NOT_SERVED:
         return False
--- a/tests/mesh/small_fleet.py
+++ b/tests/mesh/small_fleet.py
@@ -126,6 +126,7 @@
             (b"host", host.encode()),
             (b"x-attempt-id", more.get("attempt", b"a%d" % self._requests)),
             (b"x-deadline-ms", b"%d" % more.get("deadline_ms", 1500)),
+            *more.get("headers", ()),
         )
         try:
             return await client.request(
--- a/tests/quarantine/test_crash_archive.py
+++ b/tests/quarantine/test_crash_archive.py
@@ -14,7 +14,7 @@
 
 FINGERPRINT = b"0123456789abcdef"
 CRASHES = tuple(
-    crash_entry.CrashEntry(FINGERPRINT, f"{number}", 0, False)
+    crash_entry.CrashEntry(FINGERPRINT, f"{number}", 0, number > 0, False)
     for number in range(crash_ledger.QUARANTINE_CRASHES)
 )
 
--- a/tests/quarantine/test_crash_ledger.py
+++ b/tests/quarantine/test_crash_ledger.py
@@ -14,7 +14,9 @@
 
 def crash(number, *, age_ms=0, is_cleared=False, fingerprint=FINGERPRINT):
     """Returns the entry of a crash."""
-    return crash_entry.CrashEntry(fingerprint, f"{number}", age_ms, is_cleared)
+    return crash_entry.CrashEntry(
+        fingerprint, f"{number}", age_ms, number > 0, is_cleared
+    )
 
 
 class TestCrashLedger(unittest.TestCase):
@@ -47,6 +49,13 @@
             self.assertIsNone(ledger.find(REQUEST))
             self.assertEqual(ledger.add(entries), ())
 
+    def test_equal_requests_on_targets_that_crash_together_count_once(self):
+        self.ledger.add(
+            [crash(n)._replace(was_suspect=False) for n in range(5)]
+        )
+        self.assertEqual(self.ledger.crashes(FINGERPRINT), 1)
+        self.assertEqual(self.ledger.refusal_ms(FINGERPRINT), 0)
+
     def test_it_stays_bounded_and_keeps_the_newest_crashes(self):
         for number in range(20):
             self.ledger.add([crash(number, age_ms=100 - number)])
--- a/tests/quarantine/test_quarantine.py
+++ b/tests/quarantine/test_quarantine.py
@@ -19,7 +19,9 @@
     """Returns a quarantine that suspects some requests, and its reports."""
     ledger = crash_ledger.CrashLedger(clock=manual_clock.ManualClock())
     ledger.add(
-        crash_entry.CrashEntry(request_fingerprint.of(item), "0", 0, False)
+        crash_entry.CrashEntry(
+            request_fingerprint.of(item), "0", 0, False, False
+        )
         for item in suspects
     )
     peers = mock.Mock(broadcast=mock.AsyncMock())
@@ -50,13 +52,16 @@
             reports=reports,
             is_reachable=mock.AsyncMock(side_effect=[True, False, False]),
         )
-        self.assertFalse(await detector.has_crashed(b"0"))
+        self.assertFalse(await detector.has_crashed(b"0", was_suspect=False))
         reports.add.assert_not_awaited()
         await asyncio.gather(
-            *(detector.has_crashed(b"%d" % number) for number in (1, 2))
+            *(
+                detector.has_crashed(b"%d" % number, was_suspect=False)
+                for number in (1, 2)
+            )
         )
         # It is the same crash until the target has answered again.
-        await detector.has_crashed(b"3")
+        await detector.has_crashed(b"3", was_suspect=False)
         ids = [
             entry.crash_id
             for call in reports.add.await_args_list
