Soak: a request that crashes targets comes again while everything else fails

Before, the proof had nodes in one process only. Checked: at most 3 runs of it later than 4 s after it had crashed three targets, from callers whose time was calm but for its crashes; no other request is refused as quarantined.

Two soaks at once may collide on their addresses, as before.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -23,6 +23,7 @@
     seed: int
     nodes: int
     seconds: float
+    has_deadly: bool = False
 
 
 @click.command()
@@ -34,6 +35,9 @@
 @click.option(
     "--regressions", is_flag=True, help="Run the seeds that once failed."
 )
+@click.option(
+    "--deadly", is_flag=True, help="Send a request that crashes targets."
+)
 @click.option("--keep", help="Keep settings and logs in this folder.")
 def main(
     *,
@@ -43,6 +47,7 @@
     nodes: int,
     seconds: float,
     regressions: bool,
+    deadly: bool,
     keep: str | None,
 ) -> None:
     """Runs seeds one after the other; exits with 1 when a promise broke."""
@@ -59,6 +64,7 @@
         if is_enough and not regressions:
             break
         seeds_run.append(case.seed)
+        case = case._replace(has_deadly=deadly)
         if _report(case, _run_one(case, keep)):
             broken.append(case.seed)
     click.echo(f"{len(seeds_run)} seeds, {len(broken)} broken: {broken}")
@@ -89,7 +95,8 @@
         click.echo(f"  BROKEN {line}")
     click.echo(
         f"  repeat: python -m soak --seed {case.seed} --nodes {case.nodes}"
-        f" --seconds {case.seconds:g} --keep FOLDER"
+        f" --seconds {case.seconds:g}{' --deadly' * case.has_deadly}"
+        " --keep FOLDER"
     )
     return True
 
@@ -104,6 +111,7 @@
                 nodes=case.nodes,
                 seconds=case.seconds,
                 folder=folder,
+                has_deadly=case.has_deadly,
             ).execute()
         )
 
--- a/soak/attempt.py
+++ b/soak/attempt.py
@@ -17,7 +17,8 @@
         status: HTTP status of the answer; 0 without one.
         is_own: True if the answer is complete and belongs to this request.
         stamp: Stamp of the target that answered; empty for none.
-        failure: Error that took the place of an answer; empty for none.
+        failure: Error that took the place of an answer, or the reason of a
+            refusal; empty for none.
     """
 
     attempt_id: str
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -7,6 +7,7 @@
 import httpx
 
 from soak import attempt
+from soak import live_target
 from soak import node_process
 from soak import record
 from standins.mesh import operator_config
@@ -17,6 +18,7 @@
 """A route's timeout is 2 s."""
 
 CONNECT_TIMEOUT_S = 1.0
+REFUSED = 503
 
 
 class Callers:
@@ -50,6 +52,28 @@
                 await self._call(client)
                 await asyncio.sleep(self._rng.uniform(0.5, 1.5) * PAUSE_S)
 
+    async def call_deadly(self, *, gap_s: float) -> None:
+        """Sends the same deadly request again and again until cancelled.
+
+        Args:
+            gap_s: Mean time between two of them.
+        """
+        loop = asyncio.get_running_loop()
+        while True:
+            await asyncio.sleep(self._rng.uniform(0.0, 2 * gap_s))
+            name = f"deadly-{self._node.name}-{next(self._numbers)}"
+            self._seen.deadly_sent_s[name] = loop.time()
+            try:
+                async with self._client() as client:
+                    await client.put(
+                        "/idempotent/deadly",
+                        headers=_headers(f"{self._services[0]}.example", name),
+                        content=live_target.DEADLY_BODY,
+                    )
+            except httpx.HTTPError:
+                # Its node may be down; what it ran is recorded at targets.
+                continue
+
     async def probe(self) -> None:
         """Probes the two newest configuration versions until cancelled."""
         async with self._client() as client:
@@ -90,6 +114,8 @@
         else:
             expected = path + (sent.attempt_id if is_posting else "")
             sent.status = answer.status_code
+            if sent.status == REFUSED:
+                sent.failure = answer.json()["error"]
             sent.stamp = answer.headers.get("x-upstream-stamp", "")
             sent.is_own = answer.text == expected and sent.stamp.endswith(
                 f".{sent.attempt_id}"
--- a/soak/live_target.py
+++ b/soak/live_target.py
@@ -12,6 +12,10 @@
 
 ANNOUNCE_S = 0.5
 MAX_WORK_S = 0.12
+RESTART_S = 1.0
+DEADLY_BODY = b"deadly"
+"""Requests with this body crash the target."""
+
 LEAVE_S = 3.0
 """A leaving target finishes its work and stays reachable this long."""
 
@@ -39,6 +43,7 @@
         self._state = "ready"
         self._target: fake_target.FakeTarget | None = None
         self._task: asyncio.Task | None = None
+        self._restarts: set[asyncio.Task] = set()
 
     async def start(self) -> None:
         """Starts a new target at the same address."""
@@ -52,11 +57,14 @@
         )
         self._target.work_s = self._rng.uniform(0.01, MAX_WORK_S)
         self._target.on_run = self._record_run
+        self._target.is_deadly = lambda request: request.body == DEADLY_BODY
+        self._target.on_crash = self._restart_after_deadly
         await self._target.server.listen()
         self._task = asyncio.create_task(self._announce())
 
     async def crash(self) -> None:
         """Stops abruptly, without announcing it."""
+        self._target.on_crash = None
         self._task.cancel()
         self._target.server.close()
 
@@ -78,6 +86,8 @@
 
     def close(self) -> None:
         """Stops the target at the end of a run."""
+        for task in self._restarts:
+            task.cancel()
         if self._task is not None:
             self._task.cancel()
             self._target.server.close()
@@ -86,6 +96,24 @@
     def _control(self) -> str:
         return self._node.address(node_process.CONTROL_PORT)
 
+    def _restart_after_deadly(
+        self, target: fake_target.FakeTarget, _: list[str]
+    ) -> None:
+        self._seen.deadly_crashes_s.append(asyncio.get_running_loop().time())
+        self._task.cancel()
+        self._restarts.add(asyncio.create_task(self._restart(target)))
+
+    async def _restart(self, target: fake_target.FakeTarget) -> None:
+        loop = asyncio.get_running_loop()
+        from_s = loop.time()
+        await asyncio.sleep(RESTART_S)
+        # Another fault may have started a new one meanwhile.
+        if self._target is target and self._state == "ready":
+            await self.start()
+        self._seen.unplanned.append(
+            record.Span(from_s, loop.time(), record.DEADLY)
+        )
+
     async def _announce(self) -> None:
         while True:
             await self._send_announcement()
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -18,6 +18,11 @@
 CONFIG_S = 2.5
 """Time until an accepted configuration is in force on all nodes."""
 
+TARGETS_ENDED = 3
+ALLOWED_LATE_RUNS = 3
+"""Runs of a request that has crashed `TARGETS_ENDED` targets, once all nodes
+have had the time to hear of it."""
+
 MAX_SHOWN = 3
 
 Finding = str
@@ -41,6 +46,8 @@
         ("went back to an older version", _regressed(seen)),
         ("version not in force in time", _stale(seen)),
         ("not served after all faults", _unserved(seen, calm_from_s)),
+        ("deadly request sent on", _deadly_sent_on(seen)),
+        ("innocent request in quarantine", _innocent_refused(seen)),
     ):
         listed = list(violations)
         if listed:
@@ -129,6 +136,29 @@
             yield str(sent)
 
 
+def _deadly_sent_on(seen: record.Record) -> collections.abc.Iterator[Finding]:
+    if len(seen.deadly_crashes_s) < TARGETS_ENDED:
+        return
+    late_s = sorted(seen.deadly_crashes_s)[TARGETS_ENDED - 1] + CONTACT_S
+    late = [
+        f"{attempt_id} at {runs}"
+        for attempt_id, sent_s in seen.deadly_sent_s.items()
+        if sent_s > late_s
+        and (runs := seen.runs.get(attempt_id))
+        and seen.is_in_touch(sent_s - CONTACT_S, sent_s)
+    ]
+    if len(late) > ALLOWED_LATE_RUNS:
+        yield from late
+
+
+def _innocent_refused(
+    seen: record.Record,
+) -> collections.abc.Iterator[Finding]:
+    for sent in seen.attempts:
+        if sent.failure == "quarantined":
+            yield str(sent)
+
+
 def summary(attempts: collections.abc.Sequence[attempt.Attempt]) -> str:
     """Returns the number of attempts by status or error."""
     counts: dict[str, int] = {}
--- a/soak/record.py
+++ b/soak/record.py
@@ -5,6 +5,9 @@
 
 from soak import attempt
 
+DEADLY = "deadly request"
+"""Describes the span of a crash by a deadly request."""
+
 
 class Span(typing.NamedTuple):
     """A time span in which a fault was active.
@@ -57,6 +60,8 @@
         unplanned: Time spans of faults.
         planned: Time spans of operator actions.
         exits: Problems of processes, as text.
+        deadly_sent_s: Time at which each deadly request was sent, by attempt.
+        deadly_crashes_s: Times at which deadly requests crashed targets.
     """
 
     def __init__(self):
@@ -68,6 +73,8 @@
         self.unplanned: list[Span] = []
         self.planned: list[Span] = []
         self.exits: list[str] = []
+        self.deadly_sent_s: dict[str, float] = {}
+        self.deadly_crashes_s: list[float] = []
 
     def is_calm(self, from_s: float, to_s: float) -> bool:
         """Returns whether no fault overlaps a time span."""
@@ -75,3 +82,11 @@
             span.from_s <= to_s and span.to_s >= from_s
             for span in self.unplanned
         )
+
+    def is_in_touch(self, from_s: float, to_s: float) -> bool:
+        """Returns whether only crashes by deadly requests overlap a span."""
+        return not any(
+            span.from_s <= to_s and span.to_s >= from_s
+            for span in self.unplanned
+            if span.what != DEADLY
+        )
--- a/soak/run.py
+++ b/soak/run.py
@@ -24,6 +24,9 @@
 """Time after the last fault until nodes are connected again."""
 
 CALM_S = 3.0
+DEADLY_GAP_S = 0.4
+"""Mean time between two deadly requests."""
+
 WATCH_S = 0.5
 STALL_S = 0.3
 """A timer that fires this late shows that the machine is too busy for time
@@ -51,14 +54,23 @@
         seed: Seed of the faults and the load.
         nodes: Number of node processes.
         seconds: Length of the faulty part.
+        has_deadly: Whether a request that crashes targets comes again and
+            again.
         folder: Folder for settings and logs.
     """
 
     def __init__(
-        self, *, seed: int, nodes: int, seconds: float, folder: pathlib.Path
+        self,
+        *,
+        seed: int,
+        nodes: int,
+        seconds: float,
+        folder: pathlib.Path,
+        has_deadly: bool = False,
     ):
         self._seed = seed
         self._seconds = seconds
+        self._has_deadly = has_deadly
         self._rng = random.Random(seed)
         self._seen = record.Record()
         self._world = fleet.Fleet(
@@ -102,10 +114,22 @@
             for caller in self._load(node)
         ]
         tasks.append(asyncio.create_task(self._watch_processes()))
+        deadly = [
+            asyncio.create_task(
+                self._client(node).call_deadly(
+                    gap_s=DEADLY_GAP_S * len(self._world.nodes)
+                )
+            )
+            for node in self._world.nodes
+            if self._has_deadly
+        ]
+        tasks += deadly
         try:
             await injector.Injector(world=self._world, seen=self._seen).run(
                 faults
             )
+            for task in deadly:
+                task.cancel()
             await self._world.until_ready(MAX_RECOVERY_S)
             await asyncio.sleep(SETTLE_S)
             calm_from_s = asyncio.get_running_loop().time()
@@ -125,14 +149,17 @@
         self, node: node_process.NodeProcess
     ) -> collections.abc.Iterator[collections.abc.Coroutine]:
         """Yields the caller coroutines of a node."""
-        client = callers.Callers(
+        client = self._client(node)
+        yield from (client.call() for _ in range(CALLERS_PER_NODE))
+        yield client.probe()
+
+    def _client(self, node: node_process.NodeProcess) -> callers.Callers:
+        return callers.Callers(
             node=node,
             services=fleet.SERVICES,
             seen=self._seen,
             rng=self._rng,
         )
-        yield from (client.call() for _ in range(CALLERS_PER_NODE))
-        yield client.probe()
 
     async def _watch_processes(self) -> None:
         loop = asyncio.get_running_loop()
