Let calls run at once that wait for the turn of a cleared request

What callers would see: of a request that many send at once, those that came within the moment of suspicion waited for each other one by one, although the first answer had cleared the request.

Cause: a call that waits for its turn looked at its request when it got the turn only. Change: the ledger tells which requests are cleared, and their calls are released from the queue. The queue of turns is a class of its own; a turn that comes together with the end of a wait is passed on, and a call whose caller left is refused as cancelled.

Measured: quarantine/test_quarantine, where two calls wait behind a third; before the change they ended with it.

--- a/src/galenatack/quarantine/crash_ledger.py
+++ b/src/galenatack/quarantine/crash_ledger.py
@@ -26,6 +26,8 @@
 
 BACKOFF_S = 3.0
 
+OnCleared = collections.abc.Callable[[bytes], None]
+
 EXPIRY_S = 2 * QUARANTINE_S
 """Time after its last crash for which a request is remembered. One that is let
 through after its quarantine is quarantined again by a single further crash."""
@@ -57,11 +59,16 @@
             collections.OrderedDict()
         )
         self._heads: collections.Counter[bytes] = collections.Counter()
+        self._callbacks: list[OnCleared] = []
 
     def __len__(self) -> int:
         """Returns the number of remembered requests."""
         return len(self._records)
 
+    def on_cleared(self, callback: OnCleared) -> None:
+        """Calls `callback` with each request that is no longer a suspect."""
+        self._callbacks.append(callback)
+
     @property
     def quarantined(self) -> int:
         """Number of requests in quarantine."""
@@ -106,6 +113,12 @@
         """Merges entries and returns those that were news."""
         news = tuple(entry for entry in entries if self._merge(entry))
         self._evict()
+        for fingerprint in {
+            entry.fingerprint for entry in news if entry.is_cleared
+        }:
+            if not self.crashes(fingerprint):
+                for callback in self._callbacks:
+                    callback(fingerprint)
         return news
 
     def clear(self, fingerprint: bytes) -> tuple[crash_entry.CrashEntry, ...]:
--- a/src/galenatack/quarantine/quarantine.py
+++ b/src/galenatack/quarantine/quarantine.py
@@ -3,29 +3,26 @@
 import collections.abc
 import contextlib
 
-import anyio
-
 from galenatack import exceptions
 from galenatack.model import call_request
 from galenatack.quarantine import crash_ledger
 from galenatack.quarantine import crash_reports
 from galenatack.quarantine import request_fingerprint
+from galenatack.quarantine import suspect_turns
 
 MS_PER_S = 1000.0
 
 MAX_WAIT_SHARE = 0.5
 """Share of its time that a suspected call waits for the one before it."""
 
-WAIT_RETRY_AFTER_MS = 200
-"""About two service times."""
-
 
 class Quarantine:
     """Decides whether and how a call is sent to the target of this node.
 
     A request under which a target has crashed is a suspect until a target
     answers it. A gate runs its suspects one at a time: if the target crashes
-    again, no other suspect was running beside the cause.
+    again, no other suspect was running beside the cause. Calls that wait for
+    their turn run at once when their request is cleared.
 
     Args:
         ledger: Crashes known to this node.
@@ -40,9 +37,9 @@
     ):
         self._ledger = ledger
         self._reports = reports
-        self._turn = anyio.Semaphore(1)
-        self._waiting: dict[str, anyio.CancelScope] = {}
-        self._suspect_id = ""
+        self._turns = suspect_turns.SuspectTurns()
+        self._suspects: dict[str, bytes] = {}
+        ledger.on_cleared(self._release)
 
     def check(self, request: request_fingerprint.Request) -> None:
         """Checks that a request may be sent to targets.
@@ -72,7 +69,7 @@
 
     def runs_as_suspect(self, call_id: str) -> bool:
         """Returns whether a call at the target of this node is a suspect."""
-        return call_id == self._suspect_id
+        return call_id == self._turns.running
 
     async def clear(self, request: request_fingerprint.Request) -> None:
         """Clears a request that a target has answered."""
@@ -89,43 +86,32 @@
         Raises:
             exceptions.QuarantinedError: Targets have crashed under it.
             exceptions.OverloadedError: Its turn did not come in time.
+            exceptions.CancelledCallError: Its caller went away.
         """
         if not request.is_suspect and not self.is_suspect(request):
             yield
             return
         self.check(request)
-        await self._wait(request)
-        self._suspect_id = request.call_id
+        call_id = request.call_id
+        self._suspects[call_id] = request_fingerprint.of(request)
+        wait_s = request.deadline_ms * MAX_WAIT_SHARE / MS_PER_S
         try:
-            # The call before may have been the same request.
-            self.check(request)
-            yield
+            async with self._turns.hold(call_id, wait_s=wait_s):
+                # The call before may have been the same request.
+                self.check(request)
+                yield
         finally:
-            self._suspect_id = ""
-            self._turn.release()
+            del self._suspects[call_id]
 
     def cancel(self, call_id: str) -> bool:
         """Cancels a call that waits for its turn; returns whether it did."""
-        scope = self._waiting.get(call_id)
-        if scope is None:
-            return False
-        scope.cancel()
-        return True
+        return self._turns.cancel(call_id)
+
+    def _release(self, fingerprint: bytes) -> None:
+        for call_id, suspected in self._suspects.items():
+            if suspected == fingerprint:
+                self._turns.release(call_id)
 
     def _crashes(self, request: request_fingerprint.Request) -> int:
         fingerprint = self._ledger.find(request)
         return 0 if fingerprint is None else self._ledger.crashes(fingerprint)
-
-    async def _wait(self, request: call_request.CallRequest) -> None:
-        wait_s = request.deadline_ms * MAX_WAIT_SHARE / MS_PER_S
-        try:
-            with anyio.move_on_after(wait_s) as scope:
-                self._waiting[request.call_id] = scope
-                await self._turn.acquire()
-        finally:
-            del self._waiting[request.call_id]
-        if scope.cancelled_caught:
-            raise exceptions.OverloadedError(
-                "other requests under which targets crashed go first",
-                retry_after_ms=WAIT_RETRY_AFTER_MS,
-            )
--- a/standins/mesh/fake_target.py
+++ b/standins/mesh/fake_target.py
@@ -61,15 +61,14 @@
         if self.on_crash is not None:
             self.on_crash(self, attempts)
 
-    async def restart(self, control_address):
-        """Starts again as another target and announces itself."""
+    async def restart(self):
+        """Starts again as another target, which has to announce itself."""
         self._starts += 1
         self.target_id = f"{self.target_id.partition('-r')[0]}-r{self._starts}"
         self.born_ms += 1000
         self._make_server()
         await self.server.listen()
         self._has_crashed = False
-        return await self.announce(control_address)
 
     def _make_server(self):
         self.server = pipelined_server.PipelinedServer(
--- a/tests/mesh/crash_run.py
+++ b/tests/mesh/crash_run.py
@@ -103,7 +103,16 @@
 
     async def _restart(self, member):
         await asyncio.sleep(self.rng.uniform(0.3, 1.2))
-        await member.target.restart(member.settings.control_address)
+        await member.target.restart()
+        control = member.settings.control_address
+        while True:
+            try:
+                await member.target.announce(control)
+            except exceptions.CallError:
+                # Its node is restarting.
+                await asyncio.sleep(0.1)
+            else:
+                return
 
     async def _call_innocent(self):
         while self.loop.time() < self.end_s:
--- a/tests/quarantine/test_quarantine.py
+++ b/tests/quarantine/test_quarantine.py
@@ -48,6 +48,39 @@
         async with gate.turn(suspects[1]):
             pass
 
+    async def test_calls_that_wait_run_at_once_when_they_are_cleared(self):
+        suspects = [REQUEST._replace(call_id=f"{n}") for n in range(3)]
+        gate, _ = make(*suspects)
+
+        async def take_turn(call):
+            async with gate.turn(call):
+                self.assertFalse(gate.runs_as_suspect(call.call_id))
+
+        async with gate.turn(suspects[0]):
+            waiting = [asyncio.create_task(take_turn(s)) for s in suspects[1:]]
+            await asyncio.sleep(0.01)
+            await gate.clear(REQUEST)
+            await asyncio.gather(*waiting)
+
+    async def test_a_call_whose_caller_left_passes_its_turn_on(self):
+        suspects = [
+            REQUEST._replace(body=b"%d" % n, call_id=f"{n}") for n in range(3)
+        ]
+        gate, _ = make(*suspects)
+        ran = []
+
+        async def take_turn(call):
+            async with gate.turn(call):
+                ran.append(call.call_id)
+
+        async with gate.turn(suspects[0]):
+            tasks = [asyncio.create_task(take_turn(s)) for s in suspects[1:]]
+            await asyncio.sleep(0.01)
+            self.assertTrue(gate.cancel("1"))
+        ended = await asyncio.gather(*tasks, return_exceptions=True)
+        self.assertIsInstance(ended[0], exceptions.CancelledCallError)
+        self.assertEqual(ran, ["2"])
+
     async def test_calls_lost_in_one_crash_are_reported_together(self):
         _, reports = make()
         reports.add = mock.AsyncMock()
