Keep a request in the store from its second crash on

Cause: the row was written at the third crash that counts, so that a restart of all nodes before it took two crashes back to none.

Change: from the second one, with which the request is refused for a moment. Rows stay rare, since a second crash counts only if the request ran with no other suspect beside it.

--- a/src/galenatack/quarantine/crash_archive.py
+++ b/src/galenatack/quarantine/crash_archive.py
@@ -1,4 +1,4 @@
-"""Keeps the requests in quarantine in the store."""
+"""Keeps the requests that are refused for their crashes in the store."""
 
 import collections.abc
 import json
@@ -31,8 +31,17 @@
 Action = collections.abc.Callable[[], collections.abc.Awaitable[None]]
 
 
+def is_archived(crashes: int) -> bool:
+    """Returns whether a request with so many crashes is kept in the store.
+
+    A first crash makes suspects of all requests that were running; most of
+    them are cleared within a second.
+    """
+    return crashes >= crash_ledger.BACKOFF_CRASHES
+
+
 class CrashArchive:
-    """Writes quarantined requests to the store and reads them at the start.
+    """Writes refused requests to the store and reads them at the start.
 
     Nodes tell each other of crashes; a row is for the case that all of them
     are restarted at once. The node beside the last target that crashed writes
@@ -112,7 +121,7 @@
             fingerprint = next(iter(self._changed))
             key = fingerprint.hex()
             crashes = self._ledger.crashes(fingerprint)
-            if crashes >= crash_ledger.QUARANTINE_CRASHES:
+            if is_archived(crashes):
                 change = row_change.RowChange(
                     writes=((TABLE, key, self._encode(fingerprint)),)
                 )
--- a/src/galenatack/quarantine/crash_reports.py
+++ b/src/galenatack/quarantine/crash_reports.py
@@ -39,19 +39,18 @@
         """Applies crashes of the own target, then floods those not known."""
         news = self._ledger.add(entries)
         for entry in news:
-            if self._is_quarantined(entry.fingerprint):
+            if self._is_archived(entry.fingerprint):
                 self._archive.note(entry.fingerprint)
         await self._flood(news, exclude=None)
 
     async def clear(self, fingerprint: bytes) -> None:
         """Clears all crashes of a request, here and elsewhere."""
-        if self._is_quarantined(fingerprint):
+        if self._is_archived(fingerprint):
             self._archive.note(fingerprint)
         await self._flood(self._ledger.clear(fingerprint), exclude=None)
 
-    def _is_quarantined(self, fingerprint: bytes) -> bool:
-        crashes = self._ledger.crashes(fingerprint)
-        return crashes >= crash_ledger.QUARANTINE_CRASHES
+    def _is_archived(self, fingerprint: bytes) -> bool:
+        return crash_archive.is_archived(self._ledger.crashes(fingerprint))
 
     async def _receive(
         self, sender: str, message: crash_report.CrashReport
