Refuse waiting calls with their request; keep refused requests longest

Found on reading the change: a call that waits for its turn behind an equal one that crashes the target was refused only when its turn came, up to half of its time later; calls that lost their answer while a crash was being reported were not reported; a crash of many targets at once could push requests that are refused out of the memory; and each heartbeat of a peer looked at all cleared requests.

Change: the ledger tells of all news, and decided calls end their wait; the detector takes the lost calls before it reports; suspects are kept apart from cleared requests, which cost a call nothing more; requests that are refused go last.

--- a/src/galenatack/quarantine/crash_detector.py
+++ b/src/galenatack/quarantine/crash_detector.py
@@ -65,22 +65,24 @@
 
     async def _find_out(self) -> bool:
         try:
-            if await self._is_reachable():
-                self._is_down = False
-                return False
-            if not self._is_down:
-                self._is_down = True
-                self._crashes += 1
-            await self._report()
-            return True
+            is_reachable = await self._is_reachable()
         finally:
-            self._lost = {}
+            # Calls that come from here on need a check of their own.
+            lost, self._lost = self._lost, {}
             self._check = None
+        if is_reachable:
+            self._is_down = False
+            return False
+        if not self._is_down:
+            self._is_down = True
+            self._crashes += 1
+        await self._report(lost)
+        return True
 
-    async def _report(self) -> None:
+    async def _report(self, lost: dict[bytes, bool]) -> None:
         crash_id = f"{self._name}:{self._crashes}"
         _LOGGER.warning(
-            "event=target-crashed crash=%s calls=%d", crash_id, len(self._lost)
+            "event=target-crashed crash=%s calls=%d", crash_id, len(lost)
         )
         await self._reports.add(
             tuple(
@@ -91,6 +93,6 @@
                     was_suspect=was_suspect,
                     is_cleared=False,
                 )
-                for fingerprint, was_suspect in self._lost.items()
+                for fingerprint, was_suspect in lost.items()
             )
         )
--- a/src/galenatack/quarantine/crash_ledger.py
+++ b/src/galenatack/quarantine/crash_ledger.py
@@ -26,7 +26,7 @@
 
 BACKOFF_S = 3.0
 
-OnCleared = collections.abc.Callable[[bytes], None]
+OnChanged = collections.abc.Callable[[bytes], None]
 
 EXPIRY_S = 2 * QUARANTINE_S
 """Time after its last crash for which a request is remembered. One that is let
@@ -58,33 +58,34 @@
         self._records: collections.OrderedDict[bytes, _Record] = (
             collections.OrderedDict()
         )
-        self._heads: collections.Counter[bytes] = collections.Counter()
-        self._callbacks: list[OnCleared] = []
+        self._suspects: set[bytes] = set()
+        self._suspect_heads: collections.Counter[bytes] = collections.Counter()
+        self._callbacks: list[OnChanged] = []
 
     def __len__(self) -> int:
         """Returns the number of remembered requests."""
         return len(self._records)
 
-    def on_cleared(self, callback: OnCleared) -> None:
-        """Calls `callback` with each request that is no longer a suspect."""
+    def on_changed(self, callback: OnChanged) -> None:
+        """Calls `callback` with each request of which there is news."""
         self._callbacks.append(callback)
 
     @property
     def quarantined(self) -> int:
         """Number of requests in quarantine."""
         return sum(
-            record.crashes >= QUARANTINE_CRASHES
+            self.crashes(fingerprint) >= QUARANTINE_CRASHES
             and self.refusal_ms(fingerprint) > 0
-            for fingerprint, record in self._records.items()
+            for fingerprint in self._suspects
         )
 
     def find(self, request: request_fingerprint.Request) -> bytes | None:
         """Returns the fingerprint of a request if targets crashed under it."""
-        if not self._records:
+        if not self._suspects:
             return None
         head = request_fingerprint.of_head(request)
         # Spares the digest of bodies, which may be large.
-        if head not in self._heads:
+        if head not in self._suspect_heads:
             return None
         fingerprint = head + request_fingerprint.of_body(request)
         return fingerprint if self.crashes(fingerprint) else None
@@ -113,12 +114,9 @@
         """Merges entries and returns those that were news."""
         news = tuple(entry for entry in entries if self._merge(entry))
         self._evict()
-        for fingerprint in {
-            entry.fingerprint for entry in news if entry.is_cleared
-        }:
-            if not self.crashes(fingerprint):
-                for callback in self._callbacks:
-                    callback(fingerprint)
+        for fingerprint in {entry.fingerprint for entry in news}:
+            for callback in self._callbacks:
+                callback(fingerprint)
         return news
 
     def clear(self, fingerprint: bytes) -> tuple[crash_entry.CrashEntry, ...]:
@@ -133,8 +131,8 @@
         """Returns the entries of all requests that have crashes."""
         return tuple(
             entry
-            for fingerprint, record in self._records.items()
-            if record.crashes and not self._is_expired(record)
+            for fingerprint in self._suspects
+            if self.crashes(fingerprint)
             for entry in self.entries_of(fingerprint)
         )
 
@@ -166,6 +164,7 @@
         if not record.merge(entry.crash_id, crash):
             return False
         self._records.move_to_end(entry.fingerprint)
+        self._note_suspect(entry.fingerprint, is_suspect=record.crashes > 0)
         if not entry.is_cleared and record.crashes >= BACKOFF_CRASHES:
             _LOGGER.warning(
                 "event=request-quarantined fingerprint=%s crashes=%d"
@@ -181,25 +180,47 @@
         self._remove(fingerprint)
         record = _Record()
         self._records[fingerprint] = record
-        self._heads[fingerprint[: request_fingerprint.HALF_BYTES]] += 1
         return record
 
     def _evict(self) -> None:
-        """Removes expired records, and the oldest ones beyond the limit."""
+        """Removes expired records, and the oldest ones beyond the limit.
+
+        Requests that are refused are the last to go beyond the limit.
+        """
         while self._records:
-            fingerprint, record = next(iter(self._records.items()))
-            is_excess = len(self._records) > MAX_REQUESTS
-            if not is_excess and not self._is_expired(record):
+            oldest, record = next(iter(self._records.items()))
+            if self._is_expired(record):
+                self._remove(oldest)
+            elif len(self._records) > MAX_REQUESTS:
+                self._remove(
+                    next(
+                        (
+                            fingerprint
+                            for fingerprint, record in self._records.items()
+                            if record.crashes < BACKOFF_CRASHES
+                        ),
+                        oldest,
+                    )
+                )
+            else:
                 return
-            self._remove(fingerprint)
 
     def _remove(self, fingerprint: bytes) -> None:
-        if self._records.pop(fingerprint, None) is None:
+        if self._records.pop(fingerprint, None) is not None:
+            self._note_suspect(fingerprint, is_suspect=False)
+
+    def _note_suspect(self, fingerprint: bytes, *, is_suspect: bool) -> None:
+        if is_suspect == (fingerprint in self._suspects):
             return
         head = fingerprint[: request_fingerprint.HALF_BYTES]
-        self._heads[head] -= 1
-        if not self._heads[head]:
-            del self._heads[head]
+        if is_suspect:
+            self._suspects.add(fingerprint)
+            self._suspect_heads[head] += 1
+            return
+        self._suspects.discard(fingerprint)
+        self._suspect_heads[head] -= 1
+        if not self._suspect_heads[head]:
+            del self._suspect_heads[head]
 
     def _is_expired(self, record: "_Record") -> bool:
         return self._clock.monotonic_s() - record.last_s > EXPIRY_S
--- a/src/galenatack/quarantine/quarantine.py
+++ b/src/galenatack/quarantine/quarantine.py
@@ -22,7 +22,7 @@
     A request under which a target has crashed is a suspect until a target
     answers it. A gate runs its suspects one at a time: if the target crashes
     again, no other suspect was running beside the cause. Calls that wait for
-    their turn run at once when their request is cleared.
+    their turn end their wait when their request is cleared or refused.
 
     Args:
         ledger: Crashes known to this node.
@@ -39,7 +39,7 @@
         self._reports = reports
         self._turns = suspect_turns.SuspectTurns()
         self._suspects: dict[str, bytes] = {}
-        ledger.on_cleared(self._release)
+        ledger.on_changed(self._release_decided)
 
     def check(self, request: request_fingerprint.Request) -> None:
         """Checks that a request may be sent to targets.
@@ -97,7 +97,7 @@
         wait_s = request.deadline_ms * MAX_WAIT_SHARE / MS_PER_S
         try:
             async with self._turns.hold(call_id, wait_s=wait_s):
-                # The call before may have been the same request.
+                # Another call of the same request may have decided on it.
                 self.check(request)
                 yield
         finally:
@@ -107,7 +107,11 @@
         """Cancels a call that waits for its turn; returns whether it did."""
         return self._turns.cancel(call_id)
 
-    def _release(self, fingerprint: bytes) -> None:
+    def _release_decided(self, fingerprint: bytes) -> None:
+        """Ends the wait for a turn if the request is cleared, or refused."""
+        is_suspect = self._ledger.crashes(fingerprint) > 0
+        if is_suspect and not self._ledger.refusal_ms(fingerprint):
+            return
         for call_id, suspected in self._suspects.items():
             if suspected == fingerprint:
                 self._turns.release(call_id)
--- a/tests/mesh/crash_run.py
+++ b/tests/mesh/crash_run.py
@@ -5,13 +5,11 @@
 
 import argparse
 import asyncio
-import collections
 import functools
 import itertools
-import json
 import logging
 import random
-import typing
+import types
 
 from galenatack import exceptions
 from tests.mesh import small_fleet
@@ -24,26 +22,6 @@
 DEADLY_GAP_S = 0.25
 CALLERS = 8
 REPEATED_BODIES = 6
-NOT_SERVED = 503
-
-
-class Outcome(typing.NamedTuple):
-    """What one run showed.
-
-    Attributes:
-        crashes: Crashes of targets by the deadly request.
-        late_runs: Runs of the deadly request that began later than
-            `CONTACT_S` after it had crashed the third target.
-        innocent: Other requests.
-        innocent_beside: Those that were running when a target crashed.
-        innocent_quarantined: Answers that kept an innocent request out.
-    """
-
-    crashes: int
-    late_runs: int
-    innocent: int
-    innocent_beside: int
-    innocent_quarantined: int
 
 
 class CrashRun:
@@ -56,7 +34,7 @@
         self.end_s = self.loop.time() + seconds
         self.deadly_runs_s = []
         self.crashes_s = []
-        self.counts = collections.Counter()
+        self.innocent = self.beside = self.quarantined = 0
         self._numbers = itertools.count()
         self._restarts = set()
         self._members = [m for m in fleet.members if m.target.service == "b"]
@@ -68,27 +46,36 @@
             target.on_run = self._record_run
             target.on_crash = functools.partial(self._record_crash, member)
 
-    async def play(self, *, restart_node=False):
-        """Plays one run and returns its outcome."""
+    async def play(self, *, restart_nodes):
+        """Plays one run and returns what it showed.
+
+        Late runs of the deadly request are those that begin later than
+        `CONTACT_S` after it has crashed the third target.
+        """
         async with asyncio.TaskGroup() as tasks:
             for _ in range(CALLERS):
-                tasks.create_task(self._call_innocent())
-            tasks.create_task(self._call_deadly())
-            tasks.create_task(self._crash_others())
-            if restart_node:
-                tasks.create_task(self._restart_nodes())
+                tasks.create_task(self._repeat(0.02, self._call_innocent))
+            tasks.create_task(self._repeat(2 * DEADLY_GAP_S, self._call_deadly))
+            tasks.create_task(self._repeat(4.0, self._crash_others))
+            if restart_nodes:
+                tasks.create_task(self._repeat(3.0, self._restart_nodes))
         await asyncio.gather(*self._restarts)
         late_s = float("inf")
         if len(self.crashes_s) >= TARGETS_ENDED:
             late_s = self.crashes_s[TARGETS_ENDED - 1] + CONTACT_S
-        return Outcome(
-            len(self.crashes_s),
-            sum(at > late_s for at in self.deadly_runs_s),
-            self.counts["innocent"],
-            self.counts["innocent beside"],
-            self.counts["innocent quarantined"],
+        return types.SimpleNamespace(
+            crashes=len(self.crashes_s),
+            late_runs=sum(at > late_s for at in self.deadly_runs_s),
+            innocent=self.innocent,
+            innocent_beside=self.beside,
+            innocent_quarantined=self.quarantined,
         )
 
+    async def _repeat(self, max_gap_s, action):
+        while self.loop.time() < self.end_s:
+            await asyncio.sleep(self.rng.uniform(0.0, max_gap_s))
+            await action()
+
     def _record_run(self, _, attempt):
         if attempt.startswith("deadly"):
             self.deadly_runs_s.append(self.loop.time())
@@ -98,16 +85,15 @@
         beside = sum(not name.startswith("deadly") for name in attempts)
         if beside < len(attempts):
             self.crashes_s.append(self.loop.time())
-        self.counts["innocent beside"] += beside
+        self.beside += beside
         self._restarts.add(asyncio.create_task(self._restart(member)))
 
     async def _restart(self, member):
         await asyncio.sleep(self.rng.uniform(0.3, 1.2))
         await member.target.restart()
-        control = member.settings.control_address
         while True:
             try:
-                await member.target.announce(control)
+                await member.target.announce(member.settings.control_address)
             except exceptions.CallError:
                 # Its node is restarting.
                 await asyncio.sleep(0.1)
@@ -115,40 +101,33 @@
                 return
 
     async def _call_innocent(self):
-        while self.loop.time() < self.end_s:
-            # Some requests are equal to earlier ones, others are new.
-            draw = self.rng.random()
-            if draw < 0.1:
-                answer = await self._call(b"deadly", caller=b"other")
-            elif draw < 0.2:
-                answer = await self._call(b"deadly", name="y")
-            elif draw < 0.5:
-                number = self.rng.randrange(REPEATED_BODIES)
-                answer = await self._call(b"%d" % number)
-            else:
-                kind = self.rng.choice(("idempotent", "non_idempotent"))
-                body = b"new%d" % next(self._numbers)
-                answer = await self._call(body, kind=kind)
-            self.counts["innocent"] += 1
-            if _is_quarantined(answer):
-                self.counts["innocent quarantined"] += 1
-            await asyncio.sleep(self.rng.uniform(0.0, 0.02))
+        """Calls alike but for one part, such as come again, or new ones."""
+        number = next(self._numbers)
+        more = self.rng.choice(
+            (
+                {"caller": b"other"},
+                {"name": "y"},
+                {"body": b"%d" % self.rng.randrange(REPEATED_BODIES)},
+                {"body": b"new%d" % number},
+                {"body": b"new%d" % number, "kind": "non_idempotent"},
+            )
+        )
+        answer = await self._call(**more)
+        self.innocent += 1
+        self.quarantined += answer is not None and b"quarant" in answer.body
 
     async def _call_deadly(self):
-        while self.loop.time() < self.end_s:
-            for _ in range(self.rng.choice((1, 1, 2))):
-                await self._call(b"deadly", attempt=b"deadly-")
-            await asyncio.sleep(self.rng.uniform(0.0, 2 * DEADLY_GAP_S))
+        for _ in range(self.rng.choice((1, 1, 2))):
+            await self._call(attempt=b"deadly-")
 
-    async def _call(self, body, *, kind="idempotent", name="x", **more):
-        member = self.rng.choice(self.fleet.members)
+    async def _call(self, *, kind="idempotent", name="x", **more):
         try:
             return await self.fleet.call(
-                member,
+                self.rng.choice(self.fleet.members),
                 "b.example",
                 f"/{kind}/{name}",
                 method="POST",
-                body=body,
+                body=more.get("body", b"deadly"),
                 attempt=more.get("attempt", b"a") + b"%d" % next(self._numbers),
                 headers=((b"authorization", more.get("caller", CALLER)),),
             )
@@ -157,27 +136,23 @@
             return None
 
     async def _crash_others(self):
-        while self.loop.time() < self.end_s:
-            await asyncio.sleep(self.rng.uniform(1.0, 4.0))
-            count = self.rng.choice((1, 1, 2, 3))
-            for member in self.rng.sample(self._members, count):
-                member.target.crash()
+        count = self.rng.choice((1, 1, 2, 3))
+        for member in self.rng.sample(self._members, count):
+            member.target.crash()
 
     async def _restart_nodes(self):
-        while self.loop.time() < self.end_s - 1.0:
-            await asyncio.sleep(self.rng.uniform(1.0, 2.0))
-            members = self.fleet.members
-            if self.rng.random() < 0.7:
-                members = [self.rng.choice(members)]
-            for member in members:
-                member.task.cancel()
-            await asyncio.gather(
-                *(member.task for member in members), return_exceptions=True
-            )
-            for member in members:
-                await member.parts.target.close()
-                member.rebuild(self.fleet.store)
-                member.task = asyncio.create_task(member.node.run())
+        members = self.fleet.members
+        if self.rng.random() < 0.7:
+            members = [self.rng.choice(members)]
+        for member in members:
+            member.task.cancel()
+        await asyncio.gather(
+            *(member.task for member in members), return_exceptions=True
+        )
+        for member in members:
+            await member.parts.target.close()
+            member.rebuild(self.fleet.store)
+            member.task = asyncio.create_task(member.node.run())
 
 
 def _is_deadly(request):
@@ -186,17 +161,11 @@
     return (caller, path, request.body) == (CALLER, "x", b"deadly")
 
 
-def _is_quarantined(answer):
-    if answer is None or answer.status != NOT_SERVED:
-        return False
-    return json.loads(answer.body)["error"] == "quarantined"
-
-
-async def run(seed, seconds=8.0, *, restart_node=False):
+async def run(seed, seconds, *, restart_nodes=False):
     """Plays one seed and returns its outcome."""
     async with small_fleet.SmallFleet(*SERVICES) as fleet:
         return await CrashRun(fleet, seed, seconds).play(
-            restart_node=restart_node
+            restart_nodes=restart_nodes
         )
 
 
@@ -205,14 +174,13 @@
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--count", type=int, default=1)
-    parser.add_argument("--seconds", type=float, default=8.0)
+    parser.add_argument("--seconds", type=float, default=12.0)
     parser.add_argument("--restart-nodes", action="store_true")
     options = parser.parse_args()
     logging.disable(logging.WARNING)
     for seed in range(options.seed, options.seed + options.count):
-        outcome = asyncio.run(
-            run(seed, options.seconds, restart_node=options.restart_nodes)
-        )
+        restart = options.restart_nodes
+        outcome = asyncio.run(run(seed, options.seconds, restart_nodes=restart))
         print(f"seed={seed} {outcome}", flush=True)
 
 
--- a/tests/mesh/test_crashing_requests.py
+++ b/tests/mesh/test_crashing_requests.py
@@ -24,4 +24,4 @@
         self.check(asyncio.run(crash_run.run(1, SECONDS)))
 
     def test_nodes_that_restart_keep_it_from_targets_too(self):
-        self.check(asyncio.run(crash_run.run(2, SECONDS, restart_node=True)))
+        self.check(asyncio.run(crash_run.run(2, SECONDS, restart_nodes=True)))
--- a/tests/quarantine/test_crash_ledger.py
+++ b/tests/quarantine/test_crash_ledger.py
@@ -67,4 +67,5 @@
         for number in range(crash_ledger.MAX_REQUESTS):
             self.ledger.add([crash(1, fingerprint=b"%016d" % number)])
         self.assertEqual(len(self.ledger), crash_ledger.MAX_REQUESTS)
-        self.assertIsNone(self.ledger.find(REQUEST))
+        self.assertEqual(self.ledger.quarantined, 1)
+        self.assertIsNotNone(self.ledger.find(REQUEST))
--- a/tests/quarantine/test_quarantine.py
+++ b/tests/quarantine/test_quarantine.py
@@ -62,6 +62,24 @@
             await gate.clear(REQUEST)
             await asyncio.gather(*waiting)
 
+    async def test_calls_that_wait_are_refused_with_their_request(self):
+        suspects = [REQUEST._replace(call_id=f"{n}") for n in range(2)]
+        gate, reports = make(*suspects)
+        crash = crash_entry.CrashEntry(
+            request_fingerprint.of(REQUEST), "1", 0, True, False
+        )
+
+        async def take_turn():
+            async with gate.turn(suspects[1]):
+                self.fail("ran after a second crash")
+
+        async with gate.turn(suspects[0]):
+            waiting = asyncio.create_task(take_turn())
+            await asyncio.sleep(0.01)
+            await reports.add((crash,))
+            with self.assertRaises(exceptions.QuarantinedError):
+                await waiting
+
     async def test_a_call_whose_caller_left_passes_its_turn_on(self):
         suspects = [
             REQUEST._replace(body=b"%d" % n, call_id=f"{n}") for n in range(3)
