Try some calls of a request that is held back, the more the more it comes

Cause: a request that makes up a fifth of the load is nearly always at some target. Where the target that its retry runs on crashes as well, within the 50 ms in which no other target answers it, it has two crashes, and is refused for 3 s at all nodes, so that nothing can clear it.

Ruled out: a higher count before it is held back (a deadly request then ends three targets within half a second), a shorter hold (the targets are not back).

Change: while a request is held back, each node sends one of N calls as a trial, N being the number of nodes. At 30 calls a second and 5 nodes that is one in 0.2 s; a deadly request that comes once a second to 12 nodes has one chance in four of a trial within the 3 s.

--- a/src/galenatack/app/mesh_callbacks.py
+++ b/src/galenatack/app/mesh_callbacks.py
@@ -20,6 +20,7 @@
 from galenatack.model import target_condition
 from galenatack.platform import config_document
 from galenatack.platform import rollout_rows
+from galenatack.quarantine import quarantine as quarantine_module
 from galenatack.rollouts import rollout_registry
 from galenatack.timeline import hybrid_clock
 from galenatack.traffic import attempt_budget
@@ -48,6 +49,7 @@
     registry: target_registry.TargetRegistry
     gate: target_gate.TargetGate
     budget: attempt_budget.AttemptBudget
+    quarantine: quarantine_module.Quarantine
     placement: target_placement.TargetPlacement
     limits: connection_limits.ConnectionLimits
     syncs: tuple[neighbour_sync.NeighbourSync, ...]
@@ -164,10 +166,11 @@
     def members_changed(
         self, changed: tuple[member_record.MemberRecord, ...]
     ) -> None:
-        """Updates the retry budget and the placement for the live nodes."""
+        """Updates the parts that depend on the live nodes."""
         del changed
         live = self._parts.members.live()
         self._parts.budget.set_nodes(len(live))
+        self._parts.quarantine.set_nodes(len(live))
         self._parts.placement.retain_only({record.node_id for record in live})
 
     def rows_changed(self, rows: tuple[table_row.TableRow, ...]) -> None:
--- a/src/galenatack/app/mesh_quarantine.py
+++ b/src/galenatack/app/mesh_quarantine.py
@@ -36,7 +36,9 @@
         ledger=ledger,
         archive=archive,
         reports=reports,
-        quarantine=quarantine.Quarantine(ledger=ledger, reports=reports),
+        quarantine=quarantine.Quarantine(
+            ledger=ledger, reports=reports, rng=base.rng
+        ),
         sync=neighbour_sync.NeighbourSync(
             messages=reports.messages, peers=base.peers
         ),
--- a/src/galenatack/app/mesh_wiring.py
+++ b/src/galenatack/app/mesh_wiring.py
@@ -67,14 +67,15 @@
     )
     shared = mesh_store.make(base, instrumented)
     servers = _make_servers(base, inbound, outbound)
-    syncs = (
-        neighbour_sync.NeighbourSync(
-            messages=rollouts.withdrawn.all, peers=base.peers
-        ),
-        quarantine.sync,
-    )
     _connect(
-        base, instrumented, shared, rollouts, inbound, outbound, servers, syncs
+        base,
+        instrumented,
+        shared,
+        rollouts,
+        quarantine,
+        inbound,
+        outbound,
+        servers,
     )
     return mesh_parts.MeshParts(
         settings=settings,
@@ -124,11 +125,17 @@
     store: shared_table.SharedTable,
     shared: mesh_store.MeshStore,
     rollouts: mesh_rollouts.MeshRollouts,
+    quarantine: mesh_quarantine.MeshQuarantine,
     inbound: mesh_inbound.MeshInbound,
     outbound: mesh_outbound.MeshOutbound,
     servers: _Servers,
-    syncs: tuple[neighbour_sync.NeighbourSync, ...],
 ) -> None:
+    syncs = (
+        neighbour_sync.NeighbourSync(
+            messages=rollouts.withdrawn.all, peers=base.peers
+        ),
+        quarantine.sync,
+    )
     base.callbacks.connect(
         mesh_callbacks.CallbackParts(
             members=base.members,
@@ -143,6 +150,7 @@
             registry=inbound.registry,
             gate=inbound.gate,
             budget=outbound.budget,
+            quarantine=quarantine.quarantine,
             placement=outbound.placement,
             limits=servers.callers.limits,
             syncs=syncs,
--- a/src/galenatack/model/call_request.py
+++ b/src/galenatack/model/call_request.py
@@ -27,6 +27,8 @@
             sender, for a gate that has restarted since; None without one.
         is_suspect: True if the sender knows of a target that crashed under
             this request, of which the gate may not have heard.
+        is_trial: True if it is sent although its request is held back, to find
+            out whether a target answers it.
     """
 
     call_id: str
@@ -46,3 +48,4 @@
     target_id: str = ""
     target_rate_limit_per_s: float | None = None
     is_suspect: bool = False
+    is_trial: bool = False
--- a/src/galenatack/quarantine/quarantine.py
+++ b/src/galenatack/quarantine/quarantine.py
@@ -4,6 +4,7 @@
 import contextlib
 
 from galenatack import exceptions
+from galenatack.interfaces import random_source
 from galenatack.model import call_request
 from galenatack.quarantine import crash_ledger
 from galenatack.quarantine import crash_reports
@@ -27,6 +28,7 @@
     Args:
         ledger: Crashes known to this node.
         reports: Shares crashes with other nodes.
+        rng: Source of randomness.
     """
 
     def __init__(
@@ -34,19 +36,51 @@
         *,
         ledger: crash_ledger.CrashLedger,
         reports: crash_reports.CrashReports,
+        rng: random_source.RandomSource,
     ):
         self._ledger = ledger
         self._reports = reports
+        self._rng = rng
+        self._nodes = 1
         self._turns = suspect_turns.SuspectTurns()
         self._suspects: dict[str, bytes] = {}
         ledger.on_changed(self._release_decided)
 
-    def check(self, request: request_fingerprint.Request) -> None:
-        """Checks that a request may be sent to targets.
+    def set_nodes(self, nodes: int) -> None:
+        """Sets how many nodes take requests."""
+        self._nodes = max(1, nodes)
+
+    def admit(self, request: request_fingerprint.Request) -> bool:
+        """Returns whether a caller's request is sent as a trial.
+
+        While a request is only held back for a moment, each node tries a few of
+        its calls, about one at a time in the deployment: the more callers
+        send it, the sooner an innocent one is cleared.
 
         Raises:
             exceptions.QuarantinedError: Targets have crashed under it.
         """
+        crashes = self._crashes(request)
+        is_trial = (
+            crash_ledger.BACKOFF_CRASHES
+            <= crashes
+            < crash_ledger.QUARANTINE_CRASHES
+        ) and self._rng.random() * self._nodes < 1.0
+        if not is_trial:
+            self._check(request)
+        return is_trial
+
+    def check(self, request: call_request.CallRequest) -> None:
+        """Checks that a call may be sent to the target of this node.
+
+        Raises:
+            exceptions.QuarantinedError: Targets have crashed under it.
+        """
+        is_decided = self._crashes(request) >= crash_ledger.QUARANTINE_CRASHES
+        if is_decided or not request.is_trial:
+            self._check(request)
+
+    def _check(self, request: request_fingerprint.Request) -> None:
         fingerprint = self._ledger.find(request)
         if fingerprint is None:
             return
--- a/src/galenatack/traffic/call_router.py
+++ b/src/galenatack/traffic/call_router.py
@@ -125,7 +125,7 @@
                 f" {', '.join(route.unknowns)}",
                 retry_after_ms=UNUSABLE_ROUTE_RETRY_AFTER_MS,
             )
-        self._quarantine.check(request)
+        is_trial = self._quarantine.admit(request)
         timeout_ms = route.timeout_ms
         if request.deadline_ms:
             timeout_ms = min(timeout_ms, request.deadline_ms)
@@ -135,6 +135,7 @@
             service=self._weights.pick(route),
             config_version=table.version,
             deadline_s=started_s + timeout_ms / MS_PER_S,
+            is_trial=is_trial,
         )
         self._budget.record_first_attempt(attempts.service)
         return attempts
--- a/src/galenatack/traffic/call_sender.py
+++ b/src/galenatack/traffic/call_sender.py
@@ -113,6 +113,7 @@
             target_id=member.target_id,
             target_rate_limit_per_s=self._conditions.rate_limit_per_s(member),
             is_suspect=attempts.crashes > 0,
+            is_trial=attempts.is_trial,
         )
 
     async def _send_local(
--- a/src/galenatack/traffic/request_attempts.py
+++ b/src/galenatack/traffic/request_attempts.py
@@ -16,6 +16,7 @@
         service: Service that was chosen by weight, the same for all attempts.
         config_version: Version of the configuration that has the route.
         deadline_s: Monotonic time by which the caller must have an answer.
+        is_trial: Whether it is sent although its request is held back.
 
     Attributes:
         tried: Ids of the nodes that were tried.
@@ -33,12 +34,14 @@
         service: str,
         config_version: int,
         deadline_s: float,
+        is_trial: bool = False,
     ):
         self.request = request
         self.route = route
         self.service = service
         self.config_version = config_version
         self.deadline_s = deadline_s
+        self.is_trial = is_trial
         self.tried: set[str] = set()
         self.trail: list[str] = []
         self.arrivals = 0
--- a/tests/quarantine/test_quarantine.py
+++ b/tests/quarantine/test_quarantine.py
@@ -1,6 +1,7 @@
 """Tests of how suspected requests are kept apart."""
 
 import asyncio
+import random
 import unittest
 from unittest import mock
 
@@ -30,7 +31,10 @@
     reports = crash_reports.CrashReports(
         ledger=ledger, archive=mock.Mock(), peers=peers
     )
-    return quarantine.Quarantine(ledger=ledger, reports=reports), reports
+    gate = quarantine.Quarantine(
+        ledger=ledger, reports=reports, rng=random.Random(1)
+    )
+    return gate, reports
 
 
 class TestQuarantine(unittest.IsolatedAsyncioTestCase):
@@ -99,6 +103,26 @@
         self.assertIsInstance(ended[0], exceptions.CancelledCallError)
         self.assertEqual(ran, ["2"])
 
+    async def test_a_request_held_back_is_tried_by_one_node_in_turn(self):
+        gate, reports = make(REQUEST)
+        gate.set_nodes(10)
+        crash = crash_entry.CrashEntry(
+            request_fingerprint.of(REQUEST), "1", 0, True, False
+        )
+        await reports.add((crash,))
+        trials = refused = 0
+        for _ in range(1000):
+            try:
+                trials += gate.admit(REQUEST)
+            except exceptions.QuarantinedError:
+                refused += 1
+        self.assertEqual(trials + refused, 1000)
+        self.assertAlmostEqual(trials, 100, delta=30)
+        async with gate.turn(REQUEST._replace(is_trial=True)):
+            await reports.add((crash._replace(crash_id="2"),))
+        with self.assertRaises(exceptions.QuarantinedError):
+            gate.check(REQUEST._replace(is_trial=True))
+
     async def test_calls_lost_in_one_crash_are_reported_together(self):
         _, reports = make()
         reports.add = mock.AsyncMock()
