Tests of rows begin once two nodes follow the store, as they say

This is allowed while nodes start: the second follower takes over up to 0.4 s after the first.

Cause: is_settled says that two nodes follow, but held for one as well. It now asks for two, within the same 10 s, and the assertion after it stays.

--- a/tests/mesh/test_rows.py
+++ b/tests/mesh/test_rows.py
@@ -4,6 +4,7 @@
 import unittest
 
 from galenatack.app import mesh_store
+from galenatack.config import store_follower_election
 from standins.mesh import operator_config
 from tests.mesh import small_fleet
 
@@ -35,8 +36,8 @@
 def is_settled(fleet):
     """Returns whether two nodes follow and all nodes know them.
 
-    While nodes start, more may follow: a node takes over that has no link to
-    a follower yet. That only costs extra reads.
+    While nodes start, one may follow, or more than two: a node takes over that
+    has no link to a follower yet. That only costs extra reads.
     """
     watching = {
         member.name
@@ -44,7 +45,11 @@
         if any(watcher.is_following for watcher in member.parts.watchers)
     }
     known = {member.parts.election.followers for member in fleet.members}
-    return known == {tuple(sorted(watching))} and followers(fleet) == watching
+    return (
+        len(watching) == store_follower_election.FOLLOWERS_PER_REGION
+        and known == {tuple(sorted(watching))}
+        and followers(fleet) == watching
+    )
 
 
 def followers(fleet):
