Soak: one restart of a target that crashes twice

A deadly request had crashed a target, a crash of the plan followed within the second, and both started it again. A crash of the plan now cancels the restart of the other one.

--- a/soak/live_target.py
+++ b/soak/live_target.py
@@ -65,6 +65,9 @@
     async def crash(self) -> None:
         """Stops abruptly, without announcing it."""
         self._target.on_crash = None
+        # Whoever calls this starts it again.
+        for task in self._restarts:
+            task.cancel()
         self._task.cancel()
         self._target.server.close()
 
