Write a crash that comes while the row of its request is being written

Found on reading: a change noted during the write was taken for written with it, so that the row lacked the last crash. The request is now taken from the list before its state is read, and put back if the write fails.

--- a/src/galenatack/quarantine/crash_archive.py
+++ b/src/galenatack/quarantine/crash_archive.py
@@ -118,7 +118,7 @@
 
     async def _write(self) -> None:
         while self._changed:
-            fingerprint = next(iter(self._changed))
+            fingerprint = self._changed.pop()
             key = fingerprint.hex()
             crashes = self._ledger.crashes(fingerprint)
             if is_archived(crashes):
@@ -127,8 +127,11 @@
                 )
             else:
                 change = row_change.RowChange(deletes=((TABLE, key),))
-            await self._table.commit(change)
-            self._changed.discard(fingerprint)
+            try:
+                await self._table.commit(change)
+            except exceptions.PlatformError:
+                self._changed.add(fingerprint)
+                raise
 
     def _encode(self, fingerprint: bytes) -> bytes:
         now_ms = self._clock.wall_ms()
--- a/src/galenatack/quarantine/quarantine.py
+++ b/src/galenatack/quarantine/quarantine.py
@@ -53,9 +53,9 @@
     def admit(self, request: request_fingerprint.Request) -> bool:
         """Returns whether a caller's request is sent as a trial.
 
-        While a request is only held back for a moment, each node tries a few of
-        its calls, about one at a time in the deployment: the more callers
-        send it, the sooner an innocent one is cleared.
+        While a request is held back for a moment, each node tries one in as many
+        of its calls as there are nodes: the more often callers send it, the
+        sooner an innocent one is cleared.
 
         Raises:
             exceptions.QuarantinedError: Targets have crashed under it.
@@ -80,19 +80,6 @@
         if is_decided or not request.is_trial:
             self._check(request)
 
-    def _check(self, request: request_fingerprint.Request) -> None:
-        fingerprint = self._ledger.find(request)
-        if fingerprint is None:
-            return
-        refusal_ms = self._ledger.refusal_ms(fingerprint)
-        if refusal_ms:
-            crashes = self._ledger.crashes(fingerprint)
-            raise exceptions.QuarantinedError(
-                f"{crashes} targets crashed while they ran this request"
-                f" (fingerprint {fingerprint.hex()})",
-                retry_after_ms=refusal_ms,
-            )
-
     def may_retry(self, request: request_fingerprint.Request) -> bool:
         """Returns whether a request may be sent to one more target."""
         return self._crashes(request) < crash_ledger.BACKOFF_CRASHES
@@ -141,6 +128,19 @@
         """Cancels a call that waits for its turn; returns whether it did."""
         return self._turns.cancel(call_id)
 
+    def _check(self, request: request_fingerprint.Request) -> None:
+        fingerprint = self._ledger.find(request)
+        if fingerprint is None:
+            return
+        refusal_ms = self._ledger.refusal_ms(fingerprint)
+        if refusal_ms:
+            crashes = self._ledger.crashes(fingerprint)
+            raise exceptions.QuarantinedError(
+                f"{crashes} targets crashed while they ran this request"
+                f" (fingerprint {fingerprint.hex()})",
+                retry_after_ms=refusal_ms,
+            )
+
     def _release_decided(self, fingerprint: bytes) -> None:
         """Ends the wait for a turn if the request is cleared, or refused."""
         is_suspect = self._ledger.crashes(fingerprint) > 0
