--- a/src/galenatack/quarantine/quarantine.py
+++ b/src/galenatack/quarantine/quarantine.py
@@ -53,9 +53,9 @@
     def admit(self, request: request_fingerprint.Request) -> bool:
         """Returns whether a caller's request is sent as a trial.
 
-        While a request is held back for a moment, each node tries one in as many
-        of its calls as there are nodes: the more often callers send it, the
-        sooner an innocent one is cleared.
+        While a request is held back for a moment, each node tries one in as
+        many of its calls as there are nodes: the more often callers send it,
+        the sooner an innocent one is cleared.
 
         Raises:
             exceptions.QuarantinedError: Targets have crashed under it.
