Arm the dump of a hanging test for each test, not once for all of them

Trace: the fault came while faulthandler was writing its traces, 240 s after the start, in the middle of the third frame. It reads the frames of a running thread without a lock. The traces are for a test that hangs, but the time counted for the whole suite, which takes longer than that now beside load, so that each such run was dumped while it went on.

Change: the time begins anew with each test. A test that hangs is shown as before.

--- a/tests/__main__.py
+++ b/tests/__main__.py
@@ -1,19 +1,14 @@
 """Runs all tests and prints how many passed and failed."""
 
-import faulthandler
 import sys
 
 import nose2
 
 from tests import outcome_counter
 
-STALL_S = 240
-
 
 def main() -> int:
     """Runs nose2 over `tests/` and returns the exit status."""
-    # Prints stack traces of a hanging test without failing it.
-    faulthandler.dump_traceback_later(STALL_S, repeat=True)
     argv = ["nose2", "-s", "tests", "-t", ".", *sys.argv[1:]]
     nose2.discover(argv=argv, exit=False, plugins=["tests.outcome_counter"])
     for test_id in outcome_counter.known_red:
--- a/tests/outcome_counter.py
+++ b/tests/outcome_counter.py
@@ -1,9 +1,11 @@
 """A nose2 plugin that collects outcomes and separates known failures."""
 
+import faulthandler
 import pathlib
 
 import nose2.events
 
+STALL_S = 240
 KNOWN_RED = pathlib.Path(__file__).parent.parent / "KNOWN-RED.txt"
 
 passed: list[str] = []
@@ -29,6 +31,13 @@
 
     alwaysOn = True  # noqa: N815  nose2 reads this name.
 
+    def startTest(self, event) -> None:  # noqa: N802
+        """Has stack traces printed if the test hangs, without failing it."""
+        del event
+        # The dump reads the frames of running threads and may crash the
+        # process: it must not come while tests go on.
+        faulthandler.dump_traceback_later(STALL_S, repeat=True)
+
     def testOutcome(self, event) -> None:  # noqa: N802
         """Records the outcome of one test."""
         # nose2 reports each subtest and marks none as expected. A subtest
