Hold calls after two crashes until a trial has decided on their request

Cause: a request that ran, as a suspect, while two targets crashed was refused for up to 3 s. Only one in as many calls as there are nodes was sent as a trial, and calls already on their way were refused by the gates, so that some were turned away before the trial's answer cleared the request.

Ruled out: the third crash; the fingerprint (all refused were equal to ones that were answered before and after).

Change: after two crashes nothing is refused. A call waits for a random part of its time, at most half. The first to have waited runs as a trial, and its end decides on all that wait, at every node. A call that a gate turns away waits likewise at its caller's node and is sent again. Weighed: remembering requests that were answered lately (state and a digest for every call), and more trials at once (puts more targets at risk).

--- a/src/galenatack/app/mesh_callbacks.py
+++ b/src/galenatack/app/mesh_callbacks.py
@@ -20,7 +20,6 @@
 from galenatack.model import target_condition
 from galenatack.platform import config_document
 from galenatack.platform import rollout_rows
-from galenatack.quarantine import quarantine as quarantine_module
 from galenatack.rollouts import rollout_registry
 from galenatack.timeline import hybrid_clock
 from galenatack.traffic import attempt_budget
@@ -49,7 +48,6 @@
     registry: target_registry.TargetRegistry
     gate: target_gate.TargetGate
     budget: attempt_budget.AttemptBudget
-    quarantine: quarantine_module.Quarantine
     placement: target_placement.TargetPlacement
     limits: connection_limits.ConnectionLimits
     syncs: tuple[neighbour_sync.NeighbourSync, ...]
@@ -170,7 +168,6 @@
         del changed
         live = self._parts.members.live()
         self._parts.budget.set_nodes(len(live))
-        self._parts.quarantine.set_nodes(len(live))
         self._parts.placement.retain_only({record.node_id for record in live})
 
     def rows_changed(self, rows: tuple[table_row.TableRow, ...]) -> None:
--- a/src/galenatack/app/mesh_wiring.py
+++ b/src/galenatack/app/mesh_wiring.py
@@ -150,7 +150,6 @@
             registry=inbound.registry,
             gate=inbound.gate,
             budget=outbound.budget,
-            quarantine=quarantine.quarantine,
             placement=outbound.placement,
             limits=servers.callers.limits,
             syncs=syncs,
--- a/src/galenatack/model/call_request.py
+++ b/src/galenatack/model/call_request.py
@@ -27,8 +27,8 @@
             sender, for a gate that has restarted since; None without one.
         is_suspect: True if the sender knows of a target that crashed under
             this request, of which the gate may not have heard.
-        is_trial: True if it is sent although its request is held back, to find
-            out whether a target answers it.
+        is_trial: True if it may run although two targets have crashed under its
+            request, to find out whether a third one answers it.
     """
 
     call_id: str
--- a/src/galenatack/quarantine/crash_archive.py
+++ b/src/galenatack/quarantine/crash_archive.py
@@ -37,7 +37,7 @@
     A first crash makes suspects of all requests that were running; most of
     them are cleared within a second.
     """
-    return crashes >= crash_ledger.BACKOFF_CRASHES
+    return crashes >= crash_ledger.TRIAL_CRASHES
 
 
 class CrashArchive:
--- a/src/galenatack/quarantine/crash_ledger.py
+++ b/src/galenatack/quarantine/crash_ledger.py
@@ -20,11 +20,8 @@
 QUARANTINE_S = 600.0
 """Time after its last crash for which a request is quarantined."""
 
-BACKOFF_CRASHES = 2
-"""Crashes after which a request is refused for a moment and not retried: a
-third target is put at risk only after the former ones had time to restart."""
-
-BACKOFF_S = 3.0
+TRIAL_CRASHES = 2
+"""Crashes after which a request is sent only as a trial."""
 
 OnChanged = collections.abc.Callable[[bytes], None]
 
@@ -74,9 +71,7 @@
     def quarantined(self) -> int:
         """Number of requests in quarantine."""
         return sum(
-            self.crashes(fingerprint) >= QUARANTINE_CRASHES
-            and self.refusal_ms(fingerprint) > 0
-            for fingerprint in self._suspects
+            self.refusal_ms(fingerprint) > 0 for fingerprint in self._suspects
         )
 
     def find(self, request: request_fingerprint.Request) -> bytes | None:
@@ -99,13 +94,9 @@
 
     def refusal_ms(self, fingerprint: bytes) -> int:
         """Returns for how long a request is refused; 0 if it may be sent."""
-        crashes = self.crashes(fingerprint)
-        if crashes < BACKOFF_CRASHES:
+        if self.crashes(fingerprint) < QUARANTINE_CRASHES:
             return 0
-        quarantine_s = (
-            BACKOFF_S if crashes < QUARANTINE_CRASHES else QUARANTINE_S
-        )
-        until_s = self._records[fingerprint].last_s + quarantine_s
+        until_s = self._records[fingerprint].last_s + QUARANTINE_S
         return max(0, round((until_s - self._clock.monotonic_s()) * MS_PER_S))
 
     def add(
@@ -165,10 +156,11 @@
             return False
         self._records.move_to_end(entry.fingerprint)
         self._note_suspect(entry.fingerprint, is_suspect=record.crashes > 0)
-        if not entry.is_cleared and record.crashes >= BACKOFF_CRASHES:
+        if not entry.is_cleared and record.crashes >= TRIAL_CRASHES:
+            is_quarantined = record.crashes >= QUARANTINE_CRASHES
             _LOGGER.warning(
-                "event=request-quarantined fingerprint=%s crashes=%d"
-                " crash=%s for_ms=%d",
+                "event=%s fingerprint=%s crashes=%d crash=%s for_ms=%d",
+                "request-quarantined" if is_quarantined else "request-held",
                 entry.fingerprint.hex(),
                 record.crashes,
                 entry.crash_id,
@@ -197,7 +189,7 @@
                         (
                             fingerprint
                             for fingerprint, record in self._records.items()
-                            if record.crashes < BACKOFF_CRASHES
+                            if record.crashes < TRIAL_CRASHES
                         ),
                         oldest,
                     )
--- a/src/galenatack/quarantine/quarantine.py
+++ b/src/galenatack/quarantine/quarantine.py
@@ -10,11 +10,15 @@
 from galenatack.quarantine import crash_reports
 from galenatack.quarantine import request_fingerprint
 from galenatack.quarantine import suspect_turns
+from galenatack.quarantine import trial_waits
 
 MS_PER_S = 1000.0
 
 MAX_WAIT_SHARE = 0.5
-"""Share of its time that a suspected call waits for the one before it."""
+"""Share of its time that a suspected call waits for others."""
+
+TRIAL_RETRY_AFTER_MS = 200
+"""Time in which a trial ends."""
 
 
 class Quarantine:
@@ -22,8 +26,9 @@
 
     A request under which a target has crashed is a suspect until a target
     answers it. A gate runs its suspects one at a time: if the target crashes
-    again, no other suspect was running beside the cause. Calls that wait for
-    their turn end their wait when their request is cleared or refused.
+    again, no other suspect was running beside the cause. After a second crash
+    the calls of a request wait, and the first one to end its wait is sent as
+    a trial. All waits end when the request is cleared or quarantined.
 
     Args:
         ledger: Crashes known to this node.
@@ -41,34 +46,35 @@
         self._ledger = ledger
         self._reports = reports
         self._rng = rng
-        self._nodes = 1
         self._turns = suspect_turns.SuspectTurns()
-        self._suspects: dict[str, bytes] = {}
+        self._trials = trial_waits.TrialWaits()
+        self._suspects: dict[str, tuple[bytes, bool]] = {}
         ledger.on_changed(self._release_decided)
 
-    def set_nodes(self, nodes: int) -> None:
-        """Sets how many nodes take requests."""
-        self._nodes = max(1, nodes)
-
-    def admit(self, request: request_fingerprint.Request) -> bool:
+    async def admit(
+        self, request: request_fingerprint.Request, *, left_s: float
+    ) -> bool:
         """Returns whether a caller's request is sent as a trial.
 
-        While a request is held back for a moment, each node tries one in as
-        many of its calls as there are nodes: the more often callers send it,
-        the sooner an innocent one is cleared.
+        A call that needs a trial first waits for a random part of its time,
+        for the trial of another call, here or at another node, to decide on
+        its request.
+
+        Args:
+            request: The request.
+            left_s: Time until the caller must have an answer.
 
         Raises:
             exceptions.QuarantinedError: Targets have crashed under it.
         """
-        crashes = self._crashes(request)
-        is_trial = (
-            crash_ledger.BACKOFF_CRASHES
-            <= crashes
-            < crash_ledger.QUARANTINE_CRASHES
-        ) and self._rng.random() * self._nodes < 1.0
-        if not is_trial:
-            self._check(request)
-        return is_trial
+        if self._needs_trial(request):
+            # Random waits make it unlikely that many trials start at once.
+            await self._trials.wait(
+                request_fingerprint.of(request),
+                wait_s=self._rng.random() * MAX_WAIT_SHARE * max(0.0, left_s),
+            )
+        self._check(request)
+        return self._needs_trial(request)
 
     def check(self, request: call_request.CallRequest) -> None:
         """Checks that a call may be sent to the target of this node.
@@ -76,13 +82,12 @@
         Raises:
             exceptions.QuarantinedError: Targets have crashed under it.
         """
-        is_decided = self._crashes(request) >= crash_ledger.QUARANTINE_CRASHES
-        if is_decided or not request.is_trial:
-            self._check(request)
-
-    def may_retry(self, request: request_fingerprint.Request) -> bool:
-        """Returns whether a request may be sent to one more target."""
-        return self._crashes(request) < crash_ledger.BACKOFF_CRASHES
+        self._check(request)
+        if not request.is_trial and self._needs_trial(request):
+            raise exceptions.QuarantinedError(
+                "targets crashed while they ran this request; it needs a trial",
+                retry_after_ms=TRIAL_RETRY_AFTER_MS,
+            )
 
     def is_suspect(self, request: request_fingerprint.Request) -> bool:
         """Returns whether targets have crashed under a request."""
@@ -114,7 +119,10 @@
             return
         self.check(request)
         call_id = request.call_id
-        self._suspects[call_id] = request_fingerprint.of(request)
+        self._suspects[call_id] = (
+            request_fingerprint.of(request),
+            request.is_trial,
+        )
         wait_s = request.deadline_ms * MAX_WAIT_SHARE / MS_PER_S
         try:
             async with self._turns.hold(call_id, wait_s=wait_s):
@@ -128,6 +136,13 @@
         """Cancels a call that waits for its turn; returns whether it did."""
         return self._turns.cancel(call_id)
 
+    def _needs_trial(self, request: request_fingerprint.Request) -> bool:
+        return (
+            crash_ledger.TRIAL_CRASHES
+            <= self._crashes(request)
+            < crash_ledger.QUARANTINE_CRASHES
+        )
+
     def _check(self, request: request_fingerprint.Request) -> None:
         fingerprint = self._ledger.find(request)
         if fingerprint is None:
@@ -142,12 +157,15 @@
             )
 
     def _release_decided(self, fingerprint: bytes) -> None:
-        """Ends the wait for a turn if the request is cleared, or refused."""
-        is_suspect = self._ledger.crashes(fingerprint) > 0
-        if is_suspect and not self._ledger.refusal_ms(fingerprint):
+        """Ends the waits that the number of crashes makes needless."""
+        crashes = self._ledger.crashes(fingerprint)
+        needs_trial = crashes == crash_ledger.TRIAL_CRASHES
+        if not needs_trial:
+            self._trials.release(fingerprint)
+        if 0 < crashes < crash_ledger.TRIAL_CRASHES:
             return
-        for call_id, suspected in self._suspects.items():
-            if suspected == fingerprint:
+        for call_id, (suspected, is_trial) in self._suspects.items():
+            if suspected == fingerprint and not (needs_trial and is_trial):
                 self._turns.release(call_id)
 
     def _crashes(self, request: request_fingerprint.Request) -> int:
--- a/src/galenatack/traffic/call_router.py
+++ b/src/galenatack/traffic/call_router.py
@@ -125,26 +125,27 @@
                 f" {', '.join(route.unknowns)}",
                 retry_after_ms=UNUSABLE_ROUTE_RETRY_AFTER_MS,
             )
-        is_trial = self._quarantine.admit(request)
         timeout_ms = route.timeout_ms
         if request.deadline_ms:
             timeout_ms = min(timeout_ms, request.deadline_ms)
-        attempts = request_attempts.RequestAttempts(
+        return request_attempts.RequestAttempts(
             request=request,
             route=route,
             service=self._weights.pick(route),
             config_version=table.version,
             deadline_s=started_s + timeout_ms / MS_PER_S,
-            is_trial=is_trial,
         )
-        self._budget.record_first_attempt(attempts.service)
-        return attempts
 
     async def _try_targets(
         self, attempts: request_attempts.RequestAttempts
     ) -> call_result.CallResult:
         while True:
             try:
+                attempts.is_trial = await self._quarantine.admit(
+                    attempts.request, left_s=self._left_s(attempts)
+                )
+                if not attempts.trail:
+                    self._budget.record_first_attempt(attempts.service)
                 member = self._choose(attempts)
             except exceptions.CallError as error:
                 self._telemetry.record_not_placed(attempts, error)
@@ -157,7 +158,7 @@
     def _choose(
         self, attempts: request_attempts.RequestAttempts
     ) -> member_record.MemberRecord:
-        left_ms = (attempts.deadline_s - self._clock.monotonic_s()) * MS_PER_S
+        left_ms = self._left_s(attempts) * MS_PER_S
         if left_ms <= 0:
             raise exceptions.DeadlineExceededError("deadline passed")
         if attempts.arrivals and not self._budget.has_remaining(
@@ -203,9 +204,7 @@
     ) -> bool:
         if attempts.arrivals >= attempts.route.max_attempts:
             return False
-        if attempts.crashes >= crash_ledger.BACKOFF_CRASHES or (
-            not self._quarantine.may_retry(attempts.request)
-        ):
+        if attempts.crashes >= crash_ledger.TRIAL_CRASHES:
             return False
         if result.outcome == outcome.Outcome.ANSWER:
             is_failure = result.status >= target_gate.SERVER_ERROR
@@ -214,6 +213,9 @@
             return attempts.refusals < MAX_REFUSALS
         return attempts.route.is_idempotent
 
+    def _left_s(self, attempts: request_attempts.RequestAttempts) -> float:
+        return attempts.deadline_s - self._clock.monotonic_s()
+
     async def _attempt(
         self,
         attempts: request_attempts.RequestAttempts,
--- a/src/galenatack/traffic/request_attempts.py
+++ b/src/galenatack/traffic/request_attempts.py
@@ -16,7 +16,6 @@
         service: Service that was chosen by weight, the same for all attempts.
         config_version: Version of the configuration that has the route.
         deadline_s: Monotonic time by which the caller must have an answer.
-        is_trial: Whether it is sent although its request is held back.
 
     Attributes:
         tried: Ids of the nodes that were tried.
@@ -24,6 +23,7 @@
         arrivals: Number of attempts that reached a target, or may have.
         refusals: Number of attempts that were refused.
         crashes: Number of attempts under which the target crashed.
+        is_trial: Whether the next attempt is a trial of its request.
     """
 
     def __init__(
@@ -34,19 +34,18 @@
         service: str,
         config_version: int,
         deadline_s: float,
-        is_trial: bool = False,
     ):
         self.request = request
         self.route = route
         self.service = service
         self.config_version = config_version
         self.deadline_s = deadline_s
-        self.is_trial = is_trial
         self.tried: set[str] = set()
         self.trail: list[str] = []
         self.arrivals = 0
         self.refusals = 0
         self.crashes = 0
+        self.is_trial = False
         self._answer: call_result.CallResult | None = None
         self._unknown: call_result.CallResult | None = None
         self._refusal: call_result.CallResult | None = None
