Split running a call at the target from its admission

Calls at the target, their ends and the probes of a target that takes no connections are target_calls now; the gate admits, queues and records. No change of behaviour; tests of traffic, quarantine and crashing requests pass.

--- a/src/galenatack/app/mesh_inbound.py
+++ b/src/galenatack/app/mesh_inbound.py
@@ -11,6 +11,7 @@
 from galenatack.traffic import admission_queue
 from galenatack.traffic import call_message_handler
 from galenatack.traffic import service_times
+from galenatack.traffic import target_calls
 from galenatack.traffic import target_gate
 from galenatack.traffic import target_registry
 
@@ -61,18 +62,23 @@
             clock=base.clock, rng=base.rng, times=times
         ),
         times=times,
-        link=target,
+        calls=target_calls.TargetCalls(
+            registry=registry,
+            link=target,
+            clock=base.clock,
+            quarantine=quarantine.quarantine,
+            crashes=crash_detector.CrashDetector(
+                name=f"{own.node_id}/{own.boot_ms}",
+                reports=quarantine.reports,
+                is_reachable=target.is_reachable,
+            ),
+        ),
         clock=base.clock,
         log=base.log,
         stats=base.stats,
         is_withdrawn=rollouts.registry.is_withdrawn,
         on_outcome=rollouts.pool.record,
         quarantine=quarantine.quarantine,
-        crashes=crash_detector.CrashDetector(
-            name=f"{own.node_id}/{own.boot_ms}",
-            reports=quarantine.reports,
-            is_reachable=target.is_reachable,
-        ),
     )
     call_message_handler.CallMessageHandler(peers=base.peers, gate=gate)
     return MeshInbound(registry, target, gate)
--- a/src/galenatack/traffic/target_gate.py
+++ b/src/galenatack/traffic/target_gate.py
@@ -3,30 +3,24 @@
 import collections.abc
 import logging
 
-import anyio
-
 from galenatack import exceptions
 from galenatack.interfaces import clock as clock_interface
-from galenatack.interfaces import target_link
 from galenatack.messages import call_answer
 from galenatack.model import call_request
 from galenatack.model import call_result
 from galenatack.model import gate_report
 from galenatack.model import outcome
-from galenatack.model import target_answer
 from galenatack.model import target_condition
-from galenatack.model import target_state
-from galenatack.quarantine import crash_detector
 from galenatack.quarantine import quarantine as quarantine_module
 from galenatack.quarantine import request_fingerprint
 from galenatack.routing import dispatcher
 from galenatack.routing import local_replies
-from galenatack.routing import running_call
 from galenatack.traffic import admission_queue
 from galenatack.traffic import call_stats
 from galenatack.traffic import failure_rate
 from galenatack.traffic import request_log
 from galenatack.traffic import service_times
+from galenatack.traffic import target_calls
 from galenatack.traffic import target_registry
 
 _LOGGER = logging.getLogger(__name__)
@@ -34,16 +28,6 @@
 MS_PER_S = 1000
 SERVER_ERROR = 500
 
-ANSWER_GRACE_S = 0.1
-"""Extra time that the gate waits for the target, which answers by the deadline.
-The answer is then still delivered and the connection stays usable."""
-
-CONNECT_FAILURE_THRESHOLD = 3
-"""Consecutive failed connections after which the target is considered down."""
-
-PROBE_INTERVAL_S = 0.4
-"""While the target is down, one call in each interval is sent as a probe."""
-
 
 class TargetGate:
     """Admits calls to the local target and records their outcomes.
@@ -56,14 +40,13 @@
         registry: Latest announcement of the target.
         queue: Admission queue of the target.
         times: Service times, which the queue reads.
-        link: Connection to the target.
+        calls: Sends admitted calls to the target.
         clock: Source of time.
         log: Log of single requests.
         stats: Counters and histograms.
         is_withdrawn: Returns whether a version of a service is withdrawn.
         on_outcome: Receives the outcome of each call as rollout evidence.
         quarantine: Decides on requests under which targets crash.
-        crashes: Finds out whether the target crashed.
     """
 
     def __init__(
@@ -72,30 +55,25 @@
         registry: target_registry.TargetRegistry,
         queue: admission_queue.AdmissionQueue,
         times: service_times.ServiceTimes,
-        link: target_link.TargetLink,
+        calls: target_calls.TargetCalls,
         clock: clock_interface.Clock,
         log: request_log.RequestLog,
         stats: call_stats.CallStats,
         is_withdrawn: collections.abc.Callable[[str, str], bool],
         on_outcome: dispatcher.OnOutcome,
         quarantine: quarantine_module.Quarantine,
-        crashes: crash_detector.CrashDetector,
     ):
         self._registry = registry
         self._queue = queue
         self._times = times
-        self._link = link
+        self._calls = calls
         self._clock = clock
         self._log = log
         self._stats = stats
         self._is_withdrawn = is_withdrawn
         self._on_outcome = on_outcome
         self._quarantine = quarantine
-        self._crashes = crashes
         self._failures = failure_rate.FailureRate()
-        self._running: dict[str, running_call.RunningCall] = {}
-        self._connect_failures = 0
-        self._last_probe_s = 0.0
         self._is_closed = False
         self._accepted_calls = 0
         self._max_connections = 0
@@ -134,7 +112,7 @@
     def on_target_changed(self) -> None:
         """Resets the state of the target after its announcement changed."""
         self._set_slots()
-        self._connect_failures = 0
+        self._calls.reset()
         self._failures.reset()
         current = self._registry.current
         incarnation = (current.target_id, current.born_ms)
@@ -188,12 +166,11 @@
 
     def cancel(self, call_id: str) -> None:
         """Drops a call if it is waiting, or if it is running and idempotent."""
-        if self._queue.cancel(call_id) or self._quarantine.cancel(call_id):
-            return
-        running = self._running.get(call_id)
-        if running is not None and not running.is_posting:
-            running.is_cancelled = True
-            running.scope.cancel()
+        is_waiting = self._queue.cancel(call_id) or (
+            self._quarantine.cancel(call_id)
+        )
+        if not is_waiting:
+            self._calls.cancel(call_id)
 
     async def handle(
         self, request: call_request.CallRequest
@@ -288,8 +265,7 @@
             raise exceptions.LeavingError(
                 f"version {current.version} is withdrawn"
             )
-        if self._connect_failures >= CONNECT_FAILURE_THRESHOLD:
-            self._probe()
+        self._calls.check_connected()
 
     def _learn_limit(self, request: call_request.CallRequest) -> None:
         """Uses the limit that a caller knows until the target answers."""
@@ -298,12 +274,6 @@
         ):
             self._limit_rate(request.target_rate_limit_per_s)
 
-    def _probe(self) -> None:
-        now_s = self._clock.monotonic_s()
-        if now_s - self._last_probe_s < PROBE_INTERVAL_S:
-            raise exceptions.TargetConnectError("the target is down")
-        self._last_probe_s = now_s
-
     async def _dispatch(
         self,
         request: call_request.CallRequest,
@@ -319,72 +289,11 @@
         forwarded = request._replace(
             deadline_ms=left_ms, target_id=self._registry.current.target_id
         )
-        result = await self._call(forwarded, deadline_s)
+        result = await self._calls.run(forwarded, deadline_s)
         ran_ms = self._elapsed_ms(sent_s)
         self._record_end(request, result, ran_ms, sent_s - started_s)
         return result, ran_ms
 
-    async def _call(
-        self, request: call_request.CallRequest, deadline_s: float
-    ) -> call_result.CallResult:
-        left_s = deadline_s - self._clock.monotonic_s() + ANSWER_GRACE_S
-        with anyio.move_on_after(left_s) as scope:
-            running = running_call.RunningCall(scope, request.posting)
-            self._running[request.call_id] = running
-            try:
-                answer = await self._link.call(request)
-                self._crashes.note_alive()
-                await self._quarantine.clear(request)
-                return self._to_result(answer)
-            except exceptions.TargetConnectError as error:
-                self._connect_failures += 1
-                return local_replies.not_run(error)
-            except exceptions.TargetShedError as error:
-                return local_replies.not_run(error)._replace(
-                    has_reached_target=True
-                )
-            except exceptions.TargetAnswerLostError as error:
-                return await self._lost_answer(request, error)
-            except exceptions.CallError as error:
-                return local_replies.unknown(error)._replace(
-                    has_reached_target=True
-                )
-            finally:
-                del self._running[request.call_id]
-        if running.is_cancelled:
-            error = exceptions.CancelledCallError(
-                "the caller went away", is_confirmed=False
-            )
-        else:
-            error = exceptions.DeadlineExceededError("no answer in time")
-        return local_replies.unknown(error)._replace(has_reached_target=True)
-
-    async def _lost_answer(
-        self,
-        request: call_request.CallRequest,
-        error: exceptions.TargetAnswerLostError,
-    ) -> call_result.CallResult:
-        # A target that leaves ends its last calls on purpose.
-        is_ready = self._registry.state == target_state.TargetState.READY
-        if is_ready and await self._crashes.has_crashed(
-            request_fingerprint.of(request),
-            was_suspect=self._quarantine.runs_as_suspect(request.call_id),
-        ):
-            error = exceptions.TargetCrashedError(f"target crashed: {error}")
-        return local_replies.unknown(error)._replace(has_reached_target=True)
-
-    def _to_result(
-        self, answer: target_answer.TargetAnswer
-    ) -> call_result.CallResult:
-        self._connect_failures = 0
-        return call_result.CallResult(
-            outcome=outcome.Outcome.ANSWER.value,
-            status=answer.status,
-            headers=answer.headers,
-            body=answer.body,
-            has_reached_target=True,
-        )
-
     def _record_end(
         self,
         request: call_request.CallRequest,
--- a/tests/traffic/test_known_conditions.py
+++ b/tests/traffic/test_known_conditions.py
@@ -10,6 +10,7 @@
 from galenatack.traffic import admission_queue
 from galenatack.traffic import known_conditions
 from galenatack.traffic import service_times
+from galenatack.traffic import target_calls
 from galenatack.traffic import target_gate
 from galenatack.traffic import target_placement
 from galenatack.traffic import target_registry
@@ -37,20 +38,26 @@
         service="s", clock=clock, drain_notice_s=1.0, on_changed=mock.Mock()
     )
     registry.announce(test_target_registry.announcement())
+    quarantine, _ = test_quarantine.make()
     gate = target_gate.TargetGate(
         registry=registry,
         queue=admission_queue.AdmissionQueue(
             clock=clock, rng=random.Random(1), times=times
         ),
         times=times,
-        link=link,
+        calls=target_calls.TargetCalls(
+            registry=registry,
+            link=link,
+            clock=clock,
+            quarantine=quarantine,
+            crashes=mock.Mock(),
+        ),
         clock=clock,
         log=mock.Mock(),
         stats=mock.Mock(),
         is_withdrawn=lambda *_: False,
         on_outcome=mock.Mock(),
-        quarantine=test_quarantine.make()[0],
-        crashes=mock.Mock(),
+        quarantine=quarantine,
     )
     gate.on_target_changed()
     return gate, link
