Soak: restores of the store during a rollout, its driver stopped across them

The runs on loopback had no process that is stopped (SIGSTOP) while it drives a rollout on a store that comes back from a copy. `--restores` orders a rollout, restores the store one to three times in the first 9 s, most times with the driver stopped before and until after it, beside the drawn faults, and checks two more promises: one verdict, the same after every restore, and no call at a version later than 4 s after it was taken back. Seeds of runs without the option draw the same faults as before.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -24,6 +24,7 @@
     nodes: int
     seconds: float
     has_deadly: bool = False
+    has_restores: bool = False
 
 
 @click.command()
@@ -38,6 +39,11 @@
 @click.option(
     "--deadly", is_flag=True, help="Send a request that crashes targets."
 )
+@click.option(
+    "--restores",
+    is_flag=True,
+    help="Restore the store from copies during a rollout.",
+)
 @click.option("--keep", help="Keep settings and logs in this folder.")
 def main(
     *,
@@ -48,6 +54,7 @@
     seconds: float,
     regressions: bool,
     deadly: bool,
+    restores: bool,
     keep: str | None,
 ) -> None:
     """Runs seeds one after the other; exits with 1 when a promise broke."""
@@ -64,7 +71,7 @@
         if is_enough and not regressions:
             break
         seeds_run.append(case.seed)
-        case = case._replace(has_deadly=deadly)
+        case = case._replace(has_deadly=deadly, has_restores=restores)
         if _report(case, _run_one(case, keep)):
             broken.append(case.seed)
     click.echo(f"{len(seeds_run)} seeds, {len(broken)} broken: {broken}")
@@ -96,6 +103,7 @@
     click.echo(
         f"  repeat: python -m soak --seed {case.seed} --nodes {case.nodes}"
         f" --seconds {case.seconds:g}{' --deadly' * case.has_deadly}"
+        f"{' --restores' * case.has_restores}"
         " --keep FOLDER"
     )
     return True
@@ -112,6 +120,7 @@
                 seconds=case.seconds,
                 folder=folder,
                 has_deadly=case.has_deadly,
+                has_restores=case.has_restores,
             ).execute()
         )
 
--- a/soak/fault.py
+++ b/soak/fault.py
@@ -27,6 +27,8 @@
     CONFIG = "config"
     CONFIG_STORM = "config-storm"
     HERD = "herd"
+    STORE_RESTORED = "store-restored"
+    DRIVER_PAUSE = "driver-pause"
 
 
 PLANNED = frozenset(
@@ -41,6 +43,10 @@
 """Planned operator actions; they must not fail any call."""
 
 
+OF_ROLLOUTS = frozenset({Kind.STORE_RESTORED, Kind.DRIVER_PAUSE})
+"""Faults of runs with a rollout and a store that is restored."""
+
+
 class Fault(typing.NamedTuple):
     """One fault of a run.
 
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -7,6 +7,7 @@
 from soak import live_target
 from soak import node_process
 from soak import record
+from soak import rollout
 from soak import store_server
 from standins.mesh import operator_config
 from standins.store import node_table
@@ -35,6 +36,7 @@
         nodes: The node processes.
         targets: Their targets, in the same order.
         store: The shared tables and their faults.
+        rollout: A rollout of the last service.
     """
 
     def __init__(
@@ -50,6 +52,9 @@
         self._store_address = f"127.{base}.1.1:{STORE_PORT}"
         self._version = 0
         self.store = node_table.SharedStore()
+        self.rollout = rollout.Rollout(
+            service=SERVICES[-1], store=self.store, seen=seen
+        )
         self._server = store_server.StoreServer(
             address=self._store_address, store=self.store
         )
@@ -104,13 +109,27 @@
     def change_config(self) -> None:
         """Writes the next version of the configuration."""
         self._version += 1
-        loop = asyncio.get_running_loop()
+        self.write_config()
+        now_s = asyncio.get_running_loop().time()
+        self._seen.versions_s[self._version] = now_s
+
+    def write_config(self) -> None:
+        """Writes the newest version of the configuration, perhaps again."""
         self.store.operator_writes(
             "op",
             "config",
             operator_config.config(self._version, SERVICES, mark=SERVICES[0]),
         )
-        self._seen.versions_s[self._version] = loop.time()
+
+    def add_version(self) -> None:
+        """Makes targets of the new version out of some of the last service."""
+        targets = [
+            target
+            for node, target in zip(self.nodes, self.targets, strict=True)
+            if node.service == SERVICES[-1]
+        ]
+        for target in targets[::2]:
+            target.version = rollout.VERSION
 
     async def close(self) -> None:
         """Stops all processes and stand-ins."""
--- a/soak/injector.py
+++ b/soak/injector.py
@@ -6,11 +6,15 @@
 
 from soak import fault
 from soak import fleet
+from soak import plan
 from soak import record
 from soak import relay
 
 STORM_CHANGES = 8
 STORM_GAP_S = 0.2
+MAX_REWRITE_S = 1.5
+"""Longest time until the operator writes again what a restore has lost."""
+
 DELAY_S = 0.1
 SLOW_S = 0.3
 RESTART_S = 1.5
@@ -35,6 +39,7 @@
         self._seen = seen
         # Faults that end a process or a target exclude each other.
         self._locks = [asyncio.Lock() for _ in world.nodes]
+        self._restore_lock = asyncio.Lock()
         self._target_locks = [asyncio.Lock() for _ in world.nodes]
         self._handlers: dict[_Kind, _Handler] = {
             _Kind.KILL: self._kill,
@@ -55,6 +60,8 @@
             _Kind.STORE_FORGETS: self._store_forgets,
             _Kind.TARGET_CRASH: self._target_crash,
             _Kind.TARGET_LEAVE: self._target_leave,
+            _Kind.STORE_RESTORED: self._store_restored,
+            _Kind.DRIVER_PAUSE: self._driver_pause,
             _Kind.CONFIG: self._config,
             _Kind.CONFIG_STORM: self._config_storm,
         }
@@ -149,6 +156,22 @@
     async def _store_forgets(self, item: fault.Fault) -> None:
         self._world.store.rows.forget()
 
+    async def _store_restored(self, item: fault.Fault) -> None:
+        async with self._restore_lock:
+            self._world.store.faults.is_down = True
+            await asyncio.sleep(item.for_s)
+            self._world.rollout.restore_copy(item.node)
+            self._world.store.faults.is_down = False
+            await asyncio.sleep(item.for_s / plan.MAX_OUTAGE_S * MAX_REWRITE_S)
+            self._world.rollout.order_again()
+            self._world.write_config()
+
+    async def _driver_pause(self, item: fault.Fault) -> None:
+        driver = self._world.rollout.driver
+        names = [node.name for node in self._world.nodes]
+        index = names.index(driver) if driver else item.node
+        await self._pause(item._replace(node=index))
+
     async def _target_crash(self, item: fault.Fault) -> None:
         async with self._target_locks[item.node]:
             target = self._world.targets[item.node]
--- a/soak/live_target.py
+++ b/soak/live_target.py
@@ -27,6 +27,9 @@
         node: Its node.
         seen: Receives its runs.
         rng: Random source for its work time.
+
+    Attributes:
+        version: Version that it announces.
     """
 
     def __init__(
@@ -36,6 +39,7 @@
         seen: record.Record,
         rng: random.Random,
     ):
+        self.version = "v1"
         self._node = node
         self._seen = seen
         self._rng = rng
@@ -53,6 +57,7 @@
             target_id=f"t{self._node.index}-{self._starts}",
             service=self._node.service,
             address=self._node.address(node_process.TARGET_PORT),
+            version=self.version,
             born_ms=time.time_ns() // 1_000_000,
         )
         self._target.work_s = self._rng.uniform(0.01, MAX_WORK_S)
@@ -137,4 +142,6 @@
         self, target: fake_target.FakeTarget, attempt_id: str
     ) -> None:
         now_s = asyncio.get_running_loop().time()
-        self._seen.runs[attempt_id].append(record.Run(now_s, target.target_id))
+        self._seen.runs[attempt_id].append(
+            record.Run(now_s, target.target_id, target.version)
+        )
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -9,6 +9,12 @@
 which therefore overlap."""
 
 MAX_FAULT_S = 4.0
+MAX_RESTORES = 3
+MAX_OUTAGE_S = 2.0
+MAX_PAUSE_S = 8.0
+PAUSE_LEAD_S = 0.5
+"""Longest time between the pause of a driver and the restore."""
+
 QUIET_S = 5.0
 """Length of the fault-free pause in the middle of a run, in which promises
 that hold only without faults are checked."""
@@ -24,7 +30,8 @@
     """
     rng = random.Random(seed)
     # Each run mixes a few kinds rather than all of them.
-    kinds = rng.sample(list(fault.Kind), k=rng.randint(3, 8))
+    drawn = [kind for kind in fault.Kind if kind not in fault.OF_ROLLOUTS]
+    kinds = rng.sample(drawn, k=rng.randint(3, 8))
     faults = []
     at_s = 0.5
     while at_s < seconds:
@@ -44,3 +51,32 @@
         else item
         for item in faults
     )
+
+
+def draw_restores(*, seed: int, seconds: float) -> tuple[fault.Fault, ...]:
+    """Returns restores of the store, most with a paused driver across them.
+
+    Args:
+        seed: Seed of the run.
+        seconds: Time in which they start.
+    """
+    rng = random.Random(f"{seed} restores")
+    faults = []
+    for _ in range(rng.randint(1, MAX_RESTORES)):
+        restore = fault.Fault(
+            at_s=rng.uniform(1.0, seconds),
+            kind=fault.Kind.STORE_RESTORED,
+            node=rng.randrange(3),
+            for_s=rng.uniform(0.2, MAX_OUTAGE_S),
+        )
+        faults.append(restore)
+        if rng.random() < 0.6:
+            faults.append(
+                fault.Fault(
+                    at_s=restore.at_s - rng.uniform(0.0, PAUSE_LEAD_S),
+                    kind=fault.Kind.DRIVER_PAUSE,
+                    node=0,
+                    for_s=rng.uniform(restore.for_s, MAX_PAUSE_S),
+                )
+            )
+    return tuple(faults)
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -4,6 +4,7 @@
 
 from soak import attempt
 from soak import record
+from soak import rollout
 
 NOT_RUN = frozenset({408, 421, 429, 503})
 """Statuses that guarantee that a request has not run and never will."""
@@ -23,6 +24,9 @@
 """Runs of a request that has crashed `TARGETS_ENDED` targets, once all nodes
 have had the time to hear of it."""
 
+COMPLETED = "completed"
+ROLLED_BACK = "rolled_back"
+
 MAX_SHOWN = 3
 
 Finding = str
@@ -46,6 +50,8 @@
         ("went back to an older version", _regressed(seen)),
         ("version not in force in time", _stale(seen)),
         ("not served after all faults", _unserved(seen, calm_from_s)),
+        ("verdict missing or changed", _changed_verdicts(seen)),
+        ("version used after it was taken back", _withdrawn_used(seen)),
         ("deadly request sent on", _deadly_sent_on(seen)),
         ("innocent request in quarantine", _innocent_refused(seen)),
     ):
@@ -136,6 +142,38 @@
             yield str(sent)
 
 
+def _changed_verdicts(
+    seen: record.Record,
+) -> collections.abc.Iterator[Finding]:
+    """A store may lose a verdict, but the same one has to come back."""
+    if not seen.has_rollout:
+        return
+    verdicts = {
+        read.state
+        for read in seen.states
+        if read.state in (COMPLETED, ROLLED_BACK)
+    }
+    if len(verdicts) != 1 or seen.states[-1].state not in verdicts:
+        yield str(seen.states)
+
+
+def _withdrawn_used(seen: record.Record) -> collections.abc.Iterator[Finding]:
+    taken_back_s = [
+        read.at_s for read in seen.states if read.state == ROLLED_BACK
+    ]
+    if not taken_back_s:
+        return
+    for attempt_id, runs in seen.runs.items():
+        for run in runs:
+            is_late = run.at_s > taken_back_s[0] + CONTACT_S
+            if (
+                is_late
+                and run.version == rollout.VERSION
+                and seen.is_calm(run.at_s - CONTACT_S, run.at_s)
+            ):
+                yield f"{attempt_id} {run}"
+
+
 def _deadly_sent_on(seen: record.Record) -> collections.abc.Iterator[Finding]:
     if len(seen.deadly_crashes_s) < TARGETS_ENDED:
         return
--- a/soak/record.py
+++ b/soak/record.py
@@ -28,6 +28,14 @@
 
     at_s: float
     target_id: str
+    version: str = "v1"
+
+
+class State(typing.NamedTuple):
+    """State of the rollout that the operator reads; empty without a row."""
+
+    at_s: float
+    state: str
 
 
 class Probe(typing.NamedTuple):
@@ -60,6 +68,8 @@
         unplanned: Time spans of faults.
         planned: Time spans of operator actions.
         exits: Problems of processes, as text.
+        has_rollout: Whether a rollout was ordered.
+        states: Its states in the order in which they were read.
         deadly_sent_s: Time at which each deadly request was sent, by attempt.
         deadly_crashes_s: Times at which deadly requests crashed targets.
     """
@@ -73,6 +83,8 @@
         self.unplanned: list[Span] = []
         self.planned: list[Span] = []
         self.exits: list[str] = []
+        self.has_rollout = False
+        self.states: list[State] = []
         self.deadly_sent_s: dict[str, float] = {}
         self.deadly_crashes_s: list[float] = []
 
--- a/soak/run.py
+++ b/soak/run.py
@@ -15,6 +15,7 @@
 from soak import plan
 from soak import promises
 from soak import record
+from soak import rollout
 
 FIRST_BASE = 100
 BASES = 100
@@ -23,6 +24,10 @@
 SETTLE_S = 4.5
 """Time after the last fault until nodes are connected again."""
 
+RESTORES_S = 1.5 * rollout.DURATION_S
+VERDICT_S = 2.0 * rollout.DURATION_S
+"""Longest time after the last fault until a rollout has its verdict."""
+
 CALM_S = 3.0
 DEADLY_GAP_S = 0.4
 """Mean time between two deadly requests."""
@@ -56,6 +61,8 @@
         seconds: Length of the faulty part.
         has_deadly: Whether a request that crashes targets comes again and
             again.
+        has_restores: Whether the store is restored from copies while a version
+            is rolled out.
         folder: Folder for settings and logs.
     """
 
@@ -67,10 +74,12 @@
         seconds: float,
         folder: pathlib.Path,
         has_deadly: bool = False,
+        has_restores: bool = False,
     ):
         self._seed = seed
         self._seconds = seconds
         self._has_deadly = has_deadly
+        self._has_restores = has_restores
         self._rng = random.Random(seed)
         self._seen = record.Record()
         self._world = fleet.Fleet(
@@ -89,6 +98,12 @@
             nodes=len(self._world.nodes),
             seconds=self._seconds,
         )
+        if self._has_restores:
+            self._world.add_version()
+            restores = plan.draw_restores(seed=self._seed, seconds=RESTORES_S)
+            faults = tuple(
+                sorted(faults + restores, key=lambda item: item.at_s)
+            )
         findings = []
         try:
             findings = await self._run_faults(faults)
@@ -124,6 +139,9 @@
             if self._has_deadly
         ]
         tasks += deadly
+        if self._has_restores:
+            tasks.append(asyncio.create_task(self._world.rollout.watch()))
+            self._world.rollout.order()
         try:
             await injector.Injector(world=self._world, seen=self._seen).run(
                 faults
@@ -131,6 +149,8 @@
             for task in deadly:
                 task.cancel()
             await self._world.until_ready(MAX_RECOVERY_S)
+            if self._has_restores:
+                await self._until_verdict()
             await asyncio.sleep(SETTLE_S)
             calm_from_s = asyncio.get_running_loop().time()
             await asyncio.sleep(CALM_S)
@@ -145,6 +165,15 @@
             self._seen.exits.extend(node.log_faults())
         return promises.check(self._seen, calm_from_s=calm_from_s)
 
+    async def _until_verdict(self) -> None:
+        loop = asyncio.get_running_loop()
+        end_s = loop.time() + VERDICT_S
+        while loop.time() < end_s and self._seen.states[-1].state not in (
+            promises.COMPLETED,
+            promises.ROLLED_BACK,
+        ):
+            await asyncio.sleep(WATCH_S)
+
     def _load(
         self, node: node_process.NodeProcess
     ) -> collections.abc.Iterator[collections.abc.Coroutine]:
--- a/tests/soak_processes/test_promises.py
+++ b/tests/soak_processes/test_promises.py
@@ -118,6 +118,26 @@
         self.check(calm_from_s=10.1)
         self.check("after all faults", calm_from_s=9.9)
 
+    def test_a_verdict_that_is_missing_or_changes(self):
+        """A restored store may lose the verdict for a moment."""
+        self.seen.has_rollout = True
+        for states, is_kept in (
+            (["running"], False),
+            (["running", "completed"], True),
+            (["completed", "running", "completed"], True),
+            (["completed", "running"], False),
+            (["completed", "running", "rolled_back"], False),
+        ):
+            self.seen.states = [record.State(5.0, state) for state in states]
+            self.check(*(() if is_kept else ("verdict",)))
+
+    def test_a_version_that_is_used_after_it_was_taken_back(self):
+        self.seen.states = [record.State(5.0, promises.ROLLED_BACK)]
+        self.seen.runs["one"].append(record.Run(8.5, "t", "v2"))
+        self.check()
+        self.seen.runs["one"].append(record.Run(9.5, "t", "v2"))
+        self.check("taken back")
+
 
 class TestPlan(unittest.TestCase):
     def test_a_seed_gives_the_same_faults(self):
--- a/tests/soak_processes/test_short_run.py
+++ b/tests/soak_processes/test_short_run.py
@@ -9,6 +9,7 @@
 
 SEED = 3
 DEADLY_SEED = 4
+RESTORES_SEED = 5
 NODES = 4
 SECONDS = 5.0
 
@@ -21,15 +22,18 @@
     def test_all_promises_hold_with_a_request_that_crashes_targets(self):
         self.check(DEADLY_SEED, has_deadly=True)
 
-    def check(self, seed, *, has_deadly=False):
+    def test_all_promises_hold_while_the_store_is_restored(self):
+        self.check(RESTORES_SEED, has_restores=True, nodes=6)
+
+    def check(self, seed, *, nodes=NODES, **more):
         with tempfile.TemporaryDirectory() as scratch:
             result = asyncio.run(
                 run.SoakRun(
                     seed=seed,
-                    nodes=NODES,
+                    nodes=nodes,
                     seconds=SECONDS,
                     folder=pathlib.Path(scratch),
-                    has_deadly=has_deadly,
+                    **more,
                 ).execute()
             )
         self.assertEqual(result.findings, [], result.faults)
