--- a/tests/membership/test_discovery.py
+++ b/tests/membership/test_discovery.py
@@ -173,7 +173,8 @@
             self.assertLessEqual(calls, len(nodes))
             self.assertLess(most, len(nodes) / 4)
 
-        self.play(scenario, 74)
+        for size in (12, 74, 195):
+            self.play(scenario, size)
 
     def test_the_discovery_reader_deletes_rows_of_long_dead_nodes(self):
         """The row of a node that died recently is kept."""
