--- a/tests/mesh/restore_run.py
+++ b/tests/mesh/restore_run.py
@@ -45,8 +45,11 @@
 class RestoreRun:
     """An operator, a store with copies, and restarts around its restores."""
 
-    def __init__(self, fleet, seed):
+    def __init__(self, fleet, seed, *, has_cuts=False):
         self.fleet = fleet
+        self.has_cuts = has_cuts
+        # A generator of its own leaves the other draws as they are.
+        self.cut_rng = random.Random(f"{seed} cuts")
         self.rng = random.Random(seed)
         self.loop = asyncio.get_running_loop()
         self.version = 2
@@ -56,6 +59,7 @@
         self.rewritten_s = 0.0
         self.went_back = 0
         self.older_s = 0.0
+        self._cuts = []
         self._seen = {}
         self._floors = {}
 
@@ -84,6 +88,7 @@
         async with asyncio.timeout(VERDICT_S):
             while "running" in self._status() or not self._status():
                 await asyncio.sleep(TICK_S)
+        await asyncio.gather(*self._cuts)
         for task in tasks:
             if task.done() and not task.cancelled():
                 task.result()
@@ -103,6 +108,8 @@
         if self.rng.random() < 0.6:
             member = self.rng.choice(self.fleet.members)
             restarted = asyncio.create_task(self._restart(member))
+        if self.has_cuts:
+            self._cuts.append(asyncio.create_task(self._cut()))
         await asyncio.sleep(self.rng.uniform(0.1, 0.6))
         store.restore(self.rng.choice(self.copies[-3:]))
         store.faults.is_down = False
@@ -117,6 +124,12 @@
         if restarted is not None:
             await restarted
 
+    async def _cut(self):
+        await asyncio.sleep(self.cut_rng.uniform(0.0, 0.5))
+        self.fleet.cut_border()
+        await asyncio.sleep(self.cut_rng.uniform(0.5, 6.0))
+        self.fleet.cut_border(is_cut=False)
+
     async def _restart(self, member):
         floor = min(m.parts.config.version for m in self.fleet.members)
         member.task.cancel()
@@ -171,12 +184,13 @@
             await asyncio.sleep(TICK_S)
 
 
-async def play(seed):
+async def play(seed, *, has_cuts=False):
     """Plays the run of a seed."""
-    fleet = small_fleet.SmallFleet(*SERVICES)
+    regions = ("east", "west") if has_cuts else ("region",)
+    fleet = small_fleet.SmallFleet(*SERVICES, regions=regions)
     fleet.members[NEW_VERSION_MEMBER].target.version = "v2"
     async with fleet:
-        return await RestoreRun(fleet, seed).play()
+        return await RestoreRun(fleet, seed, has_cuts=has_cuts).play()
 
 
 def main():
@@ -185,10 +199,13 @@
     parser = argparse.ArgumentParser()
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--count", type=int, default=1)
+    parser.add_argument("--cuts", action="store_true")
     options = parser.parse_args()
     for seed in range(options.seed, options.seed + options.count):
         try:
-            print(seed, asyncio.run(play(seed)), flush=True)
+            print(
+                seed, asyncio.run(play(seed, has_cuts=options.cuts)), flush=True
+            )
         except Exception as error:
             print(seed, f"FAILED {error!r}", flush=True)
 
--- a/tests/mesh/small_fleet.py
+++ b/tests/mesh/small_fleet.py
@@ -41,7 +41,7 @@
 class Member:
     """One node and its target."""
 
-    def __init__(self, store, name, service, index):
+    def __init__(self, store, name, service, index, region="region"):
         addresses = free_addresses(LISTENERS)
         self.name = name
         self.target = fake_target.FakeTarget(
@@ -50,7 +50,7 @@
         self.settings = mesh_settings.MeshSettings(
             node_id=name,
             data_centre=f"dc-{index % 2}",
-            region="region",
+            region=region,
             service=service,
             target_address=addresses[0],
             caller_address=addresses[1],
@@ -61,6 +61,7 @@
             store_address="",
             bounds=fleet_bounds.FleetBounds(),
         )
+        self.cut_data_centres = frozenset()
         self._index = index
         self.rebuild(store)
         self.task = None
@@ -73,8 +74,13 @@
             rng=random.Random(self._index),
             store=node_table.NodeTable(store=store, node_id=self.name),
         )
+        # The settings of these nodes allow no faults.
+        self.parts.peers.fault_injector.is_cut = self._is_cut
         self.node = mesh_node.MeshNode(self.parts)
 
+    def _is_cut(self, data_centre):
+        return data_centre in self.cut_data_centres
+
     async def start(self):
         """Starts the target and the node."""
         await self.target.server.listen()
@@ -91,13 +97,19 @@
 class SmallFleet:
     """Starts members in turn and waits until all know and reach each other."""
 
-    def __init__(self, *services):
+    def __init__(self, *services, regions=("region",)):
         self.store = node_table.SharedStore()
         self.store.operator_writes(
             "op", "config", operator_config.config(2, set(services))
         )
         self.members = [
-            Member(self.store, f"n{index}", service, index)
+            Member(
+                self.store,
+                f"n{index}",
+                service,
+                index,
+                regions[index % len(regions)],
+            )
             for index, service in enumerate(services)
         ]
         self._requests = 0
@@ -113,6 +125,13 @@
             with contextlib.suppress(asyncio.CancelledError):
                 await member.stop()
 
+    def cut_border(self, *, is_cut=True):
+        """Cuts each data centre off from the others, or heals the cuts."""
+        names = {member.settings.data_centre for member in self.members}
+        for member in self.members:
+            others = names - {member.settings.data_centre}
+            member.cut_data_centres = frozenset(others if is_cut else ())
+
     async def call(self, member, host, path, *, method="GET", body=b"", **more):
         """Sends one request to a node and returns the answer."""
         self._requests += 1
--- a/tests/mesh/test_restored_store.py
+++ b/tests/mesh/test_restored_store.py
@@ -53,7 +53,12 @@
     def test_seeded_restores_take_nothing_back(self):
         """Seeds 3 and 7: no watch told of the restored rollout rows."""
         for seed in (3, 7):
-            outcome = asyncio.run(restore_run.play(seed))
-            self.assertEqual(outcome.went_back, 0)
-            self.assertLessEqual(outcome.agreed_s, AGREED_S)
-            self.assertEqual(outcome.verdict, "completed")
+            self.check(asyncio.run(restore_run.play(seed)))
+
+    def test_seeded_restores_while_regions_are_cut_take_nothing_back(self):
+        self.check(asyncio.run(restore_run.play(2, has_cuts=True)))
+
+    def check(self, outcome):
+        self.assertEqual(outcome.went_back, 0)
+        self.assertLessEqual(outcome.agreed_s, AGREED_S)
+        self.assertEqual(outcome.verdict, "completed")
