Overload benchmark: requests judged from their first try, and policies compared

The first version judged each try by itself, so that a caller that came back late counted as in aim.

Policies weighed are subclasses in bench/overload_policies.py.

--- a/bench/overload.py
+++ b/bench/overload.py
@@ -1,10 +1,12 @@
 """Command line of the overload benchmark: `python -m bench.overload`."""
 
 import collections.abc
+import itertools
 import statistics
 
 import click
 
+from bench import overload_policies
 from bench import overload_world
 
 FACTORS = (0.5, 0.8, 1.0, 1.2, 1.5, 2.0, 3.0)
@@ -12,7 +14,7 @@
     "in aim",
     "late",
     "refused",
-    "refused again",
+    "tries refused",
     "sent to the other region",
 )
 
@@ -27,16 +29,27 @@
     default=FACTORS,
     help="Offered load as a multiple of the capacity.",
 )
-def main(*, seeds: int, factors: tuple[float, ...]) -> None:
+@click.option(
+    "--policy",
+    "policies",
+    multiple=True,
+    type=click.Choice(list(overload_policies.POLICIES)),
+    default=("current",),
+    help="Policy of queues and placement.",
+)
+def main(
+    *, seeds: int, factors: tuple[float, ...], policies: tuple[str, ...]
+) -> None:
     """Prints what callers get at a load of 0.5 to 3 times the capacity.
 
-    The first columns are calls as a share of the capacity, the mean of all
-    seeds with the lowest and the highest; then the share of the calls of each
-    class in its aim, and the 99th percentile of their latency in ms.
+    The first columns are requests as a share of the capacity, the mean of all
+    seeds with the lowest and the highest; then the share of each class in its
+    aim, and the 99th percentile of its latency in ms.
     """
     names = [kind.name for kind in overload_world.CLASSES]
     click.echo(
         _row(
+            "policy",
             "limited",
             "load",
             *COLUMNS,
@@ -44,18 +57,16 @@
             *(f"{name} p99" for name in names),
         )
     )
-    click.echo(_row(*["---"] * (2 + len(COLUMNS) + 2 * len(names))))
-    for is_limited in (False, True):
-        for factor in factors:
-            loads = [
-                overload_world.Load(seed, factor, is_limited)
-                for seed in range(1, 1 + seeds)
-            ]
-            click.echo(
-                _row(
-                    "yes" if is_limited else "no", f"{factor:g}", *_cells(loads)
-                )
-            )
+    click.echo(_row(*["---"] * (3 + len(COLUMNS) + 2 * len(names))))
+    for policy, is_limited, factor in itertools.product(
+        policies, (False, True), factors
+    ):
+        loads = [
+            overload_world.Load(seed, factor, is_limited, policy)
+            for seed in range(1, 1 + seeds)
+        ]
+        limited = "yes" if is_limited else "no"
+        click.echo(_row(policy, limited, f"{factor:g}", *_cells(loads)))
 
 
 def _cells(
@@ -81,7 +92,7 @@
         tally.count("in-aim"),
         tally.count("late"),
         tally.count("refused"),
-        tally.again,
+        tally.tries_refused,
         tally.crossed,
     )
     return (
--- a/bench/overload_world.py
+++ b/bench/overload_world.py
@@ -10,6 +10,7 @@
 import random
 import typing
 
+from bench import overload_policies
 from galenatack import exceptions
 from galenatack.messages import call_answer
 from galenatack.model import call_result
@@ -17,10 +18,8 @@
 from galenatack.model import host_route
 from galenatack.model import member_record
 from galenatack.model import target_condition
-from galenatack.traffic import admission_queue
 from galenatack.traffic import known_conditions
 from galenatack.traffic import service_times
-from galenatack.traffic import target_placement
 from tests.fakes import virtual_loop
 from tests.traffic import fleet_load
 
@@ -69,29 +68,30 @@
 
 
 class Tally:
-    """Ends of the calls of one run, by class.
+    """Ends of the requests of one run, by class.
 
     Attributes:
-        ended: Calls by class and end: `in-aim`, `late`, `refused`.
-        again: Calls that were refused again after they had come back.
+        ended: Requests by class and end: `in-aim`, `late` or `refused`, which
+            is judged from their first try.
+        tries_refused: Tries that were refused.
         crossed: Sends to another region.
-        latencies_ms: Latencies of answered calls by class.
+        latencies_ms: Latencies of answered requests by class.
     """
 
     def __init__(self):
         self.ended: collections.Counter[tuple[str, str]] = collections.Counter()
-        self.again = 0
+        self.tries_refused = 0
         self.crossed = 0
         self.latencies_ms: dict[str, list[float]] = collections.defaultdict(
             list
         )
 
     def count(self, end: str) -> int:
-        """Returns the number of calls with an end."""
+        """Returns the number of requests with an end."""
         return sum(n for (_, each), n in self.ended.items() if each == end)
 
     def share_in_aim(self, name: str) -> float:
-        """Returns the share of the calls of a class that ended in its aim."""
+        """Returns the share of the requests of a class that were in aim."""
         total = sum(n for (each, _), n in self.ended.items() if each == name)
         return self.ended[name, "in-aim"] / max(1, total)
 
@@ -110,6 +110,7 @@
         record: Its record.
         rng: Random source for its service times.
         limit_per_s: Calls that it takes per second; None for no limit.
+        policy: Policy of the queue.
     """
 
     def __init__(
@@ -117,12 +118,14 @@
         record: member_record.MemberRecord,
         rng: random.Random,
         limit_per_s: float | None,
+        policy: overload_policies.Policy,
     ):
+        self._policy = policy
         self.record = record
         self._rng = rng
         self._condition = None
         self._times = service_times.ServiceTimes()
-        self._queue = admission_queue.AdmissionQueue(
+        self._queue = policy.queue(
             clock=virtual_loop.LoopClock(), rng=rng, times=self._times
         )
         self._queue.slots = record.slots
@@ -133,10 +136,11 @@
             self._queue.limit_rate(limit_per_s)
 
     async def handle(
-        self, call_id: str, kind: CallClass, left_s: float
-    ) -> call_answer.CallAnswer:
-        """Runs a call, or refuses it."""
-        deadline_s = asyncio.get_running_loop().time() + left_s
+        self, call_id: str, kind: CallClass, spent_ms: float
+    ) -> tuple[call_answer.CallAnswer, tuple[int, ...]]:
+        """Runs a call, or refuses it; returns its answer and the waits."""
+        now_s = asyncio.get_running_loop().time()
+        deadline_s = now_s + (kind.timeout_ms - spent_ms) / MS_PER_S
         ran_ms = 0.0
         try:
             await self._queue.acquire(
@@ -144,7 +148,9 @@
                 route=kind.name,
                 priority=kind.priority,
                 deadline_s=deadline_s,
-                target_latency_ms=kind.aim_ms,
+                target_latency_ms=self._policy.objective_ms(
+                    kind.aim_ms, spent_ms
+                ),
             )
         except exceptions.OverloadedError as error:
             result = call_result.CallResult(
@@ -165,7 +171,8 @@
             int(self._queue.expected_wait_ms(kind.priority, deadline_s)),
             condition=self._condition,
         )
-        return call_answer.CallAnswer(call_id, result, report)
+        answer = call_answer.CallAnswer(call_id, result, report)
+        return answer, self._policy.waits_ms(self._queue)
 
 
 class Node:
@@ -176,7 +183,8 @@
         region: Its region.
         targets: Targets by node id.
         rng: Source of randomness.
-        tally: Counts the ends of the calls.
+        tally: Counts the ends of the requests.
+        policy: Policy of the queues and of the placement.
     """
 
     def __init__(
@@ -186,6 +194,7 @@
         targets: dict[str, Target],
         rng: random.Random,
         tally: Tally,
+        policy: overload_policies.Policy,
     ):
         self._own = fleet_load.member(
             f"caller-{data_centre}", data_centre=data_centre, region=region
@@ -194,7 +203,9 @@
         self._rng = rng
         self._tally = tally
         self._calls = 0
-        self._placement = target_placement.TargetPlacement(
+        self._policy = policy
+        self._placement = policy.placement(
+            {kind.name: kind.priority for kind in CLASSES},
             own=self._own,
             clock=virtual_loop.LoopClock(),
             rng=rng,
@@ -203,68 +214,59 @@
         )
 
     async def call(self, kind: CallClass, *, is_counted: bool) -> None:
-        """Sends a call, which comes back after a refusal some times."""
-        for attempt in range(1 + MAX_RETURNS):
-            took_ms, retry_after_ms = await self._send_once(kind)
-            if is_counted:
-                self._count(kind, took_ms, retry_after_ms, attempt)
+        """Sends a request, which comes back after a refusal some times."""
+        loop = asyncio.get_running_loop()
+        began_s = loop.time()
+        end = "refused"
+        for _ in range(1 + MAX_RETURNS):
+            used_ms = (loop.time() - began_s) * MS_PER_S
+            if used_ms >= kind.timeout_ms:
+                break
+            retry_after_ms = await self._try(kind, used_ms)
+            took_ms = (loop.time() - began_s) * MS_PER_S
             if retry_after_ms is None:
-                return
+                end = "in-aim" if took_ms <= kind.aim_ms else "late"
+                break
+            self._tally.tries_refused += is_counted
             await asyncio.sleep(retry_after_ms / MS_PER_S)
+        if is_counted:
+            self._tally.ended[kind.name, end] += 1
+            if end != "refused":
+                self._tally.latencies_ms[kind.name].append(took_ms)
 
-    def _count(
-        self,
-        kind: CallClass,
-        took_ms: float,
-        retry_after_ms: float | None,
-        attempt: int,
-    ) -> None:
-        if retry_after_ms is not None:
-            self._tally.ended[kind.name, "refused"] += 1
-            self._tally.again += attempt > 0
-            return
-        end = "in-aim" if took_ms <= kind.aim_ms else "late"
-        self._tally.ended[kind.name, end] += 1
-        self._tally.latencies_ms[kind.name].append(took_ms)
-
-    async def _send_once(self, kind: CallClass) -> tuple[float, float | None]:
-        """Returns the time taken and the Retry-After of a refusal."""
+    async def _try(self, kind: CallClass, used_ms: float) -> float | None:
+        """Returns the Retry-After if a try was refused, else None."""
         loop = asyncio.get_running_loop()
         began_s = loop.time()
         self._calls += 1
         call_id = f"{self._own.node_id}-{self._calls}"
-        route = fleet_load.route(
-            target_latency_ms=kind.aim_ms,
-            timeout_ms=kind.timeout_ms,
-            priority=kind.priority,
-            name=kind.name,
-        )
         records = [target.record for target in self._targets.values()]
         tried: set[str] = set()
         retry_after_ms: float | None = None
         while len(tried) < MAX_SENDS:
-            left_ms = kind.timeout_ms - (loop.time() - began_s) * MS_PER_S
+            spent_ms = used_ms + (loop.time() - began_s) * MS_PER_S
             try:
                 chosen = self._placement.choose(
-                    records, route=route, left_ms=left_ms, tried=tried
+                    records,
+                    route=_route(kind),
+                    left_ms=kind.timeout_ms - spent_ms,
+                    tried=tried,
                 )
             except exceptions.OverloadedError as error:
-                retry_after_ms = retry_after_ms or error.retry_after_ms
-                break
+                return retry_after_ms or error.retry_after_ms
             tried.add(chosen.node_id)
-            result = await self._send(chosen, call_id, kind, route, left_ms)
+            result = await self._send(chosen, call_id, kind, spent_ms)
             if result.status == 200:
-                return (loop.time() - began_s) * MS_PER_S, None
+                return None
             retry_after_ms = result.retry_after_ms
-        return (loop.time() - began_s) * MS_PER_S, retry_after_ms
+        return retry_after_ms
 
     async def _send(
         self,
         chosen: member_record.MemberRecord,
         call_id: str,
         kind: CallClass,
-        route: host_route.HostRoute,
-        left_ms: float,
+        spent_ms: float,
     ) -> call_result.CallResult:
         if chosen.data_centre == self._own.data_centre:
             distance = "dc"
@@ -276,16 +278,26 @@
         view.in_flight += 1
         await asyncio.sleep(fleet_load.ONE_WAY_S[distance])
         target = self._targets[chosen.node_id]
-        answer = await target.handle(call_id, kind, left_ms / MS_PER_S)
+        answer, waits_ms = await target.handle(call_id, kind, spent_ms)
         await asyncio.sleep(fleet_load.ONE_WAY_S[distance])
         view.in_flight -= 1
         now_s = asyncio.get_running_loop().time()
-        view.apply_report(answer.report, route.name, now_s)
+        self._policy.apply_waits(view, waits_ms, answer.report, kind.name)
+        view.apply_report(answer.report, kind.name, now_s)
         if answer.result.status != 200:
             view.record_refusal(kind.name, now_s)
         return answer.result
 
 
+def _route(kind: CallClass) -> host_route.HostRoute:
+    return fleet_load.route(
+        target_latency_ms=kind.aim_ms,
+        timeout_ms=kind.timeout_ms,
+        priority=kind.priority,
+        name=kind.name,
+    )
+
+
 class Load(typing.NamedTuple):
     """Load of one run.
 
@@ -294,6 +306,7 @@
         factor: Offered load as a multiple of the capacity.
         is_limited: Whether the targets limit their rates to half of what
             their slots allow.
+        policy: Name of the policy.
         warm_s: Time before calls are counted.
         seconds: Time in which calls are counted.
     """
@@ -301,6 +314,7 @@
     seed: int
     factor: float
     is_limited: bool
+    policy: str = "current"
     warm_s: float = 3.0
     seconds: float = 12.0
 
@@ -320,6 +334,7 @@
 async def _play(load: Load) -> Tally:
     rng = random.Random(load.seed)
     tally = Tally()
+    policy = overload_policies.POLICIES[load.policy]
     targets = {}
     limit_per_s = None
     if load.is_limited:
@@ -332,8 +347,8 @@
                 region=region,
                 slots=SLOTS,
             )
-            targets[record.node_id] = Target(record, rng, limit_per_s)
-    nodes = [Node(*place, targets, rng, tally) for place in PLACES]
+            targets[record.node_id] = Target(record, rng, limit_per_s, policy)
+    nodes = [Node(*place, targets, rng, tally, policy) for place in PLACES]
     rate_per_s = load.factor * capacity_per_s(load)
     loop = asyncio.get_running_loop()
     weights = [kind.share for kind in CLASSES]
