--- a/tests/mesh/crash_run.py
+++ b/tests/mesh/crash_run.py
@@ -161,9 +161,9 @@
     return (caller, path, request.body) == (CALLER, "x", b"deadly")
 
 
-async def run(seed, seconds, *, restart_nodes=False):
+async def run(seed, seconds, *, restart_nodes=False, regions=("region",)):
     """Plays one seed and returns its outcome."""
-    async with small_fleet.SmallFleet(*SERVICES) as fleet:
+    async with small_fleet.SmallFleet(*SERVICES, regions=regions) as fleet:
         return await CrashRun(fleet, seed, seconds).play(
             restart_nodes=restart_nodes
         )
@@ -176,11 +176,18 @@
     parser.add_argument("--count", type=int, default=1)
     parser.add_argument("--seconds", type=float, default=12.0)
     parser.add_argument("--restart-nodes", action="store_true")
+    parser.add_argument("--regions", type=int, default=1)
     options = parser.parse_args()
     logging.disable(logging.WARNING)
     for seed in range(options.seed, options.seed + options.count):
-        restart = options.restart_nodes
-        outcome = asyncio.run(run(seed, options.seconds, restart_nodes=restart))
+        outcome = asyncio.run(
+            run(
+                seed,
+                options.seconds,
+                restart_nodes=options.restart_nodes,
+                regions=tuple(f"region-{n}" for n in range(options.regions)),
+            )
+        )
         print(f"seed={seed} {outcome}", flush=True)
 
 
--- a/tests/mesh/small_fleet.py
+++ b/tests/mesh/small_fleet.py
@@ -19,6 +19,7 @@
 
 SETTLE_S = 10.0
 LISTENERS = 6
+REGION_DELAY_S = 0.03
 _HOSTS = itertools.count()
 
 
@@ -76,8 +77,12 @@
         )
         # The settings of these nodes allow no faults.
         self.parts.peers.fault_injector.is_cut = self._is_cut
+        self.parts.peers.fault_injector.delay_s = self._delay_s
         self.node = mesh_node.MeshNode(self.parts)
 
+    def _delay_s(self, region):
+        return 0.0 if region == self.settings.region else REGION_DELAY_S
+
     def _is_cut(self, data_centre):
         return data_centre in self.cut_data_centres
 
