--- a/bench/overload.py
+++ b/bench/overload.py
@@ -11,7 +11,7 @@
 
 FACTORS = (0.5, 0.8, 1.0, 1.2, 1.5, 2.0, 3.0)
 COLUMNS = (
-    "in aim",
+    "in time",
     "late",
     "refused",
     "tries refused",
@@ -44,7 +44,7 @@
 
     The first columns are requests as a share of the capacity, the mean of all
     seeds with the lowest and the highest; then the share of each class in its
-    aim, and the 99th percentile of its latency in ms.
+    objective, and the 99th percentile of its latency in ms.
     """
     names = [kind.name for kind in overload_world.CLASSES]
     click.echo(
@@ -53,7 +53,7 @@
             "limited",
             "load",
             *COLUMNS,
-            *(f"{name} in aim" for name in names),
+            *(f"{name} in time" for name in names),
             *(f"{name} p99" for name in names),
         )
     )
@@ -89,7 +89,7 @@
     """Returns the figures of one run, in the order of the columns."""
     capacity = overload_world.capacity_per_s(load) * load.seconds
     counts = (
-        tally.count("in-aim"),
+        tally.count("in-time"),
         tally.count("late"),
         tally.count("refused"),
         tally.tries_refused,
@@ -97,7 +97,7 @@
     )
     return (
         *(count / capacity for count in counts),
-        *(tally.share_in_aim(kind.name) for kind in overload_world.CLASSES),
+        *(tally.share_in_time(kind.name) for kind in overload_world.CLASSES),
         *(tally.p99_ms(kind.name) for kind in overload_world.CLASSES),
     )
 
--- a/bench/overload_policies.py
+++ b/bench/overload_policies.py
@@ -13,6 +13,9 @@
 
 MS_PER_S = 1000.0
 SHARE_SMOOTHING = 0.15
+LATE_PRIORITY = 0.5
+"""Added to the priority of a call that cannot meet its objective any more: it
+goes after the others of its priority, and before less urgent calls."""
 
 
 class Policy(typing.NamedTuple):
@@ -115,6 +118,10 @@
     more gets a slot only if no other wants it.
     """
 
+    def __init__(self, **more: typing.Any):
+        super().__init__(**more)
+        self._objectives_s: dict[str, float] = {}
+
     async def acquire(
         self,
         call_id: str,
@@ -129,7 +136,7 @@
         expected_ms = self._times.expected_ms(route)
         self._objectives_s[call_id] = now_s + target_latency_ms / MS_PER_S
         if target_latency_ms < expected_ms:
-            priority += 0.5
+            priority += LATE_PRIORITY
         try:
             await super().acquire(
                 call_id,
@@ -141,10 +148,6 @@
         finally:
             del self._objectives_s[call_id]
 
-    def __init__(self, **more: typing.Any):
-        super().__init__(**more)
-        self._objectives_s: dict[str, float] = {}
-
     def _grant(self) -> None:
         self._move_late()
         super()._grant()
@@ -162,7 +165,7 @@
             if end_s <= self._objectives_s[waiter.call_id]:
                 return
             heapq.heappop(self._heap)
-            waiter.order = (priority + 0.5, *rest)
+            waiter.order = (priority + LATE_PRIORITY, *rest)
             heapq.heappush(self._heap, waiter)
 
 
--- a/bench/overload_world.py
+++ b/bench/overload_world.py
@@ -46,7 +46,7 @@
         name: Name of the route.
         share: Share of all calls.
         work_ms: Mean service time.
-        aim_ms: Latency objective.
+        objective_ms: Latency objective.
         timeout_ms: Time until the caller gives up.
         priority: Priority; 0 is the most urgent.
     """
@@ -54,7 +54,7 @@
     name: str
     share: float
     work_ms: float
-    aim_ms: int
+    objective_ms: int
     timeout_ms: int
     priority: int
 
@@ -71,7 +71,7 @@
     """Ends of the requests of one run, by class.
 
     Attributes:
-        ended: Requests by class and end: `in-aim`, `late` or `refused`, which
+        ended: Requests by class and end: `in-time`, `late` or `refused`, which
             is judged from their first try.
         tries_refused: Tries that were refused.
         crossed: Sends to another region.
@@ -90,10 +90,10 @@
         """Returns the number of requests with an end."""
         return sum(n for (_, each), n in self.ended.items() if each == end)
 
-    def share_in_aim(self, name: str) -> float:
-        """Returns the share of the requests of a class that were in aim."""
+    def share_in_time(self, name: str) -> float:
+        """Returns the share of the requests of a class that were in time."""
         total = sum(n for (each, _), n in self.ended.items() if each == name)
-        return self.ended[name, "in-aim"] / max(1, total)
+        return self.ended[name, "in-time"] / max(1, total)
 
     def p99_ms(self, name: str) -> float:
         """Returns the 99th percentile of the latencies of a class."""
@@ -149,7 +149,7 @@
                 priority=kind.priority,
                 deadline_s=deadline_s,
                 target_latency_ms=self._policy.objective_ms(
-                    kind.aim_ms, spent_ms
+                    kind.objective_ms, spent_ms
                 ),
             )
         except exceptions.OverloadedError as error:
@@ -225,7 +225,7 @@
             retry_after_ms = await self._try(kind, used_ms)
             took_ms = (loop.time() - began_s) * MS_PER_S
             if retry_after_ms is None:
-                end = "in-aim" if took_ms <= kind.aim_ms else "late"
+                end = "in-time" if took_ms <= kind.objective_ms else "late"
                 break
             self._tally.tries_refused += is_counted
             await asyncio.sleep(retry_after_ms / MS_PER_S)
@@ -291,7 +291,7 @@
 
 def _route(kind: CallClass) -> host_route.HostRoute:
     return fleet_load.route(
-        target_latency_ms=kind.aim_ms,
+        target_latency_ms=kind.objective_ms,
         timeout_ms=kind.timeout_ms,
         priority=kind.priority,
         name=kind.name,
