Metrics: first attempts and retries by service, at the router and at the gate

Counters of calls now come before those of the store and of links: a collector had cut the page after 4 KB, without them.

Calls carry whether they are retries (a field appended to Call; older nodes ignore it and send none, which counts as a first attempt).

--- a/src/galenatack/app/mesh_metrics.py
+++ b/src/galenatack/app/mesh_metrics.py
@@ -39,11 +39,12 @@
         return [
             *self._process(),
             *self._load(),
+            *self._retry_budget(),
+            *self._parts.stats.samples(),
             *self._node_state(),
             *self._store_state(),
             *self._store(),
             *self._traffic(),
-            *self._parts.stats.samples(),
         ]
 
     def _process(self) -> list[str]:
@@ -75,6 +76,17 @@
             exposition.sample("caller_connections", parts.callers.connections),
         ]
 
+    def _retry_budget(self) -> list[str]:
+        budget = self._parts.budget
+        return [
+            exposition.sample(
+                "retry_budget_remaining",
+                budget.remaining(service),
+                {"service": service},
+            )
+            for service in budget.services()
+        ]
+
     def _node_state(self) -> list[str]:
         parts = self._parts
         states = collections.Counter(
--- a/src/galenatack/model/call_request.py
+++ b/src/galenatack/model/call_request.py
@@ -29,6 +29,8 @@
             this request, of which the gate may not have heard.
         is_trial: True if it may run although two targets have crashed under its
             request, to find out whether a third one answers it.
+        is_retry: True if an earlier attempt of the request has reached a
+            target, or may have.
     """
 
     call_id: str
@@ -49,3 +51,4 @@
     target_rate_limit_per_s: float | None = None
     is_suspect: bool = False
     is_trial: bool = False
+    is_retry: bool = False
--- a/src/galenatack/traffic/attempt_budget.py
+++ b/src/galenatack/traffic/attempt_budget.py
@@ -60,6 +60,10 @@
         """Counts the first attempt of a call."""
         self._calls[service].add(self._bucket())
 
+    def services(self) -> list[str]:
+        """Returns the services that have had calls, in order."""
+        return sorted(self._calls)
+
     def has_remaining(self, service: str) -> bool:
         """Returns whether a retry is allowed now."""
         return self.remaining(service) >= 1
--- a/src/galenatack/traffic/call_sender.py
+++ b/src/galenatack/traffic/call_sender.py
@@ -114,6 +114,7 @@
             target_rate_limit_per_s=self._conditions.rate_limit_per_s(member),
             is_suspect=attempts.crashes > 0,
             is_trial=attempts.is_trial,
+            is_retry=attempts.arrivals > 0,
         )
 
     async def _send_local(
--- a/src/galenatack/traffic/call_stats.py
+++ b/src/galenatack/traffic/call_stats.py
@@ -24,12 +24,30 @@
         self._outcomes: collections.Counter[tuple[str, str, str]] = (
             collections.Counter()
         )
+        self._attempts: collections.Counter[tuple[str, str, str, str]] = (
+            collections.Counter()
+        )
         self._histograms: dict[str, hdrh.histogram.HdrHistogram] = {}
 
     def count(self, side: str, *, outcome: str, reason: str) -> None:
         """Counts a finished call on the side of the `router` or the `gate`."""
         self._outcomes[side, outcome, reason] += 1
 
+    def count_attempt(
+        self, side: str, *, service: str, is_retry: bool, end: str
+    ) -> None:
+        """Counts a first attempt or a retry, by service.
+
+        Args:
+            side: `router` where it is sent, `gate` where it reaches its target.
+            service: Name of the called service.
+            is_retry: Whether an earlier attempt has reached a target.
+            end: `sent` for the router; for the gate `refused` if the target
+                refused it, otherwise `ran`.
+        """
+        kind = "retry" if is_retry else "first"
+        self._attempts[side, service, kind, end] += 1
+
     def record_ms(self, name: str, duration_ms: float) -> None:
         """Adds a duration to the histogram with this name."""
         histogram = self._histograms.get(name)
@@ -50,6 +68,13 @@
             )
             for (side, outcome, reason), count in sorted(self._outcomes.items())
         ]
+        for (side, service, kind, end), count in sorted(self._attempts.items()):
+            labels = {"side": side, "service": service, "kind": kind}
+            lines.append(
+                exposition.sample(
+                    "attempts_total", count, labels | {"end": end}
+                )
+            )
         for name, histogram in sorted(self._histograms.items()):
             labels = {"span": name}
             total = histogram.get_total_count()
--- a/src/galenatack/traffic/call_telemetry.py
+++ b/src/galenatack/traffic/call_telemetry.py
@@ -53,7 +53,13 @@
         call: call_request.CallRequest,
         member: member_record.MemberRecord,
     ) -> None:
-        """Logs an attempt at a target."""
+        """Counts and logs an attempt at a target."""
+        self._stats.count_attempt(
+            "router",
+            service=call.service,
+            is_retry=call.is_retry,
+            end="sent",
+        )
         if not self._log.is_sampled(call.request_id):
             return
         view = self._placement.view(member)
--- a/src/galenatack/traffic/target_gate.py
+++ b/src/galenatack/traffic/target_gate.py
@@ -308,12 +308,20 @@
         self._stats.count(
             "gate", outcome=result.outcome, reason=reason_of(result)
         )
+        has_run = result.outcome != outcome.Outcome.NOT_RUN
+        if has_run or result.has_reached_target:
+            self._stats.count_attempt(
+                "gate",
+                service=request.service,
+                is_retry=request.is_retry,
+                end="ran" if has_run else "refused",
+            )
         self._stats.record_ms("target", ran_ms)
         self._stats.record_ms("queue", waited_s * MS_PER_S)
         self._failures.record(has_failed=has_failed)
         if is_answer and not has_failed:
             self._times.record(request.route, ran_ms)
-        if result.outcome != outcome.Outcome.NOT_RUN:
+        if has_run:
             self._on_outcome(
                 request.route, has_failed, ran_ms, self._registry.is_warm()
             )
--- a/tests/mesh/test_metrics.py
+++ b/tests/mesh/test_metrics.py
@@ -52,6 +52,11 @@
             'galenatack_calls_total{side="gate",outcome="answer",reason="2xx"}'
         )
         self.assertEqual(before[gate], "1")
+        ran = (
+            'galenatack_attempts_total{side="gate",service="b",kind="first",'
+            'end="ran"}'
+        )
+        self.assertEqual(before[ran], "1")
         reads = 'galenatack_store_calls_total{kind="read",result="ok"}'
         self.assertGreaterEqual(float(before[reads]), 2)
         failed = (
