Bound retries as a share of what targets run, not only of what is asked

Cause: a node could retry 6.5% of the calls of a service, on the belief that calls of retried runs are then 6.5% of the calls of the next service. Calls of targets follow runs. While most calls are refused, as price lookups were after two targets had fallen silent under a burst, those 6.5% are a third of what runs, and the requests of the next service are few. Class: a bound on a sum that is derived from another sum, of which only a part goes on.

Change: the gate admits retries up to a third of the ratio of what its target runs, and with descendants of retries up to three quarters of it. First attempts carry the share of retries at the target of their node, since they may come from it; they use the budget of the caller's node first. The ratio is read from the settings. Callers that are told to come back do so with a new request.

The test of the budget for calls nested two deep at fixed thirds gave way to one with the same bound at nine levels, with most calls of the first one refused.

--- a/src/galenatack/app/mesh_callbacks.py
+++ b/src/galenatack/app/mesh_callbacks.py
@@ -22,8 +22,8 @@
 from galenatack.platform import rollout_rows
 from galenatack.rollouts import rollout_registry
 from galenatack.timeline import hybrid_clock
-from galenatack.traffic import attempt_budget
 from galenatack.traffic import config_holder
+from galenatack.traffic import retry_slack
 from galenatack.traffic import target_gate
 from galenatack.traffic import target_placement
 from galenatack.traffic import target_registry
@@ -47,7 +47,7 @@
     rollouts: rollout_registry.RolloutRegistry
     registry: target_registry.TargetRegistry
     gate: target_gate.TargetGate
-    budget: attempt_budget.AttemptBudget
+    slack: retry_slack.RetrySlack
     placement: target_placement.TargetPlacement
     limits: connection_limits.ConnectionLimits
     syncs: tuple[neighbour_sync.NeighbourSync, ...]
@@ -167,7 +167,7 @@
         """Updates the parts that depend on the live nodes."""
         del changed
         live = self._parts.members.live()
-        self._parts.budget.set_nodes(len(live))
+        self._parts.slack.set_nodes(len(live))
         self._parts.placement.retain_only({record.node_id for record in live})
 
     def rows_changed(self, rows: tuple[table_row.TableRow, ...]) -> None:
--- a/src/galenatack/app/mesh_inbound.py
+++ b/src/galenatack/app/mesh_inbound.py
@@ -10,6 +10,8 @@
 from galenatack.quarantine import crash_detector
 from galenatack.traffic import admission_queue
 from galenatack.traffic import call_message_handler
+from galenatack.traffic import retried_runs
+from galenatack.traffic import retry_slack
 from galenatack.traffic import service_times
 from galenatack.traffic import target_calls
 from galenatack.traffic import target_gate
@@ -32,6 +34,8 @@
     registry: target_registry.TargetRegistry
     target: translated_target.TranslatedTarget
     gate: target_gate.TargetGate
+    runs: retried_runs.RetriedRuns
+    slack: retry_slack.RetrySlack
 
 
 def make(
@@ -56,6 +60,10 @@
     )
     own = base.members.own
     times = service_times.ServiceTimes()
+    slack = retry_slack.RetrySlack(
+        clock=base.clock, bounds=base.settings.bounds.retries
+    )
+    runs = retried_runs.RetriedRuns(clock=base.clock, slack=slack)
     gate = target_gate.TargetGate(
         registry=registry,
         queue=admission_queue.AdmissionQueue(
@@ -79,6 +87,7 @@
         is_withdrawn=rollouts.registry.is_withdrawn,
         on_outcome=rollouts.pool.record,
         quarantine=quarantine.quarantine,
+        runs=runs,
     )
     call_message_handler.CallMessageHandler(peers=base.peers, gate=gate)
-    return MeshInbound(registry, target, gate)
+    return MeshInbound(registry, target, gate, runs, slack)
--- a/src/galenatack/app/mesh_node.py
+++ b/src/galenatack/app/mesh_node.py
@@ -65,10 +65,7 @@
     def apply(self, settings: mesh_settings.MeshSettings) -> None:
         """Puts changed settings in force."""
         self._bounds = settings.bounds
-        self._parts.budget.set_bounds(
-            window_s=settings.bounds.repeat_window_ms / MS_PER_S,
-            slack=settings.bounds.repeat_slack,
-        )
+        self._parts.slack.bounds = settings.bounds.retries
 
     def request_stop(self) -> None:
         """Begins a graceful stop."""
--- a/src/galenatack/app/mesh_outbound.py
+++ b/src/galenatack/app/mesh_outbound.py
@@ -15,8 +15,6 @@
 from galenatack.traffic import target_directory
 from galenatack.traffic import target_placement
 
-MS_PER_S = 1000
-
 
 class MeshOutbound(typing.NamedTuple):
     """Parts between callers and targets."""
@@ -35,13 +33,8 @@
     inbound: mesh_inbound.MeshInbound,
 ) -> MeshOutbound:
     """Makes the parts between callers and targets."""
-    bounds = base.settings.bounds
     config = config_holder.ConfigHolder()
-    budget = attempt_budget.AttemptBudget(
-        clock=base.clock,
-        window_s=bounds.repeat_window_ms / MS_PER_S,
-        slack=bounds.repeat_slack,
-    )
+    budget = attempt_budget.AttemptBudget(clock=base.clock, slack=inbound.slack)
     conditions = known_conditions.KnownConditions()
     placement = target_placement.TargetPlacement(
         own=base.members.own,
@@ -56,6 +49,7 @@
         versions=rollouts.versions,
         placement=placement,
         budget=budget,
+        runs=inbound.runs,
         sender=call_sender.CallSender(
             own=base.members.own,
             peers=base.peers,
--- a/src/galenatack/exceptions/_call_errors.py
+++ b/src/galenatack/exceptions/_call_errors.py
@@ -23,6 +23,21 @@
         self.retry_after_ms = retry_after_ms
 
 
+class RetryRefusedError(CallError):
+    """A retry was refused because retries are too large a share of all runs.
+
+    Attributes:
+        retry_after_ms: Delay after which the caller may send the request again,
+            in milliseconds.
+    """
+
+    code = "retry-refused"
+
+    def __init__(self, message: str, *, retry_after_ms: int):
+        super().__init__(message)
+        self.retry_after_ms = retry_after_ms
+
+
 class NoTargetError(CallError):
     """No target of the service can accept the call."""
 
--- a/src/galenatack/model/call_request.py
+++ b/src/galenatack/model/call_request.py
@@ -31,6 +31,9 @@
             request, to find out whether a third one answers it.
         is_retry: True if an earlier attempt of the request has reached a
             target, or may have.
+        retry_share: For a first attempt, the probability that it descends from
+            a retry: the share of retries and their descendants at the target
+            of the sending node, which may have made it.
     """
 
     call_id: str
@@ -52,3 +55,4 @@
     is_suspect: bool = False
     is_trial: bool = False
     is_retry: bool = False
+    retry_share: float = 0.0
--- a/src/galenatack/model/gate_report.py
+++ b/src/galenatack/model/gate_report.py
@@ -18,6 +18,8 @@
         wait_ms: Time that a new call of the same route would wait for a slot.
         condition: What the target said of itself in its latest answer; None
             if it has not answered since the gate or the target started.
+        admits_retries: False if retries are as large a share of what the
+            target runs as they may be.
     """
 
     running: int
@@ -26,3 +28,4 @@
     failure_permille: int
     wait_ms: int
     condition: target_condition.TargetCondition | None = None
+    admits_retries: bool = True
--- a/src/galenatack/platform/settings_document.py
+++ b/src/galenatack/platform/settings_document.py
@@ -98,6 +98,7 @@
         repeat_window_ms=bound_ms("retry_window", _DEFAULTS.repeat_window_ms),
         repeat_slack=int(number("budget_slack", _DEFAULTS.repeat_slack)),
         trial_share=number("exposure_share", _DEFAULTS.trial_share),
+        repeat_ratio=number("retry_budget_ratio", _DEFAULTS.repeat_ratio),
     )
 
 
--- a/src/galenatack/settings/fleet_bounds.py
+++ b/src/galenatack/settings/fleet_bounds.py
@@ -2,6 +2,10 @@
 
 import typing
 
+from galenatack.model import retry_bounds
+
+_MS_PER_S = 1000
+
 
 class FleetBounds(typing.NamedTuple):
     """Limits that a deployment sets for all nodes.
@@ -12,6 +16,7 @@
         grace_ms: Time between SIGTERM and SIGKILL.
         config_ms: Time limit for putting a configuration in force.
         repeat_window_ms: Window of the retry budget.
+        repeat_ratio: Retries of a service as a share of its requests.
         repeat_slack: Retries of a service per window beyond the ratio.
         trial_share: Maximum share of calls that a faulty version may get.
     """
@@ -22,3 +27,13 @@
     repeat_window_ms: int = 10_000
     repeat_slack: int = 50
     trial_share: float = 0.1
+    repeat_ratio: float = 0.2
+
+    @property
+    def retries(self) -> retry_bounds.RetryBounds:
+        """The bound on retries."""
+        return retry_bounds.RetryBounds(
+            window_s=self.repeat_window_ms / _MS_PER_S,
+            ratio=self.repeat_ratio,
+            slack=self.repeat_slack,
+        )
--- a/src/galenatack/traffic/attempt_budget.py
+++ b/src/galenatack/traffic/attempt_budget.py
@@ -3,62 +3,50 @@
 import collections
 
 from galenatack.interfaces import clock as clock_interface
-
-RETRIES_PER_CALL = 0.065
-"""Retries that each call adds to the budget: a third of the platform's ratio
-of 0.2. The nested calls of a retried call count as retries of the services they
-reach, and calls are nested two deep."""
-
-DIRECT_SLACK_SHARE = 0.3
-"""Share of the slack that nodes may use for their own retries; the rest is
-reserved for the nested calls of those retries."""
-
-BUCKETS = 10
-"""Number of counting buckets in the window."""
+from galenatack.traffic import retry_slack
+from galenatack.traffic import sliding_sum
 
 
 class AttemptBudget:
-    """Counts calls and retries of each service in a sliding window.
+    """Counts the calls of each service and their retries in a sliding window.
 
-    Each node uses an equal part of the slack, which keeps the sum over all
-    nodes within the bound of the deployment.
+    Each node stays within its share of the bound: a ratio of its own calls and
+    an equal part of the slack. First attempts that may descend from a retry of
+    another service use the budget before the node's own retries do.
 
     Args:
         clock: Source of time.
-        window_s: Length of the window in seconds.
-        slack: Retries that the deployment allows in a window without calls.
-        retries_per_call: Retries that each call adds to the budget.
+        slack: The node's part of the slack, with the bound.
     """
 
     def __init__(
         self,
         *,
         clock: clock_interface.Clock,
-        window_s: float,
-        slack: float,
-        retries_per_call: float = RETRIES_PER_CALL,
+        slack: retry_slack.RetrySlack,
     ):
         self._clock = clock
-        self._retries_per_call = retries_per_call
-        self._bucket_s = 0.0
-        self._slack = 0.0
-        self.set_bounds(window_s=window_s, slack=slack)
-        self._nodes = 1
-        self._calls: dict[str, _Window] = collections.defaultdict(_Window)
-        self._retries: dict[str, _Window] = collections.defaultdict(_Window)
-
-    def set_bounds(self, *, window_s: float, slack: float) -> None:
-        """Sets the window and the slack of the deployment."""
-        self._bucket_s = window_s / BUCKETS
-        self._slack = slack * DIRECT_SLACK_SHARE
-
-    def set_nodes(self, nodes: int) -> None:
-        """Sets how many nodes share the slack."""
-        self._nodes = max(1, nodes)
-
-    def record_first_attempt(self, service: str) -> None:
-        """Counts the first attempt of a call."""
-        self._calls[service].add(self._bucket())
+        self._slack = slack
+        self._calls: dict[str, sliding_sum.SlidingSum] = (
+            collections.defaultdict(sliding_sum.SlidingSum)
+        )
+        self._retries: dict[str, sliding_sum.SlidingSum] = (
+            collections.defaultdict(sliding_sum.SlidingSum)
+        )
+
+    def record_first_attempt(
+        self, service: str, *, retry_share: float = 0.0
+    ) -> None:
+        """Counts the first attempt of a call.
+
+        Args:
+            service: Service of the call.
+            retry_share: Probability that the call descends from a retry.
+        """
+        bucket = self._bucket()
+        self._calls[service].add(bucket)
+        if retry_share:
+            self._retries[service].add(bucket, retry_share)
 
     def services(self) -> list[str]:
         """Returns the services that have had calls, in order."""
@@ -71,8 +59,9 @@
     def remaining(self, service: str) -> float:
         """Returns how many retries are allowed now."""
         bucket = self._bucket()
-        earned = self._calls[service].total(bucket) * self._retries_per_call
-        allowed = earned + self._slack / self._nodes
+        ratio = self._slack.bounds.usable_ratio
+        earned = self._calls[service].total(bucket) * ratio
+        allowed = earned + self._slack.retries()
         return allowed - self._retries[service].total(bucket)
 
     def try_spend(self, service: str) -> bool:
@@ -83,27 +72,5 @@
         return True
 
     def _bucket(self) -> int:
-        return int(self._clock.monotonic_s() / self._bucket_s)
-
-
-class _Window:
-    """A sliding window of counts, one for each time bucket."""
-
-    def __init__(self):
-        self._counts: collections.deque[list[int]] = collections.deque()
-        self._sum = 0
-
-    def add(self, bucket: int) -> None:
-        self._expire(bucket)
-        if not self._counts or self._counts[-1][0] != bucket:
-            self._counts.append([bucket, 0])
-        self._counts[-1][1] += 1
-        self._sum += 1
-
-    def total(self, bucket: int) -> int:
-        self._expire(bucket)
-        return self._sum
-
-    def _expire(self, bucket: int) -> None:
-        while self._counts and self._counts[0][0] <= bucket - BUCKETS:
-            self._sum -= self._counts.popleft()[1]
+        bucket_s = self._slack.bounds.window_s / sliding_sum.BUCKETS
+        return int(self._clock.monotonic_s() / bucket_s)
--- a/src/galenatack/traffic/call_router.py
+++ b/src/galenatack/traffic/call_router.py
@@ -19,6 +19,7 @@
 from galenatack.traffic import config_holder
 from galenatack.traffic import known_conditions
 from galenatack.traffic import request_attempts
+from galenatack.traffic import retried_runs
 from galenatack.traffic import target_directory
 from galenatack.traffic import target_gate
 from galenatack.traffic import target_placement
@@ -55,6 +56,7 @@
         versions: Chooses the version.
         placement: Chooses the target.
         budget: Retry budget.
+        runs: Share of retries among the runs of the local target.
         sender: Sends calls to gates.
         conditions: Receives what targets say of themselves.
         quarantine: Decides on requests under which targets crash.
@@ -70,6 +72,7 @@
         versions: version_chooser.VersionChooser,
         placement: target_placement.TargetPlacement,
         budget: attempt_budget.AttemptBudget,
+        runs: retried_runs.RetriedRuns,
         sender: call_sender.CallSender,
         conditions: known_conditions.KnownConditions,
         quarantine: quarantine_module.Quarantine,
@@ -81,6 +84,7 @@
         self._versions = versions
         self._placement = placement
         self._budget = budget
+        self._runs = runs
         self._sender = sender
         self._conditions = conditions
         self._quarantine = quarantine
@@ -134,6 +138,8 @@
             service=self._weights.pick(route),
             config_version=table.version,
             deadline_s=started_s + timeout_ms / MS_PER_S,
+            # A request of the local target cannot be told from one of a caller.
+            retry_share=self._runs.retry_share,
         )
 
     async def _try_targets(
@@ -145,7 +151,9 @@
                     attempts.request, left_s=self._left_s(attempts)
                 )
                 if not attempts.trail:
-                    self._budget.record_first_attempt(attempts.service)
+                    self._budget.record_first_attempt(
+                        attempts.service, retry_share=attempts.retry_share
+                    )
                 member = self._choose(attempts)
             except exceptions.CallError as error:
                 self._telemetry.record_not_placed(attempts, error)
@@ -161,11 +169,11 @@
         left_ms = self._left_s(attempts) * MS_PER_S
         if left_ms <= 0:
             raise exceptions.DeadlineExceededError("deadline passed")
-        if attempts.arrivals and not self._budget.has_remaining(
+        if attempts.is_retry and not self._budget.has_remaining(
             attempts.service
         ):
-            raise exceptions.OverloadedError(
-                "budget of repeats is used up",
+            raise exceptions.RetryRefusedError(
+                "the retry budget is used up",
                 retry_after_ms=local_replies.DEFAULT_RETRY_AFTER_MS,
             )
         *preferred, last = self._versions.choose(
@@ -180,7 +188,7 @@
             except exceptions.OverloadedError as error:
                 _LOGGER.debug("event=trial-targets-full error=%s", error)
         member = member or self._place(last, attempts, left_ms)
-        if attempts.arrivals:
+        if attempts.is_retry:
             self._budget.try_spend(attempts.service)
         return member
 
@@ -195,6 +203,7 @@
             route=attempts.route,
             left_ms=left_ms,
             tried=attempts.tried,
+            is_retry=attempts.is_retry,
         )
 
     def _may_retry(
--- a/src/galenatack/traffic/call_sender.py
+++ b/src/galenatack/traffic/call_sender.py
@@ -114,7 +114,8 @@
             target_rate_limit_per_s=self._conditions.rate_limit_per_s(member),
             is_suspect=attempts.crashes > 0,
             is_trial=attempts.is_trial,
-            is_retry=attempts.arrivals > 0,
+            is_retry=attempts.is_retry,
+            retry_share=attempts.retry_share,
         )
 
     async def _send_local(
--- a/src/galenatack/traffic/gate_view.py
+++ b/src/galenatack/traffic/gate_view.py
@@ -48,6 +48,7 @@
         self._other_calls = 0
         self._reported_s = -math.inf
         self._wait_reports: dict[str, tuple[float, float]] = {}
+        self._admits_retries = True
         self._refused_until_s: dict[str, float] = {}
         self._ejections = 0
         self._ejected_until_s = -math.inf
@@ -63,6 +64,7 @@
         self._wait_reports[route] = (now_s, float(report.wait_ms))
         self._ejections = 0
         self.failure_permille = report.failure_permille
+        self._admits_retries = report.admits_retries
         if report.condition is not None:
             self.rate_limit_per_s = report.condition.rate_limit_per_s
         if report.ran_ms:
@@ -85,6 +87,11 @@
         """
         return now_s < self._refused_until_s.get(route, -math.inf)
 
+    def is_refusing_retries(self, now_s: float) -> bool:
+        """Returns whether a retry would be refused, by a recent report."""
+        age_s = now_s - self._reported_s
+        return not self._admits_retries and age_s < REPORT_DECAY_S
+
     def is_ejected(self, now_s: float) -> bool:
         """Returns whether the gate is ejected and should get no calls."""
         return now_s < self._ejected_until_s
--- a/src/galenatack/traffic/request_attempts.py
+++ b/src/galenatack/traffic/request_attempts.py
@@ -16,6 +16,7 @@
         service: Service that was chosen by weight, the same for all attempts.
         config_version: Version of the configuration that has the route.
         deadline_s: Monotonic time by which the caller must have an answer.
+        retry_share: Probability that the request descends from a retry.
 
     Attributes:
         tried: Ids of the nodes that were tried.
@@ -34,12 +35,14 @@
         service: str,
         config_version: int,
         deadline_s: float,
+        retry_share: float = 0.0,
     ):
         self.request = request
         self.route = route
         self.service = service
         self.config_version = config_version
         self.deadline_s = deadline_s
+        self.retry_share = retry_share
         self.tried: set[str] = set()
         self.trail: list[str] = []
         self.arrivals = 0
@@ -50,6 +53,11 @@
         self._unknown: call_result.CallResult | None = None
         self._refusal: call_result.CallResult | None = None
 
+    @property
+    def is_retry(self) -> bool:
+        """Whether a further attempt is a retry."""
+        return self.arrivals > 0
+
     def add(self, node_id: str, result: call_result.CallResult) -> None:
         """Adds the result of one attempt."""
         self.tried.add(node_id)
--- a/src/galenatack/traffic/target_gate.py
+++ b/src/galenatack/traffic/target_gate.py
@@ -19,6 +19,7 @@
 from galenatack.traffic import call_stats
 from galenatack.traffic import failure_rate
 from galenatack.traffic import request_log
+from galenatack.traffic import retried_runs
 from galenatack.traffic import service_times
 from galenatack.traffic import target_calls
 from galenatack.traffic import target_registry
@@ -28,6 +29,9 @@
 MS_PER_S = 1000
 SERVER_ERROR = 500
 
+REFUSED_RETRY_AFTER_MS = 100
+"""About one service time, after which other calls have run."""
+
 
 class TargetGate:
     """Admits calls to the local target and records their outcomes.
@@ -47,6 +51,7 @@
         is_withdrawn: Returns whether a version of a service is withdrawn.
         on_outcome: Receives the outcome of each call as rollout evidence.
         quarantine: Decides on requests under which targets crash.
+        runs: Share of retries among the runs of the target.
     """
 
     def __init__(
@@ -62,6 +67,7 @@
         is_withdrawn: collections.abc.Callable[[str, str], bool],
         on_outcome: dispatcher.OnOutcome,
         quarantine: quarantine_module.Quarantine,
+        runs: retried_runs.RetriedRuns,
     ):
         self._registry = registry
         self._queue = queue
@@ -73,6 +79,7 @@
         self._is_withdrawn = is_withdrawn
         self._on_outcome = on_outcome
         self._quarantine = quarantine
+        self._runs = runs
         self._failures = failure_rate.FailureRate()
         self._is_closed = False
         self._accepted_calls = 0
@@ -194,6 +201,7 @@
                 )
             ),
             condition=self._condition,
+            admits_retries=self._runs.admits_retry(),
         )
         return call_answer.CallAnswer(request.call_id, result, report)
 
@@ -266,6 +274,11 @@
                 f"version {current.version} is withdrawn"
             )
         self._calls.check_connected()
+        if request.is_retry and not self._runs.admits_retry():
+            raise exceptions.RetryRefusedError(
+                "retries are too large a share of the target's runs",
+                retry_after_ms=REFUSED_RETRY_AFTER_MS,
+            )
 
     def _learn_limit(self, request: call_request.CallRequest) -> None:
         """Uses the limit that a caller knows until the target answers."""
@@ -289,11 +302,23 @@
         forwarded = request._replace(
             deadline_ms=left_ms, target_id=self._registry.current.target_id
         )
-        result = await self._calls.run(forwarded, deadline_s)
+        result = await self._run(forwarded, deadline_s)
         ran_ms = self._elapsed_ms(sent_s)
         self._record_end(request, result, ran_ms, sent_s - started_s)
         return result, ran_ms
 
+    async def _run(
+        self, request: call_request.CallRequest, deadline_s: float
+    ) -> call_result.CallResult:
+        has_run = True
+        self._runs.start(request)
+        try:
+            result = await self._calls.run(request, deadline_s)
+            has_run = result.outcome != outcome.Outcome.NOT_RUN
+            return result
+        finally:
+            self._runs.end(request, has_run=has_run)
+
     def _record_end(
         self,
         request: call_request.CallRequest,
--- a/src/galenatack/traffic/target_placement.py
+++ b/src/galenatack/traffic/target_placement.py
@@ -117,6 +117,7 @@
         route: host_route.HostRoute,
         left_ms: float,
         tried: collections.abc.Set[str],
+        is_retry: bool = False,
     ) -> member_record.MemberRecord:
         """Returns the target with the lowest expected cost.
 
@@ -125,9 +126,11 @@
             route: Route of the call.
             left_ms: Time until the caller must have an answer.
             tried: Ids of the nodes that were tried before.
+            is_retry: Whether the call may have reached one of them.
 
         Raises:
             exceptions.NoTargetError: No untried target is left.
+            exceptions.RetryRefusedError: No target takes retries now.
             exceptions.OverloadedError: No target is expected to answer in
                 time.
         """
@@ -146,6 +149,8 @@
                 "no target is left to try" if tried else "no target is known"
             )
         now_s = self._clock.monotonic_s()
+        if is_retry:
+            untried = _taking_retries(untried, now_s)
         usable = self._usable(untried, now_s)
         usable = self._with_room(usable, route.name, now_s)
         chosen = self._cheapest(usable, untried, route, now_s)
@@ -249,6 +254,22 @@
             )
 
 
+def _taking_retries(
+    candidates: list[_Candidate], now_s: float
+) -> list[_Candidate]:
+    taking = [
+        candidate
+        for candidate in candidates
+        if not candidate.view.is_refusing_retries(now_s)
+    ]
+    if taking:
+        return taking
+    raise exceptions.RetryRefusedError(
+        f"none of {len(candidates)} gates takes retries",
+        retry_after_ms=FULL_GATES_RETRY_AFTER_MS,
+    )
+
+
 def _typical_ms(candidates: list[_Candidate], route: str) -> float:
     known = [
         time_ms
--- a/tests/traffic/retry_world.py
+++ b/tests/traffic/retry_world.py
@@ -8,6 +8,7 @@
 import bisect
 import collections
 import itertools
+import math
 import random
 import typing
 
@@ -33,6 +34,8 @@
 from galenatack.traffic import call_telemetry
 from galenatack.traffic import config_holder
 from galenatack.traffic import known_conditions
+from galenatack.traffic import retried_runs
+from galenatack.traffic import retry_slack
 from galenatack.traffic import service_times
 from galenatack.traffic import target_calls
 from galenatack.traffic import target_directory
@@ -107,7 +110,7 @@
         """
         retries = self.retries[service]
         requests = self.requests[service]
-        worst = -float(slack)
+        worst = -math.inf
         for start_s in retries:
             count = _count_window(retries, start_s)
             most = max(
@@ -220,6 +223,12 @@
             rng,
         )._replace(peers=self.peers)
         self.members = base.members
+        self._slack = retry_slack.RetrySlack(
+            clock=base.clock, bounds=base.settings.bounds.retries
+        )
+        self._runs = retried_runs.RetriedRuns(
+            clock=base.clock, slack=self._slack
+        )
         rollouts = mesh_rollouts.make(base)
         quarantine = mesh_quarantine.make(base, store=None)
         self._make_gate(base, rollouts, quarantine, service, target)
@@ -277,6 +286,7 @@
             is_withdrawn=rollouts.registry.is_withdrawn,
             on_outcome=rollouts.pool.record,
             quarantine=quarantine.quarantine,
+            runs=self._runs,
         )
         self.gate.on_target_changed()
         call_message_handler.CallMessageHandler(
@@ -285,10 +295,8 @@
 
     def _make_router(self, base, rollouts, quarantine):
         self.config = config_holder.ConfigHolder()
-        self._budget = attempt_budget.AttemptBudget(
-            clock=base.clock,
-            window_s=WINDOW_S,
-            slack=base.settings.bounds.repeat_slack,
+        budget = attempt_budget.AttemptBudget(
+            clock=base.clock, slack=self._slack
         )
         conditions = known_conditions.KnownConditions()
         placement = target_placement.TargetPlacement(
@@ -303,7 +311,8 @@
             directory=target_directory.TargetDirectory(members=base.members),
             versions=rollouts.versions,
             placement=placement,
-            budget=self._budget,
+            budget=budget,
+            runs=self._runs,
             sender=call_sender.CallSender(
                 own=base.members.own,
                 peers=self.peers,
@@ -318,7 +327,7 @@
             telemetry=call_telemetry.CallTelemetry(
                 config=self.config,
                 placement=placement,
-                budget=self._budget,
+                budget=budget,
                 clock=base.clock,
                 log=base.log,
                 stats=base.stats,
@@ -327,7 +336,7 @@
 
     def _members_changed(self, changed):
         del changed
-        self._budget.set_nodes(len(self.members.live()))
+        self._slack.set_nodes(len(self.members.live()))
 
 
 class RetryWorld:
--- a/tests/traffic/test_known_conditions.py
+++ b/tests/traffic/test_known_conditions.py
@@ -6,9 +6,12 @@
 from unittest import mock
 
 from galenatack import exceptions
+from galenatack.model import retry_bounds
 from galenatack.model import target_condition
 from galenatack.traffic import admission_queue
 from galenatack.traffic import known_conditions
+from galenatack.traffic import retried_runs
+from galenatack.traffic import retry_slack
 from galenatack.traffic import service_times
 from galenatack.traffic import target_calls
 from galenatack.traffic import target_gate
@@ -58,6 +61,12 @@
         is_withdrawn=lambda *_: False,
         on_outcome=mock.Mock(),
         quarantine=quarantine,
+        runs=retried_runs.RetriedRuns(
+            clock=clock,
+            slack=retry_slack.RetrySlack(
+                clock=clock, bounds=retry_bounds.RetryBounds()
+            ),
+        ),
     )
     gate.on_target_changed()
     return gate, link
