Odd entries of other writers are refused, whatever is odd about them

Other operators saw processes end again and again, or stop following the list, after one odd entry among those of the upstreams: deeply nested, a number too large, a port out of range.

It can happen here: a node row that is nested 3,000 deep raised RecursionError out of discovery, which ends the node, again after each restart; so did an announcement, and the operator's rows, progress and crashes by reading. Rows with a port of 99,999, a number for an address or an object for a region were taken for nodes; a connection to such a port raised OverflowError out of the connection pool.

Documents that others write are now parsed in one place, with bounds on nesting and numbers; node rows and progress are checked field by field; error messages show values without following their nesting.

--- a/src/galenatack/links/connection_pool.py
+++ b/src/galenatack/links/connection_pool.py
@@ -123,7 +123,8 @@
                 transport, connection = await loop.create_connection(
                     self._make_connection, self._host, self._port
                 )
-        except (OSError, TimeoutError) as error:
+        # A port out of range is an `OverflowError`.
+        except (OSError, TimeoutError, OverflowError) as error:
             raise exceptions.TargetConnectError(
                 f"{self._host}:{self._port}: {error or 'timeout'}"
             ) from error
--- a/src/galenatack/membership/discovery.py
+++ b/src/galenatack/membership/discovery.py
@@ -5,6 +5,7 @@
 import logging
 
 from galenatack import exceptions
+from galenatack import json_document
 from galenatack.config import retry_backoff
 from galenatack.interfaces import clock as clock_interface
 from galenatack.interfaces import random_source
@@ -40,6 +41,9 @@
 REAP_DELAY_S = 120.0
 """A row is deleted after its node has been dead for this long."""
 
+MAX_PORT = 65_535
+_PORT_DIGITS = 5
+
 _LOGGER = logging.getLogger(__name__)
 
 _Record = member_record.MemberRecord
@@ -231,22 +235,40 @@
 def _decode(row: table_row.TableRow) -> _Record | None:
     """Returns an unconfirmed record; any record of the node supersedes it."""
     try:
-        fields = json.loads(row.value)
+        fields = json_document.load(row.value)
+        if not isinstance(fields, dict):
+            raise exceptions.DocumentError("expected a mapping")
         return _Record(
             node_id=row.key,
             incarnation=membership_service.UNCONFIRMED,
             status=member_status.MemberStatus.JOINING.value,
-            data_centre=str(fields["data_centre"]),
-            region=str(fields["region"]),
-            service=str(fields["service"]),
+            data_centre=_text(fields, "data_centre"),
+            region=_text(fields, "region"),
+            service=_text(fields, "service"),
             version="",
-            peer_address=str(fields["peer_address"]),
+            peer_address=_address(fields, "peer_address"),
             call_address="",
             admin_address="",
             slots=0,
         )
-    except (ValueError, KeyError, TypeError) as error:
+    except exceptions.DocumentError as error:
         _LOGGER.warning(
-            "event=node-row-unreadable node=%s error=%r", row.key, error
+            "event=node-row-unreadable node=%s error=%s", row.key, error
         )
         return None
+
+
+def _text(fields: dict[str, object], name: str) -> str:
+    value = fields.get(name)
+    if not isinstance(value, str) or not value:
+        raise exceptions.DocumentError(f"{name}: expected a text")
+    return value
+
+
+def _address(fields: dict[str, object], name: str) -> str:
+    value = _text(fields, name)
+    host, _, port = value.rpartition(":")
+    is_port = port.isascii() and port.isdigit() and len(port) <= _PORT_DIGITS
+    if not host or not is_port or not 0 < int(port) <= MAX_PORT:
+        raise exceptions.DocumentError(f"{name}: expected host:port")
+    return value
--- a/src/galenatack/platform/_values.py
+++ b/src/galenatack/platform/_values.py
@@ -1,6 +1,7 @@
 """Validates single values in documents of the platform."""
 
 import re
+import reprlib
 import typing
 
 from galenatack import exceptions
@@ -66,7 +67,8 @@
         return default
     try:
         return check(value)
-    except (ValueError, TypeError) as error:
+    except (ValueError, TypeError, OverflowError) as error:
+        # The value may be nested deeply.
         raise exceptions.DocumentError(
-            f"{name}: expected {error}, got {str(value)[:40]!r}"
+            f"{name}: expected {error}, got {reprlib.repr(value)}"
         ) from error
--- a/src/galenatack/platform/config_document.py
+++ b/src/galenatack/platform/config_document.py
@@ -15,6 +15,7 @@
 import typing
 
 from galenatack import exceptions
+from galenatack import json_document
 from galenatack.model import caller_limits
 from galenatack.model import host_route
 from galenatack.model import traffic_config
@@ -54,10 +55,14 @@
     Raises:
         exceptions.DocumentError: Any part is malformed.
     """
+    document = json_document.load(value)
     try:
-        document = json.loads(value)
-    except ValueError as error:
-        raise exceptions.DocumentError(f"config: {error}") from error
+        return _decode(document)
+    except RecursionError as error:
+        raise exceptions.DocumentError("config: nested too deeply") from error
+
+
+def _decode(document: typing.Any) -> traffic_config.TrafficConfig:
     return traffic_config.TrafficConfig(
         version=_values.field(document, "version", _values.non_negative_int),
         routes=_routes(document),
--- a/src/galenatack/platform/control_dialect.py
+++ b/src/galenatack/platform/control_dialect.py
@@ -1,11 +1,11 @@
 """Translates the own target's announcements and readiness checks."""
 
 import collections.abc
-import json
 import logging
 import typing
 
 from galenatack import exceptions
+from galenatack import json_document
 from galenatack.links import http_request
 from galenatack.links import http_response
 from galenatack.model import target_announcement
@@ -99,10 +99,7 @@
 
 
 def _document(body: bytes) -> dict[str, typing.Any]:
-    try:
-        document = json.loads(body)
-    except ValueError as error:
-        raise exceptions.DocumentError(f"body: {error}") from error
+    document = json_document.load(body)
     if not isinstance(document, dict):
         raise exceptions.DocumentError("body: expected a mapping")
     return document
@@ -138,6 +135,6 @@
 
 
 def _state(value: typing.Any) -> str:
-    if value not in _STATES:
+    if not isinstance(value, str) or value not in _STATES:
         raise ValueError("a known state")
     return _STATES[value]
--- a/src/galenatack/platform/rollout_rows.py
+++ b/src/galenatack/platform/rollout_rows.py
@@ -3,6 +3,7 @@
 import json
 
 from galenatack import exceptions
+from galenatack import json_document
 from galenatack.interfaces import shared_table
 from galenatack.model import rollout_order
 from galenatack.model import rollout_phase
@@ -52,16 +53,17 @@
         exceptions.DocumentError: Any part is malformed.
     """
     document = _document(row)
-    try:
-        fields = {
-            name: document[name]
-            for name in rollout_progress.RolloutProgress._fields
-            if name != "revision"
-        }
-        rollout_phase.RolloutPhase(fields["phase"])
-    except (KeyError, TypeError, ValueError) as error:
-        raise exceptions.DocumentError(f"{row.key}: {error!r}") from error
-    return rollout_progress.RolloutProgress(**fields, revision=row.revision)
+    return rollout_progress.RolloutProgress(
+        service=_values.field(document, "service", _values.text),
+        version=_values.field(document, "version", _values.text),
+        order_revision=_values.field(
+            document, "order_revision", _values.non_negative_int
+        ),
+        phase=_values.field(document, "phase", rollout_phase.RolloutPhase),
+        reason=_values.field(document, "reason", str),
+        written_by=_values.field(document, "written_by", str),
+        revision=row.revision,
+    )
 
 
 class RolloutRows:
@@ -105,8 +107,8 @@
 
 def _document(row: table_row.TableRow) -> object:
     try:
-        return json.loads(row.value)
-    except ValueError as error:
+        return json_document.load(row.value)
+    except exceptions.DocumentError as error:
         raise exceptions.DocumentError(f"{row.key}: {error}") from error
 
 
--- a/src/galenatack/platform/store_table.py
+++ b/src/galenatack/platform/store_table.py
@@ -10,6 +10,7 @@
 import anyio
 
 from galenatack import exceptions
+from galenatack import json_document
 from galenatack.links import http_client
 from galenatack.links import target_connection
 from galenatack.model import row_change
@@ -232,8 +233,8 @@
 
 def _document(raw: target_connection.RawAnswer) -> dict[str, typing.Any]:
     try:
-        document = json.loads(raw.body)
-    except ValueError as error:
+        document = json_document.load(raw.body)
+    except exceptions.DocumentError as error:
         raise _unavailable(error) from error
     if not isinstance(document, dict):
         raise exceptions.PlatformUnavailableError("answer is no mapping")
@@ -246,7 +247,13 @@
         # `ver` of an answer is the latest number of the entire store.
         revision = store_revision.make(era, int(document["ver"]))
         return table_page.TablePage(rows, revision)
-    except (KeyError, TypeError, ValueError, binascii.Error) as error:
+    except (
+        AttributeError,
+        KeyError,
+        TypeError,
+        ValueError,
+        binascii.Error,
+    ) as error:
         raise _unavailable(error) from error
 
 
--- a/src/galenatack/quarantine/crash_archive.py
+++ b/src/galenatack/quarantine/crash_archive.py
@@ -7,6 +7,7 @@
 import anyio
 
 from galenatack import exceptions
+from galenatack import json_document
 from galenatack.config import retry_backoff
 from galenatack.interfaces import clock as clock_interface
 from galenatack.interfaces import random_source
@@ -150,7 +151,7 @@
     ) -> tuple[crash_entry.CrashEntry, ...]:
         now_ms = self._clock.wall_ms()
         try:
-            crashes = json.loads(row.value)["crashes"]
+            crashes = json_document.load(row.value)["crashes"]
             return tuple(
                 crash_entry.CrashEntry(
                     bytes.fromhex(row.key),
@@ -161,7 +162,13 @@
                 )
                 for crash_id, (at_ms, was_suspect) in crashes.items()
             )
-        except (ValueError, KeyError, TypeError, AttributeError) as error:
+        except (
+            exceptions.DocumentError,
+            ValueError,
+            KeyError,
+            TypeError,
+            AttributeError,
+        ) as error:
             _LOGGER.warning(
                 "event=row-refused table=%s key=%s revision=%d error=%r",
                 row.table,
--- a/tests/membership/test_discovery.py
+++ b/tests/membership/test_discovery.py
@@ -1,12 +1,14 @@
 """Tests of discovering nodes through the store."""
 
 import asyncio
+import json
 import random
 import unittest
 
 from galenatack.membership import discovery
 from galenatack.membership import member_table
 from galenatack.model import member_status
+from galenatack.model import table_row
 from standins.store import node_table
 from tests.config import test_store_follower_election
 from tests.fakes import virtual_loop
@@ -45,6 +47,33 @@
         return {record.node_id for record in self.members.live()}
 
 
+GOOD_ROW = {
+    "data_centre": "dc",
+    "region": "r",
+    "service": "s",
+    "peer_address": "127.0.0.1:7600",
+}
+ODD_ROWS = (
+    b"[" * 100_000,
+    b'{"peer_address":' * 3_000 + b"1" + b"}" * 3_000,
+    b'{"data_centre":1e999}',
+    b'{"data_centre":' + b"9" * 5_000 + b"}",
+    b"[]",
+    *(
+        json.dumps(GOOD_ROW | changes).encode()
+        for changes in (
+            {"peer_address": "127.0.0.1:99999"},
+            {"peer_address": "127.0.0.1:0"},
+            {"peer_address": "127.0.0.1:" + "9" * 5_000},
+            {"peer_address": "127.0.0.1"},
+            {"peer_address": 12},
+            {"region": {}},
+            {"data_centre": float("inf")},
+        )
+    ),
+)
+
+
 class TestDiscovery(unittest.TestCase):
     def play(self, scenario, count, *, delay_s=0.0, stale=0):
         """Runs a scenario on nodes that start within a delay.
@@ -208,3 +237,19 @@
         """Returns the names of the nodes listed in the store."""
         rows, _ = store.rows.range(discovery.TABLE, "", "", 1000)
         return {row.key for row in rows}
+
+    def test_an_odd_row_of_another_writer_does_not_hide_the_others(self):
+        """Deeply nested, out of range, or of another type."""
+        rows = [
+            table_row.TableRow(discovery.TABLE, f"odd{index}", value, index + 1)
+            for index, value in enumerate(ODD_ROWS)
+        ]
+        good = json.dumps(GOOD_ROW).encode()
+        rows.append(table_row.TableRow(discovery.TABLE, "good", good, 100))
+
+        async def main():
+            node = DiscoveringNode(node_table.SharedStore(), "n0", 0, up=set())
+            node.discovery._merge_rows(tuple(rows))
+            return node.found
+
+        self.assertEqual(virtual_loop.run(main), {"n0", "good"})
