An interim head is not an answer

Other operators saw a 200 with an empty body after an upstream had stopped in the middle of its answer's head. Here, heads and bodies that are cut are lost, as they should be, but an interim head (103) after which the target closes was returned as a whole answer: the end of the connection completes an answer without a length, and the interim head was taken for its head. The test has these cuts; it fails before.

--- a/src/galenatack/links/target_connection.py
+++ b/src/galenatack/links/target_connection.py
@@ -87,7 +87,9 @@
     def eof_received(self) -> None:
         """Completes an answer without a length; the transport closes itself."""
         self.is_usable = False
-        if self._has_head and not self._has_length:
+        # An interim head is not the head of an answer.
+        is_whole = self._has_head and not self._is_informational()
+        if is_whole and not self._has_length:
             self._finish()
         self._fail("connection closed before the end of the answer")
 
--- a/tests/links/test_target_connection.py
+++ b/tests/links/test_target_connection.py
@@ -70,7 +70,18 @@
     def test_truncated_and_malformed_answers_are_lost(self):
         """The call may have run, so the outcome must not be `not-run`."""
         truncated = b"HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\nx"
-        for data in (truncated, b"nonsense\r\n\r\n"):
+        interim = b"HTTP/1.1 103 Early Hints\r\nlink: x\r\n\r\n"
+        cut_head = b"HTTP/1.1 200 OK\r\nx-a: b\r\n"
+        for data in (
+            truncated,
+            b"nonsense\r\n\r\n",
+            interim,
+            interim + interim,
+            interim + cut_head,
+            cut_head,
+            cut_head + b"\r",
+            b"HTTP/1.1 200 OK",
+        ):
 
             async def scenario(link):
                 with self.assertRaises(exceptions.TargetAnswerLostError):
