A refusal counts only if it names the call that it refuses

Other operators saw an upstream write an earlier refusal once more on a kept connection; callers were told 'not run' for calls that ran, or the call ran at a second upstream.

Here an answer with the identifier of another call was skipped, but one without any identifier was taken for the answer of whatever call waited, refusals included. Targets echo the identifier in all their answers, so that an answer without one is now lost: the call may have run. Calls that have no identifier themselves are answered as before. The test fails before; the older test on refusals gave refusals without an identifier and has them with one now.

--- a/src/galenatack/interfaces/target_dialect.py
+++ b/src/galenatack/interfaces/target_dialect.py
@@ -29,7 +29,11 @@
         """
 
     def answer(
-        self, status: int, headers: Headers, body: bytes
+        self,
+        request: call_request.CallRequest,
+        status: int,
+        headers: Headers,
+        body: bytes,
     ) -> target_answer.TargetAnswer:
         """Returns the answer for the caller.
 
--- a/src/galenatack/links/translated_target.py
+++ b/src/galenatack/links/translated_target.py
@@ -91,7 +91,7 @@
         condition = self._dialect.condition(raw.status, headers)
         if condition is not None:
             self._on_condition(request.target_id, condition)
-        return self._dialect.answer(raw.status, headers, raw.body)
+        return self._dialect.answer(request, raw.status, headers, raw.body)
 
     async def cancel(self, call_id: str) -> bool:
         """Returns False: the target cannot confirm a cancellation."""
--- a/src/galenatack/platform/target_headers.py
+++ b/src/galenatack/platform/target_headers.py
@@ -84,17 +84,26 @@
         return None
 
     def answer(
-        self, status: int, headers: Headers, body: bytes
+        self,
+        request: call_request.CallRequest,
+        status: int,
+        headers: Headers,
+        body: bytes,
     ) -> target_answer.TargetAnswer:
         """Returns the answer for the caller.
 
         Raises:
             exceptions.TargetShedError: The target refused the call without
                 running it.
-            exceptions.TargetAnswerLostError: The answer lacks the target's
-                stamp.
+            exceptions.TargetAnswerLostError: The answer lacks the identifier
+                of the call or the target's stamp.
         """
         names = {name for name, _ in headers}
+        if request.request_id and _ATTEMPT_ID not in names:
+            # It may be a second answer to an earlier call.
+            raise exceptions.TargetAnswerLostError(
+                f"answer {status} without the identifier of its call"
+            )
         if _NOT_EXECUTED in names or status == _MISDIRECTED:
             raise exceptions.TargetShedError(
                 f"the target refused with {status}",
--- a/tests/platform/test_target_headers.py
+++ b/tests/platform/test_target_headers.py
@@ -21,6 +21,10 @@
     target_id="i-1",
 )
 STAMPED = ((b"x-attempt-id", b"a1"), (b"x-upstream-stamp", b"s.1"))
+REFUSALS = (
+    (503, (b"x-not-executed", b"1")),
+    (421, (b"x-instance-id", b"i-2")),
+)
 
 
 class TestTargetHeaders(unittest.TestCase):
@@ -45,18 +49,26 @@
 
     def test_only_the_target_can_report_that_a_call_did_not_run(self):
         """A 503 without that header is an ordinary answer."""
-        with self.assertRaises(exceptions.TargetShedError):
-            self.dialect.answer(503, ((b"x-not-executed", b"1"),), b"")
-        with self.assertRaises(exceptions.TargetShedError):
-            self.dialect.answer(421, ((b"x-instance-id", b"i-2"),), b"")
-        answer = self.dialect.answer(503, STAMPED, b"x")
+        for status, header in REFUSALS:
+            with self.assertRaises(exceptions.TargetShedError):
+                self.dialect.answer(REQUEST, status, (STAMPED[0], header), b"")
+        answer = self.dialect.answer(REQUEST, 503, STAMPED, b"x")
         self.assertEqual(answer.status, 503)
 
+    def test_a_refusal_without_the_identifier_of_the_call_is_no_refusal(self):
+        """It may be an earlier refusal that the target wrote once more."""
+        for status, header in REFUSALS:
+            with self.assertRaises(exceptions.TargetAnswerLostError):
+                self.dialect.answer(REQUEST, status, (header,), b"")
+        unnamed = REQUEST._replace(request_id="")
+        with self.assertRaises(exceptions.TargetShedError):
+            self.dialect.answer(unnamed, 400, (REFUSALS[0][1],), b"")
+
     def test_a_success_without_the_targets_stamp_is_lost(self):
         """Such an answer is not the target's, so the call may have run."""
         for headers in ((), STAMPED[:1], STAMPED[1:]):
             with self.assertRaises(exceptions.TargetAnswerLostError):
-                self.dialect.answer(200, headers, b"x")
+                self.dialect.answer(REQUEST, 200, headers, b"x")
 
     def test_the_condition_of_a_target_is_read_from_any_answer(self):
         """An unreadable limit counts as none, another target's as nothing."""
@@ -74,6 +86,7 @@
     def test_hop_by_hop_headers_are_not_forwarded(self):
         """The target's connection headers do not reach the caller."""
         answer = self.dialect.answer(
+            REQUEST,
             200,
             (
                 *STAMPED,
