--- a/src/galenatack/traffic/target_registry.py
+++ b/src/galenatack/traffic/target_registry.py
@@ -1,6 +1,7 @@
 """Latest announcement of the local target."""
 
 import logging
+import math
 import typing
 
 from galenatack.interfaces import clock as clock_interface
@@ -85,7 +86,7 @@
             )
         self.current = announcement
         if announcement.state == target_state.TargetState.DRAINING:
-            self._start_leaving()
+            self._start_leaving(is_new=before is not None)
         else:
             self._leaving_s = None
         if before is None or _reported_fields(before) != _reported_fields(
@@ -137,6 +138,8 @@
         """
         if record.target_state == target_state.TargetState.GONE:
             self.leave(record.target_id, record.target_born_ms)
+            if self.state == target_state.TargetState.GONE:
+                self._start_leaving(is_new=False)
             return
         is_applied = self.announce(
             target_announcement.TargetAnnouncement(
@@ -151,6 +154,8 @@
             )
         )
         if is_applied:
+            if record.target_state == target_state.TargetState.DRAINING:
+                self._start_leaving(is_new=False)
             _LOGGER.info(
                 "event=target-restored target=%s state=%s",
                 record.target_id,
@@ -185,8 +190,11 @@
             self.announced_s + announcement.warm_up_left_ms / 1000
         )
 
-    def _start_leaving(self) -> None:
-        if self._leaving_s is None:
+    def _start_leaving(self, *, is_new: bool = True) -> None:
+        """Starts the notice time, unless a run before may have done so."""
+        if not is_new:
+            self._leaving_s = -math.inf
+        elif self._leaving_s is None:
             self._leaving_s = self._clock.monotonic_s()
 
     def _is_outdated(
--- a/tests/traffic/test_target_registry.py
+++ b/tests/traffic/test_target_registry.py
@@ -99,6 +99,16 @@
         self.assertFalse(self.registry.announce(announcement(sequence=4)))
         self.assertEqual(self.registry.state, DRAINING)
 
+    def test_a_restarted_node_does_not_begin_the_notice_time_anew(self):
+        """The target may have been leaving for long, whoever says so first."""
+        self.registry.announce(announcement(sequence=8, state=DRAINING))
+        self.assertFalse(self.registry.is_accepting())
+        for state in (DRAINING, target_state.TargetState.GONE.value):
+            self.setUp()
+            self.registry.announce(announcement(sequence=1))
+            self.restore(state)
+            self.assertFalse(self.registry.is_accepting())
+
     def test_a_restarted_node_uses_its_target_at_once(self):
         """It does not wait for the next announcement."""
         self.restore(READY)
