--- a/src/galenatack/app/explanation.py
+++ b/src/galenatack/app/explanation.py
@@ -18,6 +18,10 @@
         "was refused because of load: {detail}; it did not run and the caller"
         " was told to come back"
     ),
+    "retry-refused": (
+        "did not run: a target refused it, and retries were too many for it to"
+        " be sent to another one: {detail}"
+    ),
     "no-target": (
         "was refused because no target could take it: {detail}; it did not run"
     ),
