--- a/tests/traffic/retry_run.py
+++ b/bench/retries.py
@@ -1,6 +1,6 @@
 """Seeded runs of a fleet whose calls are refused, shed and retried.
 
-By hand: `python -m tests.traffic.retry_run --seed 1 --count 50`.
+By hand: `python -m bench.retries --seed 1 --count 50`.
 """
 
 import argparse
@@ -9,8 +9,8 @@
 import random
 import types
 
+from bench import retry_world
 from tests.fakes import virtual_loop
-from tests.traffic import retry_world
 
 OVERLOADED_CALLS_PER_S = {"outer": 350.0, "middle": 40.0, "inner": 40.0}
 MAX_RETURNS = 1
