Numbers of announcements have bounds

An odd announcement that names a start in the far future, a capacity of 10^17 or a warm-up of millions of years is well-formed: it was taken, so that all later announcements of the node's target counted as outdated, its gate admitted everything, or its target never counted as warm. Both tests fail before.

Ruled out as harmful: odd values of a node's own row (it is written again), of a sequence (only that target's), of a service or an identifier (of another target or none).

--- a/src/galenatack/platform/_values.py
+++ b/src/galenatack/platform/_values.py
@@ -8,6 +8,7 @@
 
 _DURATION = re.compile(r"([0-9]+(?:\.[0-9]+)?)(ms|s)")
 _MS_PER_S = 1000
+_MAX_DURATION_MS = 10**12
 _MISSING = object()
 
 
@@ -21,7 +22,10 @@
     if match is None:
         raise ValueError("a number with ms or s")
     factor = _MS_PER_S if match[2] == "s" else 1
-    return round(float(match[1]) * factor)
+    value_ms = float(match[1]) * factor
+    if value_ms > _MAX_DURATION_MS:
+        raise ValueError("a duration of less than 30 years")
+    return round(value_ms)
 
 
 def text(value: typing.Any) -> str:
--- a/src/galenatack/platform/control_dialect.py
+++ b/src/galenatack/platform/control_dialect.py
@@ -22,6 +22,7 @@
 _BAD_REQUEST = 400
 _NOT_FOUND = 404
 _UNAVAILABLE = 503
+_MAX_SLOTS = 100_000
 _STATES = {
     "ready": target_state.TargetState.READY.value,
     "draining": target_state.TargetState.DRAINING.value,
@@ -113,7 +114,7 @@
         target_id=_values.text(target_id),
         service=_values.field(document, "service", _values.text),
         version=_values.field(document, "version", _values.text),
-        slots=_values.field(document, "capacity", _values.non_negative_int),
+        slots=_values.field(document, "capacity", _slots),
         state=_values.field(document, "state", _state),
         warm_up_left_ms=_values.field(
             document, "warmup_left", _values.duration_ms, default=0
@@ -134,6 +135,13 @@
     )
 
 
+def _slots(value: typing.Any) -> int:
+    slots = _values.non_negative_int(value)
+    if slots > _MAX_SLOTS:
+        raise ValueError(f"at most {_MAX_SLOTS}")
+    return slots
+
+
 def _state(value: typing.Any) -> str:
     if not isinstance(value, str) or value not in _STATES:
         raise ValueError("a known state")
--- a/src/galenatack/traffic/target_registry.py
+++ b/src/galenatack/traffic/target_registry.py
@@ -14,6 +14,10 @@
 MAX_GONE_TARGETS = 64
 """Maximum number of gone targets that are kept."""
 
+MAX_CLOCK_AHEAD_MS = 86_400_000
+"""A start time further in the future is not one of the target: it would make
+all later announcements outdated."""
+
 
 class OnChanged(typing.Protocol):
     """Called after the identity, version, slots or state changed."""
@@ -200,6 +204,8 @@
     def _is_outdated(
         self, announcement: target_announcement.TargetAnnouncement
     ) -> bool:
+        if announcement.born_ms > self._clock.wall_ms() + MAX_CLOCK_AHEAD_MS:
+            return True
         if _identity(announcement) in self._gone:
             return True
         current = self.current
--- a/tests/platform/test_odd_documents.py
+++ b/tests/platform/test_odd_documents.py
@@ -20,6 +20,8 @@
     b"[" * 100_000,
     b'{"capacity":1e999}',
     b'{"warmup_left":"' + b"9" * 400 + b's"}',
+    b'{"warmup_left":"' + b"9" * 20 + b's"}',
+    b'{"capacity":99999999999999999}',
     b'{"state":{}}',
     b'{"routes":{"columns":["name"],"rows":['
     + b"[" * 900
@@ -44,7 +46,7 @@
             b'"service":"s","version":"v1","capacity":1,"state":"ready",'
             b'"sequence":1,'
         )
-        for body in (*ODD, *(b"{" + valid + odd[1:] for odd in ODD[2:5])):
+        for body in (*ODD, *(b"{" + valid + odd[1:] for odd in ODD[2:7])):
             request = http_request.HttpRequest(
                 "POST", "/v1/instances/i-1/heartbeat", (), body
             )
--- a/tests/traffic/test_target_registry.py
+++ b/tests/traffic/test_target_registry.py
@@ -138,6 +138,12 @@
             self.registry.announce(announcement(born_ms=300, sequence=1))
         )
 
+    def test_a_start_in_the_far_future_does_not_hide_the_target(self):
+        """Another writer may have announced it."""
+        odd = announcement("i-2", born_ms=99_999_999_999_999_999)
+        self.assertFalse(self.registry.announce(odd))
+        self.assertTrue(self.registry.announce(announcement()))
+
     def test_a_target_that_left_stays_gone(self):
         """An announcement that arrives after the leave is ignored."""
         self.registry.announce(announcement(sequence=1))
