A connection on which a target has refused a call is not used again

The own dialect of targets has no identifier in its answers: a refusal that a target writes once more on a kept connection was taken for the answer of the next call, which then was told not to have run, or ran at a second target. The test fails before. Targets of the users' platform are met by another link, where identifiers tell.

--- a/src/galenatack/links/target_link.py
+++ b/src/galenatack/links/target_link.py
@@ -140,6 +140,9 @@
             answer = await connection.exchange(
                 head + body, is_head_request=method == "HEAD"
             )
+            if answer.status == _UNAVAILABLE:
+                # A second copy of a refusal would refuse the next call.
+                connection.close()
         finally:
             pool.release(connection)
         answer_headers = tuple(
--- a/tests/links/test_target_connection.py
+++ b/tests/links/test_target_connection.py
@@ -1,5 +1,6 @@
 """Tests of the connection to a target, with scripted answers."""
 
+import contextlib
 import unittest
 
 import anyio
@@ -8,6 +9,10 @@
 from galenatack.links import target_link
 from tests.links import test_loopback
 
+SHED = (
+    b"HTTP/1.1 503 Service Unavailable\r\nretry-after: 1\r\n"
+    b"content-length: 0\r\n\r\n"
+)
 _ANSWER = b"HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n%s"
 
 
@@ -89,6 +94,34 @@
 
             run_with_answers(scenario, [(data, True)])
 
+    def test_a_refusal_that_is_written_once_more_refuses_no_other_call(self):
+        """Answers have no identifier, so the connection is given up."""
+        connections = []
+
+        async def serve(stream):
+            connections.append(stream)
+            is_first = len(connections) == 1
+            with contextlib.suppress(anyio.EndOfStream):
+                while await stream.receive():
+                    await stream.send(SHED if is_first else _answer(b"ran"))
+
+        async def main():
+            listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+            port = listener.extra(anyio.abc.SocketAttribute.local_port)
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(listener.serve, serve)
+                link = target_link.HttpTargetLink(
+                    base_url=f"http://127.0.0.1:{port}"
+                )
+                with self.assertRaises(exceptions.TargetShedError):
+                    await link.call(test_loopback._request())
+                answer = await link.call(test_loopback._request())
+                self.assertEqual(answer.body, b"ran")
+                await link.close()
+                tasks.cancel_scope.cancel()
+
+        anyio.run(main)
+
     def test_large_answer_is_refused(self):
         """An answer above the limit is not buffered."""
 
