--- a/src/galenatack/model/retry_bounds.py
+++ b/src/galenatack/model/retry_bounds.py
@@ -3,8 +3,16 @@
 import typing
 
 _USABLE_SHARE = 0.75
-_SHARE_OF_A_LEVEL = 1 / 3
+"""Share of the ratio for retries and their descendants. The rest covers that
+nodes estimate which of their calls are descendants."""
+
+_LEVEL_SHARE = 1 / 3
+"""Share of the ratio for the retries of one service, which leaves room for
+retries of the services that it calls."""
+
 _SLACK_SHARE = 0.3
+"""Share of the slack for callers' nodes, and as much for gates. What gates admit
+by it has descendants."""
 
 
 class RetryBounds(typing.NamedTuple):
@@ -24,21 +32,15 @@
 
     @property
     def usable_ratio(self) -> float:
-        """The part of the ratio that nodes use; the rest covers estimates."""
+        """Retries and their descendants as a share of a node's calls."""
         return self.ratio * _USABLE_SHARE
 
     @property
     def level_ratio(self) -> float:
-        """The share of a target's runs that retries may be.
-
-        Several levels of nested calls can have retries of their own.
-        """
-        return self.ratio * _SHARE_OF_A_LEVEL
+        """Retries as a share of a target's runs."""
+        return self.ratio * _LEVEL_SHARE
 
     @property
     def usable_slack(self) -> float:
-        """The part of the slack that callers' nodes use.
-
-        Gates use the same, and nested calls of what they admit the rest.
-        """
+        """Retries beyond the ratio, of all callers' nodes or all gates."""
         return self.slack * _SLACK_SHARE
--- a/src/galenatack/traffic/attempt_budget.py
+++ b/src/galenatack/traffic/attempt_budget.py
@@ -72,5 +72,6 @@
         return True
 
     def _bucket(self) -> int:
-        bucket_s = self._slack.bounds.window_s / sliding_sum.BUCKETS
-        return int(self._clock.monotonic_s() / bucket_s)
+        return sliding_sum.bucket_at(
+            self._clock.monotonic_s(), self._slack.bounds.window_s
+        )
--- a/src/galenatack/traffic/retried_runs.py
+++ b/src/galenatack/traffic/retried_runs.py
@@ -82,5 +82,6 @@
             self._of_retries.add(bucket, call.retry_share)
 
     def _bucket(self) -> int:
-        bucket_s = self._slack.bounds.window_s / sliding_sum.BUCKETS
-        return int(self._clock.monotonic_s() / bucket_s)
+        return sliding_sum.bucket_at(
+            self._clock.monotonic_s(), self._slack.bounds.window_s
+        )
--- a/src/galenatack/traffic/retry_slack.py
+++ b/src/galenatack/traffic/retry_slack.py
@@ -19,6 +19,9 @@
     Args:
         clock: Source of time.
         bounds: Bound of the deployment.
+
+    Attributes:
+        bounds: The same; may be replaced.
     """
 
     def __init__(
--- a/src/galenatack/traffic/sliding_sum.py
+++ b/src/galenatack/traffic/sliding_sum.py
@@ -6,6 +6,11 @@
 """Number of buckets of the window."""
 
 
+def bucket_at(now_s: float, window_s: float) -> int:
+    """Returns the number of the bucket at a time."""
+    return int(now_s * BUCKETS / window_s)
+
+
 class SlidingSum:
     """A sum of amounts, one for each bucket of time of the last window."""
 
