--- a/src/galenatack/model/retry_bounds.py
+++ b/src/galenatack/model/retry_bounds.py
@@ -11,8 +11,8 @@
 retries of the services that it calls."""
 
 _SLACK_SHARE = 0.3
-"""Share of the slack for callers' nodes, and as much for gates. What gates admit
-by it has descendants."""
+"""Share of the slack for callers' nodes, and as much for gates, which admit
+retries that have descendants."""
 
 
 class RetryBounds(typing.NamedTuple):
