--- a/src/galenatack/platform/rollout_rows.py
+++ b/src/galenatack/platform/rollout_rows.py
@@ -1,6 +1,7 @@
 """Decodes the operator's rollout orders and encodes their progress."""
 
 import json
+import typing
 
 from galenatack import exceptions
 from galenatack import json_document
@@ -59,7 +60,7 @@
         order_revision=_values.field(
             document, "order_revision", _values.non_negative_int
         ),
-        phase=_values.field(document, "phase", rollout_phase.RolloutPhase),
+        phase=_values.field(document, "phase", _phase),
         reason=_values.field(document, "reason", str),
         written_by=_values.field(document, "written_by", str),
         revision=row.revision,
@@ -105,6 +106,10 @@
         )
 
 
+def _phase(value: typing.Any) -> str:
+    return rollout_phase.RolloutPhase(value).value
+
+
 def _document(row: table_row.TableRow) -> object:
     try:
         return json_document.load(row.value)
