--- a/review/lib/bed.py
+++ b/review/lib/bed.py
@@ -374,10 +374,12 @@
 class Target:
     """An upstream beside a node; keeps what it has run."""
 
-    def __init__(self, node, target_id, *, version="v1", born=None, work=0.02):
+    def __init__(self, node, target_id, *, version="v1", born=None, work=0.02,
+                 capacity=12):
         self.node, self.id, self.version, self.work = (
             node, target_id, version, work,
         )  # fmt: skip
+        self.capacity = capacity
         self.born = born or time.time_ns() // 1_000_000
         self.state, self.sequence = "ready", 0
         self.runs = []
@@ -413,7 +415,7 @@
             "address": self.node.address(APP),
             "zone": self.node.zone,
             "version": self.version,
-            "capacity": 12,
+            "capacity": self.capacity,
             "state": self.state,
             "warmup_left": "0ms",
             "sequence": self.sequence,
@@ -472,11 +474,11 @@
 ]  # fmt: skip
 
 
-def config(version, services):
+def config(version, services, timeout="1s", target_latency="500ms"):
     """Returns a configuration with a route of each kind per service."""
     rows = [
         [f"{service}-{kind}", f"{service}.example", f"/{prefix}/", kind,
-         "1s", "500ms", 1, 2, service]
+         timeout, target_latency, 1, 2, service]
         for service in services
         for kind, prefix in (("idempotent", "read"), ("non_idempotent", "book"))
     ]  # fmt: skip
