A planned stop refuses requests that it could not finish

Cause: requests were read until 3.2 s after the signal whatever their deadline, and calls were cut at 0.85 of the grace time. The two moments did not know of each other or of the time that a request still had. Moving one of them would only move the postings that are cut.

Ruled out: losses on links or at gates. The stopped node counts all that were cut as its own calls (event=stopped after_ms=5108 calls=18).

Change: ShutdownAdmission decides by the request's deadline. Once callers have been sent elsewhere, only requests whose deadline lies before the end of the calls are taken; before that, those whose target is expected to answer by then. The others are refused at once and have not run. Related: a request of which a part has arrived is read to its end, calls that wait at a closing gate are refused at once, and a short grace time brings all moments forward.

--- a/bench/retry_world.py
+++ b/bench/retry_world.py
@@ -37,6 +37,7 @@
 from galenatack.traffic import retried_runs
 from galenatack.traffic import retry_slack
 from galenatack.traffic import service_times
+from galenatack.traffic import shutdown_admission
 from galenatack.traffic import target_calls
 from galenatack.traffic import target_directory
 from galenatack.traffic import target_gate
@@ -323,6 +324,7 @@
             ),
             conditions=conditions,
             quarantine=quarantine.quarantine,
+            shutdown=shutdown_admission.ShutdownAdmission(clock=base.clock),
             clock=base.clock,
             telemetry=call_telemetry.CallTelemetry(
                 config=self.config,
--- a/src/galenatack/app/mesh_node.py
+++ b/src/galenatack/app/mesh_node.py
@@ -8,6 +8,7 @@
 from galenatack import exceptions
 from galenatack.app import mesh_metrics
 from galenatack.app import mesh_parts
+from galenatack.app import shutdown_schedule
 from galenatack.app import supervisor
 from galenatack.links import gc_tuning
 from galenatack.links import pipelined_server
@@ -18,23 +19,7 @@
 
 MS_PER_S = 1000
 
-LEAVE_NOTICE_S = 1.0
-"""Time for the announcement of a stop to reach the other nodes. Their calls to
-the own target are accepted until then."""
-
-CALLER_DRAIN_DELAY_S = 2.6
-"""Delay until caller connections are drained. Callers are sent elsewhere after
-two failed readiness checks, one per second; from then on each connection is
-closed after its next answer."""
-
-LAST_READ_DELAY_S = 3.2
-"""Delay until no more requests are read. Requests sent within 3 s of the signal
-must be answered."""
-
-DRAIN_SHARE = 0.85
-"""Fraction of the grace time in which calls may finish. They are guaranteed
-five sixths; the closing handshakes of links take another half second."""
-
+ROW_DELETE_TIMEOUT_S = 1.0
 POLL_S = 0.05
 LOG_REPORT_S = 5.0
 
@@ -131,21 +116,25 @@
         """Stops gracefully within the grace time, draining calls."""
         parts = self._parts
         started_s = parts.clock.monotonic_s()
-        grace_s = self._bounds.grace_ms / MS_PER_S
+        schedule = shutdown_schedule.make(self._bounds.grace_ms / MS_PER_S)
+        ends_s = started_s + schedule.calls_end_s
+        parts.shutdown.begin(ends_s)
         _LOGGER.info(
-            "event=stopping calls=%d gate_calls=%d",
+            "event=stopping calls=%d gate_calls=%d calls_end_ms=%d",
             parts.router.in_flight,
             parts.gate.in_flight,
+            schedule.calls_end_s * MS_PER_S,
         )
         await parts.membership.leave()
         await self._delete_row_if_gone()
-        await self._sleep_until(started_s + LEAVE_NOTICE_S)
+        await self._sleep_until(started_s + schedule.gate_closes_s)
         parts.gate.close()
-        await self._sleep_until(started_s + CALLER_DRAIN_DELAY_S)
+        await self._sleep_until(started_s + schedule.callers_drain_s)
+        parts.shutdown.require_end_in_time()
         parts.callers.drain()
-        await self._sleep_until(started_s + LAST_READ_DELAY_S)
+        await self._sleep_until(started_s + schedule.callers_finish_s)
         parts.callers.finish()
-        await self._drain(started_s + grace_s * DRAIN_SHARE)
+        await self._drain(ends_s)
         _LOGGER.info(
             "event=stopped after_ms=%d calls=%d gate_calls=%d",
             (parts.clock.monotonic_s() - started_s) * MS_PER_S,
@@ -158,7 +147,7 @@
         parts = self._parts
         if parts.registry.state != target_state.TargetState.GONE:
             return
-        with anyio.move_on_after(LEAVE_NOTICE_S):
+        with anyio.move_on_after(ROW_DELETE_TIMEOUT_S):
             try:
                 await parts.discovery.unregister()
             except exceptions.PlatformError as error:
--- a/src/galenatack/app/mesh_outbound.py
+++ b/src/galenatack/app/mesh_outbound.py
@@ -12,6 +12,7 @@
 from galenatack.traffic import call_telemetry
 from galenatack.traffic import config_holder
 from galenatack.traffic import known_conditions
+from galenatack.traffic import shutdown_admission
 from galenatack.traffic import target_directory
 from galenatack.traffic import target_placement
 
@@ -22,6 +23,7 @@
     config: config_holder.ConfigHolder
     budget: attempt_budget.AttemptBudget
     placement: target_placement.TargetPlacement
+    shutdown: shutdown_admission.ShutdownAdmission
     router: call_router.CallRouter
 
 
@@ -43,6 +45,7 @@
         is_connected=base.peers.is_connected,
         conditions=conditions,
     )
+    shutdown = shutdown_admission.ShutdownAdmission(clock=base.clock)
     router = call_router.CallRouter(
         config=config,
         directory=directory,
@@ -60,6 +63,7 @@
         ),
         conditions=conditions,
         quarantine=quarantine.quarantine,
+        shutdown=shutdown,
         clock=base.clock,
         telemetry=call_telemetry.CallTelemetry(
             config=config,
@@ -70,4 +74,4 @@
             stats=base.stats,
         ),
     )
-    return MeshOutbound(config, budget, placement, router)
+    return MeshOutbound(config, budget, placement, shutdown, router)
--- a/src/galenatack/app/mesh_parts.py
+++ b/src/galenatack/app/mesh_parts.py
@@ -27,6 +27,7 @@
 from galenatack.traffic import link_warmer
 from galenatack.traffic import request_log
 from galenatack.traffic import retry_slack
+from galenatack.traffic import shutdown_admission
 from galenatack.traffic import target_gate
 from galenatack.traffic import target_placement
 from galenatack.traffic import target_registry
@@ -56,6 +57,7 @@
     router: call_router.CallRouter
     budget: attempt_budget.AttemptBudget
     slack: retry_slack.RetrySlack
+    shutdown: shutdown_admission.ShutdownAdmission
     placement: target_placement.TargetPlacement
     warmer: link_warmer.LinkWarmer
     log: request_log.RequestLog
--- a/src/galenatack/app/mesh_wiring.py
+++ b/src/galenatack/app/mesh_wiring.py
@@ -101,6 +101,7 @@
         router=outbound.router,
         budget=outbound.budget,
         slack=inbound.slack,
+        shutdown=outbound.shutdown,
         placement=outbound.placement,
         warmer=_make_warmer(base, outbound),
         log=base.log,
--- a/src/galenatack/exceptions/_call_errors.py
+++ b/src/galenatack/exceptions/_call_errors.py
@@ -85,10 +85,18 @@
 
 
 class LeavingError(CallError):
-    """The target is leaving, or its version is withdrawn."""
+    """The node or its target is leaving, or its version is withdrawn.
+
+    Attributes:
+        retry_after_ms: Delay before a retry, in milliseconds.
+    """
 
     code = "leaving"
 
+    def __init__(self, message: str, *, retry_after_ms: int = 1000):
+        super().__init__(message)
+        self.retry_after_ms = retry_after_ms
+
 
 class QuarantinedError(CallError):
     """Targets have crashed under this request; it is not sent to another one.
--- a/src/galenatack/links/pipelined_connection.py
+++ b/src/galenatack/links/pipelined_connection.py
@@ -87,6 +87,7 @@
         self._discarded_bytes = 0
         self._pending: collections.deque[_Exchange] = collections.deque()
         self._is_draining = False
+        self._is_finishing = False
         self._is_writing_paused = False
         self._last_active_s = self._loop.time()
         self._request_began_s: float | None = None
@@ -143,15 +144,17 @@
         self._is_draining = True
 
     def finish(self) -> None:
-        """Answers complete requests, then closes the connection.
+        """Answers the requests that have begun to arrive, then closes.
 
         Nothing more is read: a peer that always has a request in flight
         would otherwise keep the connection open for ever.
         """
         self._is_draining = True
-        self._stop_reading()
-        if not self._pending:
-            self._transport.close()
+        self._is_finishing = True
+        if not self._reader.has_begun:
+            self._stop_reading()
+            if not self._pending:
+                self._transport.close()
 
     def abort(self) -> None:
         """Drops the connection."""
@@ -171,6 +174,8 @@
 
     def _feed(self, data: bytes) -> None:
         self._reader.feed(data)
+        if not self._reader.is_open:
+            return
         if not self._reader.has_begun:
             self._request_began_s = None
         elif self._request_began_s is None:
@@ -205,10 +210,13 @@
         self, request: http_request.HttpRequest, *, keeps_alive: bool
     ) -> None:
         exchange = _Exchange(
-            is_head=request.method == "HEAD", keeps_alive=keeps_alive
+            is_head=request.method == "HEAD",
+            keeps_alive=keeps_alive and not self._is_finishing,
         )
         self._request_began_s = None
         self._pending.append(exchange)
+        if self._is_finishing:
+            self._stop_reading()
         exchange.task = self._loop.create_task(self._answer(exchange, request))
 
     def _send_continue(self) -> None:
--- a/src/galenatack/links/pipelined_server.py
+++ b/src/galenatack/links/pipelined_server.py
@@ -79,7 +79,7 @@
             self._server.close()
 
     def finish(self) -> None:
-        """Stops accepting and reading; answers complete requests."""
+        """Stops accepting; answers the requests that have begun to arrive."""
         self.stop_listening()
         for connection in tuple(self._connections):
             connection.finish()
--- a/src/galenatack/traffic/call_router.py
+++ b/src/galenatack/traffic/call_router.py
@@ -20,6 +20,7 @@
 from galenatack.traffic import known_conditions
 from galenatack.traffic import request_attempts
 from galenatack.traffic import retried_runs
+from galenatack.traffic import shutdown_admission
 from galenatack.traffic import target_directory
 from galenatack.traffic import target_gate
 from galenatack.traffic import target_placement
@@ -60,6 +61,7 @@
         sender: Sends calls to gates.
         conditions: Receives what targets say of themselves.
         quarantine: Decides on requests under which targets crash.
+        shutdown: Decides which requests are taken during a shutdown.
         clock: Source of time.
         telemetry: Log lines and counters.
     """
@@ -76,6 +78,7 @@
         sender: call_sender.CallSender,
         conditions: known_conditions.KnownConditions,
         quarantine: quarantine_module.Quarantine,
+        shutdown: shutdown_admission.ShutdownAdmission,
         clock: clock_interface.Clock,
         telemetry: call_telemetry.CallTelemetry,
     ):
@@ -88,6 +91,7 @@
         self._sender = sender
         self._conditions = conditions
         self._quarantine = quarantine
+        self._shutdown = shutdown
         self._clock = clock
         self._telemetry = telemetry
         self._weights = weighted_choice.WeightedChoice()
@@ -132,12 +136,14 @@
         timeout_ms = route.timeout_ms
         if request.deadline_ms:
             timeout_ms = min(timeout_ms, request.deadline_ms)
+        deadline_s = started_s + timeout_ms / MS_PER_S
+        self._shutdown.check(deadline_s)
         return request_attempts.RequestAttempts(
             request=request,
             route=route,
             service=self._weights.pick(route),
             config_version=table.version,
-            deadline_s=started_s + timeout_ms / MS_PER_S,
+            deadline_s=deadline_s,
             # A request of the local target cannot be told from one of a caller.
             retry_share=self._runs.retry_share,
         )
@@ -223,7 +229,7 @@
         return attempts.route.is_idempotent
 
     def _left_s(self, attempts: request_attempts.RequestAttempts) -> float:
-        return attempts.deadline_s - self._clock.monotonic_s()
+        return self._shutdown.left_s(attempts.deadline_s)
 
     async def _attempt(
         self,
--- a/src/galenatack/traffic/target_gate.py
+++ b/src/galenatack/traffic/target_gate.py
@@ -113,8 +113,9 @@
         return self._queue.rate_limit_per_s
 
     def close(self) -> None:
-        """Refuses new calls; accepted calls end as usual."""
+        """Refuses new and waiting calls; running calls end as usual."""
         self._is_closed = True
+        self._queue.close()
 
     def on_target_changed(self) -> None:
         """Resets the state of the target after its announcement changed."""
--- a/tests/mesh/test_stop.py
+++ b/tests/mesh/test_stop.py
@@ -3,8 +3,28 @@
 import asyncio
 import unittest
 
+from galenatack.settings import fleet_bounds
 from tests.mesh import small_fleet
 
+GRACE_MS = 3000
+WORK_S = 1.8
+UPLOAD = (
+    b"PUT /non_idempotent/u HTTP/1.1\r\nHost: b.example\r\n"
+    b"X-Attempt-Id: upload\r\nX-Deadline-Ms: 2000\r\nContent-Length: 2\r\n\r\n"
+)
+
+
+async def upload_slowly(member):
+    """Sends half of a request, the rest once the node reads no more."""
+    host, _, port = member.settings.caller_address.rpartition(":")
+    reader, writer = await asyncio.open_connection(host, int(port))
+    writer.write(UPLOAD + b"x")
+    await asyncio.sleep(0.5)
+    writer.write(b"y")
+    answer = await reader.read()
+    writer.close()
+    return int(answer.split(b" ")[1]) if answer else "no answer"
+
 
 class TestStop(unittest.TestCase):
     def test_a_planned_stop_cuts_no_call(self):
@@ -50,3 +70,52 @@
                 self.assertEqual(set(statuses), {200})
 
         asyncio.run(main())
+
+    def test_postings_that_a_stop_would_cut_are_refused(self):
+        """A posting read late in the grace time was run and got no answer."""
+
+        async def main():
+            async with small_fleet.SmallFleet("a", "b", "b") as fleet:
+                near, *others = fleet.members
+                near.node.apply(
+                    near.settings._replace(
+                        bounds=fleet_bounds.FleetBounds(grace_ms=GRACE_MS)
+                    )
+                )
+                for member in others:
+                    member.target.work_s = WORK_S
+
+                async def post(attempt):
+                    try:
+                        answer = await fleet.call(
+                            near,
+                            "b.example",
+                            "/non_idempotent/x",
+                            method="PUT",
+                            attempt=attempt,
+                            deadline_ms=2000,
+                        )
+                    except Exception as error:
+                        return repr(error)
+                    return answer.status
+
+                # The node learns how long the targets take.
+                await asyncio.gather(*(post(b"warm%d" % n) for n in range(8)))
+                near.node.request_stop()
+                async with asyncio.TaskGroup() as tasks:
+                    sent = {}
+                    for delay_s in (0.2, 0.7, 0.5):
+                        await asyncio.sleep(delay_s)
+                        name = f"late{len(sent)}"
+                        sent[name] = tasks.create_task(post(name.encode()))
+                    upload = tasks.create_task(upload_slowly(near))
+                statuses = {name: task.result() for name, task in sent.items()}
+                self.assertEqual(
+                    statuses, {"late0": 200, "late1": 503, "late2": 503}
+                )
+                self.assertEqual(upload.result(), 503)
+                ran = {id for other in others for id in other.target.ran}
+                self.assertFalse(ran & {"late1", "late2", "upload"})
+                await asyncio.wait_for(near.task, 1.0)
+
+        asyncio.run(main())
