A follower that the store does not answer stops to claim that it follows

Cause: the two followers of a region had watches open for up to 25 s, and claimed to follow for as long as these were open. The store was silent to both, which looks the same as a store without changes, so that nobody took over.

Ruled out: the election, which takes over within a second once a claim ends; and connections, whose keep-alive probes are answered.

Change: watches are answered after 0.4 of the time limit for a configuration, and the claim depends on the age of the last answer. Own records follow the claim with each heartbeat.

The store stand-in ended the silence of an open watch 2 s after a change; it is silent until the client's time limit now.

--- a/src/galenatack/app/mesh_callbacks.py
+++ b/src/galenatack/app/mesh_callbacks.py
@@ -68,6 +68,7 @@
 
     def own_heartbeat(self) -> heartbeat.Heartbeat:
         """Returns the heartbeat to send on links."""
+        self._update_claim()
         parts = self._parts
         return heartbeat.Heartbeat(
             held_seq=parts.config.version,
@@ -98,9 +99,7 @@
 
     async def on_store_changed(self) -> None:
         """Announces new rows, and whether this node follows the store."""
-        members = self._parts.members
-        if members.own.follows_store != self._claims_to_follow():
-            members.update_own(follows_store=self._claims_to_follow())
+        self._update_claim()
         await self._parts.exchange.announce()
 
     async def refresh(self, table: str) -> None:
@@ -117,6 +116,12 @@
         """Returns whether this node follows all tables of the store."""
         return all(watcher.is_following for watcher in self._parts.watchers)
 
+    def _update_claim(self) -> None:
+        """Announces whether this node follows; a claim ends by its age too."""
+        members = self._parts.members
+        if members.own.follows_store != self._claims_to_follow():
+            members.update_own(follows_store=self._claims_to_follow())
+
     def _claims_to_follow(self) -> bool:
         return self.is_following() or (
             self._parts.election.is_claiming and self.is_store_healthy()
--- a/src/galenatack/app/mesh_store.py
+++ b/src/galenatack/app/mesh_store.py
@@ -20,6 +20,9 @@
 after a change. Versions published in quick succession then cross the link
 between regions once."""
 
+WATCH_SHARE = 0.4
+"""Fraction of that time limit that the store keeps a watch open."""
+
 
 class MeshStore(typing.NamedTuple):
     """Parts that follow the shared tables."""
@@ -89,6 +92,7 @@
             rng=base.rng,
             should_follow=election.should_follow,
             on_change=base.callbacks.on_store_changed,
+            watch_s=config_s * WATCH_SHARE,
             min_interval_s=min_interval_s,
         )
         for name, min_interval_s in min_intervals_s.items()
--- a/src/galenatack/config/table_watcher.py
+++ b/src/galenatack/config/table_watcher.py
@@ -14,9 +14,9 @@
 from galenatack.model import store_revision
 from galenatack.model import table_page
 
-WATCH_S = 25.0
-"""Longest time that the store keeps a watch open without a change. Keep-alive
-probes detect a dead connection sooner."""
+ANSWER_DELAY_S = 2.5
+"""Maximum delay of the answer to a watch. A store that is silent for longer may
+have changes that this node does not get."""
 
 FIRST_RETRY_S = 0.15
 MAX_RETRY_S = 0.8
@@ -46,12 +46,14 @@
         should_follow: Returns whether this node should follow the store now.
         on_change: Called after the store has returned rows, and when this
             node is elected or starts or stops to follow the table.
+        watch_s: Longest time that the store keeps a watch open without a
+            change. An open watch does not show whether the store still
+            responds, so this limits how long a silent store goes unnoticed.
         min_interval_s: Minimum time between a change and the next watch.
             Changes in quick succession are then read together.
 
     Attributes:
         is_healthy: False while the store does not respond.
-        is_following: True while this node gets changes from the store.
         last_response_s: Monotonic time of the store's last response.
     """
 
@@ -65,6 +67,7 @@
         rng: random_source.RandomSource,
         should_follow: collections.abc.Callable[[], bool],
         on_change: OnChange,
+        watch_s: float,
         min_interval_s: float = 0.0,
     ):
         self.name = name
@@ -76,16 +79,29 @@
         )
         self._should_follow = should_follow
         self._on_change = on_change
+        self._watch_s = watch_s
         self._min_interval_s = min_interval_s
         self._after: int | None = None
         self._has_superseded_rows = False
         self._is_elected = False
         self._scope: anyio.CancelScope | None = None
         self._requested_s = 0.0
+        self._has_responded = False
         self.is_healthy = True
-        self.is_following = False
         self.last_response_s = clock.monotonic_s()
 
+    @property
+    def is_following(self) -> bool:
+        """True while this node gets changes from the store.
+
+        Depends on the age of the last response: after a pause of this process,
+        its watch may have been lost.
+        """
+        age_s = self._clock.monotonic_s() - self.last_response_s
+        return self._has_responded and (
+            age_s <= self._min_interval_s + self._watch_s + ANSWER_DELAY_S
+        )
+
     async def run(self) -> None:
         """Follows the table until cancelled."""
         while True:
@@ -130,12 +146,12 @@
 
     async def _stop_following(self) -> None:
         """Marks this node as passive; it gets rows from another node."""
-        if self.is_following:
+        if self._has_responded:
             _LOGGER.info("event=store-left table=%s", self.name)
         # An elected node has claimed to follow, even if the store has not
         # answered it.
         was_elected, self._is_elected = self._is_elected, False
-        self.is_following = False
+        self._has_responded = False
         self.is_healthy = True
         if was_elected:
             await self._on_change()
@@ -174,7 +190,7 @@
             return page
         # After a takeover the first watch returns at once, which shows whether
         # the store responds to this node.
-        wait_s = WATCH_S if self.is_following else 0.0
+        wait_s = self._watch_s if self.is_following else 0.0
         page = await self._table.watch(
             self.name, after=self._after, wait_s=wait_s
         )
@@ -193,14 +209,17 @@
     async def _record_failure(self, error: exceptions.PlatformError) -> None:
         if self.is_healthy:
             _LOGGER.warning(
-                "event=store-lost table=%s error=%s detail=%r",
+                "event=store-lost table=%s after=%s silent_ms=%d error=%s"
+                " detail=%r",
                 self.name,
+                self._after,
+                (self._clock.monotonic_s() - self.last_response_s) * 1000,
                 error.code,
                 str(error),
             )
         was_healthy = self.is_healthy
         self.is_healthy = False
-        self.is_following = False
+        self._has_responded = False
         if was_healthy:
             await self._on_change()
 
@@ -214,6 +233,6 @@
         self.is_healthy = True
         self.last_response_s = self._clock.monotonic_s()
         self._delays.reset()
-        if not self.is_following:
+        if not self._has_responded:
             _LOGGER.info("event=store-followed table=%s", self.name)
-            self.is_following = True
+            self._has_responded = True
--- a/standins/store/node_table.py
+++ b/standins/store/node_table.py
@@ -78,12 +78,13 @@
     ) -> table_page.TablePage:
         """Returns rows that changed after a revision; waits for the first."""
         await self._enter("watch")
+        give_up_s = anyio.current_time() + wait_s + LOST_S
         era = store_revision.era(after)
         number = store_revision.number(after)
         with anyio.move_on_after(wait_s):
             while not self._changes(table, number):
                 await self._store.wait_for_change()
-        await self._check_available()
+        await self._check_available(give_up_s)
         if after and era != self._store.rows.era:
             raise exceptions.HistoryLostError("the store was restored")
         return self._page(self._changes(table, number))
@@ -136,10 +137,11 @@
             await anyio.sleep(self._store.faults.slow_s)
         await self._check_available()
 
-    async def _check_available(self) -> None:
+    async def _check_available(self, give_up_s: float | None = None) -> None:
         faults = self._store.faults
         if self._node_id in faults.silent_nodes:
-            await anyio.sleep(LOST_S)
+            # A change brings no answer either, so the node waits to the end.
+            await anyio.sleep_until(give_up_s or anyio.current_time() + LOST_S)
             raise exceptions.PlatformUnavailableError("no answer")
         if faults.is_down or self._node_id in faults.refused_nodes:
             raise exceptions.PlatformUnavailableError("503")
--- a/tests/config/test_row_mirror.py
+++ b/tests/config/test_row_mirror.py
@@ -101,7 +101,7 @@
                 rng=random.Random(1),
                 should_follow=lambda: self.should_follow,
                 on_change=self.on_change,
-                **options,
+                **{"watch_s": 1.0, **options},
             )
             task = asyncio.create_task(watcher.run())
             await scenario(store, mirror, watcher)
--- a/tests/mesh/test_rows.py
+++ b/tests/mesh/test_rows.py
@@ -12,6 +12,9 @@
 IN_FORCE_S = 2.5
 """A change must be in force everywhere within this time."""
 
+UNREACHABLE_STORE_S = 5.0
+"""Additional time while some nodes do not reach the store."""
+
 FOLLOWER_PAUSE_S = mesh_store.CONFIG_INTERVAL_SHARE * IN_FORCE_S
 """Time between a change and the next watch of a follower."""
 
@@ -129,3 +132,14 @@
             self.assertLess(await change(fleet, 3), IN_FORCE_S)
 
         run(scenario)
+
+    def test_a_store_silent_to_all_followers_delays_no_change_for_long(self):
+        """Their open watches looked like a store without changes."""
+
+        async def scenario(fleet):
+            fleet.store.faults.silent_nodes |= followers(fleet)
+            self.assertLess(
+                await change(fleet, 3), IN_FORCE_S + UNREACHABLE_STORE_S
+            )
+
+        run(scenario)
--- a/tests/rollouts/test_rollout_driver.py
+++ b/tests/rollouts/test_rollout_driver.py
@@ -166,6 +166,7 @@
             rng=self.rng,
             should_follow=lambda: True,
             on_change=_do_nothing,
+            watch_s=1.0,
         ).run()
 
     async def _call(self, node):
