A target that left before its node knew it stays gone

Cause: a node that has just restarted knows no target yet, and the leave message names no start time. The registry remembered (identifier, 0) as gone; the record of the run before, which peers hand over some 40 ms later, asked for (identifier, start time).

Ruled out: records that know of the leave (mesh/test_restart), and the drain time that began anew.

Change: a leave is remembered by identifier, with the latest start time that it covers. The record of a former run is older than a leave of this run. A leave that comes first is announced to the peers, for the next restart.

--- a/src/galenatack/traffic/target_registry.py
+++ b/src/galenatack/traffic/target_registry.py
@@ -10,6 +10,10 @@
 from galenatack.model import target_state
 
 _LOGGER = logging.getLogger(__name__)
+_Value = typing.TypeVar("_Value")
+
+_UNANNOUNCED = -1
+"""Sequence number of a target of which only the leave is known."""
 
 MAX_GONE_TARGETS = 64
 """Maximum number of gone targets that are kept."""
@@ -31,7 +35,7 @@
 
     Announcements may be late and out of order. They are ordered by start time,
     and by sequence number within one incarnation of the target. A target that
-    has left stays gone.
+    has left stays gone, also if its leave is the first that is heard of it.
 
     Args:
         service: Service of this instance.
@@ -54,7 +58,10 @@
         self._clock = clock
         self._drain_notice_s = drain_notice_s
         self._on_changed = on_changed
-        self._gone: dict[tuple[str, int], None] = {}
+        # Latest start time of the incarnations that are gone, by target.
+        self._gone_born_ms: dict[str, int] = {}
+        # Targets of which a leave message was received.
+        self._left: dict[str, None] = {}
         self._leaving_s: float | None = None
         self._has_said_leaving = False
         self._warm_from_s = 0.0
@@ -80,7 +87,7 @@
                 announcement.sequence,
             )
             return False
-        before = self.current
+        before = self._announced()
         self.announced_s = self._clock.monotonic_s()
         if before is None or _identity(before) != _identity(announcement):
             self._start_incarnation(announcement)
@@ -100,20 +107,19 @@
         return True
 
     def leave(self, target_id: str, born_ms: int) -> None:
-        """Handles the leave message of a target."""
-        identity = (target_id, born_ms)
+        """Handles the leave message of a target.
+
+        Args:
+            target_id: The target.
+            born_ms: Its start time; 0 if the message does not name it. Then
+                the current incarnation is meant, or any that has started.
+        """
         current = self.current
-        is_current = current is not None and current.target_id == target_id
-        if is_current and born_ms in (0, current.born_ms):
-            identity = _identity(current)
-            self.current = current._replace(
-                state=target_state.TargetState.GONE.value
-            )
-            self._start_leaving()
-            self._report()
-        self._gone[identity] = None
-        while len(self._gone) > MAX_GONE_TARGETS:
-            del self._gone[next(iter(self._gone))]
+        if not born_ms:
+            is_current = current is not None and current.target_id == target_id
+            born_ms = current.born_ms if is_current else self._clock.wall_ms()
+        _put(self._left, target_id, None)
+        self._end(target_id, born_ms)
 
     def note_leaving(self, target_id: str) -> None:
         """Handles an answer in which a target says that it is leaving.
@@ -140,8 +146,10 @@
         The target has often outlived the node. It is used again at once, unless
         it was leaving: then a late announcement must not bring it back.
         """
-        if record.target_state == target_state.TargetState.GONE:
-            self.leave(record.target_id, record.target_born_ms)
+        is_gone = record.target_state == target_state.TargetState.GONE
+        # The record is older than a leave message that this run received.
+        if is_gone or record.target_id in self._left:
+            self._end(record.target_id, record.target_born_ms)
             if self.state == target_state.TargetState.GONE:
                 self._start_leaving(is_new=False)
             return
@@ -185,6 +193,46 @@
         """Returns whether the target's warm-up is over."""
         return self._clock.monotonic_s() >= self._warm_from_s
 
+    def _announced(self) -> target_announcement.TargetAnnouncement | None:
+        """Returns the current announcement, unless only a leave is known."""
+        if self.current and self.current.sequence == _UNANNOUNCED:
+            return None
+        return self.current
+
+    def _end(self, target_id: str, born_ms: int) -> None:
+        """Ends the incarnations of a target that started until a time."""
+        born_ms = max(born_ms, self._gone_born_ms.get(target_id, 0))
+        _put(self._gone_born_ms, target_id, born_ms)
+        current = self.current
+        if current is None:
+            # Peers are told, so that this node learns it after a restart.
+            self.current = self._unannounced(target_id, born_ms)
+            self._start_leaving(is_new=False)
+            self._report()
+            return
+        if current.target_id != target_id or current.born_ms > born_ms:
+            return
+        if current.state != target_state.TargetState.GONE:
+            self.current = current._replace(
+                state=target_state.TargetState.GONE.value
+            )
+            self._start_leaving()
+            self._report()
+
+    def _unannounced(
+        self, target_id: str, born_ms: int
+    ) -> target_announcement.TargetAnnouncement:
+        return target_announcement.TargetAnnouncement(
+            target_id=target_id,
+            service=self._service,
+            version="",
+            slots=0,
+            state=target_state.TargetState.GONE.value,
+            warm_up_left_ms=0,
+            born_ms=born_ms,
+            sequence=_UNANNOUNCED,
+        )
+
     def _start_incarnation(
         self, announcement: target_announcement.TargetAnnouncement
     ) -> None:
@@ -206,9 +254,10 @@
     ) -> bool:
         if announcement.born_ms > self._clock.wall_ms() + MAX_CLOCK_AHEAD_MS:
             return True
-        if _identity(announcement) in self._gone:
+        gone_born_ms = self._gone_born_ms.get(announcement.target_id, -1)
+        if announcement.born_ms <= gone_born_ms:
             return True
-        current = self.current
+        current = self._announced()
         if current is None:
             return False
         if _identity(current) == _identity(announcement):
@@ -230,6 +279,14 @@
         self._on_changed()
 
 
+def _put(entries: dict[str, _Value], key: str, value: _Value) -> None:
+    """Sets the newest entry and drops the oldest ones above the limit."""
+    entries.pop(key, None)
+    entries[key] = value
+    while len(entries) > MAX_GONE_TARGETS:
+        del entries[next(iter(entries))]
+
+
 def _identity(
     announcement: target_announcement.TargetAnnouncement,
 ) -> tuple[str, int]:
--- a/tests/traffic/test_target_registry.py
+++ b/tests/traffic/test_target_registry.py
@@ -151,6 +151,33 @@
         self.assertFalse(self.registry.announce(announcement(sequence=2)))
         self.assertEqual(self.registry.state, target_state.TargetState.GONE)
 
+    def test_a_target_that_left_before_it_was_known_stays_gone(self):
+        """A restarted node took it from the record of its run before."""
+        for born_ms in (0, 100):
+            self.setUp()
+            self.clock.advance(10.0)
+            self.registry.leave("i-1", born_ms)
+            self.restore(READY)
+            self.assertFalse(self.registry.is_accepting())
+            self.assertFalse(self.registry.announce(announcement(sequence=9)))
+            self.assertEqual(self.changes, 1)
+            self.assertEqual(self.registry.state, target_state.TargetState.GONE)
+            # Others may start at the address, also under the same identifier.
+            later_ms = self.clock.wall_ms() + 1
+            for other in ("i-1", "i-2"):
+                self.assertTrue(
+                    self.registry.announce(
+                        announcement(other, born_ms=later_ms)
+                    )
+                )
+
+    def test_a_target_that_left_does_not_hide_one_that_had_started(self):
+        """The leave of the target before it names no start time."""
+        self.clock.advance(10.0)
+        self.registry.leave("i-1", 0)
+        self.assertTrue(self.registry.announce(announcement("i-2")))
+        self.assertTrue(self.registry.is_accepting())
+
     def test_a_leave_of_an_older_incarnation_does_not_end_the_new_one(self):
         """A delayed leave message names the incarnation that it ends."""
         self.registry.announce(announcement(born_ms=300))
