A departure is acknowledged once a peer knows of it

Cause: the answer went out at once, the change to the peers with the next round of the member table, up to 0.25 s later. A node keeps nothing of its own across a restart.

Ruled out: the registry, which keeps a leave that a peer knows of (mesh/test_restart, test_a_target_that_had_left_is_not_used_again).

Change: the answer to `draining` and to a leave waits until one of two neighbours has replied to the changed record, 0.5 s at most; then it goes out with a warning, since a node without peers must not hold its target.

Evidence: mesh/test_restart test_a_node_killed_after_an_acknowledgement_remembers_it fails before (is_accepting after the restart: True is not false).

--- a/src/galenatack/app/mesh_wiring.py
+++ b/src/galenatack/app/mesh_wiring.py
@@ -20,12 +20,14 @@
 from galenatack.links import pipelined_server
 from galenatack.membership import membership_service
 from galenatack.membership import neighbour_sync
+from galenatack.membership import record_confirmation
 from galenatack.model import member_status
 from galenatack.platform import caller_dialect
 from galenatack.platform import control_dialect
 from galenatack.platform import store_table
 from galenatack.settings import mesh_settings
 from galenatack.traffic import link_warmer
+from galenatack.traffic import target_departures
 from galenatack.traffic import target_directory
 
 SEED_BITS = 64
@@ -66,7 +68,8 @@
         base, directory, rollouts, quarantine, inbound
     )
     shared = mesh_store.make(base, instrumented)
-    servers = _make_servers(base, inbound, outbound)
+    membership = _make_membership(base)
+    servers = _make_servers(base, inbound, outbound, membership)
     _connect(
         base,
         instrumented,
@@ -82,7 +85,7 @@
         clock=clock,
         events=base.events,
         members=base.members,
-        membership=_make_membership(base),
+        membership=membership,
         peers=base.peers,
         discovery=shared.discovery,
         mirror=shared.mirror,
@@ -195,11 +198,20 @@
     base: mesh_base.MeshBase,
     inbound: mesh_inbound.MeshInbound,
     outbound: mesh_outbound.MeshOutbound,
+    membership: membership_service.MembershipService,
 ) -> _Servers:
     settings = base.settings
     callers = caller_dialect.CallerDialect(handle=outbound.router.handle)
     control = control_dialect.ControlDialect(
-        registry=inbound.registry,
+        registry=target_departures.TargetDepartures(
+            registry=inbound.registry,
+            confirm=record_confirmation.RecordConfirmation(
+                table=base.members,
+                peers=base.peers,
+                clock=base.clock,
+                flood=membership.flood,
+            ).confirm,
+        ),
         is_ready=lambda: (
             outbound.config.table is not None
             and base.members.own.status
--- a/src/galenatack/membership/membership_service.py
+++ b/src/galenatack/membership/membership_service.py
@@ -125,13 +125,13 @@
     async def leave(self) -> None:
         """Announces that this node stops; returns once this has been sent."""
         self._table.update_own(status=_Status.LEAVING.value)
-        await self._flood()
+        await self.flood()
 
     async def run(self) -> None:
         """Runs failure detection and flooding until cancelled."""
         while True:
             self._check_timeouts()
-            await self._flood()
+            await self.flood()
             await self._clock.sleep_s(TICK_S)
 
     def _check_timeouts(self) -> None:
@@ -182,7 +182,8 @@
         finally:
             self._merge_source = None
 
-    async def _flood(self) -> None:
+    async def flood(self) -> None:
+        """Sends the records that changed since the last call."""
         outgoing, self._outgoing = self._outgoing, {}
         by_source: dict[str | None, list[_Record]] = collections.defaultdict(
             list
@@ -199,10 +200,14 @@
         await self._receive_records(sender, (message.record,))
         await self._send_former(sender)
 
-    async def _on_members(self, sender: str, message: typing.Any) -> None:
+    async def _on_members(
+        self, sender: str, message: typing.Any
+    ) -> members.Members:
+        """Merges records; the reply to a request confirms that."""
         await self._handle_accusations(sender, message.accusations)
         await self._receive_records(sender, message.records)
-        await self._flood()
+        await self.flood()
+        return members.Members(())
 
     async def _receive_records(
         self, sender: str, records: tuple[_Record, ...]
--- a/src/galenatack/platform/control_dialect.py
+++ b/src/galenatack/platform/control_dialect.py
@@ -34,12 +34,12 @@
 class Registry(typing.Protocol):
     """Handles announcements."""
 
-    def announce(
+    async def announce(
         self, announcement: target_announcement.TargetAnnouncement
     ) -> bool:
         """Handles an announcement; returns False if it is out of date."""
 
-    def leave(self, target_id: str, born_ms: int) -> None:
+    async def leave(self, target_id: str, born_ms: int) -> None:
         """Handles the deregistration of a target."""
 
 
@@ -68,10 +68,12 @@
         target_id, action = _split_path(path)
         try:
             if request.method == "POST" and action == _HEARTBEAT:
-                self._registry.announce(_announcement(target_id, request.body))
+                await self._registry.announce(
+                    _announcement(target_id, request.body)
+                )
                 return _ACCEPTED
             if request.method == "POST" and action == _DEREGISTER:
-                self._registry.leave(target_id, _born_ms(request.body))
+                await self._registry.leave(target_id, _born_ms(request.body))
                 return _ACCEPTED
         except exceptions.DocumentError as error:
             _LOGGER.warning(
--- a/tests/mesh/test_restart.py
+++ b/tests/mesh/test_restart.py
@@ -50,6 +50,21 @@
 
         run(scenario, "a", "b", "c")
 
+    def test_a_node_killed_after_an_acknowledgement_remembers_it(self):
+        """A leave was acknowledged up to 0.25 s before any peer knew of it."""
+
+        async def scenario(fleet):
+            near, far, _ = fleet.members
+            control = far.settings.control_address
+            self.assertEqual(await far.target.leave(control), 200)
+            await restart(fleet, far)
+            await asyncio.sleep(0.5)
+            self.assertFalse(far.parts.registry.is_accepting())
+            answer = await fleet.call(near, "b.example", "/idempotent/")
+            self.assertEqual(answer.status, 503)
+
+        run(scenario, "a", "b", "c")
+
     def test_a_target_that_stayed_is_used_at_once(self):
         """Its next announcement may be more than a second away."""
 
--- a/tests/platform/test_odd_documents.py
+++ b/tests/platform/test_odd_documents.py
@@ -38,7 +38,7 @@
 class TestOddDocuments(unittest.TestCase):
     def test_announcements_are_refused(self):
         """They change nothing, and the listener goes on."""
-        registry = mock.Mock()
+        registry = mock.AsyncMock()
         dialect = control_dialect.ControlDialect(
             registry=registry, is_ready=lambda: True
         )
