A read that lags after a loss of history hides no change

Cause: one read was trusted for good, and the watch went on behind what it lacked.

Change: the table is read again 3.5 s and 7 s after a loss of history, and rows that a read lacks count as deleted only if it has a newer row, until the last read. store-followers and table-read log what a passive node believes and what a read returned.

--- a/src/galenatack/app/mesh_callbacks.py
+++ b/src/galenatack/app/mesh_callbacks.py
@@ -109,7 +109,8 @@
             exceptions.PlatformUnavailableError: There was no valid response.
         """
         page = await self._parts.store.read(table)
-        if self._parts.mirror.replace(table, page):
+        # The watch delivers deletions that this read does not prove.
+        if self._parts.mirror.replace(table, page, may_lag=True):
             await self._parts.exchange.announce()
 
     def is_following(self) -> bool:
--- a/src/galenatack/config/row_mirror.py
+++ b/src/galenatack/config/row_mirror.py
@@ -125,21 +125,35 @@
         )
 
     def replace(
-        self, table: str, page: table_page.TablePage
+        self,
+        table: str,
+        page: table_page.TablePage,
+        *,
+        may_lag: bool = False,
     ) -> tuple[table_row.TableRow, ...]:
         """Applies a whole table; known rows that it lacks become tombstones.
 
+        Args:
+            table: Name of the table.
+            page: All its rows.
+            may_lag: True if the rows may be older than the revision of the
+                page. Then only those older than its newest row are known to
+                be deleted; others may have been written since.
+
         Returns:
             The rows that were stored, tombstones included.
         """
         present = {row.key for row in page.rows}
+        revision = page.revision
+        if may_lag:
+            revision = max((row.revision for row in page.rows), default=0)
         tombstones = [
-            row._replace(value=b"", revision=page.revision, is_deleted=True)
+            row._replace(value=b"", revision=revision, is_deleted=True)
             for row in self._rows.values()
             if row.table == table
             and row.key not in present
             and not row.is_deleted
-            and row.revision < page.revision
+            and row.revision < revision
         ]
         return self.apply((*page.rows, *tombstones))
 
--- a/src/galenatack/config/store_follower_election.py
+++ b/src/galenatack/config/store_follower_election.py
@@ -2,6 +2,7 @@
 
 import collections
 import collections.abc
+import logging
 import math
 import typing
 
@@ -40,6 +41,8 @@
 """Time in which peers can connect to a starting node and send it their rows,
 before it reads whole tables itself."""
 
+_LOGGER = logging.getLogger(__name__)
+
 _ELIGIBLE = frozenset(
     {member_status.MemberStatus.JOINING, member_status.MemberStatus.SERVING}
 )
@@ -79,6 +82,7 @@
         # Nodes whose last heartbeat claimed to follow.
         self._claimants: set[str] = set()
         self._is_elected = False
+        self._logged: tuple[str, ...] | None = None
         self._elected_s = -math.inf
         # Delays a takeover at the start, as after the loss of a follower.
         self._complete_s = clock.monotonic_s() + START_DELAY_S
@@ -122,8 +126,19 @@
             delay_s = self._takeover_delay_s(following)
             self._is_elected = now_s - self._complete_s >= delay_s
             self._elected_s = now_s
+        self._log_change(following)
         return self._is_elected
 
+    def _log_change(self, following: list[str]) -> None:
+        known = (str(self._is_elected), *following)
+        if known != self._logged:
+            self._logged = known
+            _LOGGER.info(
+                "event=store-followers elected=%s others=%s",
+                self._is_elected,
+                ",".join(following) or "-",
+            )
+
     def _is_vacant_beside(self, following: list[str]) -> bool:
         """Returns whether this node may follow in addition to other nodes."""
         return len(following) < FOLLOWERS_PER_REGION and self._is_candidate(
--- a/src/galenatack/config/table_watcher.py
+++ b/src/galenatack/config/table_watcher.py
@@ -23,6 +23,11 @@
 """Bounds of the delay after a failure. Rows must be current within 2 s after
 the store has recovered."""
 
+REREAD_DELAYS_S = (3.5, 7.0)
+"""Delays of further reads after the store has lost its history. The first read
+may come from a replica that is some seconds behind and still name the newest
+revision; a watch from there would never return what the read lacked."""
+
 POLL_S = 0.1
 """Interval at which a node checks whether it is elected."""
 
@@ -81,6 +86,10 @@
         self._on_change = on_change
         self._watch_s = watch_s
         self._min_interval_s = min_interval_s
+        self._history_delays = retry_backoff.RetryBackoff(
+            rng=rng, base_s=FIRST_RETRY_S, cap_s=MAX_RETRY_S
+        )
+        self._rereads_s: list[float] = []
         self._after: int | None = None
         self._has_superseded_rows = False
         self._is_elected = False
@@ -121,7 +130,7 @@
                     self._after,
                     error,
                 )
-                self._after = None
+                await self._schedule_reads()
             except exceptions.PlatformError as error:
                 await self._record_failure(error)
                 await self._clock.sleep_s(self._delays.next_s())
@@ -159,6 +168,16 @@
         if self._mirror.revision(self.name):
             self._after = self._mirror.revision(self.name)
 
+    async def _schedule_reads(self) -> None:
+        """Schedules reads of the table after a loss of history."""
+        now_s = self._clock.monotonic_s()
+        is_repeated = bool(self._rereads_s)
+        self._after = None
+        self._rereads_s = [now_s + delay_s for delay_s in REREAD_DELAYS_S]
+        if is_repeated:
+            # The rows that were read are older than the remaining history.
+            await self._clock.sleep_s(self._history_delays.next_s())
+
     async def _step(self) -> None:
         self._requested_s = self._clock.monotonic_s()
         page = None
@@ -181,13 +200,11 @@
     async def _fetch(self) -> table_page.TablePage:
         if self._after is not None and self._is_of_former_era(self._after):
             self._after = None
-        if self._after is None or self._has_superseded_rows:
-            page = await self._table.read(self.name)
-            applied = self._mirror.replace(self.name, page)
-            self._has_superseded_rows = self._has_superseded_rows and bool(
-                applied
-            )
-            return page
+        is_reread_due = bool(self._rereads_s) and (
+            self._clock.monotonic_s() >= self._rereads_s[0]
+        )
+        if self._after is None or self._has_superseded_rows or is_reread_due:
+            return await self._read(is_reread=is_reread_due)
         # After a takeover the first watch returns at once, which shows whether
         # the store responds to this node.
         wait_s = self._watch_s if self.is_following else 0.0
@@ -201,6 +218,28 @@
         self._has_superseded_rows = len(keys) < len(page.rows)
         return page
 
+    async def _read(self, *, is_reread: bool) -> table_page.TablePage:
+        """Reads the whole table."""
+        page = await self._table.read(self.name)
+        if is_reread:
+            del self._rereads_s[0]
+        may_lag = bool(self._rereads_s)
+        applied = self._mirror.replace(self.name, page, may_lag=may_lag)
+        if not may_lag:
+            self._history_delays.reset()
+        self._has_superseded_rows = self._has_superseded_rows and bool(applied)
+        _LOGGER.info(
+            "event=table-read table=%s revision=%d newest_row=%d rows=%d"
+            " changed=%d reads_left=%d",
+            self.name,
+            page.revision,
+            max((row.revision for row in page.rows), default=0),
+            len(page.rows),
+            len(applied),
+            len(self._rereads_s),
+        )
+        return page
+
     def _is_of_former_era(self, revision: int) -> bool:
         """Returns whether the store was restored after a revision."""
         era = self._mirror.era
--- a/standins/store/app.py
+++ b/standins/store/app.py
@@ -80,7 +80,7 @@
 
     def _get(self, query: dict[str, str]) -> dict[str, typing.Any]:
         limit = min(PAGE_ROWS, int(query.get("limit", PAGE_ROWS)))
-        rows, has_more = self._store.rows.range(
+        rows, has_more = self._store.readable.range(
             query["table"], query.get("part", ""), query.get("from", ""), limit
         )
         return self._page(rows) | {"has_more": has_more}
--- a/standins/store/faults.py
+++ b/standins/store/faults.py
@@ -2,6 +2,8 @@
 
 import dataclasses
 
+from standins.store import row_store
+
 
 @dataclasses.dataclass
 class Faults:
@@ -14,6 +16,8 @@
         slow_s: Delay of each answer.
         lose_answers: Number of upcoming writes that take effect but get no
             answer.
+        lagging_rows: If set, reads of whole tables return these rows, with the
+            newest revision.
         late_s: If above 0, a write without an answer takes effect only after
             this delay, if its condition still holds.
     """
@@ -24,3 +28,4 @@
     slow_s: float = 0.0
     lose_answers: int = 0
     late_s: float = 0.0
+    lagging_rows: row_store.RowStore | None = None
--- a/standins/store/node_table.py
+++ b/standins/store/node_table.py
@@ -31,6 +31,11 @@
         self.calls: collections.Counter[tuple[str, str]] = collections.Counter()
         self._changed = anyio.Event()
 
+    @property
+    def readable(self) -> row_store.RowStore:
+        """The rows that reads of whole tables return."""
+        return self.faults.lagging_rows or self.rows
+
     def operator_writes(self, table: str, key: str, value: bytes) -> int:
         """Writes a row in the role of the operator."""
         return self.commit([], [(table, "", key, value)], [])
@@ -70,7 +75,7 @@
     async def read(self, table: str) -> table_page.TablePage:
         """Reads all rows of a table."""
         await self._enter("read")
-        rows, _ = self._store.rows.range(table, "", "", 1_000_000)
+        rows, _ = self._store.readable.range(table, "", "", 1_000_000)
         return self._page(rows)
 
     async def watch(
--- a/tests/config/test_row_mirror.py
+++ b/tests/config/test_row_mirror.py
@@ -79,6 +79,10 @@
         self.assertEqual(self.mirror.apply([row("x", 1, table="other")]), ())
 
 
+CONFIG_S = 2.5
+"""Time until an accepted configuration is in force on all nodes."""
+
+
 class TestTableWatcher(unittest.TestCase):
     def setUp(self):
         self.should_follow = True
@@ -134,6 +138,31 @@
 
         self.follow(scenario)
 
+    def test_a_stale_read_after_a_lost_history_hides_no_change(self):
+        """Its revision was the newest, so no watch returned the change."""
+
+        async def scenario(store, mirror, watcher):
+            for key in ("kept", "deleted"):
+                store.operator_writes("op", key, b"old")
+            await asyncio.sleep(2.0)
+            lagging = store.rows.copy()
+            store.operator_writes("op", "kept", b"new")
+            store.operator_writes("op", "added", b"new")
+            store.commit([], [], [("op", "", "deleted")])
+            store.rows.forget()
+            store.faults.lagging_rows = lagging
+            await asyncio.sleep(3.0)
+            store.faults.lagging_rows = None
+            await asyncio.sleep(CONFIG_S)
+            found = {r.key: r.value for r in mirror.since((0,))}
+            self.assertEqual(found["kept"], b"new")
+            self.assertEqual(found["added"], b"new")
+            await asyncio.sleep(10.0)
+            found = {r.key for r in mirror.since((0,)) if not r.is_deleted}
+            self.assertEqual(found, {"kept", "added"})
+
+        self.follow(scenario)
+
     def test_changes_arrive_one_after_the_other(self):
         """Each write is mirrored at once."""
 
