A start time from a clock that was ahead hides no later start

A target that starts again under its identifier, after the clock of its machine was set back, names an earlier start time than before.

Cause: incarnations are ordered by a start time that is read from a clock that may be set back.

Ruled out: late announcements, which name the start time that is known.

Change: the registry keeps how far the wall clock was ahead of the monotonic clock when it received a start time. Once the wall clock has been set back, a start may name a time that is earlier by as much.

No run of processes: their clock cannot be set here.

--- a/src/galenatack/traffic/target_registry.py
+++ b/src/galenatack/traffic/target_registry.py
@@ -23,6 +23,24 @@
 all later announcements outdated."""
 
 
+CLOCK_TOLERANCE_MS = 50
+"""Smaller differences between the clocks come from rounding and slewing."""
+
+
+class _Birth(typing.NamedTuple):
+    """Start time of an incarnation.
+
+    Attributes:
+        born_ms: Start time, wall clock.
+        clock_ahead_ms: Wall clock minus monotonic clock when it was received.
+        is_exact: False if the incarnation started at this time or before.
+    """
+
+    born_ms: int
+    clock_ahead_ms: float
+    is_exact: bool = True
+
+
 class OnChanged(typing.Protocol):
     """Called after the identity, version, slots or state changed."""
 
@@ -58,10 +76,11 @@
         self._clock = clock
         self._drain_notice_s = drain_notice_s
         self._on_changed = on_changed
-        # Latest start time of the incarnations that are gone, by target.
-        self._gone_born_ms: dict[str, int] = {}
+        # The latest incarnation that is gone, by target.
+        self._gone: dict[str, _Birth] = {}
         # Targets of which a leave message was received.
         self._left: dict[str, None] = {}
+        self._birth: _Birth | None = None
         self._leaving_s: float | None = None
         self._has_said_leaving = False
         self._warm_from_s = 0.0
@@ -90,6 +109,9 @@
         before = self._announced()
         self.announced_s = self._clock.monotonic_s()
         if before is None or _identity(before) != _identity(announcement):
+            if before is not None and before.born_ms > announcement.born_ms:
+                # Its late announcements name the later start time.
+                _put(self._gone, before.target_id, self._birth)
             self._start_incarnation(announcement)
         if self._has_said_leaving:
             announcement = announcement._replace(
@@ -115,11 +137,12 @@
                 the current incarnation is meant, or any that has started.
         """
         current = self.current
+        is_exact = True
         if not born_ms:
-            is_current = current is not None and current.target_id == target_id
-            born_ms = current.born_ms if is_current else self._clock.wall_ms()
+            is_exact = current is not None and current.target_id == target_id
+            born_ms = current.born_ms if is_exact else self._clock.wall_ms()
         _put(self._left, target_id, None)
-        self._end(target_id, born_ms)
+        self._end(target_id, born_ms, is_exact=is_exact)
 
     def note_leaving(self, target_id: str) -> None:
         """Handles an answer in which a target says that it is leaving.
@@ -199,10 +222,14 @@
             return None
         return self.current
 
-    def _end(self, target_id: str, born_ms: int) -> None:
+    def _end(
+        self, target_id: str, born_ms: int, *, is_exact: bool = True
+    ) -> None:
         """Ends the incarnations of a target that started until a time."""
-        born_ms = max(born_ms, self._gone_born_ms.get(target_id, 0))
-        _put(self._gone_born_ms, target_id, born_ms)
+        gone = self._gone.get(target_id)
+        if gone is None or born_ms > gone.born_ms - self._set_back_ms(gone):
+            birth = _Birth(born_ms, self._clock_ahead_ms(), is_exact)
+            _put(self._gone, target_id, birth)
         current = self.current
         if current is None:
             # Peers are told, so that this node learns it after a restart.
@@ -210,7 +237,7 @@
             self._start_leaving(is_new=False)
             self._report()
             return
-        if current.target_id != target_id or current.born_ms > born_ms:
+        if current.target_id != target_id or born_ms < self._earliest_ms():
             return
         if current.state != target_state.TargetState.GONE:
             self.current = current._replace(
@@ -238,6 +265,7 @@
     ) -> None:
         self._leaving_s = None
         self._has_said_leaving = False
+        self._birth = _Birth(announcement.born_ms, self._clock_ahead_ms())
         self._warm_from_s = (
             self.announced_s + announcement.warm_up_left_ms / 1000
         )
@@ -254,15 +282,37 @@
     ) -> bool:
         if announcement.born_ms > self._clock.wall_ms() + MAX_CLOCK_AHEAD_MS:
             return True
-        gone_born_ms = self._gone_born_ms.get(announcement.target_id, -1)
-        if announcement.born_ms <= gone_born_ms:
+        gone = self._gone.get(announcement.target_id)
+        if gone is not None and (
+            announcement.born_ms == gone.born_ms
+            or announcement.born_ms <= gone.born_ms - self._set_back_ms(gone)
+        ):
             return True
         current = self._announced()
         if current is None:
             return False
         if _identity(current) == _identity(announcement):
             return announcement.sequence <= current.sequence
-        return announcement.born_ms < current.born_ms
+        return announcement.born_ms < self._earliest_ms()
+
+    def _clock_ahead_ms(self) -> float:
+        return self._clock.wall_ms() - self._clock.monotonic_s() * 1000
+
+    def _set_back_ms(self, birth: _Birth) -> float:
+        """Returns by how much the wall clock was set back since a birth.
+
+        The target may have started again meanwhile and name an earlier time.
+        """
+        set_back_ms = birth.clock_ahead_ms - self._clock_ahead_ms()
+        if not birth.is_exact or set_back_ms < CLOCK_TOLERANCE_MS:
+            return 0.0
+        return set_back_ms
+
+    def _earliest_ms(self) -> float:
+        """Returns the start time that another start of the target may name."""
+        if self._birth is None:
+            return self.current.born_ms
+        return self.current.born_ms - self._set_back_ms(self._birth)
 
     def _report(self) -> None:
         announcement = self.current
--- a/tests/traffic/test_target_registry.py
+++ b/tests/traffic/test_target_registry.py
@@ -171,6 +171,39 @@
                     )
                 )
 
+    def test_a_start_time_from_a_clock_that_was_ahead_hides_no_restart(self):
+        """All that the target said later was acknowledged and ignored."""
+        self.clock.ahead_ms = 2000
+        first_ms = self.clock.wall_ms()
+        self.registry.announce(announcement(born_ms=first_ms, sequence=9))
+        self.clock.advance(1.0)
+        self.clock.ahead_ms = 0
+        second_ms = self.clock.wall_ms()
+        self.assertLess(second_ms, first_ms)
+        self.assertTrue(self.registry.announce(announcement(born_ms=second_ms)))
+        # What earlier incarnations have sent may still arrive.
+        for late_ms in (first_ms, first_ms - 3000):
+            self.registry.announce(announcement(born_ms=late_ms, sequence=10))
+        self.assertEqual(self.registry.current.born_ms, second_ms)
+        self.registry.leave("i-1", second_ms)
+        self.assertFalse(
+            self.registry.announce(announcement(born_ms=second_ms, sequence=2))
+        )
+        self.assertEqual(self.registry.state, target_state.TargetState.GONE)
+
+    def test_a_target_that_left_with_a_clock_ahead_may_start_again(self):
+        """Its late announcements are still ignored."""
+        self.clock.ahead_ms = 2000
+        first_ms = self.clock.wall_ms()
+        self.registry.announce(announcement(born_ms=first_ms))
+        self.registry.leave("i-1", 0)
+        self.clock.advance(1.0)
+        self.clock.ahead_ms = 0
+        late = announcement(born_ms=first_ms, sequence=5)
+        self.assertFalse(self.registry.announce(late))
+        again = announcement(born_ms=self.clock.wall_ms())
+        self.assertTrue(self.registry.announce(again))
+
     def test_a_target_that_left_does_not_hide_one_that_had_started(self):
         """The leave of the target before it names no start time."""
         self.clock.advance(10.0)
