--- a/src/galenatack/traffic/target_registry.py
+++ b/src/galenatack/traffic/target_registry.py
@@ -8,39 +8,19 @@
 from galenatack.model import member_record
 from galenatack.model import target_announcement
 from galenatack.model import target_state
+from galenatack.traffic import birth_clock
+from galenatack.traffic import departed_targets
 
 _LOGGER = logging.getLogger(__name__)
-_Value = typing.TypeVar("_Value")
 
 _UNANNOUNCED = -1
 """Sequence number of a target of which only the leave is known."""
 
-MAX_GONE_TARGETS = 64
-"""Maximum number of gone targets that are kept."""
-
 MAX_CLOCK_AHEAD_MS = 86_400_000
 """A start time further in the future is not one of the target: it would make
 all later announcements outdated."""
 
 
-CLOCK_TOLERANCE_MS = 50
-"""Smaller differences between the clocks come from rounding and slewing."""
-
-
-class _Birth(typing.NamedTuple):
-    """Start time of an incarnation.
-
-    Attributes:
-        born_ms: Start time, wall clock.
-        clock_ahead_ms: Wall clock minus monotonic clock when it was received.
-        is_exact: False if the incarnation started at this time or before.
-    """
-
-    born_ms: int
-    clock_ahead_ms: float
-    is_exact: bool = True
-
-
 class OnChanged(typing.Protocol):
     """Called after the identity, version, slots or state changed."""
 
@@ -76,11 +56,11 @@
         self._clock = clock
         self._drain_notice_s = drain_notice_s
         self._on_changed = on_changed
-        # The latest incarnation that is gone, by target.
-        self._gone: dict[str, _Birth] = {}
-        # Targets of which a leave message was received.
-        self._left: dict[str, None] = {}
-        self._birth: _Birth | None = None
+        self._births = birth_clock.BirthClock(clock=clock)
+        self._gone = departed_targets.DepartedTargets(births=self._births)
+        # Target of the latest leave message.
+        self._left_id = ""
+        self._birth: birth_clock.Birth | None = None
         self._leaving_s: float | None = None
         self._has_said_leaving = False
         self._warm_from_s = 0.0
@@ -111,7 +91,7 @@
         if before is None or _identity(before) != _identity(announcement):
             if before is not None and before.born_ms > announcement.born_ms:
                 # Its late announcements name the later start time.
-                _put(self._gone, before.target_id, self._birth)
+                self._gone.add(before.target_id, self._birth)
             self._start_incarnation(announcement)
         if self._has_said_leaving:
             announcement = announcement._replace(
@@ -141,8 +121,8 @@
         if not born_ms:
             is_exact = current is not None and current.target_id == target_id
             born_ms = current.born_ms if is_exact else self._clock.wall_ms()
-        _put(self._left, target_id, None)
-        self._end(target_id, born_ms, is_exact=is_exact)
+        self._left_id = target_id
+        self._end(target_id, self._births.receive(born_ms, is_exact=is_exact))
 
     def note_leaving(self, target_id: str) -> None:
         """Handles an answer in which a target says that it is leaving.
@@ -171,8 +151,10 @@
         """
         is_gone = record.target_state == target_state.TargetState.GONE
         # The record is older than a leave message that this run received.
-        if is_gone or record.target_id in self._left:
-            self._end(record.target_id, record.target_born_ms)
+        if is_gone or record.target_id == self._left_id:
+            self._end(
+                record.target_id, self._births.receive(record.target_born_ms)
+            )
             if self.state == target_state.TargetState.GONE:
                 self._start_leaving(is_new=False)
             return
@@ -222,22 +204,19 @@
             return None
         return self.current
 
-    def _end(
-        self, target_id: str, born_ms: int, *, is_exact: bool = True
-    ) -> None:
-        """Ends the incarnations of a target that started until a time."""
-        gone = self._gone.get(target_id)
-        if gone is None or born_ms > gone.born_ms - self._set_back_ms(gone):
-            birth = _Birth(born_ms, self._clock_ahead_ms(), is_exact)
-            _put(self._gone, target_id, birth)
+    def _end(self, target_id: str, birth: birth_clock.Birth) -> None:
+        """Ends an incarnation of a target and all before it."""
+        self._gone.add(target_id, birth)
         current = self.current
         if current is None:
             # Peers are told, so that this node learns it after a restart.
-            self.current = self._unannounced(target_id, born_ms)
+            self.current = self._unannounced(target_id, birth.born_ms)
             self._start_leaving(is_new=False)
             self._report()
             return
-        if current.target_id != target_id or born_ms < self._earliest_ms():
+        if current.target_id != target_id:
+            return
+        if birth.born_ms < self._earliest_ms():
             return
         if current.state != target_state.TargetState.GONE:
             self.current = current._replace(
@@ -265,7 +244,7 @@
     ) -> None:
         self._leaving_s = None
         self._has_said_leaving = False
-        self._birth = _Birth(announcement.born_ms, self._clock_ahead_ms())
+        self._birth = self._births.receive(announcement.born_ms)
         self._warm_from_s = (
             self.announced_s + announcement.warm_up_left_ms / 1000
         )
@@ -282,11 +261,7 @@
     ) -> bool:
         if announcement.born_ms > self._clock.wall_ms() + MAX_CLOCK_AHEAD_MS:
             return True
-        gone = self._gone.get(announcement.target_id)
-        if gone is not None and (
-            announcement.born_ms == gone.born_ms
-            or announcement.born_ms <= gone.born_ms - self._set_back_ms(gone)
-        ):
+        if self._gone.has(announcement.target_id, announcement.born_ms):
             return True
         current = self._announced()
         if current is None:
@@ -295,24 +270,11 @@
             return announcement.sequence <= current.sequence
         return announcement.born_ms < self._earliest_ms()
 
-    def _clock_ahead_ms(self) -> float:
-        return self._clock.wall_ms() - self._clock.monotonic_s() * 1000
-
-    def _set_back_ms(self, birth: _Birth) -> float:
-        """Returns by how much the wall clock was set back since a birth.
-
-        The target may have started again meanwhile and name an earlier time.
-        """
-        set_back_ms = birth.clock_ahead_ms - self._clock_ahead_ms()
-        if not birth.is_exact or set_back_ms < CLOCK_TOLERANCE_MS:
-            return 0.0
-        return set_back_ms
-
     def _earliest_ms(self) -> float:
         """Returns the start time that another start of the target may name."""
         if self._birth is None:
             return self.current.born_ms
-        return self.current.born_ms - self._set_back_ms(self._birth)
+        return self._births.earliest_ms(self._birth)
 
     def _report(self) -> None:
         announcement = self.current
@@ -329,14 +291,6 @@
         self._on_changed()
 
 
-def _put(entries: dict[str, _Value], key: str, value: _Value) -> None:
-    """Sets the newest entry and drops the oldest ones above the limit."""
-    entries.pop(key, None)
-    entries[key] = value
-    while len(entries) > MAX_GONE_TARGETS:
-        del entries[next(iter(entries))]
-
-
 def _identity(
     announcement: target_announcement.TargetAnnouncement,
 ) -> tuple[str, int]:
