Soak: the store is silent to its readers, or lags after a loss of history

The soak silenced the store to one node at a time, and a loss of history changed nothing that a read returned, so that it found neither of the two faults of the store's readers.

A version may then be in force 5 s later (partition_max), on every node.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -25,6 +25,7 @@
     seconds: float
     has_deadly: bool = False
     has_restores: bool = False
+    has_reader_faults: bool = False
 
 
 @click.command()
@@ -44,6 +45,11 @@
     is_flag=True,
     help="Restore the store from copies during a rollout.",
 )
+@click.option(
+    "--readers",
+    is_flag=True,
+    help="Make the store silent to its readers, or lag behind.",
+)
 @click.option("--keep", help="Keep settings and logs in this folder.")
 def main(
     *,
@@ -55,6 +61,7 @@
     regressions: bool,
     deadly: bool,
     restores: bool,
+    readers: bool,
     keep: str | None,
 ) -> None:
     """Runs seeds one after the other; exits with 1 when a promise broke."""
@@ -71,7 +78,9 @@
         if is_enough and not regressions:
             break
         seeds_run.append(case.seed)
-        case = case._replace(has_deadly=deadly, has_restores=restores)
+        case = case._replace(
+            has_deadly=deadly, has_restores=restores, has_reader_faults=readers
+        )
         if _report(case, _run_one(case, keep)):
             broken.append(case.seed)
     click.echo(f"{len(seeds_run)} seeds, {len(broken)} broken: {broken}")
@@ -104,6 +113,7 @@
         f"  repeat: python -m soak --seed {case.seed} --nodes {case.nodes}"
         f" --seconds {case.seconds:g}{' --deadly' * case.has_deadly}"
         f"{' --restores' * case.has_restores}"
+        f"{' --readers' * case.has_reader_faults}"
         " --keep FOLDER"
     )
     return True
@@ -121,6 +131,7 @@
                 folder=folder,
                 has_deadly=case.has_deadly,
                 has_restores=case.has_restores,
+                has_reader_faults=case.has_reader_faults,
             ).execute()
         )
 
--- a/soak/fault.py
+++ b/soak/fault.py
@@ -29,6 +29,8 @@
     HERD = "herd"
     STORE_RESTORED = "store-restored"
     DRIVER_PAUSE = "driver-pause"
+    READERS_SILENT = "readers-silent"
+    STORE_LAGS = "store-lags"
 
 
 PLANNED = frozenset(
@@ -47,6 +49,10 @@
 """Faults of runs with a rollout and a store that is restored."""
 
 
+OF_READERS = frozenset({Kind.READERS_SILENT, Kind.STORE_LAGS})
+"""Faults after which a change is in force later, but not at the end only."""
+
+
 class Fault(typing.NamedTuple):
     """One fault of a run.
 
--- a/soak/injector.py
+++ b/soak/injector.py
@@ -15,6 +15,9 @@
 MAX_REWRITE_S = 1.5
 """Longest time until the operator writes again what a restore has lost."""
 
+HELD_BACK_S = 1.0
+MAX_LAG_S = 3.0
+
 DELAY_S = 0.1
 SLOW_S = 0.3
 RESTART_S = 1.5
@@ -62,6 +65,8 @@
             _Kind.TARGET_LEAVE: self._target_leave,
             _Kind.STORE_RESTORED: self._store_restored,
             _Kind.DRIVER_PAUSE: self._driver_pause,
+            _Kind.READERS_SILENT: self._readers_silent,
+            _Kind.STORE_LAGS: self._store_lags,
             _Kind.CONFIG: self._config,
             _Kind.CONFIG_STORM: self._config_storm,
         }
@@ -85,6 +90,8 @@
         )
         if item.kind in fault.PLANNED:
             self._seen.planned.append(span)
+        elif item.kind in fault.OF_READERS:
+            self._seen.readers.append(span)
         else:
             self._seen.unplanned.append(span)
 
@@ -172,6 +179,32 @@
         index = names.index(driver) if driver else item.node
         await self._pause(item._replace(node=index))
 
+    async def _readers_silent(self, item: fault.Fault) -> None:
+        """The store gives the followers of a region no answer."""
+        region = self._world.nodes[item.node].region
+        async with asyncio.TaskGroup() as tasks:
+            for node in self._world.nodes:
+                if node.region == region and node.follows_store():
+                    tasks.create_task(
+                        _disturb(node.store, relay.Mode.SILENT, item.for_s)
+                    )
+
+    async def _store_lags(self, item: fault.Fault) -> None:
+        """The store loses its history; its reads stay behind for a while.
+
+        Just before, it holds back the changes of open watches.
+        """
+        async with self._restore_lock:
+            store = self._world.store
+            store.faults.lagging_rows = store.rows.copy()
+            store.faults.is_deaf = True
+            self._world.change_config()
+            await asyncio.sleep(HELD_BACK_S)
+            store.rows.forget()
+            store.faults.is_deaf = False
+            await asyncio.sleep(min(item.for_s, MAX_LAG_S))
+            store.faults.lagging_rows = None
+
     async def _target_crash(self, item: fault.Fault) -> None:
         async with self._target_locks[item.node]:
             target = self._world.targets[item.node]
--- a/soak/node_process.py
+++ b/soak/node_process.py
@@ -39,6 +39,7 @@
         store_address: host:port of the store.
 
     Attributes:
+        region: Its region.
         start_count: Number of starts of the process.
         peers: Relay in front of the node's peer address.
         store: Relay between the node and the store.
@@ -59,6 +60,7 @@
         self.name = f"node-{index}"
         self.host = f"127.{base}.0.{index + 1}"
         self.service = service
+        self.region = place[1]
         self.start_count = 0
         self.is_wanted = False
         self.peers = relay.Relay(
@@ -137,6 +139,13 @@
         text = self._log.read_bytes()[self._log_start :]
         return b"event=started" in text
 
+    def follows_store(self) -> bool:
+        """Returns whether the process follows the store, from its log."""
+        text = self._log.read_bytes()[self._log_start :]
+        _, followed, later = text.rpartition(b"event=store-followed ")
+        is_over = b"event=store-left " in later or b"event=store-lost " in later
+        return bool(followed) and not is_over
+
     def exit_fault(self) -> str:
         """Returns a message if the process exited unexpectedly, or ""."""
         status = self._process.poll()
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -15,6 +15,9 @@
 PAUSE_LEAD_S = 0.5
 """Longest time between the pause of a driver and the restore."""
 
+MAX_READER_FAULTS = 3
+MAX_SILENCE_S = 9.0
+
 QUIET_S = 5.0
 """Length of the fault-free pause in the middle of a run, in which promises
 that hold only without faults are checked."""
@@ -30,7 +33,8 @@
     """
     rng = random.Random(seed)
     # Each run mixes a few kinds rather than all of them.
-    drawn = [kind for kind in fault.Kind if kind not in fault.OF_ROLLOUTS]
+    others = fault.OF_ROLLOUTS | fault.OF_READERS
+    drawn = [kind for kind in fault.Kind if kind not in others]
     kinds = rng.sample(drawn, k=rng.randint(3, 8))
     faults = []
     at_s = 0.5
@@ -80,3 +84,32 @@
                 )
             )
     return tuple(faults)
+
+
+def draw_reader_faults(
+    *, seed: int, nodes: int, seconds: float
+) -> tuple[fault.Fault, ...]:
+    """Returns faults of the store's readers, each beside a change.
+
+    Args:
+        seed: Seed of the run.
+        nodes: Number of nodes.
+        seconds: Time in which they start.
+    """
+    rng = random.Random(f"{seed} readers")
+    faults = []
+    for _ in range(rng.randint(1, MAX_READER_FAULTS)):
+        reader_fault = fault.Fault(
+            at_s=rng.uniform(0.5, seconds),
+            kind=rng.choice((fault.Kind.READERS_SILENT, fault.Kind.STORE_LAGS)),
+            node=rng.randrange(nodes),
+            for_s=rng.uniform(1.0, MAX_SILENCE_S),
+        )
+        faults.append(reader_fault)
+        faults.append(
+            reader_fault._replace(
+                at_s=reader_fault.at_s + rng.uniform(0.0, 2.0),
+                kind=fault.Kind.CONFIG,
+            )
+        )
+    return tuple(faults)
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -19,6 +19,9 @@
 CONFIG_S = 2.5
 """Time until an accepted configuration is in force on all nodes."""
 
+UNREACHABLE_STORE_S = 5.0
+"""Additional time while some nodes do not reach the store."""
+
 TARGETS_ENDED = 3
 ALLOWED_LATE_RUNS = 3
 """Runs of a request that has crashed `TARGETS_ENDED` targets, once all nodes
@@ -126,6 +129,8 @@
     for probe in seen.probes:
         accepted_s = seen.versions_s[probe.version]
         deadline_s = accepted_s + CONFIG_S
+        if seen.has_reader_fault(accepted_s - CONTACT_S, probe.sent_s):
+            deadline_s += UNREACHABLE_STORE_S
         next_s = seen.versions_s.get(probe.version + 1)
         is_current = next_s is None or probe.sent_s + 1.0 < next_s
         if probe.has_route or probe.sent_s < deadline_s or not is_current:
--- a/soak/record.py
+++ b/soak/record.py
@@ -67,6 +67,7 @@
         probes: Version probes, in order of their answers.
         unplanned: Time spans of faults.
         planned: Time spans of operator actions.
+        readers: Time spans of faults of the store's readers.
         exits: Problems of processes, as text.
         has_rollout: Whether a rollout was ordered.
         states: Its states in the order in which they were read.
@@ -82,6 +83,7 @@
         self.probes: list[Probe] = []
         self.unplanned: list[Span] = []
         self.planned: list[Span] = []
+        self.readers: list[Span] = []
         self.exits: list[str] = []
         self.has_rollout = False
         self.states: list[State] = []
@@ -95,6 +97,12 @@
             for span in self.unplanned
         )
 
+    def has_reader_fault(self, from_s: float, to_s: float) -> bool:
+        """Returns whether a fault of the readers overlaps a time span."""
+        return any(
+            span.from_s <= to_s and span.to_s >= from_s for span in self.readers
+        )
+
     def is_in_touch(self, from_s: float, to_s: float) -> bool:
         """Returns whether only crashes by deadly requests overlap a span."""
         return not any(
--- a/soak/run.py
+++ b/soak/run.py
@@ -63,6 +63,8 @@
             again.
         has_restores: Whether the store is restored from copies while a version
             is rolled out.
+        has_reader_faults: Whether the store is silent to those who follow it,
+            or lags behind after it lost its history.
         folder: Folder for settings and logs.
     """
 
@@ -75,11 +77,13 @@
         folder: pathlib.Path,
         has_deadly: bool = False,
         has_restores: bool = False,
+        has_reader_faults: bool = False,
     ):
         self._seed = seed
         self._seconds = seconds
         self._has_deadly = has_deadly
         self._has_restores = has_restores
+        self._has_reader_faults = has_reader_faults
         self._rng = random.Random(seed)
         self._seen = record.Record()
         self._world = fleet.Fleet(
@@ -100,10 +104,14 @@
         )
         if self._has_restores:
             self._world.add_version()
-            restores = plan.draw_restores(seed=self._seed, seconds=RESTORES_S)
-            faults = tuple(
-                sorted(faults + restores, key=lambda item: item.at_s)
+            faults += plan.draw_restores(seed=self._seed, seconds=RESTORES_S)
+        if self._has_reader_faults:
+            faults += plan.draw_reader_faults(
+                seed=self._seed,
+                nodes=len(self._world.nodes),
+                seconds=self._seconds,
             )
+        faults = tuple(sorted(faults, key=lambda item: item.at_s))
         findings = []
         try:
             findings = await self._run_faults(faults)
--- a/standins/store/app.py
+++ b/standins/store/app.py
@@ -14,6 +14,7 @@
 PAGE_ROWS = 500
 MAX_WAIT_MS = 30_000
 LOST_ANSWER_S = 30.0
+DEAF_POLL_S = 0.05
 
 
 class RefusedError(Exception):
@@ -91,6 +92,8 @@
         with anyio.move_on_after(wait_ms / MS_PER_S):
             while not self._changes(table, after):
                 await self._store.wait_for_change()
+        while self._store.faults.is_deaf:
+            await anyio.sleep(DEAF_POLL_S)
         self._check_available()
         return self._page(self._changes(table, after))
 
--- a/standins/store/faults.py
+++ b/standins/store/faults.py
@@ -16,6 +16,7 @@
         slow_s: Delay of each answer.
         lose_answers: Number of upcoming writes that take effect but get no
             answer.
+        is_deaf: Whether watches over HTTP get no answer.
         lagging_rows: If set, reads of whole tables return these rows, with the
             newest revision.
         late_s: If above 0, a write without an answer takes effect only after
@@ -28,4 +29,5 @@
     slow_s: float = 0.0
     lose_answers: int = 0
     late_s: float = 0.0
+    is_deaf: bool = False
     lagging_rows: row_store.RowStore | None = None
--- a/tests/soak_processes/test_promises.py
+++ b/tests/soak_processes/test_promises.py
@@ -112,6 +112,15 @@
         self.seen.unplanned.append(record.Span(8.0, 9.0, "store-silent"))
         self.check()
 
+    def test_a_version_that_is_late_beside_a_fault_of_the_readers(self):
+        """Some nodes do not reach the store; the others bring the version."""
+        self.seen.versions_s[2] = 10.0
+        self.seen.readers.append(record.Span(9.0, 14.0, "readers-silent"))
+        self.seen.probes = [record.Probe(0, 1, 2, 17.4, False)]
+        self.check()
+        self.seen.probes = [record.Probe(0, 1, 2, 17.6, False)]
+        self.check("not in force")
+
     def test_a_call_that_is_not_served_after_all_faults(self):
         """Once the faults are over, the light load is served completely."""
         self.seen.attempts.append(call(status=503, is_own=False))
