Count bytes for the request that they belong to

Cause: a read counted as a whole, for the head of the request that was begun last in it. A read of more than max_header_bytes that ends inside a head was refused, however small that head. The limit on bytes beside the body had the same fault, with 400.

Ruled out: the parser's own limits; callers that exceed the limit (heads of 30 bytes).

Change: bytes are parsed 4 KB at a time, and a request gets none of a piece in which an earlier one ended. A head that does not end is refused within 4 KB above the limit, one that ends exactly at the limit.

--- a/src/galenatack/links/request_reader.py
+++ b/src/galenatack/links/request_reader.py
@@ -18,8 +18,11 @@
 
 MAX_OVERHEAD_BYTES = 524_288
 """Limit on received bytes that are not the body of a request, beyond the size
-of that body, such as chunk sizes and trailers. The bytes of one read, which may
-hold several requests, count for the last of them."""
+of that body, such as chunk sizes and trailers."""
+
+MAX_PARSED_BYTES = 4096
+"""Bytes that are parsed at a time. The parser does not tell where in them a
+request ends, so they are not counted for the next one."""
 
 
 class OnRequest(typing.Protocol):
@@ -67,6 +70,7 @@
         self.is_open = True
         self._begin_message()
         self.has_begun = False
+        self._has_ended_one = False
 
     def close(self) -> None:
         """Stops reading and drops a partly received request."""
@@ -74,19 +78,26 @@
         self.has_begun = False
 
     def feed(self, data: bytes) -> None:
-        """Parses received bytes."""
+        """Parses received bytes, which may hold several requests."""
+        for start in range(0, len(data), MAX_PARSED_BYTES):
+            if self.is_open:
+                self._parse(data[start : start + MAX_PARSED_BYTES])
+
+    def _parse(self, data: bytes) -> None:
         self.has_begun = True
+        self._has_ended_one = False
         try:
             self._parser.feed_data(data)
-            self._count_partial_head(len(data))
-            self._count_overhead(len(data))
+            if self.has_begun and not self._has_ended_one:
+                self._count_partial_head(len(data))
+                self._count_overhead(len(data))
         except httptools.HttpParserUpgrade as error:
             # Upgrades are not supported: the request was handled as a plain
             # one, and the remaining bytes are the next request.
             self._parser = httptools.HttpRequestParser(self)
             rest = data[error.args[0] :]
             if rest and self.is_open:
-                self.feed(rest)
+                self._parse(rest)
         except httptools.HttpParserError as error:
             if self.is_open:
                 _LOGGER.info("event=bad-request error=%r", str(error))
@@ -128,6 +139,7 @@
         if not self.is_open:
             return
         self.has_begun = False
+        self._has_ended_one = True
         request = http_request.HttpRequest(
             method=self._parser.get_method().decode("ascii"),
             target=self._target.decode("latin-1"),
@@ -152,15 +164,13 @@
 
     def _count_partial_head(self, size_bytes: int) -> None:
         """Limits a head of which the parser has not reported all headers."""
-        if self.has_head or not self.has_begun:
+        if self.has_head:
             return
         self._partial_bytes += size_bytes
         if self._partial_bytes > self._limits.max_header_bytes:
             self._refuse(HEADERS_TOO_LARGE)
 
     def _count_overhead(self, size_bytes: int) -> None:
-        if not self.has_begun:
-            return
         self._received_bytes += size_bytes
         body_bytes = len(self._body)
         if self._received_bytes - body_bytes > MAX_OVERHEAD_BYTES + body_bytes:
