Take requests in absolute form

A caller whose client is set to use the node as its proxy sends the URI in the request line (GET http://b.example/read HTTP/1.1). RFC 9112, section 3.2.2 has servers accept this form.

Change: the reader splits it; its host replaces the host header, and the target gets path and query.

--- a/src/galenatack/links/h11_connection.py
+++ b/src/galenatack/links/h11_connection.py
@@ -9,6 +9,7 @@
 
 from galenatack.links import disconnect_watch
 from galenatack.links import h11_exchange
+from galenatack.links import request_target
 
 PREFACE = b"PRI * HTTP/2.0\r\n"
 MAX_HEADER_BYTES = 65_536
@@ -197,7 +198,9 @@
             self._refuse(error.error_status_hint or _BAD_REQUEST)
 
     def _start(self, request: h11.Request) -> None:
-        path, _, query = request.target.partition(b"?")
+        # Routes of this interface do not depend on the host.
+        _, target = request_target.split(request.target.decode("latin-1"))
+        path, _, query = target.encode("latin-1").partition(b"?")
         text = path.decode("latin-1")
         self._exchange = h11_exchange.H11Exchange(self)
         scope = {
--- a/src/galenatack/links/http_request.py
+++ b/src/galenatack/links/http_request.py
@@ -8,7 +8,7 @@
 
     Attributes:
         method: Method in upper case.
-        target: Path and query.
+        target: Path and query, also of a request in absolute form.
         headers: Headers, with names in lower case.
         body: Complete body.
     """
--- a/src/galenatack/links/request_reader.py
+++ b/src/galenatack/links/request_reader.py
@@ -8,6 +8,7 @@
 
 from galenatack.links import connection_limits
 from galenatack.links import http_request
+from galenatack.links import request_target
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -140,9 +141,13 @@
             return
         self.has_begun = False
         self._has_ended_one = True
+        host, target = request_target.split(self._target.decode("latin-1"))
+        if host is not None:
+            others = [item for item in self._headers if item[0] != "host"]
+            self._headers = [("host", host), *others]
         request = http_request.HttpRequest(
             method=self._parser.get_method().decode("ascii"),
-            target=self._target.decode("latin-1"),
+            target=target,
             headers=tuple(self._headers),
             body=bytes(self._body),
         )
--- a/tests/links/test_h11_connection.py
+++ b/tests/links/test_h11_connection.py
@@ -72,6 +72,13 @@
                 response = runner.run(main(read_first))
         return response
 
+    def test_a_request_in_absolute_form_is_not_an_unknown_path(self):
+        """Clients send this form to a proxy."""
+        received = self._exchange(
+            b"GET http://b.example/1 HTTP/1.1\r\nhost: a\r\n\r\n"
+        )
+        self.assertTrue(received.endswith(b"\r\n\r\n/1"), received)
+
     def test_pipelined_requests_are_answered_in_order(self):
         """Pipelined requests must not get each other's answers."""
         answer = self._exchange(b"".join(_REQUEST % n for n in range(5)))
--- a/tests/links/test_request_reader.py
+++ b/tests/links/test_request_reader.py
@@ -10,18 +10,24 @@
 
 def read(*parts, **limits):
     """Returns the targets of the requests in some reads, and refusals."""
-    targets = []
+    requests, refusals = read_requests(*parts, **limits)
+    return [request.target for request in requests], refusals
+
+
+def read_requests(*parts, **limits):
+    """Returns the requests in some reads, and the statuses of refusals."""
+    requests = []
     refusals = []
     reader = request_reader.RequestReader(
         limits=connection_limits.ConnectionLimits(**limits),
-        on_request=lambda request, **_: targets.append(request.target),
+        on_request=lambda request, **_: requests.append(request),
         on_refused=refusals.append,
         on_continue=lambda: None,
     )
     for part in parts:
         if reader.is_open:
             reader.feed(part)
-    return targets, refusals
+    return requests, refusals
 
 
 class TestRequestReader(unittest.TestCase):
@@ -51,3 +57,17 @@
             targets, refusals = read(*parts)
             self.assertEqual(targets, [] if parts[0] is endless else ["/0"])
             self.assertEqual(refusals, [request_reader.HEADERS_TOO_LARGE])
+
+    def test_a_request_in_absolute_form_is_not_an_unknown_route(self):
+        """Clients send this form to a proxy; its host goes first."""
+        for target, host, path in (
+            (b"http://b.example/1?c=/d", "b.example", "/1?c=/d"),
+            (b"HTTP://b.example:80", "b.example:80", "/"),
+            (b"https://user@b.example?c", "b.example", "/?c"),
+            (b"/http://b.example/", "a", "/http://b.example/"),
+        ):
+            data = b"GET %s HTTP/1.1\r\nHost: a\r\nx: y\r\n\r\n" % target
+            (request,), refusals = read_requests(data)
+            self.assertEqual(refusals, [])
+            self.assertEqual(request.target, path)
+            self.assertEqual(request.headers, (("host", host), ("x", "y")))
