Take a host with its root label for the same host

The label of the root names the same host (RFC 1034, section 3.1); ports and capitals were taken off already.

Change: the last dot is taken off, from requests and from routes. The header goes to the target as it came.

Test: platform/test_caller_dialect; failed before (b.example. looked up).

--- a/src/galenatack/platform/_values.py
+++ b/src/galenatack/platform/_values.py
@@ -39,6 +39,11 @@
     return value
 
 
+def host(name: str) -> str:
+    """Returns a host name in lower case, without the label of the root."""
+    return name.lower().removesuffix(".")
+
+
 def non_negative_int(value: typing.Any) -> int:
     """Returns a non-negative integer.
 
--- a/src/galenatack/platform/caller_dialect.py
+++ b/src/galenatack/platform/caller_dialect.py
@@ -8,6 +8,7 @@
 from galenatack.model import caller_request
 from galenatack.model import outcome
 from galenatack.platform import _headers
+from galenatack.platform import _values
 
 _MS_PER_S = 1000
 _BAD_REQUEST = 400
@@ -43,7 +44,7 @@
             caller_request.CallerRequest(
                 request_id=request_id,
                 method=request.method,
-                host=host.partition(":")[0].lower(),
+                host=_values.host(host.partition(":")[0]),
                 path=request.target,
                 headers=_headers.forwarded_request_headers(request.headers),
                 body=request.body,
--- a/src/galenatack/platform/config_document.py
+++ b/src/galenatack/platform/config_document.py
@@ -139,7 +139,7 @@
     services = _services(row)
     return host_route.HostRoute(
         name=_values.field(row, "name", _values.text),
-        host=_values.field(row, "host", _values.text).lower(),
+        host=_values.host(_values.field(row, "host", _values.text)),
         path_prefix=_values.field(row, "prefix", _values.text),
         services=services,
         is_idempotent=kind == _IDEMPOTENT,
--- /dev/null
+++ b/tests/platform/test_caller_dialect.py
@@ -0,0 +1,27 @@
+"""Tests of translating callers' requests."""
+
+import asyncio
+import unittest
+
+from galenatack import exceptions
+from galenatack.links import http_request
+from galenatack.platform import caller_dialect
+from galenatack.routing import local_replies
+
+
+class TestCallerDialect(unittest.TestCase):
+    def test_a_host_with_its_root_label_is_not_an_unknown_host(self):
+        """The name with and without the last dot is the same host."""
+        hosts = []
+
+        async def handle(request):
+            hosts.append(request.host)
+            return local_replies.not_run(exceptions.NoRouteError("none"))
+
+        dialect = caller_dialect.CallerDialect(handle=handle)
+        for name in ("b.example.", "B.example.:8629", "b.example:80"):
+            request = http_request.HttpRequest(
+                "GET", "/", (("host", name),), b""
+            )
+            asyncio.run(dialect.respond(request))
+        self.assertEqual(hosts, ["b.example"] * 3)
