Tell equal values of different types apart in cached routes

Found by reading, from outside.

Cause: the cache of decoded routes was keyed by the values, and 1, 1.0 and true are equal.

Change: the key is the JSON text of the row.

Test: platform/test_config_document, test_a_malformed_value_is_not_taken_for_an_equal_one_of_before; failed before.

--- a/src/galenatack/platform/config_document.py
+++ b/src/galenatack/platform/config_document.py
@@ -92,7 +92,7 @@
     table = _values.field(document, "routes", dict)
     columns = _values.field(table, "columns", _texts)
     return tuple(
-        _cached_route(columns, _hashable(row))
+        _cached_route(columns, json.dumps(row))
         for row in _values.field(table, "rows", list)
     )
 
@@ -103,32 +103,19 @@
     return tuple(_values.text(item) for item in value)
 
 
-def _hashable(row: typing.Any) -> tuple[typing.Any, ...]:
-    """Returns the values of a row with lists and mappings encoded as JSON."""
-    if not isinstance(row, list):
-        raise exceptions.DocumentError("routes: a row is no list")
-    return tuple(
-        _Json(json.dumps(value)) if isinstance(value, (list, dict)) else value
-        for value in row
-    )
-
-
-class _Json(str):
-    """JSON encoding of a value that is not hashable."""
-
-
 # Cached because most routes do not change from one configuration to the next.
 @functools.lru_cache(maxsize=4096)
 def _cached_route(
-    columns: tuple[str, ...], values: tuple[typing.Any, ...]
+    columns: tuple[str, ...], encoded: str
 ) -> host_route.HostRoute:
-    if len(values) != len(columns):
+    """Decodes a row that is encoded as JSON.
+
+    As a key, the text tells values apart that are equal, such as 1 and true.
+    """
+    values = json.loads(encoded)
+    if not isinstance(values, list) or len(values) != len(columns):
         raise exceptions.DocumentError("routes: row of another length")
-    parsed = (
-        json.loads(value) if isinstance(value, _Json) else value
-        for value in values
-    )
-    return _route(dict(zip(columns, parsed, strict=True)))
+    return _route(dict(zip(columns, values, strict=True)))
 
 
 def _route(row: _Document) -> host_route.HostRoute:
--- a/tests/platform/test_config_document.py
+++ b/tests/platform/test_config_document.py
@@ -120,6 +120,18 @@
         self.assertEqual(config.routes[0].unknowns, ("redirect",))
         self.assertEqual(config.routes[1].services[0].service, "a")
 
+    def test_a_malformed_value_is_not_taken_for_an_equal_one_of_before(self):
+        """A route with the priority 1 is known, one with true is malformed."""
+        for name, good, bad in (
+            ("priority", 1, True),
+            ("priority", 0, False),
+            ("max_attempts", 1, True),
+        ):
+            config_document.decode(document(row(**{name: good})))
+            with self.assertRaises(exceptions.DocumentError):
+                config_document.decode(document(row(**{name: bad})))
+            config_document.decode(document(row(**{name: good})))
+
     def test_a_malformed_part_invalidates_the_configuration(self):
         """A partly malformed configuration is not decoded at all."""
         bad = (
