Take weights with decimals and whole numbers such as 2.0

Ruled out as a change: to take the rest of a configuration with a value that is malformed.

Test: platform/test_config_document, test_numbers_with_decimals_do_not_refuse_the_configuration; failed before.

--- a/src/galenatack/model/weighted_service.py
+++ b/src/galenatack/model/weighted_service.py
@@ -13,4 +13,4 @@
     """
 
     service: str
-    weight: int
+    weight: float
--- a/src/galenatack/platform/_values.py
+++ b/src/galenatack/platform/_values.py
@@ -55,6 +55,30 @@
     return value
 
 
+def whole_number(value: typing.Any) -> int:
+    """Returns a non-negative integer, also from a number such as 2.0.
+
+    JSON does not tell the two apart.
+
+    Raises:
+        ValueError: The value is not a non-negative whole number.
+    """
+    if type(value) is float and value.is_integer():
+        value = int(value)
+    return non_negative_int(value)
+
+
+def non_negative_number(value: typing.Any) -> float:
+    """Returns a non-negative number.
+
+    Raises:
+        ValueError: The value is not a non-negative number.
+    """
+    if type(value) not in (int, float) or value < 0:
+        raise ValueError("a number that is not negative")
+    return value
+
+
 def field(
     document: typing.Any,
     name: str,
--- a/src/galenatack/platform/config_document.py
+++ b/src/galenatack/platform/config_document.py
@@ -64,11 +64,11 @@
 
 def _decode(document: typing.Any) -> traffic_config.TrafficConfig:
     return traffic_config.TrafficConfig(
-        version=_values.field(document, "version", _values.non_negative_int),
+        version=_values.field(document, "version", _values.whole_number),
         routes=_routes(document),
         max_connections={
             _values.field(row, "name", _values.text): _values.field(
-                row, "max_connections", _values.non_negative_int, default=0
+                row, "max_connections", _values.whole_number, default=0
             )
             for row in _table(document, "services")
         },
@@ -135,13 +135,11 @@
             row, "target_latency", _values.duration_ms, default=0
         ),
         priority=_values.field(
-            row, "priority", _values.non_negative_int, default=_LAST_PRIORITY
+            row, "priority", _values.whole_number, default=_LAST_PRIORITY
         ),
         max_attempts=max(
             1,
-            _values.field(
-                row, "max_attempts", _values.non_negative_int, default=1
-            ),
+            _values.field(row, "max_attempts", _values.whole_number, default=1),
         ),
         unknowns=_unknowns(row, kind, services),
     )
@@ -177,7 +175,7 @@
     weighted = tuple(
         _weighted_service(
             _values.field(part, "service", _values.text),
-            _values.field(part, "weight", _values.non_negative_int),
+            _values.field(part, "weight", _values.non_negative_number),
         )
         for part in parts
     )
@@ -189,7 +187,7 @@
 # Cached because routes share few services and weights; this saves memory.
 @functools.lru_cache(maxsize=4096)
 def _weighted_service(
-    service: str, weight: int
+    service: str, weight: float
 ) -> weighted_service.WeightedService:
     return weighted_service.WeightedService(service, weight)
 
@@ -199,13 +197,13 @@
         max_header_bytes=_values.field(
             limits,
             "max_header_bytes",
-            _values.non_negative_int,
+            _values.whole_number,
             _DEFAULTS.max_header_bytes,
         ),
         max_body_bytes=_values.field(
             limits,
             "max_body_bytes",
-            _values.non_negative_int,
+            _values.whole_number,
             _DEFAULTS.max_body_bytes,
         ),
         header_timeout_ms=_values.field(
--- a/src/galenatack/traffic/weighted_choice.py
+++ b/src/galenatack/traffic/weighted_choice.py
@@ -12,7 +12,7 @@
     """
 
     def __init__(self):
-        self._credits: dict[str, dict[str, int]] = {}
+        self._credits: dict[str, dict[str, float]] = {}
 
     def pick(self, route: host_route.HostRoute) -> str:
         """Returns the service for the next call of a route."""
@@ -32,9 +32,9 @@
 
 def _pick_next(
     services: tuple[weighted_service.WeightedService, ...],
-    route_credits: dict[str, int],
+    route_credits: dict[str, float],
 ) -> str:
-    total = 0
+    total = 0.0
     for weighted in services:
         route_credits[weighted.service] += weighted.weight
         total += weighted.weight
--- a/tests/platform/test_config_document.py
+++ b/tests/platform/test_config_document.py
@@ -5,6 +5,7 @@
 
 from galenatack import exceptions
 from galenatack.platform import config_document
+from galenatack.traffic import weighted_choice
 
 COLUMNS = [
     "name",
@@ -120,6 +121,24 @@
         self.assertEqual(config.routes[0].unknowns, ("redirect",))
         self.assertEqual(config.routes[1].services[0].service, "a")
 
+    def test_numbers_with_decimals_do_not_refuse_the_configuration(self):
+        """Weights are proportions; JSON does not tell 2.0 from 2."""
+        parts = [
+            {"service": "a", "weight": 0.75},
+            {"service": "b", "weight": 0.25},
+        ]
+        changes = {"max_attempts": 2.0, "priority": 1.0, "service": None}
+        config = config_document.decode(
+            document(row(weighted_clusters=parts, **changes), version=8.0)
+        )
+        route = config.routes[0]
+        self.assertEqual(
+            (config.version, route.max_attempts, route.priority), (8, 2, 1)
+        )
+        choice = weighted_choice.WeightedChoice()
+        chosen = [choice.pick(route) for _ in range(400)]
+        self.assertEqual(chosen.count("a"), 300)
+
     def test_a_malformed_value_is_not_taken_for_an_equal_one_of_before(self):
         """A route with the priority 1 is known, one with true is malformed."""
         for name, good, bad in (
@@ -142,6 +161,10 @@
             document(row(service=None)),
             document(row()[:-1]),
             document(row(), version="7"),
+            document(row(), version=7.5),
+            document(row(max_attempts=1.5)),
+            document(row(weighted_clusters=[{"service": "a", "weight": True}])),
+            document(row(weighted_clusters=[{"service": "a", "weight": -0.5}])),
             document(row())[:-3],
             b"[]",
         )
