--- a/src/galenatack/app/mesh_callbacks.py
+++ b/src/galenatack/app/mesh_callbacks.py
@@ -216,8 +216,11 @@
         if row.is_deleted:
             _LOGGER.warning("event=config-deleted revision=%d", row.revision)
             return
-        config = config_document.decode(row.value)
         parts = self._parts
+        # Set before, so that it stays set if decoding fails.
+        parts.config.is_newest_refused = True
+        config = config_document.decode(row.value)
+        parts.config.is_newest_refused = False
         if not parts.config.apply_if_newer(config):
             return
         _apply_limits(parts.limits, config.limits)
--- a/src/galenatack/app/mesh_metrics.py
+++ b/src/galenatack/app/mesh_metrics.py
@@ -95,6 +95,7 @@
         )
         lines = [
             exposition.sample("config_version", parts.config.version),
+            exposition.sample("config_refused", parts.config.is_newest_refused),
             exposition.sample(
                 "config_unknown_parts", parts.config.unknown_parts
             ),
--- a/src/galenatack/traffic/config_holder.py
+++ b/src/galenatack/traffic/config_holder.py
@@ -16,11 +16,14 @@
         table: Index of the configuration in force; None before the first one.
         unknown_parts: Number of parts of its routes that this release does
             not know.
+        is_newest_refused: True if the newest configuration is malformed, so
+            that an older one stays in force.
     """
 
     def __init__(self):
         self.table: route_table.RouteTable | None = None
         self.unknown_parts = 0
+        self.is_newest_refused = False
         self._reported_unknowns: set[tuple[str, str]] = set()
 
     def apply_if_newer(self, config: traffic_config.TrafficConfig) -> bool:
--- a/tests/mesh/test_metrics.py
+++ b/tests/mesh/test_metrics.py
@@ -5,6 +5,7 @@
 import unittest
 
 from galenatack.links import http_client
+from standins.mesh import operator_config
 from tests.mesh import small_fleet
 
 SAMPLE = re.compile(
@@ -33,6 +34,26 @@
             watcher.restart_watch()
         return not any(w.is_following for w in member.parts.watchers)
 
+    def test_a_refused_configuration_is_shown_although_versions_agree(self):
+        """All nodes keep the version before, until a valid one is written."""
+
+        async def main():
+            async with small_fleet.SmallFleet("a") as fleet:
+                (member,) = fleet.members
+                config = member.parts.config
+                fleet.store.operator_writes("op", "config", b'{"version": 2}')
+                await fleet.until(lambda: config.is_newest_refused)
+                refused = await read(member)
+                valid = operator_config.config(3, ("a",))
+                fleet.store.operator_writes("op", "config", valid)
+                await fleet.until(lambda: config.version == 3)
+                return refused, await read(member)
+
+        samples = [
+            after["galenatack_config_refused"] for after in asyncio.run(main())
+        ]
+        self.assertEqual(samples, ["1", "0"])
+
     def test_calls_and_the_store_are_counted(self):
         """Calls count by outcome and reason; each line is well formed."""
 
