Log and count requests that are refused unread

A caller that got 413 or 431 left no trace on the node: only parser errors had a log line, none had a metric.

event=request-refused tells the status, the target and what was exceeded, or the parser's error (it replaces event=bad-request); galenatack_requests_refused_total counts by status.

Shown by links/test_pipelined_connection, test_limits_are_enforced, which checks the count of each status as well.

--- a/src/galenatack/app/mesh_metrics.py
+++ b/src/galenatack/app/mesh_metrics.py
@@ -74,6 +74,12 @@
                 "gate_failure_ratio", parts.gate.failure_permille / 1000
             ),
             exposition.sample("caller_connections", parts.callers.connections),
+            *(
+                exposition.sample(
+                    "requests_refused_total", count, {"status": str(status)}
+                )
+                for status, count in sorted(parts.callers.refusals.items())
+            ),
         ]
 
     def _retry_budget(self) -> list[str]:
--- a/src/galenatack/links/pipelined_connection.py
+++ b/src/galenatack/links/pipelined_connection.py
@@ -63,6 +63,7 @@
         respond: Answers a request; cancelled when the peer disconnects.
         limits: Limits; changes apply to open connections.
         connections: Open connections; this one adds and removes itself.
+        refusals: Counts requests that were refused unread, by status.
     """
 
     def __init__(
@@ -71,10 +72,12 @@
         respond: Respond,
         limits: connection_limits.ConnectionLimits,
         connections: "set[PipelinedConnection]",
+        refusals: collections.Counter[int],
     ):
         self._respond = respond
         self._limits = limits
         self._connections = connections
+        self._refusals = refusals
         self._loop = asyncio.get_running_loop()
         self._transport: asyncio.Transport | None = None
         self._reader = request_reader.RequestReader(
@@ -165,6 +168,11 @@
         limits = self._limits
         if self._request_began_s is not None and not self._reader.has_head:
             if now_s - self._request_began_s > limits.header_timeout_s:
+                _LOGGER.info(
+                    "event=request-refused status=%d detail=%r",
+                    REQUEST_TIMEOUT,
+                    f"no whole head in {limits.header_timeout_s:g} s",
+                )
                 self._reader.close()
                 self._refuse(REQUEST_TIMEOUT)
         elif (
@@ -270,6 +278,7 @@
 
     def _refuse(self, status: int) -> None:
         """Answers an invalid request, after the requests before it."""
+        self._refusals[status] += 1
         self._stop_reading()
         exchange = _Exchange(is_head=False, keeps_alive=False)
         exchange.response = http_response.HttpResponse(status)
--- a/src/galenatack/links/pipelined_server.py
+++ b/src/galenatack/links/pipelined_server.py
@@ -1,6 +1,7 @@
 """An HTTP/1.1 listener with pipelining."""
 
 import asyncio
+import collections
 
 import anyio
 
@@ -19,6 +20,9 @@
         address: host:port to listen on.
         respond: Answers a request.
         limits: Limits of connections; changes apply at once.
+
+    Attributes:
+        refusals: Number of requests that were refused unread, by status.
     """
 
     def __init__(
@@ -32,6 +36,7 @@
         self._respond = respond
         self.limits = limits or connection_limits.ConnectionLimits()
         self._connections: set[pipelined_connection.PipelinedConnection] = set()
+        self.refusals: collections.Counter[int] = collections.Counter()
         self._server: asyncio.Server | None = None
         self._is_draining = False
 
@@ -95,6 +100,7 @@
             respond=self._respond,
             limits=self.limits,
             connections=self._connections,
+            refusals=self.refusals,
         )
         if self._is_draining:
             connection.drain()
--- a/src/galenatack/links/request_reader.py
+++ b/src/galenatack/links/request_reader.py
@@ -25,6 +25,8 @@
 """Bytes that are parsed at a time. The parser does not tell where in them a
 request ends, so they are not counted for the next one."""
 
+MAX_LOGGED_BYTES = 100
+
 
 class OnRequest(typing.Protocol):
     """Handles a complete request."""
@@ -100,9 +102,7 @@
             if rest and self.is_open:
                 self._parse(rest)
         except httptools.HttpParserError as error:
-            if self.is_open:
-                _LOGGER.info("event=bad-request error=%r", str(error))
-                self._refuse(BAD_REQUEST)
+            self._refuse(BAD_REQUEST, str(error))
 
     def on_message_begin(self) -> None:
         """Parser callback: start of a request."""
@@ -133,7 +133,7 @@
         """Parser callback: a part of the body."""
         self._body += body
         if len(self._body) > self._limits.max_body_bytes:
-            self._refuse(BODY_TOO_LARGE)
+            self._refuse(BODY_TOO_LARGE, f"{len(self._body)} bytes of the body")
 
     def on_message_complete(self) -> None:
         """Parser callback: end of a request."""
@@ -165,7 +165,9 @@
     def _count_head(self, size_bytes: int) -> None:
         self._head_bytes += size_bytes
         if self._head_bytes > self._limits.max_header_bytes:
-            self._refuse(HEADERS_TOO_LARGE)
+            self._refuse(
+                HEADERS_TOO_LARGE, f"{self._head_bytes} bytes of the head"
+            )
 
     def _count_partial_head(self, size_bytes: int) -> None:
         """Limits a head of which the parser has not reported all headers."""
@@ -173,15 +175,27 @@
             return
         self._partial_bytes += size_bytes
         if self._partial_bytes > self._limits.max_header_bytes:
-            self._refuse(HEADERS_TOO_LARGE)
+            self._refuse(
+                HEADERS_TOO_LARGE,
+                f"{self._partial_bytes} bytes of an unfinished head",
+            )
 
     def _count_overhead(self, size_bytes: int) -> None:
         self._received_bytes += size_bytes
         body_bytes = len(self._body)
         if self._received_bytes - body_bytes > MAX_OVERHEAD_BYTES + body_bytes:
-            self._refuse(BAD_REQUEST)
+            self._refuse(
+                BAD_REQUEST, f"{self._received_bytes} bytes beside the body"
+            )
 
-    def _refuse(self, status: int) -> None:
-        if self.is_open:
-            self.close()
-            self._on_refused(status)
+    def _refuse(self, status: int, reason: str) -> None:
+        if not self.is_open:
+            return
+        _LOGGER.info(
+            "event=request-refused status=%d target=%r detail=%r",
+            status,
+            bytes(self._target[:MAX_LOGGED_BYTES]),
+            reason,
+        )
+        self.close()
+        self._on_refused(status)
--- a/tests/links/test_pipelined_connection.py
+++ b/tests/links/test_pipelined_connection.py
@@ -192,6 +192,7 @@
                 writer.write(sent)
                 text = await reader.read()
                 self.assertIn(b" " + status + b" ", text[:16], sent[:30])
+                self.assertEqual(rig.server.refusals[int(status)], 1)
                 writer.close()
 
         run(
