Read a table whose watch got no complete answer

Cause: a watch returns each version of a row since its revision. Beyond 4 MB (46 versions of 64 KiB), or if it does not arrive within 2 s on a slow link, the answer is discarded, and the next watch asked for the same versions and more.

Ruled out: a larger limit moves the fault to more versions and costs memory; a read after each failure costs a whole table after each refusal, although the refusal says nothing about the size of the answer.

Change: an answer that was not received completely has its own type. After a watch that ended so, the table is read, which returns only the newest row; if that fails too, the table is watched again. The delay after a failure starts anew only after a watch has succeeded.

Test: config/test_row_mirror, test_many_missed_versions_do_not_keep_a_node_on_an_old_row; failed before (with the error type of then). platform/test_store_table, test_faults_have_types, covers the new type.

--- a/src/galenatack/app/next_steps.py
+++ b/src/galenatack/app/next_steps.py
@@ -63,6 +63,10 @@
         "check the store's address in the settings file; nodes go on with"
         " what they hold until the store is back"
     ),
+    exceptions.PlatformAnswerLostError.code: (
+        "check that the store answers at the address in the settings file;"
+        " nodes go on with what they hold until it does"
+    ),
     exceptions.DocumentError.code: (
         "a row of the store cannot be read: correct it at its source; nodes"
         " keep the last one that they could read"
--- a/src/galenatack/config/table_watcher.py
+++ b/src/galenatack/config/table_watcher.py
@@ -92,6 +92,7 @@
         self._rereads_s: list[float] = []
         self._after: int | None = None
         self._has_superseded_rows = False
+        self._has_lost_watch = False
         self._is_elected = False
         self._scope: anyio.CancelScope | None = None
         self._requested_s = 0.0
@@ -161,6 +162,7 @@
         # answered it.
         was_elected, self._is_elected = self._is_elected, False
         self._has_responded = False
+        self._has_lost_watch = False
         self.is_healthy = True
         if was_elected:
             await self._on_change()
@@ -203,14 +205,22 @@
         is_reread_due = bool(self._rereads_s) and (
             self._clock.monotonic_s() >= self._rereads_s[0]
         )
-        if self._after is None or self._has_superseded_rows or is_reread_due:
+        is_read_due = (
+            self._after is None
+            or self._has_superseded_rows
+            or self._has_lost_watch
+        )
+        if is_read_due or is_reread_due:
             return await self._read(is_reread=is_reread_due)
+        return await self._watch(self._after)
+
+    async def _watch(self, after: int) -> table_page.TablePage:
+        """Waits for changes after a revision."""
         # After a takeover the first watch returns at once, which shows whether
         # the store responds to this node.
         wait_s = self._watch_s if self.is_following else 0.0
-        page = await self._table.watch(
-            self.name, after=self._after, wait_s=wait_s
-        )
+        page = await self._table.watch(self.name, after=after, wait_s=wait_s)
+        self._delays.reset()
         self._mirror.apply(page.rows)
         # A watch returns each version of a row. While rows change this
         # quickly, the table is read instead, which returns only the newest.
@@ -221,6 +231,7 @@
     async def _read(self, *, is_reread: bool) -> table_page.TablePage:
         """Reads the whole table."""
         page = await self._table.read(self.name)
+        self._has_lost_watch = False
         if is_reread:
             del self._rereads_s[0]
         may_lag = bool(self._rereads_s)
@@ -256,6 +267,10 @@
                 error.code,
                 str(error),
             )
+        # All versions since a revision may be too long an answer, each time; a
+        # read returns only the newest. If it fails too, watches continue.
+        is_lost = isinstance(error, exceptions.PlatformAnswerLostError)
+        self._has_lost_watch = is_lost and not self._has_lost_watch
         was_healthy = self.is_healthy
         self.is_healthy = False
         self._has_responded = False
@@ -271,7 +286,6 @@
             )
         self.is_healthy = True
         self.last_response_s = self._clock.monotonic_s()
-        self._delays.reset()
         if not self._has_responded:
             _LOGGER.info("event=store-followed table=%s", self.name)
             self._has_responded = True
--- a/src/galenatack/exceptions/__init__.py
+++ b/src/galenatack/exceptions/__init__.py
@@ -31,6 +31,7 @@
 LeaseLostError = _move_errors.LeaseLostError
 PlatformError = _platform_errors.PlatformError
 PlatformUnavailableError = _platform_errors.PlatformUnavailableError
+PlatformAnswerLostError = _platform_errors.PlatformAnswerLostError
 OutcomeUnknownError = _platform_errors.OutcomeUnknownError
 TransactionConflictError = _platform_errors.TransactionConflictError
 ObjectCorruptError = _platform_errors.ObjectCorruptError
--- a/src/galenatack/exceptions/_platform_errors.py
+++ b/src/galenatack/exceptions/_platform_errors.py
@@ -23,6 +23,12 @@
         self.retry_after_ms = retry_after_ms
 
 
+class PlatformAnswerLostError(PlatformUnavailableError):
+    """The answer to a read was not received completely."""
+
+    code = "platform-answer-lost"
+
+
 class OutcomeUnknownError(PlatformError):
     """The answer to a write was lost; the write may have taken effect."""
 
--- a/src/galenatack/interfaces/shared_table.py
+++ b/src/galenatack/interfaces/shared_table.py
@@ -27,6 +27,8 @@
         Raises:
             exceptions.HistoryLostError: The store no longer has the changes
                 after this revision.
+            exceptions.PlatformAnswerLostError: The response was not received
+                completely; it may be too long.
             exceptions.PlatformUnavailableError: There was no valid response.
         """
 
--- a/src/galenatack/platform/store_table.py
+++ b/src/galenatack/platform/store_table.py
@@ -98,6 +98,8 @@
 
         Raises:
             exceptions.HistoryLostError: The store no longer has the changes.
+            exceptions.PlatformAnswerLostError: The answer is too long, or was
+                not received completely in time.
             exceptions.PlatformUnavailableError: No valid answer was received.
         """
         query = {
@@ -183,8 +185,12 @@
         try:
             with anyio.fail_after(timeout_s):
                 raw = await self._client.request("GET", target)
-        except (exceptions.CallError, TimeoutError) as error:
+        except exceptions.TargetConnectError as error:
             raise _unavailable(error) from error
+        except (exceptions.TargetAnswerLostError, TimeoutError) as error:
+            raise exceptions.PlatformAnswerLostError(
+                f"store: {error!r}"
+            ) from error
         era = self._note_era(raw)
         if raw.status == _HISTORY_LOST:
             raise exceptions.HistoryLostError(f"{path}: history is gone")
--- a/standins/store/node_table.py
+++ b/standins/store/node_table.py
@@ -147,7 +147,7 @@
         if self._node_id in faults.silent_nodes:
             # A change brings no answer either, so the node waits to the end.
             await anyio.sleep_until(give_up_s or anyio.current_time() + LOST_S)
-            raise exceptions.PlatformUnavailableError("no answer")
+            raise exceptions.PlatformAnswerLostError("no answer")
         if faults.is_down or self._node_id in faults.refused_nodes:
             raise exceptions.PlatformUnavailableError("503")
 
--- a/tests/config/test_row_mirror.py
+++ b/tests/config/test_row_mirror.py
@@ -3,7 +3,9 @@
 import asyncio
 import random
 import unittest
+import unittest.mock
 
+from galenatack import exceptions
 from galenatack.config import row_mirror
 from galenatack.config import table_watcher
 from galenatack.model import store_revision
@@ -138,6 +140,23 @@
 
         self.follow(scenario)
 
+    def test_many_missed_versions_do_not_keep_a_node_on_an_old_row(self):
+        """All of them are too long an answer to each watch."""
+
+        async def scenario(store, mirror, watcher):
+            await asyncio.sleep(1.0)
+            lost = exceptions.PlatformAnswerLostError("answer too large")
+            with unittest.mock.patch.object(
+                watcher._table, "watch", side_effect=lost
+            ):
+                # The watch that began before has ended by then.
+                await asyncio.sleep(2.0)
+                newest = store.operator_writes("op", "config", b"new")
+                await asyncio.sleep(CONFIG_S)
+            self.assertEqual(mirror.revision("op"), newest)
+
+        self.follow(scenario)
+
     def test_a_stale_read_after_a_lost_history_hides_no_change(self):
         """Its revision was the newest, so no watch returned the change."""
 
--- a/tests/platform/test_store_table.py
+++ b/tests/platform/test_store_table.py
@@ -92,13 +92,17 @@
         run(scenario)
 
     def test_faults_have_types(self):
-        """Lost history, a lost answer and an outage have distinct errors."""
+        """Lost history, long or lost answers and an outage have own errors."""
 
         async def scenario(store, table):
             store.operator_writes("op", "config", b"1")
             store.rows.forget()
             with self.assertRaises(exceptions.HistoryLostError):
                 await table.watch("op", after=0, wait_s=0.1)
+            for _ in range(50):
+                store.operator_writes("op", "config", bytes(65_536))
+            with self.assertRaises(exceptions.PlatformAnswerLostError):
+                await table.watch("op", after=1, wait_s=0.1)
             store.faults.lose_answers = 1
             with self.assertRaises(exceptions.OutcomeUnknownError):
                 await table.commit(write("a", b"1"))
