Drop idle connections to the store after a silent one

Cause: the pool reuses an idle connection as long as TCP reports no failure. TCP keep-alive finds a host that is gone within 3 s, but not a store, or something before it, that still acknowledges and does not answer.

Ruled out: the same for connections to targets, where a call that times out or is cancelled says nothing about other connections, and new ones are costly.

Change: after a call without an answer the idle connections to the store are closed.

Test: platform/test_store_table, test_idle_connections_are_not_used_after_a_silent_one; failed before.

--- a/src/galenatack/platform/store_table.py
+++ b/src/galenatack/platform/store_table.py
@@ -133,13 +133,13 @@
                     f"store restored since: {', '.join(keys)}", keys=keys
                 )
         try:
-            with anyio.fail_after(TIMEOUT_S):
-                raw = await self._client.request(
-                    "POST",
-                    "/v1/rows-tx",
-                    headers=_JSON,
-                    body=_encode(change),
-                )
+            raw = await self._request(
+                "POST",
+                "/v1/rows-tx",
+                timeout_s=TIMEOUT_S,
+                headers=_JSON,
+                body=_encode(change),
+            )
         except exceptions.TargetConnectError as error:
             raise _unavailable(error) from error
         except (exceptions.TargetAnswerLostError, TimeoutError) as error:
@@ -154,6 +154,32 @@
             )
         return store_revision.make(era, number)
 
+    async def _request(
+        self,
+        method: str,
+        target: str,
+        *,
+        timeout_s: float,
+        headers: tuple[tuple[bytes, bytes], ...] = (),
+        body: bytes = b"",
+    ) -> target_connection.RawAnswer:
+        """Sends a request and returns the answer.
+
+        Raises:
+            exceptions.TargetConnectError: Nothing was sent.
+            exceptions.TargetAnswerLostError: The request may have run.
+            TimeoutError: The request may have run.
+        """
+        try:
+            with anyio.fail_after(timeout_s):
+                return await self._client.request(
+                    method, target, headers=headers, body=body
+                )
+        except TimeoutError:
+            # The idle connections may be as dead as the one of this request.
+            await self._client.close()
+            raise
+
     def _note_era(self, raw: target_connection.RawAnswer) -> int:
         """Returns the era of an answer.
 
@@ -183,8 +209,7 @@
         """Returns the answer and its era."""
         target = f"{path}?{urllib.parse.urlencode(query)}"
         try:
-            with anyio.fail_after(timeout_s):
-                raw = await self._client.request("GET", target)
+            raw = await self._request("GET", target, timeout_s=timeout_s)
         except exceptions.TargetConnectError as error:
             raise _unavailable(error) from error
         except (exceptions.TargetAnswerLostError, TimeoutError) as error:
--- a/tests/platform/test_store_table.py
+++ b/tests/platform/test_store_table.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import unittest
+import unittest.mock
 
 from galenatack import exceptions
 from galenatack.model import row_change
@@ -115,6 +116,19 @@
 
         run(scenario)
 
+    def test_idle_connections_are_not_used_after_a_silent_one(self):
+        """If all are dead, each would cost a timeout."""
+
+        async def scenario(store, table):
+            await asyncio.gather(*(table.read("t") for _ in range(3)))
+            store.faults.is_deaf = True
+            with self.assertRaises(exceptions.PlatformAnswerLostError):
+                await table.watch("t", after=0, wait_s=0.0)
+            self.assertEqual(table._client._pool._idle, [])
+
+        with unittest.mock.patch.object(store_table, "WATCH_MARGIN_S", 0.2):
+            run(scenario)
+
     def test_the_operators_rows_cannot_be_written(self):
         """The store refuses the write."""
 
