Read the body behind an offer to upgrade as the body

Cause: the parser ends the message at such a head and leaves the bytes behind it to another protocol, which the node does not speak; they were fed to a new parser as a new request.

Change: a request whose offer is not taken is parsed anew without the offer (RFC 9110, section 7.8), so that its length or its chunks count. A CONNECT has no body and is handled as before.

Test: links/test_request_reader, test_a_body_behind_an_offer_to_upgrade_is_not_run_as_a_request; failed before with the quoted request run.

--- a/src/galenatack/links/request_reader.py
+++ b/src/galenatack/links/request_reader.py
@@ -95,15 +95,37 @@
                 self._count_partial_head(len(data))
                 self._count_overhead(len(data))
         except httptools.HttpParserUpgrade as error:
-            # Upgrades are not supported: the request was handled as a plain
-            # one, and the remaining bytes are the next request.
-            self._parser = httptools.HttpRequestParser(self)
             rest = data[error.args[0] :]
+            if self._offers_upgrade():
+                self._parse_without_upgrade(rest)
+                return
+            self._parser = httptools.HttpRequestParser(self)
             if rest and self.is_open:
                 self._parse(rest)
         except httptools.HttpParserError as error:
             self._refuse(BAD_REQUEST, str(error))
 
+    def _parse_without_upgrade(self, rest: bytes) -> None:
+        """Parses a request anew whose offer to upgrade is not taken.
+
+        The parser takes the bytes behind such a head for another protocol, but
+        they are the body of the request (RFC 9110, section 7.8).
+
+        Args:
+            rest: Bytes behind the head.
+        """
+        method = self._parser.get_method()
+        version = self._parser.get_http_version().encode("ascii")
+        lines = [b"%s %s HTTP/%s" % (method, bytes(self._target), version)]
+        for name, value in self._headers:
+            if name == "connection":
+                value = _without_upgrade(value)
+            if name != "upgrade":
+                lines.append(f"{name}: {value}".encode("latin-1"))
+        self._parser = httptools.HttpRequestParser(self)
+        if self.is_open:
+            self._parse(b"\r\n".join([*lines, b"", rest]))
+
     def on_message_begin(self) -> None:
         """Parser callback: start of a request."""
         self._begin_message()
@@ -126,6 +148,8 @@
     def on_headers_complete(self) -> None:
         """Parser callback: end of the head."""
         self.has_head = True
+        if self._offers_upgrade():
+            return
         if any(name == "expect" for name, _ in self._headers):
             self._on_continue()
 
@@ -137,7 +161,7 @@
 
     def on_message_complete(self) -> None:
         """Parser callback: end of a request."""
-        if not self.is_open:
+        if not self.is_open or self._offers_upgrade():
             return
         self.has_begun = False
         self._has_ended_one = True
@@ -153,6 +177,11 @@
         )
         self._on_request(request, keeps_alive=self._parser.should_keep_alive())
 
+    def _offers_upgrade(self) -> bool:
+        # The parser treats a tunnel like an upgrade; it has no body.
+        is_tunnel = self._parser.get_method() == b"CONNECT"
+        return self._parser.should_upgrade() and not is_tunnel
+
     def _begin_message(self) -> None:
         self._target = b""
         self._headers: list[tuple[str, str]] = []
@@ -199,3 +228,9 @@
         )
         self.close()
         self._on_refused(status)
+
+
+def _without_upgrade(connection: str) -> str:
+    """Returns the options of a `connection` header without `upgrade`."""
+    options = [option.strip() for option in connection.split(",")]
+    return ", ".join(item for item in options if item.lower() != "upgrade")
--- a/tests/links/test_request_reader.py
+++ b/tests/links/test_request_reader.py
@@ -71,3 +71,25 @@
             self.assertEqual(refusals, [])
             self.assertEqual(request.target, path)
             self.assertEqual(request.headers, (("host", host), ("x", "y")))
+
+    def test_a_body_behind_an_offer_to_upgrade_is_not_run_as_a_request(self):
+        """The offer is not taken; the next request is read as well."""
+        body = b"PUT /quoted HTTP/1.1\r\ncontent-length: 0\r\n\r\n"
+        head = (
+            b"PUT /0 HTTP/1.1\r\nHost: a\r\nConnection: Upgrade, HTTP2-Settings"
+            b"\r\nUpgrade: h2c\r\n"
+        )
+        with_length = b"content-length: %d\r\n\r\n%s" % (len(body), body)
+        in_chunks = b"transfer-encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n"
+        for sent in (with_length, in_chunks % (len(body), body)):
+            data = head + sent + GET % 1
+            for read_bytes in (1, 7, len(data)):
+                requests, refusals = read_requests(
+                    *(
+                        data[start : start + read_bytes]
+                        for start in range(0, len(data), read_bytes)
+                    )
+                )
+                self.assertEqual(refusals, [])
+                self.assertEqual([r.body for r in requests], [body, b""])
+                self.assertEqual([r.target for r in requests], ["/0", "/1"])
