--- a/src/galenatack/links/request_reader.py
+++ b/src/galenatack/links/request_reader.py
@@ -175,6 +175,8 @@
             headers=tuple(self._headers),
             body=bytes(self._body),
         )
+        # The connection may stay idle for long.
+        self._body = bytearray()
         self._on_request(request, keeps_alive=self._parser.should_keep_alive())
 
     def _offers_upgrade(self) -> bool:
--- a/tests/links/test_request_reader.py
+++ b/tests/links/test_request_reader.py
@@ -1,5 +1,6 @@
 """Tests of the reader of requests at the level of bytes."""
 
+import tracemalloc
 import unittest
 
 from galenatack.links import connection_limits
@@ -93,3 +94,24 @@
                 self.assertEqual(refusals, [])
                 self.assertEqual([r.body for r in requests], [body, b""])
                 self.assertEqual([r.target for r in requests], ["/0", "/1"])
+
+    def test_idle_connections_do_not_hold_the_last_body(self):
+        """Some 70 idle connections held more than a node may use."""
+        size_bytes = 1_000_000
+        put = b"PUT / HTTP/1.1\r\ncontent-length: %d\r\n\r\n" % size_bytes
+        tracemalloc.start()
+        try:
+            readers = []
+            for _ in range(20):
+                reader = request_reader.RequestReader(
+                    limits=connection_limits.ConnectionLimits(),
+                    on_request=lambda request, **_: None,
+                    on_refused=self.fail,
+                    on_continue=lambda: None,
+                )
+                reader.feed(put + b"b" * size_bytes)
+                readers.append(reader)
+            held_bytes, _ = tracemalloc.get_traced_memory()
+        finally:
+            tracemalloc.stop()
+        self.assertLess(held_bytes, size_bytes)
