Do not follow the store by reads alone

Nodes whose watches got no answer, while their reads did, claimed to follow the store 88 % of the time (virtual time, one watcher), so no other node of the region took over. Four nodes in one process, the watches of both followers silent: of six changes the first three were in force on all nodes after 2.1 to 2.7 s, the fourth after 1.2 s, two at once; before such reads all six within 0.15 s (CONFIG at 2.5 s).

Cause: the read after a watch without an answer counted as a response of the store like that of a watch.

Change: after such a watch a node follows only when a watch has succeeded. The first one after the read returns at once; the delay after a failure starts anew only after one that stayed open.

Test: config/test_row_mirror, test_reads_do_not_hide_that_watches_get_no_answer; failed before.

--- a/src/galenatack/config/table_watcher.py
+++ b/src/galenatack/config/table_watcher.py
@@ -93,6 +93,7 @@
         self._after: int | None = None
         self._has_superseded_rows = False
         self._has_lost_watch = False
+        self._is_watch_proven = True
         self._is_elected = False
         self._scope: anyio.CancelScope | None = None
         self._requested_s = 0.0
@@ -108,7 +109,8 @@
         its watch may have been lost.
         """
         age_s = self._clock.monotonic_s() - self.last_response_s
-        return self._has_responded and (
+        is_answered = self._has_responded and self._is_watch_proven
+        return is_answered and (
             age_s <= self._min_interval_s + self._watch_s + ANSWER_DELAY_S
         )
 
@@ -163,6 +165,7 @@
         was_elected, self._is_elected = self._is_elected, False
         self._has_responded = False
         self._has_lost_watch = False
+        self._is_watch_proven = True
         self.is_healthy = True
         if was_elected:
             await self._on_change()
@@ -220,7 +223,10 @@
         # the store responds to this node.
         wait_s = self._watch_s if self.is_following else 0.0
         page = await self._table.watch(self.name, after=after, wait_s=wait_s)
-        self._delays.reset()
+        self._is_watch_proven = True
+        if wait_s:
+            # One that returns at once does not show that open ones last.
+            self._delays.reset()
         self._mirror.apply(page.rows)
         # A watch returns each version of a row. While rows change this
         # quickly, the table is read instead, which returns only the newest.
@@ -271,6 +277,9 @@
         # read returns only the newest. If it fails too, watches continue.
         is_lost = isinstance(error, exceptions.PlatformAnswerLostError)
         self._has_lost_watch = is_lost and not self._has_lost_watch
+        # A read that succeeds does not show that watches do: until one has,
+        # other nodes take over.
+        self._is_watch_proven = self._is_watch_proven and not is_lost
         was_healthy = self.is_healthy
         self.is_healthy = False
         self._has_responded = False
--- a/tests/config/test_row_mirror.py
+++ b/tests/config/test_row_mirror.py
@@ -157,6 +157,28 @@
 
         self.follow(scenario)
 
+    def test_reads_do_not_hide_that_watches_get_no_answer(self):
+        """Other nodes take over from one that does not claim to follow."""
+
+        async def scenario(store, mirror, watcher):
+            async def stay_silent(name, *, after, wait_s):
+                await asyncio.sleep(wait_s + node_table.LOST_S)
+                raise exceptions.PlatformAnswerLostError("no answer")
+
+            await asyncio.sleep(2.0)
+            self.assertTrue(watcher.is_following)
+            with unittest.mock.patch.object(
+                watcher._table, "watch", stay_silent
+            ):
+                await asyncio.sleep(5.0)
+                for _ in range(100):
+                    await asyncio.sleep(0.1)
+                    self.assertFalse(watcher.is_following)
+            await asyncio.sleep(CONFIG_S)
+            self.assertTrue(watcher.is_following)
+
+        self.follow(scenario)
+
     def test_a_stale_read_after_a_lost_history_hides_no_change(self):
         """Its revision was the newest, so no watch returned the change."""
 
