Let no stale read after a lost watch hide a change

If the answer to a watch was lost and the read after it lagged, but named the newest revision, the node never got the change: 60 s later it held the row of before (virtual time, one watcher).

Cause: the next watch went on from the revision of the read, and rows that the read lacked counted as deleted, as of that revision. Reads after a loss of history are protected against both.

Ruled out: further reads 3.5 s and 7 s later, as after a loss of history; they cost two whole tables for each lost watch.

Change: the next watch goes on from the newest row that the read returned, or from where the lost one began; only rows older than that row count as deleted.

Test: config/test_row_mirror, test_a_stale_read_after_a_lost_watch_hides_no_change; failed before.

--- a/src/galenatack/config/table_watcher.py
+++ b/src/galenatack/config/table_watcher.py
@@ -237,13 +237,18 @@
     async def _read(self, *, is_reread: bool) -> table_page.TablePage:
         """Reads the whole table."""
         page = await self._table.read(self.name)
-        self._has_lost_watch = False
         if is_reread:
             del self._rereads_s[0]
-        may_lag = bool(self._rereads_s)
+        may_lag = bool(self._rereads_s) or self._has_lost_watch
         applied = self._mirror.replace(self.name, page, may_lag=may_lag)
-        if not may_lag:
+        if not self._rereads_s:
             self._history_delays.reset()
+        if self._has_lost_watch and self._after is not None:
+            # The store may have lost its leader as well. What the read lacked
+            # comes with the next watch.
+            newest = max((row.revision for row in page.rows), default=0)
+            page = page._replace(revision=max(self._after, newest))
+        self._has_lost_watch = False
         self._has_superseded_rows = self._has_superseded_rows and bool(applied)
         _LOGGER.info(
             "event=table-read table=%s revision=%d newest_row=%d rows=%d"
--- a/tests/config/test_row_mirror.py
+++ b/tests/config/test_row_mirror.py
@@ -204,6 +204,35 @@
 
         self.follow(scenario)
 
+    def test_a_stale_read_after_a_lost_watch_hides_no_change(self):
+        """The answer with the changes was lost, and the read lacks them."""
+
+        async def scenario(store, mirror, watcher):
+            for key in ("kept", "deleted"):
+                store.operator_writes("op", key, b"old")
+            await asyncio.sleep(2.0)
+            lagging = store.rows.copy()
+            lost = exceptions.PlatformAnswerLostError("connection reset")
+            with unittest.mock.patch.object(
+                watcher._table, "watch", side_effect=lost
+            ):
+                # The watch that began before has ended by then.
+                await asyncio.sleep(1.1)
+                store.faults.lagging_rows = lagging
+                store.operator_writes("op", "kept", b"new")
+                store.operator_writes("op", "added", b"new")
+                store.commit([], [], [("op", "", "deleted")])
+                await asyncio.sleep(2.0)
+            await asyncio.sleep(CONFIG_S)
+            found = {
+                row.key: row.value
+                for row in mirror.since((0,))
+                if not row.is_deleted
+            }
+            self.assertEqual(found, {"kept": b"new", "added": b"new"})
+
+        self.follow(scenario)
+
     def test_changes_arrive_one_after_the_other(self):
         """Each write is mirrored at once."""
 
