Take a line end behind a request for no request

A caller that sent a line end behind its request, as old clients do, held its connection beyond idle_timeout, for as long as it liked (still open after 4 s at 0.5 s), and the node counted it as busy when it stopped. Found by reading; as old as the reader.

Cause: any byte counted as the beginning of a request, but the time limits of its head did not apply, because the head of the request before was complete.

Change: a request begins where the parser says so. Line ends count only for the limit on bytes beside the body.

Test: links/test_pipelined_connection, test_a_line_end_behind_a_request_does_not_keep_its_connection; failed before.

--- a/src/galenatack/links/request_reader.py
+++ b/src/galenatack/links/request_reader.py
@@ -87,11 +87,10 @@
                 self._parse(data[start : start + MAX_PARSED_BYTES])
 
     def _parse(self, data: bytes) -> None:
-        self.has_begun = True
         self._has_ended_one = False
         try:
             self._parser.feed_data(data)
-            if self.has_begun and not self._has_ended_one:
+            if not self._has_ended_one:
                 self._count_partial_head(len(data))
                 self._count_overhead(len(data))
         except httptools.HttpParserUpgrade as error:
--- a/tests/links/test_pipelined_connection.py
+++ b/tests/links/test_pipelined_connection.py
@@ -175,6 +175,19 @@
 
         run(scenario)
 
+    def test_a_line_end_behind_a_request_does_not_keep_its_connection(self):
+        """No request has begun, so the connection is idle."""
+
+        async def scenario(rig):
+            reader, writer = await rig.connect()
+            writer.write(GET % b"1")
+            await reader.readuntil(b"\r\n\r\n/1")
+            writer.write(b"\r\n")
+            self.assertEqual(await reader.read(), b"")
+            writer.close()
+
+        run(scenario, idle_timeout_s=0.5)
+
     def test_limits_are_enforced(self):
         """An oversized head or body and a slow head are refused."""
 
