Refuse whole numbers that no field can hold, with a decimal point too

A version of 1e300 was taken; a peer refuses the heartbeat that carries it and closes the link, so all links of the fleet would close at each heartbeat (shown for the message alone). Found by reading.

Cause: the limit of 18 digits applies to numbers without a decimal point, and numbers with one are converted since 2.0 is taken for 2.

Test: platform/test_config_document, test_a_malformed_part_invalidates_the_configuration; failed before.

--- a/src/galenatack/platform/_values.py
+++ b/src/galenatack/platform/_values.py
@@ -11,6 +11,9 @@
 _MAX_DURATION_MS = 10**12
 _MISSING = object()
 
+_MAX_WHOLE_FLOAT = 2.0**53
+"""Above it, numbers with a decimal point are not exact."""
+
 
 def duration_ms(value: typing.Any) -> int:
     """Parses a text such as `1500ms` or `2.5s` into milliseconds.
@@ -63,7 +66,8 @@
     Raises:
         ValueError: The value is not a non-negative whole number.
     """
-    if type(value) is float and value.is_integer():
+    is_float = type(value) is float and value <= _MAX_WHOLE_FLOAT
+    if is_float and value.is_integer():
         value = int(value)
     return non_negative_int(value)
 
--- a/tests/platform/test_config_document.py
+++ b/tests/platform/test_config_document.py
@@ -162,6 +162,7 @@
             document(row()[:-1]),
             document(row(), version="7"),
             document(row(), version=7.5),
+            document(row(), version=1e300),
             document(row(max_attempts=1.5)),
             document(row(weighted_clusters=[{"service": "a", "weight": True}])),
             document(row(weighted_clusters=[{"service": "a", "weight": -0.5}])),
