Tests of what lost watches, limits and decimals must not change

Mutations of the code that no test failed: a head counted together with the request before it; a tunnel parsed anew; whole tables read after refusals; reads repeated while the store is silent, without a watch between them; delays that start anew with each read or with a watch that returns at once; numbers with decimals in limits and services refused; the root label kept in a route's host. Each of them fails a test now.

--- a/tests/config/test_row_mirror.py
+++ b/tests/config/test_row_mirror.py
@@ -157,6 +157,54 @@
 
         self.follow(scenario)
 
+    def test_refused_watches_cost_no_whole_tables(self):
+        """A refusal does not say that the answer would be too long."""
+
+        async def scenario(store, mirror, watcher):
+            await asyncio.sleep(2.0)
+            reads = store.calls["n", "read"]
+            store.faults.refused_nodes = {"n"}
+            await asyncio.sleep(10.0)
+            store.faults.refused_nodes = set()
+            await asyncio.sleep(2.0)
+            self.assertEqual(store.calls["n", "read"], reads)
+
+        self.follow(scenario)
+
+    def test_a_silent_store_is_asked_both_ways(self):
+        """It may answer watches again, but not reads."""
+
+        async def scenario(store, mirror, watcher):
+            await asyncio.sleep(2.0)
+            before = dict(store.calls)
+            store.faults.silent_nodes = {"n"}
+            await asyncio.sleep(20.0)
+            for kind in ("read", "watch"):
+                calls = store.calls["n", kind] - before["n", kind]
+                self.assertGreater(calls, 2, kind)
+
+        self.follow(scenario)
+
+    def test_lost_watches_between_good_reads_are_not_repeated_quickly(self):
+        """Each read is a whole table."""
+
+        async def scenario(store, mirror, watcher):
+            watch = watcher._table.watch
+            for longest_s in (-1.0, 0.0):
+                await asyncio.sleep(5.0)
+                reads = store.calls["n", "read"]
+
+                async def lose(name, *, after, wait_s, longest_s=longest_s):
+                    if wait_s > longest_s:
+                        raise exceptions.PlatformAnswerLostError("reset")
+                    return await watch(name, after=after, wait_s=wait_s)
+
+                with unittest.mock.patch.object(watcher._table, "watch", lose):
+                    await asyncio.sleep(30.0)
+                self.assertLess(store.calls["n", "read"] - reads, 100)
+
+        self.follow(scenario)
+
     def test_reads_do_not_hide_that_watches_get_no_answer(self):
         """Other nodes take over from one that does not claim to follow."""
 
@@ -220,14 +268,14 @@
                 await asyncio.sleep(1.1)
                 store.faults.lagging_rows = lagging
                 store.operator_writes("op", "kept", b"new")
-                store.operator_writes("op", "added", b"new")
+                added = store.operator_writes("op", "added", b"new")
+                # A peer may have sent one of the rows.
+                mirror.apply([row("added", added, value=b"new")])
                 store.commit([], [], [("op", "", "deleted")])
                 await asyncio.sleep(2.0)
             await asyncio.sleep(CONFIG_S)
             found = {
-                row.key: row.value
-                for row in mirror.since((0,))
-                if not row.is_deleted
+                r.key: r.value for r in mirror.since((0,)) if not r.is_deleted
             }
             self.assertEqual(found, {"kept": b"new", "added": b"new"})
 
--- a/tests/links/test_request_reader.py
+++ b/tests/links/test_request_reader.py
@@ -51,6 +51,21 @@
             targets, refusals = read(put + get[:head_bytes], get[head_bytes:])
             self.assertEqual((targets, refusals), (["/0", "/1"], []))
 
+    def test_a_head_at_the_limit_behind_other_requests_is_not_refused(self):
+        """A read ends inside it, and its piece holds an earlier request."""
+        limit_bytes = 16_384
+        start = b"GET /1 HTTP/1.1\r\nx: "
+        head = start.ljust(limit_bytes - 4, b"a") + b"\r\n\r\n"
+        for before in (
+            GET % 0,
+            b"PUT /0 HTTP/1.1\r\ncontent-length: 0\r\n\r\n",
+        ):
+            data = before + head
+            targets, refusals = read(
+                data[:-1], data[-1:], max_header_bytes=limit_bytes
+            )
+            self.assertEqual((targets, refusals), (["/0", "/1"], []))
+
     def test_a_head_that_does_not_end_is_refused(self):
         """In one read, and behind another request."""
         endless = b"GET / HTTP/1.1\r\nx: " + b"a" * 40_000
@@ -95,6 +110,12 @@
                 self.assertEqual([r.body for r in requests], [body, b""])
                 self.assertEqual([r.target for r in requests], ["/0", "/1"])
 
+    def test_a_tunnel_is_not_parsed_again_and_again(self):
+        """The parser ends its message like that of an offer to upgrade."""
+        connect = b"CONNECT a:1 HTTP/1.1\r\nHost: a\r\n\r\n"
+        targets, refusals = read(connect + GET % 1)
+        self.assertEqual((targets, refusals), (["a:1", "/1"], []))
+
     def test_a_line_end_behind_a_long_body_is_not_refused(self):
         """Servers ignore line ends before a request (RFC 9112, 2.2)."""
         size_bytes = 600_000
--- a/tests/platform/test_config_document.py
+++ b/tests/platform/test_config_document.py
@@ -129,8 +129,19 @@
         ]
         changes = {"max_attempts": 2.0, "priority": 1.0, "service": None}
         config = config_document.decode(
-            document(row(weighted_clusters=parts, **changes), version=8.0)
+            document(
+                row(weighted_clusters=parts, **changes),
+                version=8.0,
+                services={
+                    "columns": ["name", "max_connections"],
+                    "rows": [["a", 9.0]],
+                },
+                limits={"max_header_bytes": 2e4, "max_body_bytes": 1e6},
+            )
         )
+        self.assertEqual(config.max_connections, {"a": 9})
+        self.assertEqual(config.limits.max_header_bytes, 20_000)
+        self.assertEqual(config.limits.max_body_bytes, 1_000_000)
         route = config.routes[0]
         self.assertEqual(
             (config.version, route.max_attempts, route.priority), (8, 2, 1)
@@ -139,6 +150,11 @@
         chosen = [choice.pick(route) for _ in range(400)]
         self.assertEqual(chosen.count("a"), 300)
 
+    def test_a_route_for_a_host_with_its_root_label_is_found(self):
+        """Requests are looked up without that label."""
+        config = config_document.decode(document(row(host="B.example.")))
+        self.assertEqual(config.routes[0].host, "b.example")
+
     def test_a_malformed_value_is_not_taken_for_an_equal_one_of_before(self):
         """A route with the priority 1 is known, one with true is malformed."""
         for name, good, bad in (
