Count a skipped answer for itself

An answer was lost if the target had sent a long one to another request before it (more than 262,144 bytes), and a read ended inside the first part of its own body: the caller got a failure for a request that had run.

Cause: the body of the skipped answer counted as bytes beside the next one.

Change: bodies of skipped answers count for themselves, all of them together up to the limit on one answer.

Test: links/test_surplus_answers, test_a_long_answer_that_is_skipped_does_not_end_the_next_one; failed before. A second test holds the limit.

--- a/src/galenatack/links/target_connection.py
+++ b/src/galenatack/links/target_connection.py
@@ -15,8 +15,8 @@
 _FIRST_FINAL_STATUS = 200
 
 MAX_OVERHEAD_BYTES = 262_144
-"""Limit on received bytes that are not the body of the answer, beyond the size
-of that body: heads, interim and skipped answers, chunk sizes and trailers. A
+"""Limit on received bytes that are not the body of an answer, beyond the size
+of that of this answer: heads, interim answers, chunk sizes and trailers. A
 faulty target may send them without end."""
 
 _KEEP_ALIVE = b"keep-alive"
@@ -55,6 +55,7 @@
         self._is_answer: IsAnswer | None = None
         self._is_head_request = False
         self._received_bytes = 0
+        self._skipped_bytes = 0
         self._begin_message()
         self.is_usable = False
         self.released_s = 0.0
@@ -81,7 +82,8 @@
             # Bytes after a complete answer only close the connection.
             self._fail(str(error))
         body_bytes = len(self._body)
-        if self._received_bytes - body_bytes > MAX_OVERHEAD_BYTES + body_bytes:
+        other_bytes = self._received_bytes - self._skipped_bytes - body_bytes
+        if other_bytes > MAX_OVERHEAD_BYTES + body_bytes:
             self._fail("too many bytes beside the answer")
 
     def eof_received(self) -> None:
@@ -122,6 +124,7 @@
         self._is_answer = is_answer
         self._is_head_request = is_head_request
         self._received_bytes = 0
+        self._skipped_bytes = 0
         self._waiter = asyncio.get_running_loop().create_future()
         # The connection is reusable only after the end of the answer.
         self.is_usable = False
@@ -166,6 +169,7 @@
         if self._is_informational() or self._is_done():
             return
         if self._is_answer is not None and not self._is_answer(self._headers):
+            self._skip()
             return
         self.is_usable = self._parser.should_keep_alive()
         self._finish()
@@ -176,6 +180,13 @@
         self._has_head = False
         self._has_length = False
 
+    def _skip(self) -> None:
+        """Drops an answer to another request."""
+        self._skipped_bytes += len(self._body)
+        self._body = bytearray()
+        if self._skipped_bytes > self._max_answer_bytes:
+            self._fail("too many bytes of other answers")
+
     def _is_done(self) -> bool:
         return self._waiter is None or self._waiter.done()
 
--- a/tests/links/test_surplus_answers.py
+++ b/tests/links/test_surplus_answers.py
@@ -4,9 +4,11 @@
 import socket
 import struct
 import unittest
+from unittest import mock
 
 from galenatack import exceptions
 from galenatack.links import http_client
+from galenatack.links import target_connection
 
 HEAD = b"HTTP/1.1 200 OK\r\nx-id: %s\r\n"
 
@@ -82,6 +84,39 @@
             (framed(b"1", b"one") + framed(b"2", b"two"), ""),
         )
 
+    def test_a_long_answer_that_is_skipped_does_not_end_the_next_one(self):
+        """Its bytes count for itself, wherever a read ends."""
+        own = b"k" * 1_000
+
+        async def main(first_bytes):
+            connection = target_connection.TargetConnection(
+                max_answer_bytes=400_000
+            )
+            connection.connection_made(mock.Mock())
+            asking = asyncio.create_task(
+                connection.exchange(
+                    b"", is_answer=lambda headers: (b"x-id", b"2") in headers
+                )
+            )
+            await asyncio.sleep(0)
+            sent = framed(b"1", b"o" * 300_000) + framed(b"2", own)
+            connection.data_received(sent[:first_bytes])
+            connection.data_received(sent[first_bytes:])
+            return await asking
+
+        for first_bytes in (299_000, 300_300):
+            self.assertEqual(asyncio.run(main(first_bytes)).body, own)
+
+    def test_long_answers_to_others_without_end_are_not_read(self):
+        """The limit on one answer holds for all that are skipped."""
+
+        async def scenario(client):
+            with self.assertRaises(exceptions.TargetAnswerLostError):
+                await ask(client, b"2")
+
+        others = framed(b"1", b"o" * 6_000) * 2
+        run(scenario, (others + framed(b"2", b"own"), ""))
+
     def test_bytes_after_an_answer_close_the_connection(self):
         """The next request uses another connection."""
 
