Strip only white space from the options of a connection

Found by review: in a head that is made again without an offer to upgrade, the option `close` followed by the byte 0x85 became `close`. HTTP's optional white space is the space and the tab.

--- a/src/galenatack/links/request_reader.py
+++ b/src/galenatack/links/request_reader.py
@@ -234,5 +234,5 @@
 
 def _without_upgrade(connection: str) -> str:
     """Returns the options of a `connection` header without `upgrade`."""
-    options = [option.strip() for option in connection.split(",")]
+    options = [option.strip(" \t") for option in connection.split(",")]
     return ", ".join(item for item in options if item.lower() != "upgrade")
