Soak: use no addresses of another run

Cause: the addresses depended on the seed and the process id only. They are taken only if they are free now.

Test: soak_processes/test_loopback.

--- a/soak/run.py
+++ b/soak/run.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import collections.abc
-import os
 import pathlib
 import random
 import typing
@@ -11,14 +10,13 @@
 from soak import fault
 from soak import fleet
 from soak import injector
+from soak import loopback
 from soak import node_process
 from soak import plan
 from soak import promises
 from soak import record
 from soak import rollout
 
-FIRST_BASE = 100
-BASES = 100
 CALLERS_PER_NODE = 2
 MAX_RECOVERY_S = 15.0
 SETTLE_S = 4.5
@@ -88,8 +86,7 @@
         self._seen = record.Record()
         self._world = fleet.Fleet(
             nodes=nodes,
-            # Concurrent runs need distinct addresses.
-            base=FIRST_BASE + (seed + os.getpid()) % BASES,
+            base=loopback.free_base(seed=seed, nodes=nodes),
             folder=folder,
             seen=self._seen,
             rng=self._rng,
