Soak: a large configuration that changes between two regions

`--changes`: 350 routes more (57 KB) that are added, removed, moved and split about once a second, and in storms 0.2 s apart, beside kills, stops, herd kills, rewritten settings, pauses, resets, and a store that is down, slow, silent, restored or loses its history. Callers keep their connections and pipeline 30 to 150 requests, some in absolute form or with the root label. Traffic between the two regions is delayed by 30 ms and paced to 30 Mbit/s each way; the relays ask the kernel which process dials, as its address doesn't tell.

A version that a restore has lost counts from when the operator writes it again.

The fault READERS_UNANSWERED loses answers to the followers without a reset afterwards: READERS_SILENT ends all connections, which ended the open watches of too, and hid its fault.

`--product FOLDER` runs the nodes of another checkout.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -11,10 +11,12 @@
 
 import click
 
+from soak import node_process
 from soak import regressions as regressions_module
 from soak import run
 
 S_PER_MIN = 60.0
+PRODUCT = str(node_process.ROOT)
 
 
 class Case(typing.NamedTuple):
@@ -26,6 +28,8 @@
     has_deadly: bool = False
     has_restores: bool = False
     has_reader_faults: bool = False
+    has_changes: bool = False
+    product: str = PRODUCT
 
 
 @click.command()
@@ -50,6 +54,16 @@
     is_flag=True,
     help="Make the store silent to its readers, or lag behind.",
 )
+@click.option(
+    "--changes",
+    is_flag=True,
+    help="Change a large configuration all the time, between two regions.",
+)
+@click.option(
+    "--product",
+    default=PRODUCT,
+    help="Run the nodes of the checkout in this folder.",
+)
 @click.option("--keep", help="Keep settings and logs in this folder.")
 def main(
     *,
@@ -62,6 +76,8 @@
     deadly: bool,
     restores: bool,
     readers: bool,
+    changes: bool,
+    product: str,
     keep: str | None,
 ) -> None:
     """Runs seeds one after the other; exits with 1 when a promise broke."""
@@ -79,7 +95,11 @@
             break
         seeds_run.append(case.seed)
         case = case._replace(
-            has_deadly=deadly, has_restores=restores, has_reader_faults=readers
+            has_deadly=deadly,
+            has_restores=restores,
+            has_reader_faults=readers,
+            has_changes=changes,
+            product=product,
         )
         if _report(case, _run_one(case, keep)):
             broken.append(case.seed)
@@ -114,6 +134,8 @@
         f" --seconds {case.seconds:g}{' --deadly' * case.has_deadly}"
         f"{' --restores' * case.has_restores}"
         f"{' --readers' * case.has_reader_faults}"
+        f"{' --changes' * case.has_changes}"
+        f"{f' --product {case.product}' * (case.product != PRODUCT)}"
         " --keep FOLDER"
     )
     return True
@@ -132,6 +154,8 @@
                 has_deadly=case.has_deadly,
                 has_restores=case.has_restores,
                 has_reader_faults=case.has_reader_faults,
+                has_changes=case.has_changes,
+                product=pathlib.Path(case.product),
             ).execute()
         )
 
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -79,10 +79,9 @@
         async with self._client() as client:
             while True:
                 await asyncio.sleep(PROBE_S)
-                newest = max(self._seen.versions_s)
-                for version in (newest, newest - 1):
-                    if version in self._seen.versions_s:
-                        await self._probe(client, version)
+                newest = sorted(self._seen.versions_s)[-2:]
+                for version in reversed(newest):
+                    await self._probe(client, version)
 
     def _client(self) -> httpx.AsyncClient:
         timeout = httpx.Timeout(TIMEOUT_S, connect=CONNECT_TIMEOUT_S)
--- a/soak/fault.py
+++ b/soak/fault.py
@@ -31,6 +31,7 @@
     DRIVER_PAUSE = "driver-pause"
     READERS_SILENT = "readers-silent"
     STORE_LAGS = "store-lags"
+    READERS_UNANSWERED = "readers-unanswered"
 
 
 PLANNED = frozenset(
@@ -49,10 +50,44 @@
 """Faults of runs with a rollout and a store that is restored."""
 
 
-OF_READERS = frozenset({Kind.READERS_SILENT, Kind.STORE_LAGS})
+OF_READERS = frozenset(
+    {Kind.READERS_SILENT, Kind.READERS_UNANSWERED, Kind.STORE_LAGS}
+)
 """Faults after which a change is in force later, but not at the end only."""
 
 
+OF_ONE_NODE = frozenset(
+    {
+        Kind.KILL,
+        Kind.PAUSE,
+        Kind.STOP,
+        Kind.PEERS_SILENT,
+        Kind.PEERS_ONE_WAY,
+        Kind.PEERS_DELAY,
+        Kind.PEERS_RESET,
+        Kind.STORE_SILENT,
+        Kind.STORE_REFUSE,
+    }
+)
+"""Faults that disrupt one node only."""
+
+
+OF_PART_OF_STORE = OF_READERS | {Kind.STORE_FORGETS}
+"""Faults beside which the store goes on serving, but not in full."""
+
+
+HARMLESS = frozenset(
+    {
+        Kind.RELOAD,
+        Kind.CONFIG,
+        Kind.CONFIG_STORM,
+        Kind.TARGET_CRASH,
+        Kind.TARGET_LEAVE,
+    }
+)
+"""Faults that disrupt neither a node nor the store."""
+
+
 class Fault(typing.NamedTuple):
     """One fault of a run.
 
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -1,12 +1,15 @@
 """The processes and stand-ins of one run."""
 
 import asyncio
+import json
 import pathlib
 import random
 
+from soak import config_series
 from soak import live_target
 from soak import node_process
 from soak import record
+from soak import regions
 from soak import rollout
 from soak import store_server
 from standins.mesh import operator_config
@@ -31,12 +34,16 @@
         folder: Folder for settings and logs.
         seen: Receives runs at targets and configuration versions.
         rng: Random source for the work time of targets.
+        product: Folder with the checkout that is run.
+        series: Changes of the configuration; None for small ones. With it,
+            traffic between regions is delayed and paced.
 
     Attributes:
         nodes: The node processes.
         targets: Their targets, in the same order.
         store: The shared tables and their faults.
         rollout: A rollout of the last service.
+        series: Changes of the configuration; None for small ones.
     """
 
     def __init__(
@@ -47,8 +54,11 @@
         folder: pathlib.Path,
         seen: record.Record,
         rng: random.Random,
+        product: pathlib.Path = node_process.ROOT,
+        series: config_series.ConfigSeries | None = None,
     ):
         self._seen = seen
+        self.series = series
         self._store_address = f"127.{base}.1.1:{STORE_PORT}"
         self._version = 0
         self.store = node_table.SharedStore()
@@ -66,9 +76,12 @@
                 place=PLACES[index % len(PLACES)],
                 service=SERVICES[index // len(PLACES) % len(SERVICES)],
                 store_address=self._store_address,
+                product=product,
             )
             for index in range(nodes)
         ]
+        if series is not None:
+            regions.connect(self.nodes, store_region=PLACES[0][1])
         self.targets = [
             live_target.LiveTarget(node=node, seen=seen, rng=rng)
             for node in self.nodes
@@ -108,17 +121,34 @@
 
     def change_config(self) -> None:
         """Writes the next version of the configuration."""
-        self._version += 1
-        self.write_config()
         now_s = asyncio.get_running_loop().time()
+        if self.series is None:
+            self._version += 1
+        else:
+            routes = self.series.change()
+            self._version = self.series.version
+            self._seen.history.add(self._version, routes, now_s=now_s)
+        self.write_config()
         self._seen.versions_s[self._version] = now_s
 
     def write_config(self) -> None:
         """Writes the newest version of the configuration, perhaps again."""
-        self.store.operator_writes(
-            "op",
-            "config",
-            operator_config.config(self._version, SERVICES, mark=SERVICES[0]),
+        document = (
+            operator_config.config(self._version, SERVICES, mark=SERVICES[0])
+            if self.series is None
+            else self.series.document()
+        )
+        self.store.operator_writes("op", "config", document)
+        now_s = asyncio.get_running_loop().time()
+        self._seen.history.rewrite(now_s=now_s)
+
+    def restore_copy(self, age: int) -> None:
+        """Restores the store from the copy that is `age` copies old."""
+        self.rollout.restore_copy(age)
+        rows, _ = self.store.rows.range("op", "", "config", 1)
+        self._seen.history.lose(
+            kept=json.loads(rows[0].value)["version"],
+            now_s=asyncio.get_running_loop().time(),
         )
 
     def add_version(self) -> None:
--- a/soak/injector.py
+++ b/soak/injector.py
@@ -4,6 +4,7 @@
 import collections.abc
 import signal
 
+from soak import disruption
 from soak import fault
 from soak import fleet
 from soak import plan
@@ -43,6 +44,7 @@
         # Faults that end a process or a target exclude each other.
         self._locks = [asyncio.Lock() for _ in world.nodes]
         self._restore_lock = asyncio.Lock()
+        self._readers_lock = asyncio.Lock()
         self._target_locks = [asyncio.Lock() for _ in world.nodes]
         self._handlers: dict[_Kind, _Handler] = {
             _Kind.KILL: self._kill,
@@ -66,6 +68,7 @@
             _Kind.STORE_RESTORED: self._store_restored,
             _Kind.DRIVER_PAUSE: self._driver_pause,
             _Kind.READERS_SILENT: self._readers_silent,
+            _Kind.READERS_UNANSWERED: self._readers_unanswered,
             _Kind.STORE_LAGS: self._store_lags,
             _Kind.CONFIG: self._config,
             _Kind.CONFIG_STORM: self._config_storm,
@@ -88,6 +91,8 @@
         span = record.Span(
             from_s, loop.time(), f"{item.kind.value} {item.node}"
         )
+        if item.kind not in fault.HARMLESS | {_Kind.STORE_RESTORED}:
+            self._add_disruption(item, from_s)
         if item.kind in fault.PLANNED:
             self._seen.planned.append(span)
         elif item.kind in fault.OF_READERS:
@@ -95,6 +100,21 @@
         else:
             self._seen.unplanned.append(span)
 
+    def _add_disruption(self, item: fault.Fault, from_s: float) -> None:
+        nodes = None
+        if item.kind == _Kind.HERD:
+            nodes = frozenset(range(0, len(self._world.nodes), 2))
+        elif item.kind in fault.OF_ONE_NODE:
+            nodes = frozenset({item.node})
+        self._seen.disruptions.append(
+            disruption.Disruption(
+                from_s,
+                asyncio.get_running_loop().time(),
+                nodes,
+                is_partial=item.kind in fault.OF_PART_OF_STORE,
+            )
+        )
+
     async def _kill(self, item: fault.Fault) -> None:
         async with self._locks[item.node]:
             node = self._world.nodes[item.node]
@@ -126,7 +146,10 @@
 
     async def _reload(self, item: fault.Fault) -> None:
         async with self._locks[item.node]:
-            self._world.nodes[item.node].signal(signal.SIGHUP)
+            node = self._world.nodes[item.node]
+            if self._world.series is not None:
+                node.rewrite_settings()
+            node.signal(signal.SIGHUP)
 
     def _peers(self, mode: relay.Mode) -> _Handler:
         return lambda item: _disturb(
@@ -165,10 +188,13 @@
 
     async def _store_restored(self, item: fault.Fault) -> None:
         async with self._restore_lock:
+            from_s = asyncio.get_running_loop().time()
             self._world.store.faults.is_down = True
             await asyncio.sleep(item.for_s)
-            self._world.rollout.restore_copy(item.node)
+            self._world.restore_copy(item.node)
             self._world.store.faults.is_down = False
+            # What is lost is acknowledged again once it is written again.
+            self._add_disruption(item, from_s)
             await asyncio.sleep(item.for_s / plan.MAX_OUTAGE_S * MAX_REWRITE_S)
             self._world.rollout.order_again()
             self._world.write_config()
@@ -182,12 +208,23 @@
     async def _readers_silent(self, item: fault.Fault) -> None:
         """The store gives the followers of a region no answer."""
         region = self._world.nodes[item.node].region
-        async with asyncio.TaskGroup() as tasks:
+        await self._disturb_readers({region}, relay.Mode.SILENT, item.for_s)
+
+    async def _readers_unanswered(self, item: fault.Fault) -> None:
+        """Answers to the followers of a region, or of all, are lost."""
+        regions = {node.region for node in self._world.nodes}
+        if item.node % 2:
+            regions = {self._world.nodes[item.node].region}
+        await self._disturb_readers(regions, relay.Mode.UNANSWERED, item.for_s)
+
+    async def _disturb_readers(
+        self, regions: set[str], mode: relay.Mode, for_s: float
+    ) -> None:
+        # A disturbance that ends would end an overlapping one.
+        async with self._readers_lock, asyncio.TaskGroup() as tasks:
             for node in self._world.nodes:
-                if node.region == region and node.follows_store():
-                    tasks.create_task(
-                        _disturb(node.store, relay.Mode.SILENT, item.for_s)
-                    )
+                if node.region in regions and node.follows_store():
+                    tasks.create_task(_disturb(node.store, mode, for_s))
 
     async def _store_lags(self, item: fault.Fault) -> None:
         """The store loses its history; its reads stay behind for a while.
@@ -237,5 +274,5 @@
     await asyncio.sleep(seconds)
     disturbed.mode = relay.Mode.PASS
     # Bytes that were held back for seconds are stale; drop them.
-    if mode != relay.Mode.DELAY:
+    if mode not in (relay.Mode.DELAY, relay.Mode.UNANSWERED):
         disturbed.reset()
--- a/soak/node_process.py
+++ b/soak/node_process.py
@@ -37,6 +37,7 @@
         place: Data centre and region.
         service: Service of its target.
         store_address: host:port of the store.
+        product: Folder with the checkout that is run.
 
     Attributes:
         region: Its region.
@@ -55,6 +56,7 @@
         place: tuple[str, str],
         service: str,
         store_address: str,
+        product: pathlib.Path = ROOT,
     ):
         self.index = index
         self.name = f"node-{index}"
@@ -70,6 +72,7 @@
         self.store = relay.Relay(
             address=f"{self.host}:{STORE_RELAY_PORT}", target=store_address
         )
+        self._product = product
         self._settings = folder / f"{self.name}.yaml"
         self._log = folder / f"{self.name}.log"
         self._log_start = 0
@@ -94,7 +97,7 @@
         with self._log.open("ab") as log:
             self._log_start = log.tell()
             self._process = subprocess.Popen(
-                [sys.executable, str(ROOT / "deploy" / "node.py")],
+                [sys.executable, str(self._product / "deploy" / "node.py")],
                 stdin=subprocess.DEVNULL,
                 stdout=log,
                 stderr=log,
@@ -104,6 +107,21 @@
                 },
             )
 
+    @property
+    def pid(self) -> int:
+        """Id of the process; 0 before the first start."""
+        return 0 if self._process is None else self._process.pid
+
+    def rewrite_settings(self) -> None:
+        """Writes a changed settings file."""
+        text = self._settings.read_text()
+        grace, other = (
+            ("grace=6s", "grace=6000ms")
+            if "grace=6s" in text
+            else ("grace=6000ms", "grace=6s")
+        )
+        self._settings.write_text(text.replace(grace, other))
+
     def kill(self) -> None:
         """Kills the process."""
         self.is_wanted = False
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -131,7 +131,14 @@
         deadline_s = accepted_s + CONFIG_S
         if seen.has_reader_fault(accepted_s - CONTACT_S, probe.sent_s):
             deadline_s += UNREACHABLE_STORE_S
-        next_s = seen.versions_s.get(probe.version + 1)
+        next_s = min(
+            (
+                at_s
+                for version, at_s in seen.versions_s.items()
+                if version > probe.version
+            ),
+            default=None,
+        )
         is_current = next_s is None or probe.sent_s + 1.0 < next_s
         if probe.has_route or probe.sent_s < deadline_s or not is_current:
             continue
--- a/soak/record.py
+++ b/soak/record.py
@@ -4,6 +4,9 @@
 import typing
 
 from soak import attempt
+from soak import config_history
+from soak import disruption
+from soak import sighting
 
 DEADLY = "deadly request"
 """Describes the span of a crash by a deadly request."""
@@ -72,6 +75,10 @@
         has_rollout: Whether a rollout was ordered.
         states: Its states in the order in which they were read.
         deadly_sent_s: Time at which each deadly request was sent, by attempt.
+        sightings: Requests on routes that the configuration changes.
+        disruptions: Time spans that stretch or suspend the time bounds of the
+            configuration.
+        history: What each version of the configuration says.
         deadly_crashes_s: Times at which deadly requests crashed targets.
     """
 
@@ -87,6 +94,9 @@
         self.exits: list[str] = []
         self.has_rollout = False
         self.states: list[State] = []
+        self.sightings: list[sighting.Sighting] = []
+        self.disruptions: list[disruption.Disruption] = []
+        self.history = config_history.ConfigHistory()
         self.deadly_sent_s: dict[str, float] = {}
         self.deadly_crashes_s: list[float] = []
 
--- a/soak/run.py
+++ b/soak/run.py
@@ -7,6 +7,10 @@
 import typing
 
 from soak import callers
+from soak import change_plan
+from soak import config_promises
+from soak import config_series
+from soak import disruption
 from soak import fault
 from soak import fleet
 from soak import injector
@@ -16,6 +20,7 @@
 from soak import promises
 from soak import record
 from soak import rollout
+from soak import route_callers
 
 CALLERS_PER_NODE = 2
 MAX_RECOVERY_S = 15.0
@@ -63,6 +68,9 @@
             is rolled out.
         has_reader_faults: Whether the store is silent to those who follow it,
             or lags behind after it lost its history.
+        has_changes: Whether a large configuration changes all the time, in
+            place of the other faults.
+        product: Folder with the checkout that is run.
         folder: Folder for settings and logs.
     """
 
@@ -76,12 +84,15 @@
         has_deadly: bool = False,
         has_restores: bool = False,
         has_reader_faults: bool = False,
+        has_changes: bool = False,
+        product: pathlib.Path = node_process.ROOT,
     ):
         self._seed = seed
         self._seconds = seconds
         self._has_deadly = has_deadly
         self._has_restores = has_restores
         self._has_reader_faults = has_reader_faults
+        self._has_changes = has_changes
         self._rng = random.Random(seed)
         self._seen = record.Record()
         self._world = fleet.Fleet(
@@ -90,11 +101,21 @@
             folder=folder,
             seen=self._seen,
             rng=self._rng,
+            product=product,
+            series=(
+                config_series.ConfigSeries(
+                    services=fleet.SERVICES,
+                    rng=random.Random(f"{seed} series"),
+                )
+                if has_changes
+                else None
+            ),
         )
 
     async def execute(self) -> Result:
         """Executes the run and checks the promises."""
-        faults = plan.draw(
+        draw = change_plan.draw if self._has_changes else plan.draw
+        faults = draw(
             seed=self._seed,
             nodes=len(self._world.nodes),
             seconds=self._seconds,
@@ -116,9 +137,12 @@
             findings = [str(error)]
         finally:
             await self._world.close()
+        summary = promises.summary(self._seen.attempts)
+        if self._has_changes:
+            summary += f"; {config_promises.summary(self._seen)}"
         return Result(
             findings=findings,
-            summary=promises.summary(self._seen.attempts),
+            summary=summary,
             faults=[f"{f.at_s:.1f} {f.kind.value} {f.node}" for f in faults],
         )
 
@@ -143,15 +167,21 @@
             for node in self._world.nodes
             if self._has_deadly
         ]
-        tasks += deadly
-        if self._has_restores:
+        bursts = [
+            asyncio.create_task(self._route_client(node).burst())
+            for node in self._world.nodes
+            if self._has_changes
+        ]
+        tasks += deadly + bursts
+        if self._has_restores or self._has_changes:
             tasks.append(asyncio.create_task(self._world.rollout.watch()))
+        if self._has_restores:
             self._world.rollout.order()
         try:
             await injector.Injector(world=self._world, seen=self._seen).run(
                 faults
             )
-            for task in deadly:
+            for task in deadly + bursts:
                 task.cancel()
             await self._world.until_ready(MAX_RECOVERY_S)
             if self._has_restores:
@@ -168,7 +198,8 @@
                 raise outcome
         for node in self._world.nodes:
             self._seen.exits.extend(node.log_faults())
-        return promises.check(self._seen, calm_from_s=calm_from_s)
+        found = promises.check(self._seen, calm_from_s=calm_from_s)
+        return found + config_promises.check(self._seen)
 
     async def _until_verdict(self) -> None:
         loop = asyncio.get_running_loop()
@@ -186,6 +217,19 @@
         client = self._client(node)
         yield from (client.call() for _ in range(CALLERS_PER_NODE))
         yield client.probe()
+        if self._has_changes:
+            yield self._route_client(node).probe()
+
+    def _route_client(
+        self, node: node_process.NodeProcess
+    ) -> route_callers.RouteCallers:
+        return route_callers.RouteCallers(
+            node=node,
+            series=self._world.series,
+            services=tuple(node.service for node in self._world.nodes),
+            seen=self._seen,
+            rng=self._rng,
+        )
 
     def _client(self, node: node_process.NodeProcess) -> callers.Callers:
         return callers.Callers(
@@ -206,6 +250,9 @@
                         expected_s, loop.time(), "the machine is too busy"
                     )
                 )
+                self._seen.disruptions.append(
+                    disruption.Disruption(expected_s, loop.time(), is_slow=True)
+                )
             for node in self._world.nodes:
                 for problem in (node.exit_fault(), node.resident_fault()):
                     if problem:
--- a/tests/soak_processes/test_relay.py
+++ b/tests/soak_processes/test_relay.py
@@ -3,6 +3,7 @@
 import asyncio
 import unittest
 
+from soak import region_line
 from soak import relay
 from tests.mesh import small_fleet
 
@@ -60,6 +61,22 @@
 
         self.play(scenario)
 
+    def test_a_lost_answer_ends_the_answers_of_its_connection(self):
+        """A connection on which none was lost goes on."""
+
+        async def scenario(tested_relay, reader, writer):
+            host, _, port = tested_relay.address.rpartition(":")
+            other = await asyncio.open_connection(host, int(port))
+            self.assertTrue(await self.ask(*other, seconds=5.0))
+            tested_relay.mode = relay.Mode.UNANSWERED
+            self.assertFalse(await self.ask(reader, writer))
+            tested_relay.mode = relay.Mode.PASS
+            self.assertFalse(await self.ask(reader, writer))
+            self.assertTrue(await self.ask(*other, seconds=5.0))
+            other[1].close()
+
+        self.play(scenario)
+
     def test_a_delay_holds_bytes_back(self):
         """Each direction delays its bytes."""
 
@@ -73,6 +90,34 @@
 
         self.play(scenario)
 
+    def test_a_line_delays_and_paces_all_bytes_together(self):
+        async def scenario(tested_relay, reader, writer):
+            line = region_line.RegionLine(delay_s=0.1, bits_per_s=8e5)
+            tested_relay.lines_of = lambda client: (line, None)
+            host, _, port = tested_relay.address.rpartition(":")
+            loop = asyncio.get_running_loop()
+            streams = [
+                await asyncio.open_connection(host, int(port)) for _ in range(2)
+            ]
+            started_s = loop.time()
+            for _, far_writer in streams:
+                far_writer.write(b"x" * 10_000)
+            for far_reader, far_writer in streams:
+                await far_reader.readexactly(10_000)
+                far_writer.close()
+            # 20,000 bytes take 0.2 s on this line, whoever sends them.
+            self.assertGreater(loop.time() - started_s, 0.29)
+
+        self.play(scenario)
+
+    def test_bytes_underway_do_not_wait_for_the_delay_of_others(self):
+        async def scenario(tested_relay, reader, writer):
+            line = region_line.RegionLine(delay_s=5.0, bits_per_s=8e3)
+            first_s = line.arrival_s(1000)
+            self.assertAlmostEqual(line.arrival_s(500) - first_s, 0.5)
+
+        self.play(scenario)
+
     def test_a_reset_ends_connections(self):
         """A reset closes open connections while new ones are refused."""
 
--- a/tests/soak_processes/test_short_run.py
+++ b/tests/soak_processes/test_short_run.py
@@ -11,6 +11,7 @@
 DEADLY_SEED = 4
 RESTORES_SEED = 5
 READERS_SEED = 1
+CHANGES_SEED = 46
 NODES = 4
 SECONDS = 5.0
 
@@ -29,6 +30,9 @@
     def test_all_promises_hold_while_the_store_is_silent_to_its_readers(self):
         self.check(READERS_SEED, has_reader_faults=True, nodes=6)
 
+    def test_all_promises_hold_while_the_configuration_changes(self):
+        self.check(CHANGES_SEED, has_changes=True, nodes=6)
+
     def check(self, seed, *, nodes=NODES, **more):
         with tempfile.TemporaryDirectory() as scratch:
             result = asyncio.run(
