Soak: tell which processes waited for a processor

The logs don't tell whether the node had blocked itself or was not run. The kernel does: the summary lists processes that waited over 0.8 s for a processor. It excuses nothing.

--- a/soak/node_process.py
+++ b/soak/node_process.py
@@ -24,6 +24,7 @@
 STOP_S = 8.0
 """Grace period of 6 s, plus 2 s to start and end the process."""
 
+NS_PER_S = 1e9
 MAX_RESIDENT_KIB = 200 * 1024
 
 
@@ -76,6 +77,7 @@
         self._settings = folder / f"{self.name}.yaml"
         self._log = folder / f"{self.name}.log"
         self._log_start = 0
+        self._waited = (0, 0.0)
         self._process: subprocess.Popen | None = None
         self._settings.write_text(
             yaml.safe_dump(self._settings_document(place))
@@ -179,6 +181,12 @@
             return f"{self.name} uses {resident_kib} KiB"
         return ""
 
+    def starved_s(self) -> float:
+        """Returns how long it waited for a processor since the last call."""
+        waited_s = _waited_s(self.pid)
+        former, self._waited = self._waited, (self.pid, waited_s)
+        return waited_s - former[1] if former[0] == self.pid else 0.0
+
     def log_faults(self) -> list[str]:
         """Returns log lines that show an error or a traceback."""
         text = self._log.read_text(errors="replace")
@@ -226,3 +234,13 @@
         if line.startswith("VmRSS:"):
             return int(line.split()[1])
     return 0
+
+
+def _waited_s(pid: int) -> float:
+    """Returns how long a process has been ready to run, but not running."""
+    try:
+        status = pathlib.Path(f"/proc/{pid}/schedstat").read_text()
+    except OSError:
+        # The process has ended, which `exit_fault` reports.
+        return 0.0
+    return int(status.split()[1]) / NS_PER_S
--- a/soak/record.py
+++ b/soak/record.py
@@ -79,6 +79,8 @@
         disruptions: Time spans that stretch or suspend the time bounds of the
             configuration.
         history: What each version of the configuration says.
+        starved: Processes that waited long for a processor, as text. This
+            excuses nothing; it tells why a time bound was missed.
         deadly_crashes_s: Times at which deadly requests crashed targets.
     """
 
@@ -97,6 +99,7 @@
         self.sightings: list[sighting.Sighting] = []
         self.disruptions: list[disruption.Disruption] = []
         self.history = config_history.ConfigHistory()
+        self.starved: list[str] = []
         self.deadly_sent_s: dict[str, float] = {}
         self.deadly_crashes_s: list[float] = []
 
--- a/soak/run.py
+++ b/soak/run.py
@@ -36,6 +36,7 @@
 """Mean time between two deadly requests."""
 
 WATCH_S = 0.5
+STARVED_S = 0.8
 STALL_S = 0.3
 """A timer that fires this late shows that the machine is too busy for time
 bounds of seconds; such a time span counts as faulty."""
@@ -140,6 +141,8 @@
         summary = promises.summary(self._seen.attempts)
         if self._has_changes:
             summary += f"; {config_promises.summary(self._seen)}"
+        if self._seen.starved:
+            summary += f"; {'; '.join(self._seen.starved)}"
         return Result(
             findings=findings,
             summary=summary,
@@ -254,6 +257,12 @@
                     disruption.Disruption(expected_s, loop.time(), is_slow=True)
                 )
             for node in self._world.nodes:
+                starved_s = node.starved_s()
+                if starved_s > STARVED_S:
+                    self._seen.starved.append(
+                        f"{node.name} waited {starved_s:.1f} s for a"
+                        f" processor before {loop.time():.1f}"
+                    )
                 for problem in (node.exit_fault(), node.resident_fault()):
                     if problem:
                         self._seen.exits.append(problem)
