--- a/src/galenatack/config/table_watcher.py
+++ b/src/galenatack/config/table_watcher.py
@@ -244,8 +244,8 @@
         if not self._rereads_s:
             self._history_delays.reset()
         if self._has_lost_watch and self._after is not None:
-            # The store may have lost its leader as well. What the read lacked
-            # comes with the next watch.
+            # What caused the loss may make this read lag, too. The next watch
+            # returns what it lacks.
             newest = max((row.revision for row in page.rows), default=0)
             page = page._replace(revision=max(self._after, newest))
         self._has_lost_watch = False
