Tell late arrivals, held answers and a late event loop apart

Requests were reported as held past their time-out, and no log line or metric told where: the time to arrive, the time for which a ready answer waited for those before it, and the delay of the event loop were recorded nowhere.

The listener's counters are one object, ConnectionStats. No request is handled differently.

--- a/src/galenatack/app/mesh_metrics.py
+++ b/src/galenatack/app/mesh_metrics.py
@@ -78,7 +78,12 @@
                 exposition.sample(
                     "requests_refused_total", count, {"status": str(status)}
                 )
-                for status, count in sorted(parts.callers.refusals.items())
+                for status, count in sorted(
+                    parts.callers.stats.refusals.items()
+                )
+            ),
+            exposition.sample(
+                "answers_held_total", parts.callers.stats.held_answers
             ),
         ]
 
--- a/src/galenatack/app/mesh_node.py
+++ b/src/galenatack/app/mesh_node.py
@@ -6,6 +6,7 @@
 import anyio.abc
 
 from galenatack import exceptions
+from galenatack.app import loop_monitor
 from galenatack.app import mesh_metrics
 from galenatack.app import mesh_parts
 from galenatack.app import shutdown_schedule
@@ -104,6 +105,9 @@
             "rollouts": parts.driver.run,
             "crash-archive": parts.crash_archive.run,
             "log-report": self._report_dropped_lines,
+            "loop-monitor": loop_monitor.LoopMonitor(
+                clock=parts.clock, stats=parts.stats
+            ).run,
         }
         for watcher in parts.watchers:
             task_functions[f"watch-{watcher.name}"] = watcher.run
--- a/src/galenatack/links/http_request.py
+++ b/src/galenatack/links/http_request.py
@@ -11,9 +11,11 @@
         target: Path and query, also of a request in absolute form.
         headers: Headers, with names in lower case.
         body: Complete body.
+        receive_s: Time from its first byte until it was whole.
     """
 
     method: str
     target: str
     headers: tuple[tuple[str, str], ...]
     body: bytes
+    receive_s: float = 0.0
--- a/src/galenatack/links/pipelined_connection.py
+++ b/src/galenatack/links/pipelined_connection.py
@@ -8,6 +8,7 @@
 
 from galenatack import exceptions
 from galenatack.links import connection_limits
+from galenatack.links import connection_stats
 from galenatack.links import http_head
 from galenatack.links import http_request
 from galenatack.links import http_response
@@ -27,6 +28,9 @@
 MAX_DISCARDED_BYTES = 1_000_000
 """Limit on bytes that are read and dropped before a connection is closed."""
 
+HELD_S = 0.25
+"""An answer that waits longer for those before it is counted and logged."""
+
 LINGER_S = 1.0
 """Delay before closing after the last answer.
 
@@ -34,6 +38,9 @@
 request, and the peer would lose the answer.
 """
 
+MAX_LOGGED_CHARACTERS = 100
+MS_PER_S = 1000
+
 REQUEST_TIMEOUT = 408
 INTERNAL_ERROR = 500
 BAD_GATEWAY = 502
@@ -47,13 +54,22 @@
 
 
 class _Exchange:
-    __slots__ = ("is_head", "keeps_alive", "response", "task")
-
-    def __init__(self, *, is_head: bool, keeps_alive: bool):
+    __slots__ = (
+        "is_head",
+        "keeps_alive",
+        "ready_s",
+        "response",
+        "target",
+        "task",
+    )
+
+    def __init__(self, *, target: str, is_head: bool, keeps_alive: bool):
+        self.target = target
         self.is_head = is_head
         self.keeps_alive = keeps_alive
         self.task: asyncio.Task | None = None
         self.response: http_response.HttpResponse | None = None
+        self.ready_s = 0.0
 
 
 class PipelinedConnection(asyncio.Protocol):
@@ -63,7 +79,7 @@
         respond: Answers a request; cancelled when the peer disconnects.
         limits: Limits; changes apply to open connections.
         connections: Open connections; this one adds and removes itself.
-        refusals: Counts requests that were refused unread, by status.
+        stats: Counts what happens to requests.
     """
 
     def __init__(
@@ -72,12 +88,12 @@
         respond: Respond,
         limits: connection_limits.ConnectionLimits,
         connections: "set[PipelinedConnection]",
-        refusals: collections.Counter[int],
+        stats: connection_stats.ConnectionStats,
     ):
         self._respond = respond
         self._limits = limits
         self._connections = connections
-        self._refusals = refusals
+        self._stats = stats
         self._loop = asyncio.get_running_loop()
         self._transport: asyncio.Transport | None = None
         self._reader = request_reader.RequestReader(
@@ -94,6 +110,8 @@
         self._is_writing_paused = False
         self._last_active_s = self._loop.time()
         self._request_began_s: float | None = None
+        self._fed_since_s = self._last_active_s
+        self._unread_since_s = self._last_active_s
 
     @property
     def is_idle(self) -> bool:
@@ -115,10 +133,12 @@
         if self._request_began_s is None:
             self._request_began_s = self._last_active_s
         if self._is_full():
+            if not self._unread:
+                self._unread_since_s = self._last_active_s
             self._unread += data
             self._limit_unread()
             return
-        self._feed(data)
+        self._feed(data, arrived_s=self._last_active_s)
 
     def eof_received(self) -> None:
         """Cancels the requests; the transport then closes itself."""
@@ -180,14 +200,15 @@
         ):
             self._transport.close()
 
-    def _feed(self, data: bytes) -> None:
+    def _feed(self, data: bytes, *, arrived_s: float) -> None:
+        self._fed_since_s = arrived_s
         self._reader.feed(data)
         if not self._reader.is_open:
             return
         if not self._reader.has_begun:
             self._request_began_s = None
         elif self._request_began_s is None:
-            self._request_began_s = self._loop.time()
+            self._request_began_s = arrived_s
 
     def _is_full(self) -> bool:
         return (
@@ -212,12 +233,17 @@
         data, self._unread = self._unread, b""
         if not self._transport.is_closing():
             self._transport.resume_reading()
-        self._feed(data)
+        self._feed(data, arrived_s=self._unread_since_s)
 
     def _run(
         self, request: http_request.HttpRequest, *, keeps_alive: bool
     ) -> None:
+        began_s = self._request_began_s
+        if began_s is None:
+            began_s = self._fed_since_s
+        request = request._replace(receive_s=self._loop.time() - began_s)
         exchange = _Exchange(
+            target=request.target,
             is_head=request.method == "HEAD",
             keeps_alive=keeps_alive and not self._is_finishing,
         )
@@ -241,6 +267,7 @@
             # A bug in one request must not fail the others.
             _LOGGER.exception("event=request-failed target=%s", request.target)
             exchange.response = http_response.HttpResponse(INTERNAL_ERROR)
+        exchange.ready_s = self._loop.time()
         self._flush()
 
     def _flush(self) -> None:
@@ -250,10 +277,24 @@
                 return
             exchange = self._pending.popleft()
             self._last_active_s = self._loop.time()
+            self._note_held(exchange)
             if not self._send(exchange):
                 return
         self._process_unread()
 
+    def _note_held(self, exchange: _Exchange) -> None:
+        """Counts and logs an answer that waited for those before it."""
+        held_s = self._last_active_s - exchange.ready_s
+        if held_s < HELD_S:
+            return
+        self._stats.held_answers += 1
+        _LOGGER.info(
+            "event=answer-held target=%r status=%d held_ms=%d",
+            exchange.target[:MAX_LOGGED_CHARACTERS],
+            exchange.response.status,
+            held_s * MS_PER_S,
+        )
+
     def _send(self, exchange: _Exchange) -> bool:
         """Sends an answer; returns False if it closes the connection."""
         # Requests that are pending or partly received are still answered.
@@ -278,10 +319,11 @@
 
     def _refuse(self, status: int) -> None:
         """Answers an invalid request, after the requests before it."""
-        self._refusals[status] += 1
+        self._stats.refusals[status] += 1
         self._stop_reading()
-        exchange = _Exchange(is_head=False, keeps_alive=False)
+        exchange = _Exchange(target="", is_head=False, keeps_alive=False)
         exchange.response = http_response.HttpResponse(status)
+        exchange.ready_s = self._loop.time()
         self._pending.append(exchange)
         self._flush()
 
--- a/src/galenatack/links/pipelined_server.py
+++ b/src/galenatack/links/pipelined_server.py
@@ -1,11 +1,11 @@
 """An HTTP/1.1 listener with pipelining."""
 
 import asyncio
-import collections
 
 import anyio
 
 from galenatack.links import connection_limits
+from galenatack.links import connection_stats
 from galenatack.links import pipelined_connection
 
 BACKLOG = 1024
@@ -22,7 +22,8 @@
         limits: Limits of connections; changes apply at once.
 
     Attributes:
-        refusals: Number of requests that were refused unread, by status.
+        limits: Limits of connections.
+        stats: Counters of all connections.
     """
 
     def __init__(
@@ -36,7 +37,7 @@
         self._respond = respond
         self.limits = limits or connection_limits.ConnectionLimits()
         self._connections: set[pipelined_connection.PipelinedConnection] = set()
-        self.refusals: collections.Counter[int] = collections.Counter()
+        self.stats = connection_stats.ConnectionStats()
         self._server: asyncio.Server | None = None
         self._is_draining = False
 
@@ -100,7 +101,7 @@
             respond=self._respond,
             limits=self.limits,
             connections=self._connections,
-            refusals=self.refusals,
+            stats=self.stats,
         )
         if self._is_draining:
             connection.drain()
--- a/src/galenatack/model/caller_request.py
+++ b/src/galenatack/model/caller_request.py
@@ -15,6 +15,7 @@
         body: Whole body.
         deadline_ms: Time that the caller waits for an answer; 0 if it is not
             given.
+        receive_ms: Time from its first byte until it was whole.
     """
 
     request_id: str
@@ -24,3 +25,4 @@
     headers: tuple[tuple[str, str], ...]
     body: bytes
     deadline_ms: int
+    receive_ms: float = 0.0
--- a/src/galenatack/platform/caller_dialect.py
+++ b/src/galenatack/platform/caller_dialect.py
@@ -49,6 +49,7 @@
                 headers=_headers.forwarded_request_headers(request.headers),
                 body=request.body,
                 deadline_ms=_deadline_ms(by_name.get(_headers.DEADLINE_MS)),
+                receive_ms=request.receive_s * _MS_PER_S,
             )
         )
         return _response(request_id, result)
--- a/src/galenatack/traffic/call_telemetry.py
+++ b/src/galenatack/traffic/call_telemetry.py
@@ -143,6 +143,7 @@
             if attempts and attempts.trail
             else "-",
             retry_after_ms=result.retry_after_ms,
+            received_ms=request.receive_ms,
             took_ms=took_ms,
             deadline_ms=request.deadline_ms,
             config=self._config.version,
--- a/tests/links/test_pipelined_connection.py
+++ b/tests/links/test_pipelined_connection.py
@@ -5,6 +5,7 @@
 
 from galenatack.links import connection_limits
 from galenatack.links import http_response
+from galenatack.links import pipelined_connection
 from galenatack.links import pipelined_server
 from tests.mesh import small_fleet
 
@@ -205,7 +206,7 @@
                 writer.write(sent)
                 text = await reader.read()
                 self.assertIn(b" " + status + b" ", text[:16], sent[:30])
-                self.assertEqual(rig.server.refusals[int(status)], 1)
+                self.assertEqual(rig.server.stats.refusals[int(status)], 1)
                 writer.close()
 
         run(
@@ -237,3 +238,37 @@
             writer.close()
 
         run(scenario)
+
+    def test_an_answer_that_waits_for_those_before_it_is_counted(self):
+        """It was ready long before its caller could have it."""
+
+        async def scenario(rig):
+            rig.gates["/1"] = asyncio.Event()
+            reader, writer = await rig.connect()
+            writer.write(GET % b"1" + GET % b"2")
+            await asyncio.sleep(2 * pipelined_connection.HELD_S)
+            self.assertEqual(rig.server.stats.held_answers, 0)
+            rig.gates["/1"].set()
+            await reader.readuntil(b"/2")
+            self.assertEqual(rig.server.stats.held_answers, 1)
+            writer.close()
+
+        run(scenario)
+
+    def test_the_time_in_which_a_request_arrived_is_known(self):
+        """It counts from the first byte, also if the head came in parts."""
+
+        async def scenario(rig):
+            reader, writer = await rig.connect()
+            writer.write(b"PUT /1 HTTP/1.1\r\n")
+            await asyncio.sleep(0.2)
+            writer.write(b"Host: a\r\nContent-Length: 1\r\n\r\n")
+            await asyncio.sleep(0.2)
+            writer.write(b"x" + GET % b"2")
+            await reader.readuntil(b"/2")
+            slow, fast = rig.received
+            self.assertGreaterEqual(slow.receive_s, 0.35)
+            self.assertLess(fast.receive_s, 0.1)
+            writer.close()
+
+        run(scenario)
