Answer a request by its time-out although its body never comes

Cause: the clock of a route started when the request was whole, and between the end of its head and that moment there was no timer: check_time covers heads and idle connections. In the logs such a request has no 'answered' line; answers_held_total and loop-delay stay 0. Class: a wait without a timer, since a deadline belongs to a later step than the wait.

Ruled out for this fault: answers held by earlier ones (one request on its connection), a late event loop.

The limit is known with the head: the lesser of the route's time-out and the caller's deadline, from the first byte on. Only a request that is not whole when its head was read gets a timer, so that a request in one piece costs nothing more. What arrival took is taken off the deadline that targets get. 408 is true: nothing was sent on.

--- a/src/galenatack/app/mesh_wiring.py
+++ b/src/galenatack/app/mesh_wiring.py
@@ -201,7 +201,9 @@
     membership: membership_service.MembershipService,
 ) -> _Servers:
     settings = base.settings
-    callers = caller_dialect.CallerDialect(handle=outbound.router.handle)
+    callers = caller_dialect.CallerDialect(
+        handle=outbound.router.handle, timeout_ms=outbound.router.timeout_ms
+    )
     control = control_dialect.ControlDialect(
         registry=target_departures.TargetDepartures(
             registry=inbound.registry,
@@ -220,7 +222,9 @@
     )
     return _Servers(
         callers=pipelined_server.PipelinedServer(
-            address=settings.caller_address, respond=callers.respond
+            address=settings.caller_address,
+            respond=callers.respond,
+            time_limit=callers.time_limit_s,
         ),
         control=pipelined_server.PipelinedServer(
             address=settings.control_address, respond=control.respond
--- a/src/galenatack/links/pipelined_connection.py
+++ b/src/galenatack/links/pipelined_connection.py
@@ -53,6 +53,11 @@
 ]
 
 
+TimeLimit = collections.abc.Callable[[http_request.HttpRequest], float | None]
+"""Returns from its head how long a request may take, in seconds; None if that
+is not known."""
+
+
 class _Exchange:
     __slots__ = (
         "is_head",
@@ -77,6 +82,7 @@
 
     Args:
         respond: Answers a request; cancelled when the peer disconnects.
+        time_limit: Limits the time to receive a request.
         limits: Limits; changes apply to open connections.
         connections: Open connections; this one adds and removes itself.
         stats: Counts what happens to requests.
@@ -86,11 +92,13 @@
         self,
         *,
         respond: Respond,
+        time_limit: TimeLimit,
         limits: connection_limits.ConnectionLimits,
         connections: "set[PipelinedConnection]",
         stats: connection_stats.ConnectionStats,
     ):
         self._respond = respond
+        self._time_limit = time_limit
         self._limits = limits
         self._connections = connections
         self._stats = stats
@@ -112,6 +120,7 @@
         self._request_began_s: float | None = None
         self._fed_since_s = self._last_active_s
         self._unread_since_s = self._last_active_s
+        self._request_timer: asyncio.TimerHandle | None = None
 
     @property
     def is_idle(self) -> bool:
@@ -148,6 +157,7 @@
         """Unregisters the connection and cancels its requests."""
         del exc
         self._connections.discard(self)
+        self._stop_request_timer()
         self._cancel_pending()
 
     def pause_writing(self) -> None:
@@ -188,13 +198,7 @@
         limits = self._limits
         if self._request_began_s is not None and not self._reader.has_head:
             if now_s - self._request_began_s > limits.header_timeout_s:
-                _LOGGER.info(
-                    "event=request-refused status=%d detail=%r",
-                    REQUEST_TIMEOUT,
-                    f"no whole head in {limits.header_timeout_s:g} s",
-                )
-                self._reader.close()
-                self._refuse(REQUEST_TIMEOUT)
+                self._refuse_late("head", limits.header_timeout_s)
         elif (
             self.is_idle and now_s - self._last_active_s > limits.idle_timeout_s
         ):
@@ -209,6 +213,34 @@
             self._request_began_s = None
         elif self._request_began_s is None:
             self._request_began_s = arrived_s
+        if self._reader.has_head and self._reader.has_begun:
+            self._start_request_timer()
+
+    def _start_request_timer(self) -> None:
+        """Limits the time until the rest of a request is received."""
+        if self._request_timer is not None:
+            return
+        limit_s = self._time_limit(self._reader.head())
+        if limit_s is None:
+            limit_s = self._limits.request_timeout_s
+        self._request_timer = self._loop.call_at(
+            self._request_began_s + limit_s, self._refuse_late, "body", limit_s
+        )
+
+    def _stop_request_timer(self) -> None:
+        if self._request_timer is not None:
+            self._request_timer.cancel()
+            self._request_timer = None
+
+    def _refuse_late(self, part: str, limit_s: float) -> None:
+        """Refuses a request of which a part did not arrive in time."""
+        _LOGGER.info(
+            "event=request-refused status=%d detail=%r",
+            REQUEST_TIMEOUT,
+            f"no whole {part} in {limit_s:g} s",
+        )
+        self._reader.close()
+        self._refuse(REQUEST_TIMEOUT)
 
     def _is_full(self) -> bool:
         return (
@@ -248,6 +280,7 @@
             keeps_alive=keeps_alive and not self._is_finishing,
         )
         self._request_began_s = None
+        self._stop_request_timer()
         self._pending.append(exchange)
         if self._is_finishing:
             self._stop_reading()
@@ -330,6 +363,7 @@
     def _stop_reading(self) -> None:
         self._reader.close()
         self._request_began_s = None
+        self._stop_request_timer()
         self._unread = b""
 
     def _close_soon(self) -> None:
--- a/src/galenatack/links/pipelined_server.py
+++ b/src/galenatack/links/pipelined_server.py
@@ -6,6 +6,7 @@
 
 from galenatack.links import connection_limits
 from galenatack.links import connection_stats
+from galenatack.links import http_request
 from galenatack.links import pipelined_connection
 
 BACKLOG = 1024
@@ -13,12 +14,18 @@
 """How often the timeouts of connections are checked."""
 
 
+def _no_limit(request: http_request.HttpRequest) -> None:
+    del request
+
+
 class PipelinedServer:
     """Serves `PipelinedConnection`s on one address.
 
     Args:
         address: host:port to listen on.
         respond: Answers a request.
+        time_limit: Limits the time to receive a request; by default the limits
+            of connections do.
         limits: Limits of connections; changes apply at once.
 
     Attributes:
@@ -31,10 +38,12 @@
         *,
         address: str,
         respond: pipelined_connection.Respond,
+        time_limit: pipelined_connection.TimeLimit = _no_limit,
         limits: connection_limits.ConnectionLimits | None = None,
     ):
         self._address = address
         self._respond = respond
+        self._time_limit = time_limit
         self.limits = limits or connection_limits.ConnectionLimits()
         self._connections: set[pipelined_connection.PipelinedConnection] = set()
         self.stats = connection_stats.ConnectionStats()
@@ -99,6 +108,7 @@
     def _make_connection(self) -> pipelined_connection.PipelinedConnection:
         connection = pipelined_connection.PipelinedConnection(
             respond=self._respond,
+            time_limit=self._time_limit,
             limits=self.limits,
             connections=self._connections,
             stats=self.stats,
--- a/src/galenatack/links/request_reader.py
+++ b/src/galenatack/links/request_reader.py
@@ -80,6 +80,20 @@
         self.is_open = False
         self.has_begun = False
 
+    def head(self) -> http_request.HttpRequest:
+        """Returns the request being received, whose head is complete."""
+        host, target = request_target.split(self._target.decode("latin-1"))
+        headers = self._headers
+        if host is not None:
+            others = [item for item in headers if item[0] != "host"]
+            headers = [("host", host), *others]
+        return http_request.HttpRequest(
+            method=self._parser.get_method().decode("ascii"),
+            target=target,
+            headers=tuple(headers),
+            body=b"",
+        )
+
     def feed(self, data: bytes) -> None:
         """Parses received bytes, which may hold several requests."""
         for start in range(0, len(data), MAX_PARSED_BYTES):
@@ -164,16 +178,7 @@
             return
         self.has_begun = False
         self._has_ended_one = True
-        host, target = request_target.split(self._target.decode("latin-1"))
-        if host is not None:
-            others = [item for item in self._headers if item[0] != "host"]
-            self._headers = [("host", host), *others]
-        request = http_request.HttpRequest(
-            method=self._parser.get_method().decode("ascii"),
-            target=target,
-            headers=tuple(self._headers),
-            body=bytes(self._body),
-        )
+        request = self.head()._replace(body=bytes(self._body))
         # The connection may stay idle for long.
         self._body = bytearray()
         self._received_bytes = 0
--- a/src/galenatack/platform/caller_dialect.py
+++ b/src/galenatack/platform/caller_dialect.py
@@ -21,15 +21,31 @@
 ]
 
 
+TimeoutMs = collections.abc.Callable[[str, str, int], int | None]
+
+
 class CallerDialect:
     """Answers HTTP requests of callers through a call handler.
 
     Args:
         handle: Routes a call and returns its result.
+        timeout_ms: Returns how long a request to a host and path may take;
+            None if no route matches.
     """
 
-    def __init__(self, *, handle: Handle):
+    def __init__(self, *, handle: Handle, timeout_ms: TimeoutMs):
         self._handle = handle
+        self._timeout_ms = timeout_ms
+
+    def time_limit_s(self, request: http_request.HttpRequest) -> float | None:
+        """Returns how long a request may take, or None if it is unknown."""
+        by_name = dict(request.headers)
+        timeout_ms = self._timeout_ms(
+            _host(by_name.get("host", "")),
+            request.target,
+            _deadline_ms(by_name.get(_headers.DEADLINE_MS)),
+        )
+        return None if timeout_ms is None else timeout_ms / _MS_PER_S
 
     async def respond(
         self, request: http_request.HttpRequest
@@ -44,7 +60,7 @@
             caller_request.CallerRequest(
                 request_id=request_id,
                 method=request.method,
-                host=_values.host(host.partition(":")[0]),
+                host=_host(host),
                 path=request.target,
                 headers=_headers.forwarded_request_headers(request.headers),
                 body=request.body,
@@ -55,6 +71,11 @@
         return _response(request_id, result)
 
 
+def _host(value: str) -> str:
+    """Returns the name in a `host` header, without the port."""
+    return _values.host(value.partition(":")[0])
+
+
 def _deadline_ms(text: str | None) -> int:
     """Returns the caller's deadline, or 0 if it is missing or invalid."""
     try:
--- a/src/galenatack/traffic/call_router.py
+++ b/src/galenatack/traffic/call_router.py
@@ -7,6 +7,7 @@
 from galenatack.messages import call_answer
 from galenatack.model import call_result
 from galenatack.model import caller_request
+from galenatack.model import host_route
 from galenatack.model import member_record
 from galenatack.model import outcome
 from galenatack.quarantine import crash_ledger
@@ -101,7 +102,8 @@
         self, request: caller_request.CallerRequest
     ) -> call_result.CallResult:
         """Handles a request; a failed call is a result, not an exception."""
-        started_s = self._clock.monotonic_s()
+        # The caller waits from its first byte on.
+        started_s = self._clock.monotonic_s() - request.receive_ms / MS_PER_S
         attempts = None
         self.in_flight += 1
         try:
@@ -114,6 +116,21 @@
         self._telemetry.record_answered(request, attempts, result, started_s)
         return result
 
+    def timeout_ms(self, host: str, path: str, deadline_ms: int) -> int | None:
+        """Returns how long a request may take, from its first byte on.
+
+        Args:
+            host: Requested host.
+            path: Path and query.
+            deadline_ms: Time that the caller waits; 0 if it is not given.
+
+        Returns:
+            The time in ms; None without a matching route.
+        """
+        table = self._config.table
+        route = None if table is None else table.find(host, path)
+        return None if route is None else _timeout_ms(route, deadline_ms)
+
     def _start_attempts(
         self, request: caller_request.CallerRequest, started_s: float
     ) -> request_attempts.RequestAttempts:
@@ -133,9 +150,7 @@
                 f" {', '.join(route.unknowns)}",
                 retry_after_ms=UNUSABLE_ROUTE_RETRY_AFTER_MS,
             )
-        timeout_ms = route.timeout_ms
-        if request.deadline_ms:
-            timeout_ms = min(timeout_ms, request.deadline_ms)
+        timeout_ms = _timeout_ms(route, request.deadline_ms)
         deadline_s = started_s + timeout_ms / MS_PER_S
         self._shutdown.check(deadline_s)
         return request_attempts.RequestAttempts(
@@ -268,6 +283,10 @@
             view.eject(now_s)
 
 
+def _timeout_ms(route: host_route.HostRoute, deadline_ms: int) -> int:
+    return min(route.timeout_ms, deadline_ms or route.timeout_ms)
+
+
 def _refused(error: exceptions.CallError) -> call_result.CallResult:
     result = local_replies.not_run(error)
     if isinstance(error, exceptions.NoTargetError):
--- a/src/galenatack/traffic/call_telemetry.py
+++ b/src/galenatack/traffic/call_telemetry.py
@@ -118,7 +118,7 @@
             attempts: Attempts of the request; None if it was refused before
                 the first one.
             result: The answer.
-            started_s: Monotonic time at which the request arrived.
+            started_s: Monotonic time at which the request began to arrive.
         """
         took_ms = (self._clock.monotonic_s() - started_s) * MS_PER_S
         self._stats.count(
--- a/tests/platform/test_caller_dialect.py
+++ b/tests/platform/test_caller_dialect.py
@@ -18,7 +18,9 @@
             hosts.append(request.host)
             return local_replies.not_run(exceptions.NoRouteError("none"))
 
-        dialect = caller_dialect.CallerDialect(handle=handle)
+        dialect = caller_dialect.CallerDialect(
+            handle=handle, timeout_ms=lambda host, path, deadline_ms: None
+        )
         for name in ("b.example.", "B.example.:8629", "b.example:80"):
             request = http_request.HttpRequest(
                 "GET", "/", (("host", name),), b""
