Bound the memory that answers of a target take over all calls of a node

Operators of other systems: a target that sent bytes without end took the memory of the machine that had called it.

Cause: (1) a failed answer was kept. The connection and its parser refer to each other, and collections of garbage are rare by design, so the partial body of each failed call stayed. (2) Each answer had a limit, all answers together had none. Class: a limit for one thing where the resource is shared by all.

Change: an answer is dropped when its exchange ends and the cycle is broken when the connection is lost. Long answers (above 64 KB) need one of six places for each host; the others are not read meanwhile, so that flow control slows the target down and nothing is refused.

--- a/src/galenatack/links/connection_pool.py
+++ b/src/galenatack/links/connection_pool.py
@@ -8,12 +8,17 @@
 from galenatack import exceptions
 from galenatack import steady_clock
 from galenatack.links import keep_alive
+from galenatack.links import large_bodies
 from galenatack.links import target_connection
 
 KEEP_ALIVE_MARGIN_S = 1.0
 """A connection is discarded this long before the server would close it."""
 
 
+LARGE_BODIES = 6
+"""Number of long answers that are received from a host at a time."""
+
+
 class ConnectionPool:
     """Connections to one host; the most recently used is reused first.
 
@@ -38,6 +43,7 @@
         self._port = port
         self._connect_timeout_s = connect_timeout_s
         self._max_answer_bytes = max_answer_bytes
+        self._large_bodies = large_bodies.LargeBodies(places=LARGE_BODIES)
         self._idle: list[target_connection.TargetConnection] = []
         self._max_connections = max_connections
         self._limit: anyio.Semaphore | None = None
@@ -133,5 +139,6 @@
 
     def _make_connection(self) -> target_connection.TargetConnection:
         return target_connection.TargetConnection(
-            max_answer_bytes=self._max_answer_bytes
+            max_answer_bytes=self._max_answer_bytes,
+            large_bodies=self._large_bodies,
         )
--- a/src/galenatack/links/target_connection.py
+++ b/src/galenatack/links/target_connection.py
@@ -7,6 +7,7 @@
 import httptools
 
 from galenatack import exceptions
+from galenatack.links import large_bodies as large_bodies_module
 
 Headers = collections.abc.Sequence[tuple[bytes, bytes]]
 IsAnswer = collections.abc.Callable[[Headers], bool]
@@ -14,7 +15,11 @@
 _LENGTHS = frozenset({b"content-length", b"transfer-encoding"})
 _FIRST_FINAL_STATUS = 200
 
-MAX_OVERHEAD_BYTES = 262_144
+READ_BYTES = 16_384
+"""Bytes that are read and parsed at a time, before other connections have their
+turn: a faulty target may send many small pieces at once."""
+
+MAX_OVERHEAD_BYTES = 65_536
 """Limit on received bytes that are not the body of an answer, beyond the size
 of that of this answer: heads, interim answers, chunk sizes and trailers. A
 faulty target may send them without end."""
@@ -37,7 +42,7 @@
     body: bytes
 
 
-class TargetConnection(asyncio.Protocol):
+class TargetConnection(asyncio.BufferedProtocol):
     """Runs one call at a time, as an asyncio protocol.
 
     The waiting task is woken once, when the answer is complete. The caller
@@ -45,10 +50,18 @@
 
     Args:
         max_answer_bytes: Maximum size of an answer body.
+        large_bodies: Limits the long answers that are received at a time.
     """
 
-    def __init__(self, *, max_answer_bytes: int):
+    def __init__(
+        self,
+        *,
+        max_answer_bytes: int,
+        large_bodies: large_bodies_module.LargeBodies,
+    ):
         self._max_answer_bytes = max_answer_bytes
+        self._large_bodies = large_bodies
+        self._buffer = bytearray(READ_BYTES)
         self._parser = httptools.HttpResponseParser(self)
         self._transport: asyncio.Transport | None = None
         self._waiter: asyncio.Future[RawAnswer] | None = None
@@ -66,25 +79,34 @@
         self._transport = typing.cast(asyncio.Transport, transport)
         self.is_usable = True
 
-    def data_received(self, data: bytes) -> None:
+    def get_buffer(self, sizehint: int) -> bytearray:
+        """Returns the buffer for the next read."""
+        del sizehint
+        return self._buffer
+
+    def buffer_updated(self, nbytes: int) -> None:
         """Feeds received bytes to the parser."""
-        if self._waiter is None or self._waiter.done():
+        if self._is_done():
             # No call is waiting, or it timed out; the next answer on this
             # connection could be attributed to the wrong call.
             self.close()
             return
-        self._received_bytes += len(data)
+        self._received_bytes += nbytes
         try:
-            self._parser.feed_data(data)
+            self._parser.feed_data(memoryview(self._buffer)[:nbytes])
         except httptools.HttpParserUpgrade:
             self._fail("answer switches the protocol")
         except httptools.HttpParserError as error:
             # Bytes after a complete answer only close the connection.
             self._fail(str(error))
+        if self._is_done():
+            return
         body_bytes = len(self._body)
         other_bytes = self._received_bytes - self._skipped_bytes - body_bytes
         if other_bytes > MAX_OVERHEAD_BYTES + body_bytes:
             self._fail("too many bytes beside the answer")
+        elif body_bytes > large_bodies_module.FREE_BYTES:
+            self._large_bodies.claim(self)
 
     def eof_received(self) -> None:
         """Completes an answer without a length; the transport closes itself."""
@@ -98,6 +120,9 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Fails the exchange."""
         self._fail(str(exc or "connection closed"))
+        # The parser refers to this object: without the cycle, the memory of
+        # both is free at once.
+        self._parser = None
 
     async def exchange(
         self,
@@ -133,12 +158,22 @@
             return await self._waiter
         finally:
             self._waiter = None
+            self._drop_answer()
 
     def close(self) -> None:
         """Closes the connection at once."""
         self.is_usable = False
         self._transport.abort()
 
+    def pause(self) -> None:
+        """Stops reading until a long answer may be received."""
+        self._transport.pause_reading()
+
+    def resume(self) -> None:
+        """Goes on reading."""
+        if not self._transport.is_closing():
+            self._transport.resume_reading()
+
     def on_message_begin(self) -> None:
         """Parser callback: start of an answer."""
         if self._is_done():
@@ -160,6 +195,8 @@
 
     def on_body(self, body: bytes) -> None:
         """Parser callback: a part of the body."""
+        if self._is_done():
+            return
         self._body += body
         if len(self._body) > self._max_answer_bytes:
             self._fail("answer too large")
@@ -180,6 +217,12 @@
         self._has_head = False
         self._has_length = False
 
+    def _drop_answer(self) -> None:
+        """Frees the memory of an answer that was handed over or has failed."""
+        self._headers = []
+        self._body = bytearray()
+        self._large_bodies.release(self)
+
     def _skip(self) -> None:
         """Drops an answer to another request."""
         self._skipped_bytes += len(self._body)
--- a/tests/links/test_endless_bytes.py
+++ b/tests/links/test_endless_bytes.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import gc
 import tracemalloc
 import unittest
 
@@ -108,6 +109,67 @@
                 self.assertLess(self.peak_bytes, MEMORY_LIMIT_BYTES)
 
 
+class TestManyCalls(unittest.TestCase):
+    """Calls at the same time to a target that sends bytes without end."""
+
+    CALLS = 60
+    MEMORY_LIMIT_BYTES = 64_000_000
+    """A fifth of the memory of a small node, which has 300 MB."""
+
+    def ask(self, begin, more):
+        """Returns the peak memory of three waves of calls, in bytes."""
+
+        async def main():
+            ended = []
+
+            async def serve(reader, writer):
+                await reader.read(100)
+                await send_without_end(writer, begin, more)
+                writer.close()
+                ended.append(writer)
+
+            async def ask(client):
+                with contextlib.suppress(exceptions.TargetAnswerLostError):
+                    await client.request("GET", "/")
+
+            (address,) = small_fleet.free_addresses(1)
+            host, port = address.split(":")
+            server = await asyncio.start_server(serve, host, int(port))
+            client = http_client.HttpClient(
+                address=address,
+                max_connections=self.CALLS,
+                connect_timeout_s=1.0,
+                max_answer_bytes=MAX_ANSWER_BYTES,
+            )
+            async with asyncio.timeout(30):
+                for _ in range(3):
+                    async with asyncio.TaskGroup() as tasks:
+                        for _ in range(self.CALLS):
+                            tasks.create_task(ask(client))
+                while len(ended) < 3 * self.CALLS:
+                    await asyncio.sleep(0.01)
+            peak_bytes = tracemalloc.get_traced_memory()[1]
+            await client.close()
+            server.close()
+            return peak_bytes
+
+        gc.disable()
+        tracemalloc.start()
+        try:
+            return asyncio.run(main())
+        finally:
+            tracemalloc.stop()
+            gc.enable()
+
+    def test_memory_is_bounded_over_all_calls(self):
+        """What a failed call has read is free without a collection."""
+        for name in ("body without a length", "body"):
+            with self.subTest(name):
+                begin, more = ENDLESS_ANSWERS[name]
+                peak_bytes = self.ask(begin, more * 64)
+                self.assertLess(peak_bytes, self.MEMORY_LIMIT_BYTES)
+
+
 ENDLESS_REQUESTS = {
     "request line": (b"GET /", b"a" * 1000),
     "header line": (b"GET / HTTP/1.1\r\nx: ", b"a" * 1000),
--- a/tests/links/test_surplus_answers.py
+++ b/tests/links/test_surplus_answers.py
@@ -8,6 +8,7 @@
 
 from galenatack import exceptions
 from galenatack.links import http_client
+from galenatack.links import large_bodies
 from galenatack.links import target_connection
 
 HEAD = b"HTTP/1.1 200 OK\r\nx-id: %s\r\n"
@@ -63,6 +64,16 @@
     asyncio.run(main())
 
 
+def receive(connection, data):
+    """Hands bytes to a connection, in reads of the size that it asks for."""
+    while data:
+        buffer = connection.get_buffer(-1)
+        count = min(len(buffer), len(data))
+        buffer[:count] = data[:count]
+        connection.buffer_updated(count)
+        data = data[count:]
+
+
 def ask(client, name):
     """Sends a request and accepts only its own answer."""
     return client.request(
@@ -90,7 +101,8 @@
 
         async def main(first_bytes):
             connection = target_connection.TargetConnection(
-                max_answer_bytes=400_000
+                max_answer_bytes=400_000,
+                large_bodies=large_bodies.LargeBodies(places=1),
             )
             connection.connection_made(mock.Mock())
             asking = asyncio.create_task(
@@ -100,8 +112,8 @@
             )
             await asyncio.sleep(0)
             sent = framed(b"1", b"o" * 300_000) + framed(b"2", own)
-            connection.data_received(sent[:first_bytes])
-            connection.data_received(sent[first_bytes:])
+            receive(connection, sent[:first_bytes])
+            receive(connection, sent[first_bytes:])
             return await asking
 
         for first_bytes in (299_000, 300_300):
