Bound what callers leave in a node's memory, over all connections

Unsent answers and partly received requests had limits for a connection and none for all; a refused request stayed until a collection, since reader, parser and connection refer to each other.

Change: long requests take room like long answers, and wait unread without it; their time-outs end the wait. When answers of more than 48 MB wait to be taken, the connection with most of them is closed (caller-dropped, callers_dropped_total): its peer does not read, and no other caller loses an answer. A lost connection frees its reader.

--- a/src/galenatack/app/mesh_metrics.py
+++ b/src/galenatack/app/mesh_metrics.py
@@ -85,6 +85,9 @@
             exposition.sample(
                 "answers_held_total", parts.callers.stats.held_answers
             ),
+            exposition.sample(
+                "callers_dropped_total", parts.callers.stats.dropped_peers
+            ),
         ]
 
     def _retry_budget(self) -> list[str]:
--- a/src/galenatack/links/connection_pool.py
+++ b/src/galenatack/links/connection_pool.py
@@ -15,7 +15,7 @@
 """A connection is discarded this long before the server would close it."""
 
 
-LARGE_BODIES = 6
+MAX_LARGE_ANSWERS = 6
 """Number of long answers that are received from a host at a time."""
 
 
@@ -43,7 +43,9 @@
         self._port = port
         self._connect_timeout_s = connect_timeout_s
         self._max_answer_bytes = max_answer_bytes
-        self._large_bodies = large_bodies.LargeBodies(places=LARGE_BODIES)
+        self._large_bodies = large_bodies.LargeBodies(
+            max_bytes=MAX_LARGE_ANSWERS * max_answer_bytes
+        )
         self._idle: list[target_connection.TargetConnection] = []
         self._max_connections = max_connections
         self._limit: anyio.Semaphore | None = None
--- a/src/galenatack/links/large_bodies.py
+++ b/src/galenatack/links/large_bodies.py
@@ -1,10 +1,10 @@
-"""Limits how many long bodies are received at a time."""
+"""Limits the memory for long bodies that are received at a time."""
 
 import collections
 import typing
 
 FREE_BYTES = 65_536
-"""A body up to this size needs no place."""
+"""A body up to this size needs no room."""
 
 
 class Receiver(typing.Protocol):
@@ -18,42 +18,58 @@
 
 
 class LargeBodies:
-    """Gives places to the receivers of long bodies, in order of arrival.
+    """Gives room to the receivers of long bodies, in order of arrival.
 
     The memory for bodies is thereby limited over all connections, and no body
     is refused for the size of others: it is read later.
 
     Args:
-        places: Number of long bodies that are received at a time.
+        max_bytes: Limit on the sum of the bodies.
     """
 
-    def __init__(self, *, places: int):
-        self._free = places
-        self._holders: set[Receiver] = set()
-        self._waiting: collections.OrderedDict[Receiver, None] = (
+    def __init__(self, *, max_bytes: int):
+        self._max_bytes = max_bytes
+        self._held_bytes = 0
+        self._holders: dict[Receiver, int] = {}
+        self._waiting: collections.OrderedDict[Receiver, int] = (
             collections.OrderedDict()
         )
 
-    def claim(self, receiver: Receiver) -> None:
-        """Gives a place to a receiver, or pauses it until there is one."""
+    def claim(self, receiver: Receiver, size_bytes: int) -> None:
+        """Gives room to a receiver, or pauses it until there is enough.
+
+        A receiver that has room or waits for it gets no more. One that needs
+        more than there is in all gets it when no other has any.
+
+        Args:
+            receiver: Receives the body.
+            size_bytes: Size that the body may reach.
+        """
         if receiver in self._holders or receiver in self._waiting:
             return
-        if self._free:
-            self._free -= 1
-            self._holders.add(receiver)
-            return
-        self._waiting[receiver] = None
-        receiver.pause()
+        self._waiting[receiver] = size_bytes
+        self._grant()
+        if receiver in self._waiting:
+            receiver.pause()
 
     def release(self, receiver: Receiver) -> None:
-        """Passes the place of a receiver on; without one, nothing happens."""
+        """Takes the room of a receiver back; without any, nothing happens."""
         self._waiting.pop(receiver, None)
-        if receiver not in self._holders:
-            return
-        self._holders.discard(receiver)
-        if not self._waiting:
-            self._free += 1
-            return
-        following, _ = self._waiting.popitem(last=False)
-        self._holders.add(following)
-        following.resume()
+        self._held_bytes -= self._holders.pop(receiver, 0)
+        for granted in self._grant():
+            granted.resume()
+
+    def _grant(self) -> list[Receiver]:
+        granted = []
+        while self._waiting:
+            receiver, size_bytes = next(iter(self._waiting.items()))
+            if (
+                self._holders
+                and self._held_bytes + size_bytes > self._max_bytes
+            ):
+                break
+            del self._waiting[receiver]
+            self._holders[receiver] = size_bytes
+            self._held_bytes += size_bytes
+            granted.append(receiver)
+        return granted
--- a/src/galenatack/links/pipelined_connection.py
+++ b/src/galenatack/links/pipelined_connection.py
@@ -12,6 +12,7 @@
 from galenatack.links import http_head
 from galenatack.links import http_request
 from galenatack.links import http_response
+from galenatack.links import large_bodies as large_bodies_module
 from galenatack.links import request_reader
 
 _LOGGER = logging.getLogger(__name__)
@@ -28,6 +29,10 @@
 MAX_DISCARDED_BYTES = 1_000_000
 """Limit on bytes that are read and dropped before a connection is closed."""
 
+MAX_TOTAL_UNSENT_BYTES = 48_000_000
+"""Limit on the answers that wait on all connections of a listener. Beyond it,
+the connection with most of them is closed: its peer does not read."""
+
 HELD_S = 0.25
 """An answer that waits longer for those before it is counted and logged."""
 
@@ -85,6 +90,7 @@
         time_limit: Limits the time to receive a request.
         limits: Limits; changes apply to open connections.
         connections: Open connections; this one adds and removes itself.
+        large_bodies: Limits the long requests that are received at a time.
         stats: Counts what happens to requests.
     """
 
@@ -95,12 +101,14 @@
         time_limit: TimeLimit,
         limits: connection_limits.ConnectionLimits,
         connections: "set[PipelinedConnection]",
+        large_bodies: large_bodies_module.LargeBodies,
         stats: connection_stats.ConnectionStats,
     ):
         self._respond = respond
         self._time_limit = time_limit
         self._limits = limits
         self._connections = connections
+        self._large_bodies = large_bodies
         self._stats = stats
         self._loop = asyncio.get_running_loop()
         self._transport: asyncio.Transport | None = None
@@ -116,6 +124,8 @@
         self._is_draining = False
         self._is_finishing = False
         self._is_writing_paused = False
+        self._has_room = True
+        self._is_reading_paused = False
         self._last_active_s = self._loop.time()
         self._request_began_s: float | None = None
         self._fed_since_s = self._last_active_s
@@ -127,6 +137,15 @@
         """True if no request is being received or awaits its answer."""
         return not self._pending and self._request_began_s is None
 
+    @property
+    def unsent_bytes(self) -> int:
+        """Bytes of answers that the peer has not taken."""
+        return self._transport.get_write_buffer_size() + sum(
+            len(exchange.response.body)
+            for exchange in self._pending
+            if exchange.response is not None
+        )
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Stores the transport and registers the connection."""
         self._transport = typing.cast(asyncio.Transport, transport)
@@ -145,7 +164,7 @@
             if not self._unread:
                 self._unread_since_s = self._last_active_s
             self._unread += data
-            self._limit_unread()
+            self._update_reading()
             return
         self._feed(data, arrived_s=self._last_active_s)
 
@@ -159,19 +178,31 @@
         self._connections.discard(self)
         self._stop_request_timer()
         self._cancel_pending()
+        self._large_bodies.release(self)
+        self._reader.detach()
 
     def pause_writing(self) -> None:
         """Pauses reading while the peer does not read."""
         self._is_writing_paused = True
-        self._transport.pause_reading()
+        self._update_reading()
 
     def resume_writing(self) -> None:
         """Resumes reading."""
         self._is_writing_paused = False
         if not self._transport.is_closing():
-            self._transport.resume_reading()
+            self._update_reading()
             self._process_unread()
 
+    def pause(self) -> None:
+        """Stops reading until there is room for a long request."""
+        self._has_room = False
+        self._update_reading()
+
+    def resume(self) -> None:
+        """Goes on reading."""
+        self._has_room = True
+        self._update_reading()
+
     def drain(self) -> None:
         """Closes the connection after an answer that leaves none pending."""
         self._is_draining = True
@@ -190,8 +221,9 @@
                 self._transport.close()
 
     def abort(self) -> None:
-        """Drops the connection."""
+        """Drops the connection and the answers that wait on it."""
         self._transport.abort()
+        self._cancel_pending()
 
     def check_time(self, now_s: float) -> None:
         """Closes an idle connection, or one that sends a head too slowly."""
@@ -215,6 +247,8 @@
             self._request_began_s = arrived_s
         if self._reader.has_head and self._reader.has_begun:
             self._start_request_timer()
+            if self._reader.body_bytes > large_bodies_module.FREE_BYTES:
+                self._large_bodies.claim(self, self._limits.max_body_bytes)
 
     def _start_request_timer(self) -> None:
         """Limits the time until the rest of a request is received."""
@@ -254,17 +288,29 @@
         if self._discarded_bytes > MAX_DISCARDED_BYTES:
             self._transport.abort()
 
-    def _limit_unread(self) -> None:
-        if len(self._unread) > MAX_UNREAD_BYTES:
+    def _update_reading(self) -> None:
+        """Reads while what is received can be kept and answered."""
+        if self._transport.is_closing():
+            return
+        is_paused = (
+            self._is_writing_paused
+            or not self._has_room
+            or len(self._unread) > MAX_UNREAD_BYTES
+        )
+        if is_paused == self._is_reading_paused:
+            return
+        self._is_reading_paused = is_paused
+        if is_paused:
             self._transport.pause_reading()
+        else:
+            self._transport.resume_reading()
 
     def _process_unread(self) -> None:
         """Parses bytes that were buffered while too many requests ran."""
         if not self._unread or self._is_full() or not self._reader.is_open:
             return
         data, self._unread = self._unread, b""
-        if not self._transport.is_closing():
-            self._transport.resume_reading()
+        self._update_reading()
         self._feed(data, arrived_s=self._unread_since_s)
 
     def _run(
@@ -302,6 +348,30 @@
             exchange.response = http_response.HttpResponse(INTERNAL_ERROR)
         exchange.ready_s = self._loop.time()
         self._flush()
+        if self.unsent_bytes > MAX_UNSENT_BYTES:
+            self._limit_total_unsent()
+
+    def _limit_total_unsent(self) -> None:
+        """Closes connections while more is unsent than the listener may keep.
+
+        Memory is shared: callers that do not read would take it from others.
+        """
+        by_connection = {
+            connection: connection.unsent_bytes
+            for connection in self._connections
+        }
+        total_bytes = sum(by_connection.values())
+        while total_bytes > MAX_TOTAL_UNSENT_BYTES:
+            slowest = max(by_connection, key=by_connection.__getitem__)
+            unsent_bytes = by_connection.pop(slowest)
+            total_bytes -= unsent_bytes
+            self._stats.dropped_peers += 1
+            _LOGGER.warning(
+                "event=caller-dropped unsent_bytes=%d requests=%d",
+                unsent_bytes,
+                len(slowest._pending),
+            )
+            slowest.abort()
 
     def _flush(self) -> None:
         """Sends the available answers that are next in order."""
@@ -313,6 +383,8 @@
             self._note_held(exchange)
             if not self._send(exchange):
                 return
+        if not self._pending and not self._reader.has_begun:
+            self._large_bodies.release(self)
         self._process_unread()
 
     def _note_held(self, exchange: _Exchange) -> None:
--- a/src/galenatack/links/pipelined_server.py
+++ b/src/galenatack/links/pipelined_server.py
@@ -7,9 +7,13 @@
 from galenatack.links import connection_limits
 from galenatack.links import connection_stats
 from galenatack.links import http_request
+from galenatack.links import large_bodies
 from galenatack.links import pipelined_connection
 
 BACKLOG = 1024
+MAX_LARGE_REQUESTS = 8
+"""Number of requests of the maximum size that are received at a time."""
+
 IDLE_CHECK_S = 0.5
 """How often the timeouts of connections are checked."""
 
@@ -46,6 +50,9 @@
         self._time_limit = time_limit
         self.limits = limits or connection_limits.ConnectionLimits()
         self._connections: set[pipelined_connection.PipelinedConnection] = set()
+        self._large_bodies = large_bodies.LargeBodies(
+            max_bytes=MAX_LARGE_REQUESTS * self.limits.max_body_bytes
+        )
         self.stats = connection_stats.ConnectionStats()
         self._server: asyncio.Server | None = None
         self._is_draining = False
@@ -111,6 +118,7 @@
             time_limit=self._time_limit,
             limits=self.limits,
             connections=self._connections,
+            large_bodies=self._large_bodies,
             stats=self.stats,
         )
         if self._is_draining:
--- a/src/galenatack/links/request_reader.py
+++ b/src/galenatack/links/request_reader.py
@@ -79,6 +79,23 @@
         """Stops reading and drops a partly received request."""
         self.is_open = False
         self.has_begun = False
+        self._headers = []
+        self._body = bytearray()
+
+    def detach(self) -> None:
+        """Frees the parser; call this when the connection is lost.
+
+        The parser refers to the reader, and the callbacks to the connection:
+        without these cycles, the memory of all is free at once.
+        """
+        self.close()
+        self._parser = None
+        self._on_request = self._on_refused = self._on_continue = None
+
+    @property
+    def body_bytes(self) -> int:
+        """Received bytes of the body of the request being received."""
+        return len(self._body)
 
     def head(self) -> http_request.HttpRequest:
         """Returns the request being received, whose head is complete."""
@@ -146,12 +163,14 @@
 
     def on_url(self, url: bytes) -> None:
         """Parser callback: a part of the path and query."""
+        if not self.is_open:
+            return
         self._target += url
         self._count_head(len(url))
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Parser callback: a header, or a trailer, which is ignored."""
-        if self.has_head:
+        if self.has_head or not self.is_open:
             return
         self._headers.append(
             (name.decode("latin-1").lower(), value.decode("latin-1"))
@@ -168,6 +187,8 @@
 
     def on_body(self, body: bytes) -> None:
         """Parser callback: a part of the body."""
+        if not self.is_open:
+            return
         self._body += body
         if len(self._body) > self._limits.max_body_bytes:
             self._refuse(BODY_TOO_LARGE, f"{len(self._body)} bytes of the body")
--- a/src/galenatack/links/target_connection.py
+++ b/src/galenatack/links/target_connection.py
@@ -106,7 +106,7 @@
         if other_bytes > MAX_OVERHEAD_BYTES + body_bytes:
             self._fail("too many bytes beside the answer")
         elif body_bytes > large_bodies_module.FREE_BYTES:
-            self._large_bodies.claim(self)
+            self._large_bodies.claim(self, self._max_answer_bytes)
 
     def eof_received(self) -> None:
         """Completes an answer without a length; the transport closes itself."""
--- a/tests/links/test_endless_bytes.py
+++ b/tests/links/test_endless_bytes.py
@@ -20,6 +20,10 @@
 MEMORY_LIMIT_BYTES = 16_000_000
 """Several times the largest answer, far below the memory of a node."""
 
+LARGE_BYTES = 3_000_000
+PIECE = bytes(65_536)
+CALLERS = 40
+
 OK = b"HTTP/1.1 200 OK\r\n"
 CHUNKED = b"transfer-encoding: chunked\r\n\r\n"
 ENDLESS_ANSWERS = {
@@ -190,6 +194,106 @@
 }
 
 
+class TestManyCallers(unittest.TestCase):
+    """Callers at the same time that send or leave bytes without end."""
+
+    MEMORY_LIMIT_BYTES = 100_000_000
+    """A third of the memory of a small node, callers of the test included."""
+
+    def peak_bytes(self, scenario, **limits):
+        """Returns the peak memory of a scenario with a server, in bytes."""
+
+        async def respond(request):
+            return http_response.HttpResponse(200, (), bytes(LARGE_BYTES))
+
+        async def main():
+            (address,) = small_fleet.free_addresses(1)
+            self.server = pipelined_server.PipelinedServer(
+                address=address,
+                respond=respond,
+                limits=connection_limits.ConnectionLimits(**limits),
+            )
+            await self.server.listen()
+            host, _, port = address.rpartition(":")
+            async with asyncio.timeout(30):
+                await scenario(host, int(port))
+            peak_bytes = tracemalloc.get_traced_memory()[1]
+            self.server.close()
+            await asyncio.sleep(0.05)
+            return peak_bytes
+
+        gc.disable()
+        tracemalloc.start()
+        try:
+            return asyncio.run(main())
+        finally:
+            tracemalloc.stop()
+            gc.enable()
+
+    def test_callers_that_do_not_read_do_not_take_the_memory(self):
+        """The slowest are dropped, and one that reads has its answer."""
+
+        async def scenario(host, port):
+            silent = []
+            for _ in range(12):
+                reader, writer = await asyncio.open_connection(
+                    host, port, limit=1000
+                )
+                writer.write(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n" * 16)
+                silent.append((reader, writer))
+            reader, writer = await asyncio.open_connection(host, port)
+            writer.write(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+            await reader.readuntil(b"\r\n\r\n")
+            await reader.readexactly(LARGE_BYTES)
+            self.assertGreater(self.server.stats.dropped_peers, 0)
+            writer.transport.abort()
+            for _, unread in silent:
+                unread.transport.abort()
+
+        self.assertLess(self.peak_bytes(scenario), self.MEMORY_LIMIT_BYTES)
+
+    def test_requests_that_stop_do_not_take_the_memory(self):
+        """Those that come later are read once the first have been refused."""
+
+        async def send(writer):
+            writer.write(b"PUT / HTTP/1.1\r\nContent-Length: 4000000\r\n\r\n")
+            for _ in range(LARGE_BYTES // len(PIECE)):
+                writer.write(PIECE)
+                await writer.drain()
+
+        async def put(host, port):
+            reader, writer = await asyncio.open_connection(host, port)
+            sending = asyncio.create_task(send(writer))
+            answer = await reader.read(13)
+            sending.cancel()
+            writer.transport.abort()
+            return answer
+
+        async def scenario(host, port):
+            answers = await asyncio.gather(
+                *(put(host, port) for _ in range(CALLERS))
+            )
+            self.assertEqual(set(answers), {b"HTTP/1.1 408 "})
+
+        peak_bytes = self.peak_bytes(scenario, request_timeout_s=1.0)
+        self.assertLess(peak_bytes, self.MEMORY_LIMIT_BYTES)
+
+    def test_what_a_refused_request_has_sent_is_free_at_once(self):
+        """No collection of garbage is needed."""
+        chunk = b"10000\r\n" + PIECE + b"\r\n"
+
+        async def send(host, port):
+            _, writer = await asyncio.open_connection(host, port)
+            begin = b"PUT / HTTP/1.1\r\n" + CHUNKED
+            await send_without_end(writer, begin, chunk)
+
+        async def scenario(host, port):
+            for _ in range(CALLERS):
+                await send(host, port)
+
+        self.assertLess(self.peak_bytes(scenario), MEMORY_LIMIT_BYTES)
+
+
 class TestCallers(unittest.TestCase):
     def send(self, begin, more):
         """Sends an endless request; returns the bytes that were taken."""
--- a/tests/links/test_surplus_answers.py
+++ b/tests/links/test_surplus_answers.py
@@ -102,7 +102,7 @@
         async def main(first_bytes):
             connection = target_connection.TargetConnection(
                 max_answer_bytes=400_000,
-                large_bodies=large_bodies.LargeBodies(places=1),
+                large_bodies=large_bodies.LargeBodies(max_bytes=400_000),
             )
             connection.connection_made(mock.Mock())
             asking = asyncio.create_task(
