Take no long bodies at the control, ready and metrics addresses

They shared the limit of callers, 4 MB a request, although announcements have a few hundred bytes: 40 bodies without end held 160 MB. 64 KB are enough for all of them, and what is longer is answered 413. Class: a limit taken over from a neighbour.

--- a/src/galenatack/app/mesh_node.py
+++ b/src/galenatack/app/mesh_node.py
@@ -11,6 +11,7 @@
 from galenatack.app import mesh_parts
 from galenatack.app import shutdown_schedule
 from galenatack.app import supervisor
+from galenatack.links import connection_limits
 from galenatack.links import gc_tuning
 from galenatack.links import pipelined_server
 from galenatack.model import target_state
@@ -46,6 +47,7 @@
         self._metrics = pipelined_server.PipelinedServer(
             address=parts.settings.metrics_address,
             respond=mesh_metrics.MeshMetrics(parts=parts).respond,
+            limits=connection_limits.short_requests(),
         )
 
     def apply(self, settings: mesh_settings.MeshSettings) -> None:
--- a/src/galenatack/app/mesh_wiring.py
+++ b/src/galenatack/app/mesh_wiring.py
@@ -17,6 +17,7 @@
 from galenatack.interfaces import clock as clock_interface
 from galenatack.interfaces import random_source
 from galenatack.interfaces import shared_table
+from galenatack.links import connection_limits
 from galenatack.links import pipelined_server
 from galenatack.membership import membership_service
 from galenatack.membership import neighbour_sync
@@ -227,9 +228,13 @@
             time_limit=callers.time_limit_s,
         ),
         control=pipelined_server.PipelinedServer(
-            address=settings.control_address, respond=control.respond
+            address=settings.control_address,
+            respond=control.respond,
+            limits=connection_limits.short_requests(),
         ),
         ready=pipelined_server.PipelinedServer(
-            address=settings.ready_address, respond=control.respond_ready
+            address=settings.ready_address,
+            respond=control.respond_ready,
+            limits=connection_limits.short_requests(),
         ),
     )
--- a/src/galenatack/links/connection_limits.py
+++ b/src/galenatack/links/connection_limits.py
@@ -21,3 +21,8 @@
     header_timeout_s: float = 3.0
     idle_timeout_s: float = 15.0
     request_timeout_s: float = 10.0
+
+
+def short_requests() -> ConnectionLimits:
+    """Returns limits for a listener that takes no long bodies."""
+    return ConnectionLimits(max_body_bytes=65_536)
