Bound the long messages of all peers that a node handles at a time

A link takes 1,024 messages at a time, of 4 MB each: a peer whose calls do not end, or a few of them, could take the memory of a node.

Long messages (above 64 KB) beyond 64 MB over all links are refused as busy, which tells the sender that nothing ran. Short ones, such as heartbeats, are not affected.

--- a/src/galenatack/links/message_server.py
+++ b/src/galenatack/links/message_server.py
@@ -19,6 +19,12 @@
 Further messages are refused, which contains a faulty peer.
 """
 
+MAX_SERVING_BYTES = 64_000_000
+"""Limit on the messages that the handlers of all links hold. Long messages
+beyond it are refused."""
+
+LONG_BYTES = 65_536
+
 BUSY_RETRY_MS = 200
 NOT_READY_RETRY_MS = 1000
 
@@ -39,6 +45,7 @@
         self._handlers: dict[type, peer_network.Handler] = {}
         self._tasks: set[asyncio.Task[None]] = set()
         self._unknown_tags: set[int] = set()
+        self._serving_bytes = 0
         self.is_open = False
 
     def on(self, message_type: type, handler: peer_network.Handler) -> None:
@@ -60,10 +67,18 @@
         self._dispatch(link, envelope.Envelope(peer_hello))
 
     def receive(
-        self, link: peer_link.PeerLink, received: envelope.Envelope
+        self,
+        link: peer_link.PeerLink,
+        received: envelope.Envelope,
+        size_bytes: int,
     ) -> None:
         """Dispatches a message that is not a reply.
 
+        Args:
+            link: Its link.
+            received: The message.
+            size_bytes: Size of its frame.
+
         Raises:
             exceptions.ProtocolError: The message is not allowed here.
         """
@@ -80,20 +95,30 @@
             return
         if isinstance(message, unknown_message.UnknownMessage):
             self._refuse_unknown(link, received, message.tag)
-        elif link.serving >= MAX_SERVING:
+        elif link.serving >= MAX_SERVING or self._is_full(size_bytes):
             self._refuse(link, received, BUSY_RETRY_MS)
         else:
-            self._dispatch(link, received)
+            self._dispatch(link, received, size_bytes)
+
+    def _is_full(self, size_bytes: int) -> bool:
+        total_bytes = self._serving_bytes + size_bytes
+        return size_bytes > LONG_BYTES and total_bytes > MAX_SERVING_BYTES
 
     def _dispatch(
-        self, link: peer_link.PeerLink, received: envelope.Envelope
+        self,
+        link: peer_link.PeerLink,
+        received: envelope.Envelope,
+        size_bytes: int = 0,
     ) -> None:
         handler = self._handlers.get(type(received.message))
         if handler is None or not self.is_open:
             self._refuse(link, received, NOT_READY_RETRY_MS)
             return
         link.serving += 1
-        task = asyncio.create_task(self._serve(link, received, handler))
+        self._serving_bytes += size_bytes
+        task = asyncio.create_task(
+            self._serve(link, received, size_bytes, handler)
+        )
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
@@ -125,6 +150,7 @@
         self,
         link: peer_link.PeerLink,
         received: envelope.Envelope,
+        size_bytes: int,
         handler: peer_network.Handler,
     ) -> None:
         try:
@@ -142,6 +168,7 @@
             _LOGGER.exception("event=handler-failed peer=%s", link.node_id)
         finally:
             link.serving -= 1
+            self._serving_bytes -= size_bytes
         if received.request_id and answer is not None:
             _reply(link, received, answer)
 
--- a/src/galenatack/links/peer_link.py
+++ b/src/galenatack/links/peer_link.py
@@ -53,7 +53,8 @@
 
 _LOGGER = logging.getLogger(__name__)
 
-OnMessage = collections.abc.Callable[["PeerLink", envelope.Envelope], None]
+OnMessage = collections.abc.Callable[["PeerLink", envelope.Envelope, int], None]
+"""Receives a message that is no reply, and the size of its frame in bytes."""
 
 
 class PeerLink:
@@ -271,7 +272,7 @@
         if kind is not heartbeat.Heartbeat:
             self.used_s = self.received_s
         if not received.reply_id:
-            on_message(self, received)
+            on_message(self, received, len(frame))
             return
         future = self._pending.get(received.reply_id)
         if future is not None and not future.done():
