Answer a call over the product's own interface although its body never comes

The same cause as on the users' platform: CallerApp waited for the body without a timer, and the deadline began when it was whole. It waits until the caller's deadline, or 10 s, and answers 408.

--- a/src/galenatack/links/caller_app.py
+++ b/src/galenatack/links/caller_app.py
@@ -11,6 +11,7 @@
 from galenatack.links import disconnect_watch
 from galenatack.model import call_result
 from galenatack.model import outcome
+from galenatack.routing import call_parser
 from galenatack.routing import local_replies
 
 Scope = dict[str, typing.Any]
@@ -25,7 +26,11 @@
 TICKET_PREFIX = "/_galenatack/ticket/"
 OUTCOME_HEADER = b"galenatack-outcome"
 _MS_PER_S = 1000
+_REQUEST_TIMEOUT = 408
 _BODY_TOO_LARGE = 413
+DEFAULT_RECEIVE_S = 10.0
+"""Maximum time to receive a body if the caller names no deadline."""
+
 _NO_CONTENT = 204
 _NOT_MODIFIED = 304
 
@@ -73,7 +78,14 @@
 
     async def _serve(self, scope: Scope, receive: Receive, send: Send) -> None:
         try:
-            body = await self._read_body(receive)
+            with anyio.fail_after(_receive_limit_s(scope)):
+                body = await self._read_body(receive)
+        except TimeoutError:
+            error = exceptions.BadCallError(
+                "the body did not arrive in time", status=_REQUEST_TIMEOUT
+            )
+            await self._answer(send, scope, local_replies.not_run(error))
+            return
         except exceptions.BadCallError as error:
             await self._answer(send, scope, local_replies.not_run(error))
             return
@@ -138,10 +150,7 @@
         """Returns the result, or None if the caller disconnected."""
         method = request["method"]
         query = request["query_string"].decode("latin-1")
-        headers = tuple(
-            (name.decode("latin-1"), value.decode("latin-1"))
-            for name, value in request["headers"]
-        )
+        headers = _text_headers(request)
         with anyio.CancelScope() as scope:
             watch = disconnect_watch.DisconnectWatch(
                 receive,
@@ -162,6 +171,25 @@
         return None
 
 
+def _receive_limit_s(scope: Scope) -> float:
+    """Returns how long a body may take to arrive.
+
+    Raises:
+        exceptions.BadCallError: The caller's deadline is malformed.
+    """
+    deadline_ms = call_parser.deadline_ms_of(_text_headers(scope))
+    if deadline_ms is None:
+        return DEFAULT_RECEIVE_S
+    return deadline_ms / _MS_PER_S
+
+
+def _text_headers(scope: Scope) -> tuple[tuple[str, str], ...]:
+    return tuple(
+        (name.decode("latin-1"), value.decode("latin-1"))
+        for name, value in scope["headers"]
+    )
+
+
 async def _serve_lifespan(receive: Receive, send: Send) -> None:
     while True:
         message = await receive()
--- a/src/galenatack/routing/call_parser.py
+++ b/src/galenatack/routing/call_parser.py
@@ -71,7 +71,7 @@
         service=service,
         path=rest,
         headers=forwarded(headers),
-        deadline_ms=_deadline_ms(headers),
+        deadline_ms=deadline_ms_of(headers),
         idempotency_key=_key(headers),
     )
 
@@ -132,7 +132,12 @@
     return values[0] if values else None
 
 
-def _deadline_ms(headers: tuple[tuple[str, str], ...]) -> int | None:
+def deadline_ms_of(headers: tuple[tuple[str, str], ...]) -> int | None:
+    """Returns the caller's deadline, or None if it is not given.
+
+    Raises:
+        exceptions.BadCallError: The header is malformed.
+    """
     value = _single(headers, DEADLINE_HEADER)
     if value is None:
         return None
--- a/tests/links/test_http_server.py
+++ b/tests/links/test_http_server.py
@@ -51,6 +51,40 @@
 
         anyio.run(main)
 
+    def test_a_body_that_never_comes_is_answered_at_the_deadline(self):
+        """The handler does not see the request."""
+        request = (
+            b"POST /prices/x HTTP/1.1\r\nHost: a\r\ncontent-length: 9\r\n"
+            b"galenatack-deadline-ms: 200\r\n\r\nx"
+        )
+
+        async def main():
+            address = f"127.0.0.1:{open_port.open_port()}"
+            shutdown = anyio.Event()
+
+            async def serve():
+                await http_server.serve(
+                    caller_app.CallerApp(handler=_Handler()),
+                    address=address,
+                    shutdown=shutdown,
+                    idle_grace_s=GRACE_S,
+                )
+
+            with anyio.fail_after(TIMEOUT_S):
+                async with anyio.create_task_group() as tasks:
+                    tasks.start_soon(serve)
+                    host, port = address.split(":")
+                    await open_port.wait_for(int(port))
+                    async with await anyio.connect_tcp(
+                        host, int(port)
+                    ) as stream:
+                        await stream.send(request)
+                        answer = await stream.receive()
+                    shutdown.set()
+            return answer
+
+        self.assertTrue(anyio.run(main).startswith(b"HTTP/1.1 408 "))
+
     async def _reuse(self, address, app, shutdown):
         host, port = address.split(":")
         await open_port.wait_for(int(port))
--- a/tests/mesh/test_time_outs.py
+++ b/tests/mesh/test_time_outs.py
@@ -14,6 +14,11 @@
     b"X-Attempt-Id: a1\r\nX-Deadline-Ms: %d\r\nContent-Length: 20\r\n\r\n"
 )
 
+GET = (
+    b"GET /idempotent/x HTTP/1.1\r\nHost: b.example\r\n"
+    b"X-Attempt-Id: a%d\r\nX-Deadline-Ms: %d\r\n\r\n"
+)
+
 
 class TestTimeOuts(unittest.TestCase):
     def test_a_body_that_never_comes_is_answered_at_the_time_out(self):
@@ -61,3 +66,22 @@
         self.assertTrue(head.startswith(b"HTTP/1.1 504 "), head)
         self.assertLess(took_s, 1.0 + SLACK_S)
         self.assertLess(left_ms, 350)
+
+    def test_an_answer_is_not_held_by_an_earlier_one_of_a_longer_route(self):
+        """Both requests are on one connection; the first has more time."""
+
+        async def main():
+            async with small_fleet.SmallFleet("a", "b") as fleet:
+                near, far = fleet.members
+                far.target.hold = asyncio.Event()
+                host, _, port = near.settings.caller_address.rpartition(":")
+                reader, writer = await asyncio.open_connection(host, int(port))
+                started_s = asyncio.get_running_loop().time()
+                for deadline_ms in (2 * LIMIT_MS + 600, LIMIT_MS):
+                    writer.write(GET % (deadline_ms, deadline_ms))
+                await reader.readuntil(b"x-attempt-id: a%d" % LIMIT_MS)
+                took_s = asyncio.get_running_loop().time() - started_s
+                writer.close()
+                return took_s
+
+        self.assertLess(asyncio.run(main()), LIMIT_MS / 1000 + SLACK_S)
