Soak: requests that are never sent to their ends

Callers of the soak and of the tests always sent whole requests. Each node gets one now and then of which the last bytes never come; it has to be answered or closed by its time-out and 0.5 s, and must not run.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -20,6 +20,17 @@
 CONNECT_TIMEOUT_S = 1.0
 REFUSED = 503
 
+IN_PART_PAUSE_S = 1.0
+IN_PART_DEADLINE_S = 1.0
+IN_PART = (
+    "PUT /non_idempotent/part HTTP/1.1\r\nhost: {}.example\r\n"
+    "x-attempt-id: {}\r\nx-deadline-ms: 1000\r\ncontent-length: 9\r\n\r\nx"
+)
+"""A request of which the last bytes never come."""
+
+ANSWER_SLACK_S = 0.5
+"""Time after its time-out at which a request has its answer at the latest."""
+
 
 class Callers:
     """Sends calls and configuration version probes to one node.
@@ -74,6 +85,36 @@
                 # Its node may be down; what it ran is recorded at targets.
                 continue
 
+    async def call_in_part(self) -> None:
+        """Sends requests that are never whole until cancelled."""
+        loop = asyncio.get_running_loop()
+        while True:
+            await asyncio.sleep(self._rng.uniform(0.5, 1.5) * IN_PART_PAUSE_S)
+            try:
+                async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                    reader, writer = await asyncio.open_connection(
+                        self._node.host, node_process.CALLER_PORT
+                    )
+            except (OSError, TimeoutError):
+                continue
+            name = f"part-{self._node.name}-{next(self._numbers)}"
+            sent_s = loop.time()
+            writer.write(IN_PART.format(self._services[0], name).encode())
+            is_held = False
+            try:
+                async with asyncio.timeout(IN_PART_DEADLINE_S + ANSWER_SLACK_S):
+                    await reader.read(1)
+            except TimeoutError:
+                is_held = True
+            except OSError:
+                # Its node is gone.
+                continue
+            finally:
+                writer.transport.abort()
+            self._seen.in_part.append(
+                record.InPart(name, sent_s, loop.time(), is_held)
+            )
+
     async def probe(self) -> None:
         """Probes the two newest configuration versions until cancelled."""
         async with self._client() as client:
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -49,6 +49,7 @@
         ("answer of another request, or not whole", _foreign_answers(seen)),
         ("refused though proper", _rejected(seen)),
         ("cut at planned work", _interrupted(seen)),
+        ("held past its time-out", _held(seen)),
         ("reached a target that left", _run_after_leave(seen)),
         ("went back to an older version", _regressed(seen)),
         ("version not in force in time", _stale(seen)),
@@ -103,6 +104,16 @@
             yield str(sent)
 
 
+def _held(seen: record.Record) -> collections.abc.Iterator[Finding]:
+    for sent in seen.in_part:
+        if sent.attempt_id in seen.runs:
+            yield f"{sent} has run"
+        elif sent.is_held and seen.is_calm(
+            sent.sent_s - CONTACT_S, sent.ended_s
+        ):
+            yield str(sent)
+
+
 def _run_after_leave(seen: record.Record) -> collections.abc.Iterator[Finding]:
     for attempt_id, runs in seen.runs.items():
         for run in runs:
--- a/soak/run.py
+++ b/soak/run.py
@@ -220,6 +220,7 @@
         client = self._client(node)
         yield from (client.call() for _ in range(CALLERS_PER_NODE))
         yield client.probe()
+        yield client.call_in_part()
         if self._has_changes:
             yield self._route_client(node).probe()
 
