Give the room of a refused request to the next one at once

Found by reading the change anew: a long request that was refused kept its room until its connection was gone, a second later, and stayed unread meanwhile. Eight that stall would delay the uploads of others by that second for nothing.

Test: an upload that waits behind eight stalled ones is answered 408 before, 200 now.

--- a/src/galenatack/links/pipelined_connection.py
+++ b/src/galenatack/links/pipelined_connection.py
@@ -248,7 +248,15 @@
         if self._reader.has_head and self._reader.has_begun:
             self._start_request_timer()
             if self._reader.body_bytes > large_bodies_module.FREE_BYTES:
-                self._large_bodies.claim(self, self._limits.max_body_bytes)
+                self._large_bodies.claim(self, self._max_request_bytes())
+
+    def _max_request_bytes(self) -> int:
+        """Returns the size that the body being received may reach."""
+        limit_bytes = self._limits.max_body_bytes
+        for name, value in self._reader.head().headers:
+            if name == "content-length" and value.isdecimal():
+                return min(int(value), limit_bytes)
+        return limit_bytes
 
     def _start_request_timer(self) -> None:
         """Limits the time until the rest of a request is received."""
@@ -437,6 +445,9 @@
         self._request_began_s = None
         self._stop_request_timer()
         self._unread = b""
+        self._large_bodies.release(self)
+        self._has_room = True
+        self._update_reading()
 
     def _close_soon(self) -> None:
         if self._transport.can_write_eof():
--- a/tests/links/test_endless_bytes.py
+++ b/tests/links/test_endless_bytes.py
@@ -278,6 +278,29 @@
         peak_bytes = self.peak_bytes(scenario, request_timeout_s=1.0)
         self.assertLess(peak_bytes, self.MEMORY_LIMIT_BYTES)
 
+    def test_a_refused_request_gives_its_room_to_the_next_one(self):
+        """The refused have not gone away yet."""
+        head = b"PUT / HTTP/1.1\r\nContent-Length: %d\r\n\r\n"
+
+        async def put(host, port, length):
+            reader, writer = await asyncio.open_connection(host, port)
+            writer.write(head % length + bytes(LARGE_BYTES))
+            return await reader.read(13), writer
+
+        async def scenario(host, port):
+            stalled = [
+                asyncio.create_task(put(host, port, LARGE_BYTES + 1))
+                for _ in range(pipelined_server.MAX_LARGE_REQUESTS)
+            ]
+            await asyncio.sleep(0.5)
+            answer, writer = await put(host, port, LARGE_BYTES)
+            self.assertEqual(answer, b"HTTP/1.1 200 ")
+            writer.transport.abort()
+            for _, refused in await asyncio.gather(*stalled):
+                refused.transport.abort()
+
+        self.peak_bytes(scenario, request_timeout_s=1.0)
+
     def test_what_a_refused_request_has_sent_is_free_at_once(self):
         """No collection of garbage is needed."""
         chunk = b"10000\r\n" + PIECE + b"\r\n"
