Read requests in small turns, so that small pieces hold no node

Cause: each chunk is a call of the parser's callback. One read had up to 256 KB of them, 43,000 calls, and a request had up to 512 KB beside its body. Class: a limit in bytes for what costs time by the piece.

Change: a listener reads 8 KB at a time into one buffer, other connections between; bytes that are neither head nor body are limited to 16 KB plus the size of the body.

--- a/src/galenatack/links/pipelined_connection.py
+++ b/src/galenatack/links/pipelined_connection.py
@@ -82,7 +82,7 @@
         self.ready_s = 0.0
 
 
-class PipelinedConnection(asyncio.Protocol):
+class PipelinedConnection(asyncio.BufferedProtocol):
     """Reads requests ahead, runs them concurrently and answers in order.
 
     Args:
@@ -90,6 +90,8 @@
         time_limit: Limits the time to receive a request.
         limits: Limits; changes apply to open connections.
         connections: Open connections; this one adds and removes itself.
+        read_buffer: Receives the bytes of one read. Connections can share it,
+            as its bytes are taken before the next read.
         large_bodies: Limits the long requests that are received at a time.
         stats: Counts what happens to requests.
     """
@@ -101,6 +103,7 @@
         time_limit: TimeLimit,
         limits: connection_limits.ConnectionLimits,
         connections: "set[PipelinedConnection]",
+        read_buffer: bytearray,
         large_bodies: large_bodies_module.LargeBodies,
         stats: connection_stats.ConnectionStats,
     ):
@@ -108,6 +111,7 @@
         self._time_limit = time_limit
         self._limits = limits
         self._connections = connections
+        self._read_buffer = read_buffer
         self._large_bodies = large_bodies
         self._stats = stats
         self._loop = asyncio.get_running_loop()
@@ -152,8 +156,14 @@
         self._transport.set_write_buffer_limits(high=MAX_UNSENT_BYTES)
         self._connections.add(self)
 
-    def data_received(self, data: bytes) -> None:
+    def get_buffer(self, sizehint: int) -> bytearray:
+        """Returns the buffer for the next read."""
+        del sizehint
+        return self._read_buffer
+
+    def buffer_updated(self, nbytes: int) -> None:
         """Feeds received bytes to the reader, or buffers them."""
+        data = bytes(memoryview(self._read_buffer)[:nbytes])
         if not self._reader.is_open:
             self._discard(data)
             return
--- a/src/galenatack/links/pipelined_server.py
+++ b/src/galenatack/links/pipelined_server.py
@@ -14,6 +14,10 @@
 MAX_LARGE_REQUESTS = 8
 """Number of requests of the maximum size that are received at a time."""
 
+READ_BYTES = 8_192
+"""Bytes that are read and parsed at a time, before other connections have their
+turn: a faulty caller may send many small pieces at once."""
+
 IDLE_CHECK_S = 0.5
 """How often the timeouts of connections are checked."""
 
@@ -50,6 +54,7 @@
         self._time_limit = time_limit
         self.limits = limits or connection_limits.ConnectionLimits()
         self._connections: set[pipelined_connection.PipelinedConnection] = set()
+        self._read_buffer = bytearray(READ_BYTES)
         self._large_bodies = large_bodies.LargeBodies(
             max_bytes=MAX_LARGE_REQUESTS * self.limits.max_body_bytes
         )
@@ -118,6 +123,7 @@
             time_limit=self._time_limit,
             limits=self.limits,
             connections=self._connections,
+            read_buffer=self._read_buffer,
             large_bodies=self._large_bodies,
             stats=self.stats,
         )
--- a/src/galenatack/links/request_reader.py
+++ b/src/galenatack/links/request_reader.py
@@ -17,9 +17,9 @@
 HEADERS_TOO_LARGE = 431
 
 
-MAX_OVERHEAD_BYTES = 524_288
-"""Limit on received bytes that are not the body of a request, beyond the size
-of that body, such as chunk sizes and trailers."""
+MAX_OVERHEAD_BYTES = 16_384
+"""Limit on received bytes that are neither the head nor the body of a request,
+beyond the size of that body, such as chunk sizes and trailers."""
 
 MAX_PARSED_BYTES = 4096
 """Bytes that are parsed at a time. The parser does not tell where in them a
@@ -240,7 +240,9 @@
     def _count_overhead(self, size_bytes: int) -> None:
         self._received_bytes += size_bytes
         body_bytes = len(self._body)
-        if self._received_bytes - body_bytes > MAX_OVERHEAD_BYTES + body_bytes:
+        other_bytes = self._received_bytes - body_bytes
+        allowed_bytes = self._limits.max_header_bytes + MAX_OVERHEAD_BYTES
+        if other_bytes > allowed_bytes + body_bytes:
             self._refuse(
                 BAD_REQUEST, f"{self._received_bytes} bytes beside the body"
             )
--- a/tests/links/test_pipelined_connection.py
+++ b/tests/links/test_pipelined_connection.py
@@ -176,6 +176,31 @@
 
         run(scenario)
 
+    def test_a_long_request_is_read_in_turns_with_others(self):
+        """Between two parts of it, the event loop runs what is due."""
+        size_bytes = 1_000_000
+
+        async def scenario(rig):
+            loop = asyncio.get_running_loop()
+            turns = []
+
+            def count():
+                turns.append(loop.time())
+                loop.call_soon(count)
+
+            reader, writer = await rig.connect()
+            writer.write(
+                b"PUT /1 HTTP/1.1\r\nContent-Length: %d\r\n\r\n" % size_bytes
+            )
+            await asyncio.sleep(0.05)
+            count()
+            writer.write(bytes(size_bytes))
+            await reader.readuntil(b"\r\n\r\n/1")
+            self.assertGreater(len(turns), size_bytes // 8_192)
+            writer.transport.abort()
+
+        run(scenario)
+
     def test_a_line_end_behind_a_request_does_not_keep_its_connection(self):
         """No request has begun, so the connection is idle."""
 
--- a/tests/links/test_request_reader.py
+++ b/tests/links/test_request_reader.py
@@ -74,6 +74,23 @@
             self.assertEqual(targets, [] if parts[0] is endless else ["/0"])
             self.assertEqual(refusals, [request_reader.HEADERS_TOO_LARGE])
 
+    def test_a_body_in_many_small_pieces_does_not_hold_the_event_loop(self):
+        """Each piece costs as much time as a long one; few are parsed."""
+        refusals = []
+        reader = request_reader.RequestReader(
+            limits=connection_limits.ConnectionLimits(),
+            on_request=self.fail,
+            on_refused=refusals.append,
+            on_continue=lambda: None,
+        )
+        reader.feed(b"PUT / HTTP/1.1\r\ntransfer-encoding: chunked\r\n\r\n")
+        pieces = 0
+        while reader.is_open:
+            reader.feed(b"1\r\na\r\n")
+            pieces += 1
+        self.assertEqual(refusals, [request_reader.BAD_REQUEST])
+        self.assertLess(pieces, 10_000)
+
     def test_a_request_in_absolute_form_is_not_an_unknown_route(self):
         """Clients send this form to a proxy; its host goes first."""
         for target, host, path in (
