Count the time of each pipelined request from its own arrival

Found by reading the change anew: requests that wait unread behind 16 others were all counted from the arrival of the first of them, so that one that had just arrived could be refused for the time of another. Reads wait with their times, and no more of them are parsed than may run. answer-held is written from 0.5 s on, since shorter waits are usual under load.

Test: 0.50 s were counted for a request that had waited 0.1 s, now less than 0.35 s.

--- a/src/galenatack/links/pipelined_connection.py
+++ b/src/galenatack/links/pipelined_connection.py
@@ -33,7 +33,7 @@
 """Limit on the answers that wait on all connections of a listener. Beyond it,
 the connection with most of them is closed: its peer does not read."""
 
-HELD_S = 0.25
+HELD_S = 0.5
 """An answer that waits longer for those before it is counted and logged."""
 
 LINGER_S = 1.0
@@ -122,7 +122,10 @@
             on_refused=self._refuse,
             on_continue=self._send_continue,
         )
-        self._unread = b""
+        self._unread: collections.deque[tuple[float, bytes]] = (
+            collections.deque()
+        )
+        self._unread_bytes = 0
         self._discarded_bytes = 0
         self._pending: collections.deque[_Exchange] = collections.deque()
         self._is_draining = False
@@ -133,7 +136,6 @@
         self._last_active_s = self._loop.time()
         self._request_began_s: float | None = None
         self._fed_since_s = self._last_active_s
-        self._unread_since_s = self._last_active_s
         self._request_timer: asyncio.TimerHandle | None = None
 
     @property
@@ -171,9 +173,8 @@
         if self._request_began_s is None:
             self._request_began_s = self._last_active_s
         if self._is_full():
-            if not self._unread:
-                self._unread_since_s = self._last_active_s
-            self._unread += data
+            self._unread.append((self._last_active_s, data))
+            self._unread_bytes += nbytes
             self._update_reading()
             return
         self._feed(data, arrived_s=self._last_active_s)
@@ -313,7 +314,7 @@
         is_paused = (
             self._is_writing_paused
             or not self._has_room
-            or len(self._unread) > MAX_UNREAD_BYTES
+            or self._unread_bytes > MAX_UNREAD_BYTES
         )
         if is_paused == self._is_reading_paused:
             return
@@ -325,11 +326,11 @@
 
     def _process_unread(self) -> None:
         """Parses bytes that were buffered while too many requests ran."""
-        if not self._unread or self._is_full() or not self._reader.is_open:
-            return
-        data, self._unread = self._unread, b""
+        while self._unread and not self._is_full() and self._reader.is_open:
+            arrived_s, data = self._unread.popleft()
+            self._unread_bytes -= len(data)
+            self._feed(data, arrived_s=arrived_s)
         self._update_reading()
-        self._feed(data, arrived_s=self._unread_since_s)
 
     def _run(
         self, request: http_request.HttpRequest, *, keeps_alive: bool
@@ -454,7 +455,8 @@
         self._reader.close()
         self._request_began_s = None
         self._stop_request_timer()
-        self._unread = b""
+        self._unread.clear()
+        self._unread_bytes = 0
         self._large_bodies.release(self)
         self._has_room = True
         self._update_reading()
--- a/tests/links/test_pipelined_connection.py
+++ b/tests/links/test_pipelined_connection.py
@@ -297,3 +297,27 @@
             writer.close()
 
         run(scenario)
+
+    def test_each_request_that_waits_unread_has_its_own_arrival(self):
+        """One that has just arrived keeps its time; one before it does not."""
+
+        async def scenario(rig):
+            first = pipelined_connection.MAX_CONCURRENT_REQUESTS
+            for number in range(first):
+                rig.gates[f"/n{number}"] = asyncio.Event()
+            reader, writer = await rig.connect()
+            writer.write(b"".join(GET % (b"n%d" % n) for n in range(first)))
+            await asyncio.sleep(0.1)
+            writer.write(GET % b"early")
+            await asyncio.sleep(0.4)
+            writer.write(GET % b"late")
+            await asyncio.sleep(0.1)
+            for gate in rig.gates.values():
+                gate.set()
+            await reader.readuntil(b"/late")
+            early, late = rig.received[first:]
+            self.assertGreaterEqual(early.receive_s, 0.45)
+            self.assertLess(late.receive_s, 0.35)
+            writer.close()
+
+        run(scenario)
