Hold no request past its deadline on a node that knows no route for it

A request of which the last bytes never came had no answer for 1.5 s where its caller waited 1.0 s.

Traced: node 0 had been restarted 0.27 s before and answered 'no configuration yet' to whole requests. Without a route the limit was that of the connection, 10 s; the caller's deadline did not count. Not the load: its timers were in time (no loop-delayed), and it answered others. The same holds for a path without a route on any node.

Test: no limit before, the caller's deadline now.

--- a/src/galenatack/platform/caller_dialect.py
+++ b/src/galenatack/platform/caller_dialect.py
@@ -38,14 +38,17 @@
         self._timeout_ms = timeout_ms
 
     def time_limit_s(self, request: http_request.HttpRequest) -> float | None:
-        """Returns how long a request may take, or None if it is unknown."""
+        """Returns how long a request may take, or None if it is unknown.
+
+        Without a route, or before the first configuration, the caller's
+        deadline still holds.
+        """
         by_name = dict(request.headers)
-        timeout_ms = self._timeout_ms(
-            _host(by_name.get("host", "")),
-            request.target,
-            _deadline_ms(by_name.get(_headers.DEADLINE_MS)),
-        )
-        return None if timeout_ms is None else timeout_ms / _MS_PER_S
+        deadline_ms = _deadline_ms(by_name.get(_headers.DEADLINE_MS))
+        host = _host(by_name.get("host", ""))
+        timeout_ms = self._timeout_ms(host, request.target, deadline_ms)
+        limit_ms = timeout_ms or deadline_ms
+        return limit_ms / _MS_PER_S if limit_ms else None
 
     async def respond(
         self, request: http_request.HttpRequest
--- a/tests/platform/test_caller_dialect.py
+++ b/tests/platform/test_caller_dialect.py
@@ -10,6 +10,24 @@
 
 
 class TestCallerDialect(unittest.TestCase):
+    def test_a_node_without_a_route_holds_no_request_past_its_deadline(self):
+        """It may have just started, with no configuration yet."""
+
+        def limit_s(timeout_ms, *headers):
+            dialect = caller_dialect.CallerDialect(
+                handle=None,
+                timeout_ms=lambda host, path, deadline_ms: timeout_ms,
+            )
+            return dialect.time_limit_s(
+                http_request.HttpRequest("PUT", "/", headers, b"")
+            )
+
+        deadline = ("x-deadline-ms", "1000")
+        self.assertEqual(limit_s(None, ("host", "a"), deadline), 1.0)
+        self.assertEqual(limit_s(None, deadline), 1.0)
+        self.assertEqual(limit_s(600, ("host", "a"), deadline), 0.6)
+        self.assertIsNone(limit_s(None, ("host", "a")))
+
     def test_a_host_with_its_root_label_is_not_an_unknown_host(self):
         """The name with and without the last dot is the same host."""
         hosts = []
