Soak: an answer that came while the caller paused is in time

The check of requests in part was wrong in one case. With asyncio.timeout, a pause of the process that holds the callers makes the answer and the timer due in the same turn, and the timer won: an answer that had come in time counted as held.

The answer is looked at once more when the time is over; one that comes after the bound is late as before. Requests that are held are kept as spans, and any run of a request in part is found, held or not.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -21,15 +21,14 @@
 REFUSED = 503
 
 IN_PART_PAUSE_S = 1.0
-IN_PART_DEADLINE_S = 1.0
 IN_PART = (
     "PUT /non_idempotent/part HTTP/1.1\r\nhost: {}.example\r\n"
     "x-attempt-id: {}\r\nx-deadline-ms: 1000\r\ncontent-length: 9\r\n\r\nx"
 )
 """A request of which the last bytes never come."""
 
-ANSWER_SLACK_S = 0.5
-"""Time after its time-out at which a request has its answer at the latest."""
+HELD_S = 1.0 + 0.5
+"""Deadline of such a request, and the time after it by which it is answered."""
 
 
 class Callers:
@@ -97,23 +96,13 @@
                     )
             except (OSError, TimeoutError):
                 continue
-            name = f"part-{self._node.name}-{next(self._numbers)}"
+            name = f"{record.IN_PART}{self._node.name}-{next(self._numbers)}"
             sent_s = loop.time()
             writer.write(IN_PART.format(self._services[0], name).encode())
-            is_held = False
-            try:
-                async with asyncio.timeout(IN_PART_DEADLINE_S + ANSWER_SLACK_S):
-                    await reader.read(1)
-            except TimeoutError:
-                is_held = True
-            except OSError:
-                # Its node is gone.
-                continue
-            finally:
-                writer.transport.abort()
-            self._seen.in_part.append(
-                record.InPart(name, sent_s, loop.time(), is_held)
-            )
+            if not await _has_answer(reader, HELD_S):
+                span = record.Span(sent_s, loop.time(), name)
+                self._seen.held.append(span)
+            writer.transport.abort()
 
     async def probe(self) -> None:
         """Probes the two newest configuration versions until cancelled."""
@@ -192,5 +181,16 @@
             )
 
 
+async def _has_answer(reader: asyncio.StreamReader, limit_s: float) -> bool:
+    """Returns whether an answer or the end has come within a time."""
+    reading = asyncio.create_task(reader.read(1))
+    await asyncio.wait((reading,), timeout=limit_s)
+    # After a pause of this process, the answer and the timer are due at once.
+    await asyncio.sleep(0)
+    reading.cancel()
+    await asyncio.gather(reading, return_exceptions=True)
+    return not reading.cancelled()
+
+
 def _headers(host: str, attempt_id: str) -> dict[str, str]:
     return {"host": host, "x-attempt-id": attempt_id, "x-deadline-ms": "2000"}
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -105,13 +105,10 @@
 
 
 def _held(seen: record.Record) -> collections.abc.Iterator[Finding]:
-    for sent in seen.in_part:
-        if sent.attempt_id in seen.runs:
-            yield f"{sent} has run"
-        elif sent.is_held and seen.is_calm(
-            sent.sent_s - CONTACT_S, sent.ended_s
-        ):
-            yield str(sent)
+    yield from (name for name in seen.runs if name.startswith(record.IN_PART))
+    for span in seen.held:
+        if seen.is_calm(span.from_s - CONTACT_S, span.to_s):
+            yield str(span)
 
 
 def _run_after_leave(seen: record.Record) -> collections.abc.Iterator[Finding]:
--- a/soak/record.py
+++ b/soak/record.py
@@ -12,6 +12,10 @@
 """Describes the span of a crash by a deadly request."""
 
 
+IN_PART = "part-"
+"""Begin of the identifiers of requests that are never sent to their ends."""
+
+
 class Span(typing.NamedTuple):
     """A time span in which a fault was active.
 
@@ -59,22 +63,6 @@
     has_route: bool
 
 
-class InPart(typing.NamedTuple):
-    """A request that was never sent to its end.
-
-    Attributes:
-        attempt_id: Identifier.
-        sent_s: Time at which it was sent.
-        ended_s: Time at which its caller gave it up or was answered.
-        is_held: True if it had neither an answer nor a close in time.
-    """
-
-    attempt_id: str
-    sent_s: float
-    ended_s: float
-    is_held: bool
-
-
 class Record:
     """Collects observations, which `promises.check` evaluates at the end.
 
@@ -83,7 +71,7 @@
         runs: Runs at targets by attempt.
         left_s: Time of the acknowledged leave, by target id.
         versions_s: Time of acceptance, by configuration version.
-        in_part: Requests that were never sent to their ends.
+        held: Requests in part that had neither an answer nor a close in time.
         probes: Version probes, in order of their answers.
         unplanned: Time spans of faults.
         planned: Time spans of operator actions.
@@ -106,7 +94,7 @@
         self.runs: dict[str, list[Run]] = collections.defaultdict(list)
         self.left_s: dict[str, float] = {}
         self.versions_s: dict[int, float] = {}
-        self.in_part: list[InPart] = []
+        self.held: list[Span] = []
         self.probes: list[Probe] = []
         self.unplanned: list[Span] = []
         self.planned: list[Span] = []
