--- a/src/galenatack/links/caller_app.py
+++ b/src/galenatack/links/caller_app.py
@@ -25,12 +25,13 @@
 
 TICKET_PREFIX = "/_galenatack/ticket/"
 OUTCOME_HEADER = b"galenatack-outcome"
-_MS_PER_S = 1000
-_REQUEST_TIMEOUT = 408
-_BODY_TOO_LARGE = 413
+
 DEFAULT_RECEIVE_S = 10.0
 """Maximum time to receive a body if the caller names no deadline."""
 
+_MS_PER_S = 1000
+_REQUEST_TIMEOUT = 408
+_BODY_TOO_LARGE = 413
 _NO_CONTENT = 204
 _NOT_MODIFIED = 304
 
--- a/src/galenatack/links/connection_pool.py
+++ b/src/galenatack/links/connection_pool.py
@@ -14,7 +14,6 @@
 KEEP_ALIVE_MARGIN_S = 1.0
 """A connection is discarded this long before the server would close it."""
 
-
 MAX_LARGE_ANSWERS = 6
 """Number of long answers that are received from a host at a time."""
 
--- a/src/galenatack/links/pipelined_server.py
+++ b/src/galenatack/links/pipelined_server.py
@@ -11,6 +11,7 @@
 from galenatack.links import pipelined_connection
 
 BACKLOG = 1024
+
 MAX_LARGE_REQUESTS = 8
 """Number of requests of the maximum size that are received at a time."""
 
--- a/tests/links/test_endless_bytes.py
+++ b/tests/links/test_endless_bytes.py
@@ -57,6 +57,20 @@
     return sent
 
 
+def run_without_collections(main):
+    """Runs a coroutine that reads the peak of the memory; returns its result.
+
+    Only what reference counts free is freed.
+    """
+    gc.disable()
+    tracemalloc.start()
+    try:
+        return asyncio.run(main())
+    finally:
+        tracemalloc.stop()
+        gc.enable()
+
+
 class TestTargets(unittest.TestCase):
     def ask(self, begin, more):
         """Returns the error of a request to an endless target."""
@@ -157,13 +171,7 @@
             server.close()
             return peak_bytes
 
-        gc.disable()
-        tracemalloc.start()
-        try:
-            return asyncio.run(main())
-        finally:
-            tracemalloc.stop()
-            gc.enable()
+        return run_without_collections(main)
 
     def test_memory_is_bounded_over_all_calls(self):
         """What a failed call has read is free without a collection."""
@@ -222,13 +230,7 @@
             await asyncio.sleep(0.05)
             return peak_bytes
 
-        gc.disable()
-        tracemalloc.start()
-        try:
-            return asyncio.run(main())
-        finally:
-            tracemalloc.stop()
-            gc.enable()
+        return run_without_collections(main)
 
     def test_callers_that_do_not_read_do_not_take_the_memory(self):
         """The slowest are dropped, and one that reads has its answer."""
--- a/tests/mesh/test_time_outs.py
+++ b/tests/mesh/test_time_outs.py
@@ -20,6 +20,12 @@
 )
 
 
+async def connect(member):
+    """Returns a reader and a writer of a caller's connection to a node."""
+    host, _, port = member.settings.caller_address.rpartition(":")
+    return await asyncio.open_connection(host, int(port))
+
+
 class TestTimeOuts(unittest.TestCase):
     def test_a_body_that_never_comes_is_answered_at_the_time_out(self):
         """The caller is told that nothing ran, and nothing does."""
@@ -27,8 +33,7 @@
         async def main():
             async with small_fleet.SmallFleet("a", "b") as fleet:
                 near, far = fleet.members
-                host, _, port = near.settings.caller_address.rpartition(":")
-                reader, writer = await asyncio.open_connection(host, int(port))
+                reader, writer = await connect(near)
                 started_s = asyncio.get_running_loop().time()
                 writer.write(PUT % LIMIT_MS + b"0123456789")
                 async with asyncio.timeout(5.0):
@@ -51,8 +56,7 @@
             async with small_fleet.SmallFleet("a", "b") as fleet:
                 near, far = fleet.members
                 far.target.hold = asyncio.Event()
-                host, _, port = near.settings.caller_address.rpartition(":")
-                reader, writer = await asyncio.open_connection(host, int(port))
+                reader, writer = await connect(near)
                 started_s = asyncio.get_running_loop().time()
                 writer.write(PUT % 1000 + b"0123456789")
                 await asyncio.sleep(0.7)
@@ -74,8 +78,7 @@
             async with small_fleet.SmallFleet("a", "b") as fleet:
                 near, far = fleet.members
                 far.target.hold = asyncio.Event()
-                host, _, port = near.settings.caller_address.rpartition(":")
-                reader, writer = await asyncio.open_connection(host, int(port))
+                reader, writer = await connect(near)
                 started_s = asyncio.get_running_loop().time()
                 for deadline_ms in (2 * LIMIT_MS + 600, LIMIT_MS):
                     writer.write(GET % (deadline_ms, deadline_ms))
