Split traffic into the way of a call, admission, placement and telemetry

Change: admission/ has what protects the own target, placement/ the choice of a target, telemetry/ counters and logs of calls; traffic/ keeps the way of a call. Imports go one way: traffic, placement, admission, telemetry.

--- a/bench/overload_policies.py
+++ b/bench/overload_policies.py
@@ -5,11 +5,11 @@
 import math
 import typing
 
+from galenatack.admission import admission_queue
 from galenatack.model import gate_report
 from galenatack.model import member_record
-from galenatack.traffic import admission_queue
-from galenatack.traffic import gate_view
-from galenatack.traffic import target_placement
+from galenatack.placement import gate_view
+from galenatack.placement import target_placement
 
 MS_PER_S = 1000.0
 SHARE_SMOOTHING = 0.15
--- a/bench/overload_world.py
+++ b/bench/overload_world.py
@@ -12,16 +12,16 @@
 
 from bench import overload_policies
 from galenatack import exceptions
+from galenatack.admission import service_times
 from galenatack.messages import call_answer
 from galenatack.model import call_result
 from galenatack.model import gate_report
 from galenatack.model import host_route
 from galenatack.model import member_record
 from galenatack.model import target_condition
-from galenatack.traffic import known_conditions
-from galenatack.traffic import service_times
+from galenatack.placement import known_conditions
 from tests.fakes import virtual_loop
-from tests.traffic import fleet_load
+from tests.placement import fleet_load
 
 MS_PER_S = 1000.0
 SIGMA = 0.45
--- a/bench/retry_world.py
+++ b/bench/retry_world.py
@@ -13,6 +13,13 @@
 import typing
 
 from galenatack import exceptions
+from galenatack.admission import admission_queue
+from galenatack.admission import retried_runs
+from galenatack.admission import retry_slack
+from galenatack.admission import service_times
+from galenatack.admission import target_calls
+from galenatack.admission import target_gate
+from galenatack.admission import target_registry
 from galenatack.app import mesh_base
 from galenatack.app import mesh_quarantine
 from galenatack.app import mesh_rollouts
@@ -23,26 +30,19 @@
 from galenatack.model import target_answer
 from galenatack.model import traffic_config
 from galenatack.model import weighted_service
+from galenatack.placement import known_conditions
+from galenatack.placement import target_placement
 from galenatack.quarantine import crash_detector
 from galenatack.settings import fleet_bounds
 from galenatack.settings import mesh_settings
-from galenatack.traffic import admission_queue
 from galenatack.traffic import attempt_budget
 from galenatack.traffic import call_message_handler
 from galenatack.traffic import call_router
 from galenatack.traffic import call_sender
 from galenatack.traffic import call_telemetry
 from galenatack.traffic import config_holder
-from galenatack.traffic import known_conditions
-from galenatack.traffic import retried_runs
-from galenatack.traffic import retry_slack
-from galenatack.traffic import service_times
 from galenatack.traffic import shutdown_admission
-from galenatack.traffic import target_calls
 from galenatack.traffic import target_directory
-from galenatack.traffic import target_gate
-from galenatack.traffic import target_placement
-from galenatack.traffic import target_registry
 from tests.fakes import virtual_loop
 
 WINDOW_S = 10.0
--- /dev/null
+++ b/src/galenatack/admission/__init__.py
@@ -0,0 +1,1 @@
+"""Admission of calls to the own target."""
--- a/src/galenatack/traffic/admission_queue.py
+++ b/src/galenatack/admission/admission_queue.py
@@ -12,10 +12,10 @@
 import itertools
 
 from galenatack import exceptions
+from galenatack.admission import call_pacer
+from galenatack.admission import service_times
 from galenatack.interfaces import clock as clock_interface
 from galenatack.interfaces import random_source
-from galenatack.traffic import call_pacer
-from galenatack.traffic import service_times
 
 MS_PER_S = 1000.0
 
--- a/src/galenatack/traffic/departed_targets.py
+++ b/src/galenatack/admission/departed_targets.py
@@ -1,6 +1,6 @@
 """Targets that have left, by identifier and start time."""
 
-from galenatack.traffic import birth_clock
+from galenatack.admission import birth_clock
 
 MAX_TARGETS = 64
 """Maximum number of targets that are kept."""
--- a/src/galenatack/traffic/retried_runs.py
+++ b/src/galenatack/admission/retried_runs.py
@@ -1,9 +1,9 @@
 """Share of retries among the runs of a target."""
 
+from galenatack.admission import retry_slack
+from galenatack.admission import sliding_sum
 from galenatack.interfaces import clock as clock_interface
 from galenatack.model import call_request
-from galenatack.traffic import retry_slack
-from galenatack.traffic import sliding_sum
 
 
 class RetriedRuns:
--- a/src/galenatack/traffic/target_calls.py
+++ b/src/galenatack/admission/target_calls.py
@@ -3,6 +3,7 @@
 import anyio
 
 from galenatack import exceptions
+from galenatack.admission import target_registry
 from galenatack.interfaces import clock as clock_interface
 from galenatack.interfaces import target_link
 from galenatack.model import call_request
@@ -15,7 +16,6 @@
 from galenatack.quarantine import request_fingerprint
 from galenatack.routing import local_replies
 from galenatack.routing import running_call
-from galenatack.traffic import target_registry
 
 ANSWER_GRACE_S = 0.1
 """Extra time that a call waits for the target, which answers by the deadline.
--- a/src/galenatack/traffic/target_departures.py
+++ b/src/galenatack/admission/target_departures.py
@@ -3,9 +3,9 @@
 import collections.abc
 import logging
 
+from galenatack.admission import target_registry
 from galenatack.model import target_announcement
 from galenatack.model import target_state
-from galenatack.traffic import target_registry
 
 _LOGGER = logging.getLogger(__name__)
 
--- a/src/galenatack/traffic/target_gate.py
+++ b/src/galenatack/admission/target_gate.py
@@ -4,6 +4,12 @@
 import logging
 
 from galenatack import exceptions
+from galenatack.admission import admission_queue
+from galenatack.admission import failure_rate
+from galenatack.admission import retried_runs
+from galenatack.admission import service_times
+from galenatack.admission import target_calls
+from galenatack.admission import target_registry
 from galenatack.interfaces import clock as clock_interface
 from galenatack.messages import call_answer
 from galenatack.model import call_request
@@ -15,14 +21,8 @@
 from galenatack.quarantine import request_fingerprint
 from galenatack.routing import dispatcher
 from galenatack.routing import local_replies
-from galenatack.traffic import admission_queue
-from galenatack.traffic import call_stats
-from galenatack.traffic import failure_rate
-from galenatack.traffic import request_log
-from galenatack.traffic import retried_runs
-from galenatack.traffic import service_times
-from galenatack.traffic import target_calls
-from galenatack.traffic import target_registry
+from galenatack.telemetry import call_stats
+from galenatack.telemetry import request_log
 
 _LOGGER = logging.getLogger(__name__)
 
--- a/src/galenatack/traffic/target_registry.py
+++ b/src/galenatack/admission/target_registry.py
@@ -4,12 +4,12 @@
 import math
 import typing
 
+from galenatack.admission import birth_clock
+from galenatack.admission import departed_targets
 from galenatack.interfaces import clock as clock_interface
 from galenatack.model import member_record
 from galenatack.model import target_announcement
 from galenatack.model import target_state
-from galenatack.traffic import birth_clock
-from galenatack.traffic import departed_targets
 
 _LOGGER = logging.getLogger(__name__)
 
--- a/src/galenatack/app/loop_monitor.py
+++ b/src/galenatack/app/loop_monitor.py
@@ -3,7 +3,7 @@
 import logging
 
 from galenatack.interfaces import clock as clock_interface
-from galenatack.traffic import call_stats
+from galenatack.telemetry import call_stats
 
 _LOGGER = logging.getLogger(__name__)
 
--- a/src/galenatack/app/mesh_base.py
+++ b/src/galenatack/app/mesh_base.py
@@ -12,10 +12,10 @@
 from galenatack.model import member_status
 from galenatack.settings import mesh_settings
 from galenatack.settings import trust_settings
+from galenatack.telemetry import call_stats
+from galenatack.telemetry import request_log
 from galenatack.timeline import hybrid_clock
 from galenatack.timeline import recorder
-from galenatack.traffic import call_stats
-from galenatack.traffic import request_log
 
 DEPLOYMENT = "mesh"
 EVENT_CAPACITY = 512
--- a/src/galenatack/app/mesh_callbacks.py
+++ b/src/galenatack/app/mesh_callbacks.py
@@ -4,6 +4,9 @@
 import typing
 
 from galenatack import exceptions
+from galenatack.admission import retry_slack
+from galenatack.admission import target_gate
+from galenatack.admission import target_registry
 from galenatack.config import row_exchange
 from galenatack.config import row_mirror
 from galenatack.config import store_follower_election
@@ -18,15 +21,12 @@
 from galenatack.model import proximity
 from galenatack.model import table_row
 from galenatack.model import target_condition
+from galenatack.placement import target_placement
 from galenatack.platform import config_document
 from galenatack.platform import rollout_rows
 from galenatack.rollouts import rollout_registry
 from galenatack.timeline import hybrid_clock
 from galenatack.traffic import config_holder
-from galenatack.traffic import retry_slack
-from galenatack.traffic import target_gate
-from galenatack.traffic import target_placement
-from galenatack.traffic import target_registry
 
 _LOGGER = logging.getLogger(__name__)
 
--- a/src/galenatack/app/mesh_inbound.py
+++ b/src/galenatack/app/mesh_inbound.py
@@ -2,20 +2,20 @@
 
 import typing
 
+from galenatack.admission import admission_queue
+from galenatack.admission import retried_runs
+from galenatack.admission import retry_slack
+from galenatack.admission import service_times
+from galenatack.admission import target_calls
+from galenatack.admission import target_gate
+from galenatack.admission import target_registry
 from galenatack.app import mesh_base
 from galenatack.app import mesh_quarantine
 from galenatack.app import mesh_rollouts
 from galenatack.links import translated_target
 from galenatack.platform import target_headers
 from galenatack.quarantine import crash_detector
-from galenatack.traffic import admission_queue
 from galenatack.traffic import call_message_handler
-from galenatack.traffic import retried_runs
-from galenatack.traffic import retry_slack
-from galenatack.traffic import service_times
-from galenatack.traffic import target_calls
-from galenatack.traffic import target_gate
-from galenatack.traffic import target_registry
 
 MS_PER_S = 1000
 
--- a/src/galenatack/app/mesh_outbound.py
+++ b/src/galenatack/app/mesh_outbound.py
@@ -6,15 +6,15 @@
 from galenatack.app import mesh_inbound
 from galenatack.app import mesh_quarantine
 from galenatack.app import mesh_rollouts
+from galenatack.placement import known_conditions
+from galenatack.placement import target_placement
 from galenatack.traffic import attempt_budget
 from galenatack.traffic import call_router
 from galenatack.traffic import call_sender
 from galenatack.traffic import call_telemetry
 from galenatack.traffic import config_holder
-from galenatack.traffic import known_conditions
 from galenatack.traffic import shutdown_admission
 from galenatack.traffic import target_directory
-from galenatack.traffic import target_placement
 
 
 class MeshOutbound(typing.NamedTuple):
--- a/src/galenatack/app/mesh_parts.py
+++ b/src/galenatack/app/mesh_parts.py
@@ -2,6 +2,9 @@
 
 import typing
 
+from galenatack.admission import retry_slack
+from galenatack.admission import target_gate
+from galenatack.admission import target_registry
 from galenatack.config import instrumented_table
 from galenatack.config import row_mirror
 from galenatack.config import store_follower_election
@@ -14,23 +17,20 @@
 from galenatack.membership import member_table
 from galenatack.membership import membership_service
 from galenatack.moves import withdrawals
+from galenatack.placement import target_placement
 from galenatack.quarantine import crash_archive
 from galenatack.quarantine import crash_ledger
 from galenatack.rollouts import rollout_driver
 from galenatack.rollouts import rollout_registry
 from galenatack.settings import mesh_settings
+from galenatack.telemetry import call_stats
+from galenatack.telemetry import request_log
 from galenatack.timeline import recorder
 from galenatack.traffic import attempt_budget
 from galenatack.traffic import call_router
-from galenatack.traffic import call_stats
 from galenatack.traffic import config_holder
 from galenatack.traffic import link_warmer
-from galenatack.traffic import request_log
-from galenatack.traffic import retry_slack
 from galenatack.traffic import shutdown_admission
-from galenatack.traffic import target_gate
-from galenatack.traffic import target_placement
-from galenatack.traffic import target_registry
 
 
 class MeshParts(typing.NamedTuple):
--- a/src/galenatack/app/mesh_wiring.py
+++ b/src/galenatack/app/mesh_wiring.py
@@ -4,6 +4,7 @@
 import secrets
 import typing
 
+from galenatack.admission import target_departures
 from galenatack.app import mesh_base
 from galenatack.app import mesh_callbacks
 from galenatack.app import mesh_inbound
@@ -28,7 +29,6 @@
 from galenatack.platform import store_table
 from galenatack.settings import mesh_settings
 from galenatack.traffic import link_warmer
-from galenatack.traffic import target_departures
 from galenatack.traffic import target_directory
 
 SEED_BITS = 64
--- /dev/null
+++ b/src/galenatack/placement/__init__.py
@@ -0,0 +1,1 @@
+"""Choice of the target of a call."""
--- a/src/galenatack/traffic/gate_view.py
+++ b/src/galenatack/placement/gate_view.py
@@ -2,8 +2,8 @@
 
 import math
 
+from galenatack.admission import service_times
 from galenatack.model import gate_report
-from galenatack.traffic import service_times
 
 REPORT_DECAY_S = 0.3
 """Time constant, a few service times, after which most of the other nodes'
--- a/src/galenatack/traffic/target_placement.py
+++ b/src/galenatack/placement/target_placement.py
@@ -16,8 +16,8 @@
 from galenatack.model import host_route
 from galenatack.model import member_record
 from galenatack.model import proximity
-from galenatack.traffic import gate_view
-from galenatack.traffic import known_conditions
+from galenatack.placement import gate_view
+from galenatack.placement import known_conditions
 
 MS_PER_S = 1000.0
 
--- /dev/null
+++ b/src/galenatack/telemetry/__init__.py
@@ -0,0 +1,1 @@
+"""Counters and logs of calls."""
--- a/src/galenatack/traffic/attempt_budget.py
+++ b/src/galenatack/traffic/attempt_budget.py
@@ -2,9 +2,9 @@
 
 import collections
 
+from galenatack.admission import retry_slack
+from galenatack.admission import sliding_sum
 from galenatack.interfaces import clock as clock_interface
-from galenatack.traffic import retry_slack
-from galenatack.traffic import sliding_sum
 
 
 class AttemptBudget:
--- a/src/galenatack/traffic/call_message_handler.py
+++ b/src/galenatack/traffic/call_message_handler.py
@@ -1,10 +1,10 @@
 """Passes calls from other nodes to the gate."""
 
+from galenatack.admission import target_gate
 from galenatack.interfaces import peer_network
 from galenatack.messages import call as call_message
 from galenatack.messages import call_answer
 from galenatack.messages import cancel_call
-from galenatack.traffic import target_gate
 
 
 class CallMessageHandler:
--- a/src/galenatack/traffic/call_router.py
+++ b/src/galenatack/traffic/call_router.py
@@ -3,6 +3,8 @@
 import logging
 
 from galenatack import exceptions
+from galenatack.admission import retried_runs
+from galenatack.admission import target_gate
 from galenatack.interfaces import clock as clock_interface
 from galenatack.messages import call_answer
 from galenatack.model import call_result
@@ -10,6 +12,8 @@
 from galenatack.model import host_route
 from galenatack.model import member_record
 from galenatack.model import outcome
+from galenatack.placement import known_conditions
+from galenatack.placement import target_placement
 from galenatack.quarantine import crash_ledger
 from galenatack.quarantine import quarantine as quarantine_module
 from galenatack.rollouts import version_chooser
@@ -18,13 +22,9 @@
 from galenatack.traffic import call_sender
 from galenatack.traffic import call_telemetry
 from galenatack.traffic import config_holder
-from galenatack.traffic import known_conditions
 from galenatack.traffic import request_attempts
-from galenatack.traffic import retried_runs
 from galenatack.traffic import shutdown_admission
 from galenatack.traffic import target_directory
-from galenatack.traffic import target_gate
-from galenatack.traffic import target_placement
 from galenatack.traffic import weighted_choice
 
 _LOGGER = logging.getLogger(__name__)
--- a/src/galenatack/traffic/call_sender.py
+++ b/src/galenatack/traffic/call_sender.py
@@ -4,6 +4,7 @@
 import logging
 
 from galenatack import exceptions
+from galenatack.admission import target_gate
 from galenatack.interfaces import clock as clock_interface
 from galenatack.interfaces import peer_network
 from galenatack.interfaces import random_source
@@ -13,10 +14,9 @@
 from galenatack.model import call_request
 from galenatack.model import call_result
 from galenatack.model import member_record
+from galenatack.placement import known_conditions
 from galenatack.routing import local_replies
-from galenatack.traffic import known_conditions
 from galenatack.traffic import request_attempts
-from galenatack.traffic import target_gate
 
 _LOGGER = logging.getLogger(__name__)
 
--- a/src/galenatack/traffic/call_telemetry.py
+++ b/src/galenatack/traffic/call_telemetry.py
@@ -1,19 +1,19 @@
 """Log lines, counters and histograms of routed calls."""
 
 from galenatack import exceptions
+from galenatack.admission import target_gate
 from galenatack.interfaces import clock as clock_interface
 from galenatack.model import call_request
 from galenatack.model import call_result
 from galenatack.model import caller_request
 from galenatack.model import member_record
+from galenatack.placement import target_placement
 from galenatack.routing import local_replies
+from galenatack.telemetry import call_stats
+from galenatack.telemetry import request_log
 from galenatack.traffic import attempt_budget
-from galenatack.traffic import call_stats
 from galenatack.traffic import config_holder
 from galenatack.traffic import request_attempts
-from galenatack.traffic import request_log
-from galenatack.traffic import target_gate
-from galenatack.traffic import target_placement
 
 MS_PER_S = 1000.0
 
--- a/src/galenatack/traffic/link_warmer.py
+++ b/src/galenatack/traffic/link_warmer.py
@@ -7,7 +7,7 @@
 from galenatack.links import peer_network
 from galenatack.membership import member_table
 from galenatack.model import member_record
-from galenatack.traffic import target_placement
+from galenatack.placement import target_placement
 
 TICK_S = 0.25
 MIN_PAUSE_S = 0.25
--- a/tests/traffic/test_admission_queue.py
+++ b/tests/admission/test_admission_queue.py
@@ -6,8 +6,8 @@
 import unittest
 
 from galenatack import exceptions
-from galenatack.traffic import admission_queue
-from galenatack.traffic import service_times
+from galenatack.admission import admission_queue
+from galenatack.admission import service_times
 from tests.fakes import virtual_loop
 
 WORK_S = 0.1
--- a/tests/traffic/test_target_registry.py
+++ b/tests/admission/test_target_registry.py
@@ -2,11 +2,11 @@
 
 import unittest
 
+from galenatack.admission import target_registry
 from galenatack.model import target_announcement
 from galenatack.model import target_state
-from galenatack.traffic import target_registry
 from tests.fakes import manual_clock
-from tests.traffic import fleet_load
+from tests.placement import fleet_load
 
 READY = target_state.TargetState.READY.value
 DRAINING = target_state.TargetState.DRAINING.value
--- a/tests/app/test_loop_monitor.py
+++ b/tests/app/test_loop_monitor.py
@@ -4,7 +4,7 @@
 import unittest
 
 from galenatack.app import loop_monitor
-from galenatack.traffic import call_stats
+from galenatack.telemetry import call_stats
 from tests.fakes import manual_clock
 
 
--- a/tests/traffic/fleet_load.py
+++ b/tests/placement/fleet_load.py
@@ -6,16 +6,16 @@
 import random
 
 from galenatack import exceptions
+from galenatack.admission import admission_queue
+from galenatack.admission import service_times
 from galenatack.messages import call_answer
 from galenatack.model import call_result
 from galenatack.model import gate_report
 from galenatack.model import host_route
 from galenatack.model import member_record
 from galenatack.model import weighted_service
-from galenatack.traffic import admission_queue
-from galenatack.traffic import known_conditions
-from galenatack.traffic import service_times
-from galenatack.traffic import target_placement
+from galenatack.placement import known_conditions
+from galenatack.placement import target_placement
 from tests.fakes import virtual_loop
 
 ONE_WAY_S = {"dc": 0.0005, "region": 0.0015, "other": 0.03}
--- a/tests/traffic/test_known_conditions.py
+++ b/tests/placement/test_known_conditions.py
@@ -6,22 +6,22 @@
 from unittest import mock
 
 from galenatack import exceptions
+from galenatack.admission import admission_queue
+from galenatack.admission import retried_runs
+from galenatack.admission import retry_slack
+from galenatack.admission import service_times
+from galenatack.admission import target_calls
+from galenatack.admission import target_gate
+from galenatack.admission import target_registry
 from galenatack.model import retry_bounds
 from galenatack.model import target_condition
-from galenatack.traffic import admission_queue
-from galenatack.traffic import known_conditions
-from galenatack.traffic import retried_runs
-from galenatack.traffic import retry_slack
-from galenatack.traffic import service_times
-from galenatack.traffic import target_calls
-from galenatack.traffic import target_gate
-from galenatack.traffic import target_placement
-from galenatack.traffic import target_registry
+from galenatack.placement import known_conditions
+from galenatack.placement import target_placement
+from tests.admission import test_target_registry
 from tests.fakes import virtual_loop
+from tests.placement import fleet_load
 from tests.platform import test_target_headers
 from tests.quarantine import test_quarantine
-from tests.traffic import fleet_load
-from tests.traffic import test_target_registry
 
 MEMBER = fleet_load.member("1")._replace(target_born_ms=100)
 LEAVING = target_condition.TargetCondition(is_leaving=True)
--- a/tests/traffic/test_placement_load.py
+++ b/tests/placement/test_placement_load.py
@@ -4,7 +4,7 @@
 import unittest
 
 from tests.fakes import virtual_loop
-from tests.traffic import fleet_load
+from tests.placement import fleet_load
 
 # A target with 12 slots and 90 ms of work runs about 133 calls per second.
 CAPACITY_PER_S = 133
--- a/tests/rollouts/test_rollout_driver.py
+++ b/tests/rollouts/test_rollout_driver.py
@@ -24,7 +24,7 @@
 from tests.fakes import event_list
 from tests.fakes import memory_network
 from tests.fakes import virtual_loop
-from tests.traffic import fleet_load
+from tests.placement import fleet_load
 
 DURATION_MS = 12_000
 ORDER = rollout_order.RolloutOrder("s", "v2", DURATION_MS, 5)
--- a/tests/rollouts/test_trial_bursts.py
+++ b/tests/rollouts/test_trial_bursts.py
@@ -3,7 +3,7 @@
 import unittest
 
 from galenatack.rollouts import trial_bursts
-from tests.traffic import fleet_load
+from tests.placement import fleet_load
 
 SHARE = 0.075
 STEP_S = 0.0025
--- a/tests/traffic/test_request_log.py
+++ b/tests/telemetry/test_request_log.py
@@ -3,7 +3,7 @@
 import logging
 import unittest
 
-from galenatack.traffic import request_log
+from galenatack.telemetry import request_log
 from tests.fakes import manual_clock
 
 
--- a/tests/traffic/test_attempt_budget.py
+++ b/tests/traffic/test_attempt_budget.py
@@ -2,11 +2,11 @@
 
 import unittest
 
+from galenatack.admission import retried_runs
+from galenatack.admission import retry_slack
 from galenatack.model import call_request
 from galenatack.model import retry_bounds
 from galenatack.traffic import attempt_budget
-from galenatack.traffic import retried_runs
-from galenatack.traffic import retry_slack
 from tests.fakes import manual_clock
 
 NODES = 12
--- a/tests/traffic/test_link_warmer.py
+++ b/tests/traffic/test_link_warmer.py
@@ -8,9 +8,9 @@
 
 from galenatack.membership import member_table
 from galenatack.model import member_record
-from galenatack.traffic import known_conditions
+from galenatack.placement import known_conditions
+from galenatack.placement import target_placement
 from galenatack.traffic import link_warmer
-from galenatack.traffic import target_placement
 from tests.fakes import virtual_loop
 
 
--- a/tests/traffic/test_request_attempts.py
+++ b/tests/traffic/test_request_attempts.py
@@ -8,7 +8,7 @@
 from galenatack.model import outcome
 from galenatack.routing import local_replies
 from galenatack.traffic import request_attempts
-from tests.traffic import fleet_load
+from tests.placement import fleet_load
 
 ANSWER_500 = call_result.CallResult(
     outcome.Outcome.ANSWER.value, 500, (), b"", has_reached_target=True
