Decode tenants, homes, warm-up and their bounds into the model

Cause: the configuration of the new deployments has fields that no part sees. Change: the model gets tenants (with digests of their keys), regions that may run a route's calls, the warm-up of a service, the load that a target reports, and the bounds that belong to them; messages between nodes get the fields that the coming parts exchange, appended with defaults, so that nodes of the release before understand them. Nothing reads them yet. Test: the condition of a target is compared as a whole.

--- a/src/galenatack/model/call_request.py
+++ b/src/galenatack/model/call_request.py
@@ -34,6 +34,11 @@
         retry_share: For a first attempt, the probability that it descends from
             a retry: the share of retries and their descendants at the target
             of the sending node, which may have made it.
+        tenant: Name of the tenant that sent the request; empty without one.
+        cost_ms: Work that the call is expected to be, as the time that it
+            takes at a target of the usual speed; 0 if it is not known.
+        waited_ms: Time from the arrival of the request at its node until this
+            attempt, which it has lost of its objective.
     """
 
     call_id: str
@@ -56,3 +61,6 @@
     is_trial: bool = False
     is_retry: bool = False
     retry_share: float = 0.0
+    tenant: str = ""
+    cost_ms: float = 0.0
+    waited_ms: float = 0.0
--- a/src/galenatack/model/caller_request.py
+++ b/src/galenatack/model/caller_request.py
@@ -16,6 +16,8 @@
         deadline_ms: Time that the caller waits for an answer; 0 if it is not
             given.
         receive_ms: Time from its first byte until it was whole.
+        credential: Key that the caller sent; empty without one. It is in no
+            other field.
     """
 
     request_id: str
@@ -26,3 +28,4 @@
     body: bytes
     deadline_ms: int
     receive_ms: float = 0.0
+    credential: str = ""
--- a/src/galenatack/model/gate_report.py
+++ b/src/galenatack/model/gate_report.py
@@ -20,6 +20,14 @@
             if it has not answered since the gate or the target started.
         admits_retries: False if retries are as large a share of what the
             target runs as they may be.
+        waits_ms: Time that a new call would wait for a slot, by its priority
+            from 0 on; the last one holds for all lower priorities. Empty if
+            it is not reported.
+        backlog_ms: Work that the calls at the gate and its target still need,
+            as the time that it takes at the usual speed with one slot; 0 if it
+            is not estimated.
+        cold_rate_per_s: Calls per second that a cold target takes from all
+            nodes together; None if it is warm.
     """
 
     running: int
@@ -29,3 +37,6 @@
     wait_ms: int
     condition: target_condition.TargetCondition | None = None
     admits_retries: bool = True
+    waits_ms: tuple[int, ...] = ()
+    backlog_ms: int = 0
+    cold_rate_per_s: float | None = None
--- a/src/galenatack/model/host_route.py
+++ b/src/galenatack/model/host_route.py
@@ -21,6 +21,9 @@
         priority: Priority under load; 0 is the highest.
         max_attempts: Maximum number of targets to which a call is sent.
         unknowns: Parts of the route that this release does not know.
+        is_anonymous: True if its requests need no key of a tenant.
+        allowed_regions: Regions whose targets may run its calls; empty for
+            all.
     """
 
     name: str
@@ -33,3 +36,5 @@
     priority: int
     max_attempts: int
     unknowns: tuple[str, ...] = ()
+    is_anonymous: bool = False
+    allowed_regions: tuple[str, ...] = ()
--- /dev/null
+++ b/src/galenatack/model/warm_up.py
@@ -0,0 +1,16 @@
+"""How a service's targets behave after a start."""
+
+import typing
+
+
+class WarmUp(typing.NamedTuple):
+    """How a service's targets behave after a start.
+
+    Attributes:
+        duration_ms: Time for which a target is cold after its start.
+        rate_per_s: Requests per second that a cold target takes from all nodes
+            together; 0 without a limit.
+    """
+
+    duration_ms: int = 0
+    rate_per_s: float = 0.0
--- a/src/galenatack/platform/_values.py
+++ b/src/galenatack/platform/_values.py
@@ -47,6 +47,17 @@
     return name.lower().removesuffix(".")
 
 
+def flag(value: typing.Any) -> bool:
+    """Returns a truth value.
+
+    Raises:
+        ValueError: The value is neither true nor false.
+    """
+    if type(value) is not bool:
+        raise ValueError("true or false")
+    return value
+
+
 def non_negative_int(value: typing.Any) -> int:
     """Returns a non-negative integer.
 
--- a/src/galenatack/platform/config_document.py
+++ b/src/galenatack/platform/config_document.py
@@ -18,7 +18,10 @@
 from galenatack import json_document
 from galenatack.model import caller_limits
 from galenatack.model import host_route
+from galenatack.model import tenant
+from galenatack.model import tenant_key
 from galenatack.model import traffic_config
+from galenatack.model import warm_up
 from galenatack.model import weighted_service
 from galenatack.platform import _values
 
@@ -39,6 +42,8 @@
         "max_attempts",
         "service",
         "weighted_clusters",
+        "anonymous",
+        "allowed_regions",
     }
 )
 _DEFAULTS = caller_limits.CallerLimits()
@@ -63,16 +68,22 @@
 
 
 def _decode(document: typing.Any) -> traffic_config.TrafficConfig:
+    services = {
+        _values.field(row, "name", _values.text): row
+        for row in _table(document, "services")
+    }
     return traffic_config.TrafficConfig(
         version=_values.field(document, "version", _values.whole_number),
         routes=_routes(document),
         max_connections={
-            _values.field(row, "name", _values.text): _values.field(
+            name: _values.field(
                 row, "max_connections", _values.whole_number, default=0
             )
-            for row in _table(document, "services")
+            for name, row in services.items()
         },
         limits=_limits(_values.field(document, "limits", dict, default={})),
+        tenants=_tenants(document),
+        warm_ups={name: _warm_up(row) for name, row in services.items()},
     )
 
 
@@ -88,6 +99,39 @@
         yield dict(zip(columns, row, strict=True))
 
 
+def _warm_up(row: _Document) -> warm_up.WarmUp:
+    return warm_up.WarmUp(
+        duration_ms=_values.field(
+            row, "warmup", _values.duration_ms, default=0
+        ),
+        rate_per_s=_values.field(
+            row, "warmup_per_s", _values.non_negative_number, default=0.0
+        ),
+    )
+
+
+def _tenants(document: typing.Any) -> tuple[tenant.Tenant, ...] | None:
+    if not isinstance(document, dict) or document.get("tenants") is None:
+        return None
+    return tuple(_tenant(row) for row in _table(document, "tenants"))
+
+
+def _tenant(row: _Document) -> tenant.Tenant:
+    return tenant.Tenant(
+        name=_values.field(row, "name", _values.text),
+        key_digests=tuple(
+            tenant_key.digest(key)
+            for key in _values.field(row, "api_keys", _texts, ())
+        ),
+        priority=_values.field(row, "priority", _values.whole_number, None),
+        rate_per_s=_values.field(
+            row, "rate_per_s", _values.non_negative_number, 0.0
+        ),
+        burst=_values.field(row, "burst", _values.non_negative_number, 0.0),
+        allowed_regions=_values.field(row, "allowed_regions", _texts, ()),
+    )
+
+
 def _routes(document: typing.Any) -> tuple[host_route.HostRoute, ...]:
     table = _values.field(document, "routes", dict)
     columns = _values.field(table, "columns", _texts)
@@ -142,6 +186,8 @@
             _values.field(row, "max_attempts", _values.whole_number, default=1),
         ),
         unknowns=_unknowns(row, kind, services),
+        is_anonymous=_values.field(row, "anonymous", _values.flag, False),
+        allowed_regions=_values.field(row, "allowed_regions", _texts, ()),
     )
 
 
--- a/src/galenatack/platform/settings_document.py
+++ b/src/galenatack/platform/settings_document.py
@@ -99,6 +99,14 @@
         repeat_slack=int(number("budget_slack", _DEFAULTS.repeat_slack)),
         trial_share=number("exposure_share", _DEFAULTS.trial_share),
         repeat_ratio=number("retry_budget_ratio", _DEFAULTS.repeat_ratio),
+        evacuation_ms=bound_ms("evacuation", _DEFAULTS.evacuation_ms),
+        revoke_ms=bound_ms("revoke", _DEFAULTS.revoke_ms),
+        is_revoke_strict=values.get("revoke_strict") == "true",
+        quota_window_ms=bound_ms("quota_window", _DEFAULTS.quota_window_ms),
+        quota_overshoot=number("quota_overshoot", _DEFAULTS.quota_overshoot),
+        quota_slack=int(number("quota_slack", _DEFAULTS.quota_slack)),
+        cold_overshoot=number("warmup_overshoot", _DEFAULTS.cold_overshoot),
+        cold_slack=int(number("warmup_slack", _DEFAULTS.cold_slack)),
     )
 
 
--- a/tests/platform/test_target_headers.py
+++ b/tests/platform/test_target_headers.py
@@ -4,6 +4,7 @@
 
 from galenatack import exceptions
 from galenatack.model import call_request
+from galenatack.model import target_condition
 from galenatack.platform import target_headers
 
 REQUEST = call_request.CallRequest(
@@ -80,7 +81,10 @@
             (((b"server-limit", b"x"), (b"server-leaving", b"0")), None, False),
         ):
             condition = self.dialect.condition(503, headers)
-            self.assertEqual(condition, (limit_per_s, is_leaving))
+            self.assertEqual(
+                condition,
+                target_condition.TargetCondition(limit_per_s, is_leaving),
+            )
             self.assertIsNone(self.dialect.condition(421, headers))
 
     def test_hop_by_hop_headers_are_not_forwarded(self):
