--- a/src/galenatack/model/host_route.py
+++ b/src/galenatack/model/host_route.py
@@ -22,7 +22,7 @@
         max_attempts: Maximum number of targets to which a call is sent.
         unknowns: Parts of the route that this release does not know.
         is_anonymous: True if its requests need no key of a tenant.
-        allowed_regions: Regions whose targets may run its calls; empty for
+        home_regions: Regions whose targets may run its calls; empty for
             all.
     """
 
@@ -37,4 +37,4 @@
     max_attempts: int
     unknowns: tuple[str, ...] = ()
     is_anonymous: bool = False
-    allowed_regions: tuple[str, ...] = ()
+    home_regions: tuple[str, ...] = ()
--- a/src/galenatack/model/tenant.py
+++ b/src/galenatack/model/tenant.py
@@ -14,7 +14,7 @@
         rate_per_s: Requests per second that run on all nodes together; 0
             without a limit.
         burst: Requests beyond the rate that may run at once.
-        allowed_regions: Regions whose targets may run its requests; empty for
+        home_regions: Regions whose targets may run its requests; empty for
             all.
     """
 
@@ -23,4 +23,4 @@
     priority: int | None = None
     rate_per_s: float = 0.0
     burst: float = 0.0
-    allowed_regions: tuple[str, ...] = ()
+    home_regions: tuple[str, ...] = ()
--- a/src/galenatack/platform/config_document.py
+++ b/src/galenatack/platform/config_document.py
@@ -128,7 +128,7 @@
             row, "rate_per_s", _values.non_negative_number, 0.0
         ),
         burst=_values.field(row, "burst", _values.non_negative_number, 0.0),
-        allowed_regions=_values.field(row, "allowed_regions", _texts, ()),
+        home_regions=_values.field(row, "allowed_regions", _texts, ()),
     )
 
 
@@ -187,7 +187,7 @@
         ),
         unknowns=_unknowns(row, kind, services),
         is_anonymous=_values.field(row, "anonymous", _values.flag, False),
-        allowed_regions=_values.field(row, "allowed_regions", _texts, ()),
+        home_regions=_values.field(row, "allowed_regions", _texts, ()),
     )
 
 
