--- a/src/galenatack/platform/settings_document.py
+++ b/src/galenatack/platform/settings_document.py
@@ -101,7 +101,7 @@
         repeat_ratio=number("retry_budget_ratio", _DEFAULTS.repeat_ratio),
         evacuation_ms=bound_ms("evacuation", _DEFAULTS.evacuation_ms),
         revoke_ms=bound_ms("revoke", _DEFAULTS.revoke_ms),
-        is_revoke_strict=values.get("revoke_strict") == "true",
+        is_revoking_strict=values.get("revoke_strict") == "true",
         quota_window_ms=bound_ms("quota_window", _DEFAULTS.quota_window_ms),
         quota_overshoot=number("quota_overshoot", _DEFAULTS.quota_overshoot),
         quota_slack=int(number("quota_slack", _DEFAULTS.quota_slack)),
--- a/src/galenatack/settings/fleet_bounds.py
+++ b/src/galenatack/settings/fleet_bounds.py
@@ -23,7 +23,7 @@
             evacuated data centre.
         revoke_ms: Time limit for refusing a key that was taken away; 0 without
             one.
-        is_revoke_strict: True if that limit also binds nodes without a way to
+        is_revoking_strict: True if that limit also binds nodes without a way to
             the store.
         quota_window_ms: Window of the tenants' quotas.
         quota_overshoot: Share beyond a quota that all nodes may let through.
@@ -42,7 +42,7 @@
     repeat_ratio: float = 0.2
     evacuation_ms: int = 5000
     revoke_ms: int = 0
-    is_revoke_strict: bool = False
+    is_revoking_strict: bool = False
     quota_window_ms: int = 5000
     quota_overshoot: float = 0.1
     quota_slack: int = 20
