Offer calls to gates with a limit on their wait

Cause: where 82 nodes each send a few calls a second, a node hears of a gate once in a second or two, while a queue of three slots changes every few milliseconds: calls queue at one target while the next is idle, and runs that wait for calls of their own hold slots meanwhile. Change: a call carries the wait at which the next best gate would cost less; a gate with a longer queue declines it at once with a fresh report. Views fade toward the mean wait of their gate, not toward an empty queue. Ruled out: more reports, probes (docs/design/offers.md).

--- a/src/galenatack/admission/admission_queue.py
+++ b/src/galenatack/admission/admission_queue.py
@@ -127,6 +127,7 @@
         priority: int,
         deadline_s: float,
         target_latency_ms: float,
+        max_wait_ms: float | None = None,
     ) -> None:
         """Acquires a slot, waiting for one if necessary.
 
@@ -137,9 +138,13 @@
             deadline_s: Monotonic time by which the call must have ended.
             target_latency_ms: Latency that the route aims for; 0 if only the
                 deadline applies.
+            max_wait_ms: Wait beyond which another gate is the better choice;
+                None for no limit.
 
         Raises:
             exceptions.OverloadedError: The answer would be too late.
+            exceptions.OfferDeclinedError: The wait would be longer than
+                `max_wait_ms`.
             exceptions.CancelledCallError: The call was cancelled while it
                 waited.
             exceptions.LeavingError: The queue was closed while the call
@@ -153,6 +158,11 @@
             expected_ms, deadline_s, target_latency_ms
         )
         wait_ms = self.expected_wait_ms(priority, deadline_s)
+        if max_wait_ms is not None and wait_ms > max_wait_ms:
+            raise exceptions.OfferDeclinedError(
+                f"wait of {wait_ms:.0f} ms exceeds the offer's"
+                f" {max_wait_ms:.0f} ms"
+            )
         if wait_ms > allowed_ms:
             raise self._overloaded(wait_ms, allowed_ms)
         await self._wait(call_id, priority, deadline_s, expected_ms, allowed_ms)
--- a/src/galenatack/admission/target_gate.py
+++ b/src/galenatack/admission/target_gate.py
@@ -245,6 +245,7 @@
             priority=request.priority,
             deadline_s=deadline_s,
             target_latency_ms=request.target_latency_ms,
+            max_wait_ms=request.max_wait_ms,
         )
         try:
             # While the call was queued, the target may have left, and others
--- a/src/galenatack/exceptions/_call_errors.py
+++ b/src/galenatack/exceptions/_call_errors.py
@@ -23,6 +23,15 @@
         self.retry_after_ms = retry_after_ms
 
 
+class OfferDeclinedError(CallError):
+    """A gate declined a call because it would wait longer than offered.
+
+    It may be sent to the same gate again without a limit on its wait.
+    """
+
+    code = "offer-declined"
+
+
 class RetryRefusedError(CallError):
     """A retry was refused because retries are too large a share of all runs.
 
--- a/src/galenatack/model/call_request.py
+++ b/src/galenatack/model/call_request.py
@@ -39,6 +39,8 @@
             takes at a target of the usual speed; 0 if it is not known.
         waited_ms: Time from the arrival of the request at its node until this
             attempt, which it has lost of its objective.
+        max_wait_ms: Wait for a slot beyond which the gate declines the call,
+            because another gate is then the better choice; None for no limit.
     """
 
     call_id: str
@@ -64,3 +66,4 @@
     tenant: str = ""
     cost_ms: float = 0.0
     waited_ms: float = 0.0
+    max_wait_ms: int | None = None
--- a/src/galenatack/placement/gate_view.py
+++ b/src/galenatack/placement/gate_view.py
@@ -9,6 +9,10 @@
 """Time constant, a few service times, after which most of the other nodes'
 calls in a report have ended."""
 
+MEAN_WAIT_S = 1.5
+"""Time constant of the mean wait at a gate, toward which a report fades: slow
+or popular targets have queues when nothing is heard of them."""
+
 REFUSAL_TTL_S = 0.04
 """Time for which a gate that refused a call is considered full. A few slots
 become free in this time, and as many other calls take them."""
@@ -48,6 +52,7 @@
         self._other_calls = 0
         self._reported_s = -math.inf
         self._wait_reports: dict[str, tuple[float, float]] = {}
+        self._mean_waits_ms: dict[str, float] = {}
         self._admits_retries = True
         self._refused_until_s: dict[str, float] = {}
         self._ejections = 0
@@ -61,7 +66,7 @@
             0, report.running + report.queued - self.in_flight
         )
         self._reported_s = now_s
-        self._wait_reports[route] = (now_s, float(report.wait_ms))
+        self._record_wait(route, float(report.wait_ms), now_s)
         self._ejections = 0
         self.failure_permille = report.failure_permille
         self._admits_retries = report.admits_retries
@@ -133,5 +138,22 @@
         wait_report = self._wait_reports.get(route)
         if wait_report is None:
             return shared_ms
-        freshness = math.exp((wait_report[0] - now_s) / REPORT_DECAY_S)
-        return freshness * wait_report[1] + (1.0 - freshness) * shared_ms
+        reported_s, reported_ms = wait_report
+        freshness = math.exp((reported_s - now_s) / REPORT_DECAY_S)
+        usual_ms = max(shared_ms, self._mean_wait_ms(route, now_s))
+        return freshness * reported_ms + (1.0 - freshness) * usual_ms
+
+    def _record_wait(self, route: str, wait_ms: float, now_s: float) -> None:
+        known = self._wait_reports.get(route)
+        if known is None:
+            self._mean_waits_ms[route] = wait_ms
+        else:
+            weight = 1.0 - math.exp((known[0] - now_s) / MEAN_WAIT_S)
+            mean_ms = self._mean_waits_ms[route]
+            self._mean_waits_ms[route] = mean_ms + weight * (wait_ms - mean_ms)
+        self._wait_reports[route] = (now_s, wait_ms)
+
+    def _mean_wait_ms(self, route: str, now_s: float) -> float:
+        """Returns the mean wait, which is forgotten while nothing is heard."""
+        age_s = now_s - self._wait_reports[route][0]
+        return self._mean_waits_ms[route] * math.exp(-age_s / MEAN_WAIT_S)
--- a/src/galenatack/placement/target_placement.py
+++ b/src/galenatack/placement/target_placement.py
@@ -7,7 +7,6 @@
 """
 
 import collections.abc
-import math
 import typing
 
 from galenatack import exceptions
@@ -18,6 +17,7 @@
 from galenatack.model import proximity
 from galenatack.placement import gate_view
 from galenatack.placement import known_conditions
+from galenatack.placement import offer as offer_module
 
 MS_PER_S = 1000.0
 
@@ -50,6 +50,20 @@
 of missing the target latency grows with the expected time there, because
 service times vary."""
 
+MAX_OFFERS = 5
+"""Gates that a call is offered to with a limit on its wait. Most declined calls
+find a free slot among so many gates."""
+
+OFFER_SLACK_MS = 4.0
+"""Wait that is shorter than being declined and offered elsewhere."""
+
+OFFER_SLACK_SHARE = 0.25
+"""Slack as a share of the wait that is expected at the next gate: when all are
+busy, a small difference is not worth another offer."""
+
+MAX_OFFERED_BODY_BYTES = 32_768
+"""Sending a longer body takes longer than most waits that an offer avoids."""
+
 COST_JITTER = 0.08
 """Jitter as a share of the cost, which keeps nodes that see the same reports
 from choosing the same target."""
@@ -70,6 +84,19 @@
     distance: proximity.Proximity
 
 
+class _Ranked(typing.NamedTuple):
+    """A candidate with its cost and expected answer time."""
+
+    cost: float
+    answer_ms: float
+    wait_ms: float
+    candidate: _Candidate
+
+
+def _cost_of(ranked: _Ranked) -> float:
+    return ranked.cost
+
+
 class TargetPlacement:
     """Keeps a view of each gate and chooses the target of the lowest cost.
 
@@ -119,14 +146,41 @@
         tried: collections.abc.Set[str],
         is_retry: bool = False,
     ) -> member_record.MemberRecord:
+        """Returns the target with the lowest expected cost; see `offer`."""
+        return self.offer(
+            members,
+            route=route,
+            left_ms=left_ms,
+            tried=tried,
+            is_retry=is_retry,
+        ).member
+
+    def offer(
+        self,
+        members: collections.abc.Sequence[member_record.MemberRecord],
+        *,
+        route: host_route.HostRoute,
+        left_ms: float,
+        tried: collections.abc.Set[str],
+        is_retry: bool = False,
+        asked: collections.abc.Set[str] = frozenset(),
+        body_bytes: int = 0,
+    ) -> offer_module.Offer:
         """Returns the target with the lowest expected cost.
 
+        A view is out of date where many nodes send a few calls each. The offer
+        therefore has a limit: if the wait at the gate is longer, the call comes
+        back at once, with a fresh report, and the next gate is better.
+
         Args:
             members: Targets that the call may be sent to.
             route: Route of the call.
             left_ms: Time until the caller must have an answer.
             tried: Ids of the nodes that were tried before.
             is_retry: Whether the call may have reached one of them.
+            asked: Ids of the nodes that have declined the call, whose reports
+                are fresh: chosen again, they get it without a limit.
+            body_bytes: Size of its body.
 
         Raises:
             exceptions.NoTargetError: No untried target is left.
@@ -153,9 +207,19 @@
             untried = _taking_retries(untried, now_s)
         usable = self._usable(untried, now_s)
         usable = self._with_room(usable, route.name, now_s)
-        chosen = self._cheapest(usable, untried, route, now_s)
-        self._check_time(chosen[0], route, chosen[1], left_ms)
-        return chosen[0].member
+        best, *others = self._ranked(usable, untried, route, now_s)
+        self._check_time(best.candidate, route, best.answer_ms, left_ms)
+        member = best.candidate.member
+        if (
+            not others
+            or member.node_id in asked
+            or len(asked) >= MAX_OFFERS
+            or body_bytes > MAX_OFFERED_BODY_BYTES
+        ):
+            return offer_module.Offer(member)
+        return offer_module.Offer(
+            member, _max_wait_ms(best, others[0].cost, route)
+        )
 
     def _usable(
         self, candidates: list[_Candidate], now_s: float
@@ -196,14 +260,14 @@
             return with_room
         raise self._all_full(len(candidates))
 
-    def _cheapest(
+    def _ranked(
         self,
         usable: list[_Candidate],
         untried: list[_Candidate],
         route: host_route.HostRoute,
         now_s: float,
-    ) -> tuple[_Candidate, float]:
-        """Returns the candidate of the lowest cost and its answer time in ms.
+    ) -> list[_Ranked]:
+        """Returns the candidates by cost, the lowest first; not empty.
 
         Raises:
             exceptions.OverloadedError: Only targets in other regions are
@@ -213,10 +277,12 @@
         has_same_region = any(
             candidate.distance != _OTHER_REGION for candidate in untried
         )
-        best = None
-        lowest_cost = math.inf
+        ranked = []
         for candidate in usable:
-            answer_ms = _answer_ms(candidate, route.name, typical_ms, now_s)
+            wait_ms, run_ms = _times_ms(
+                candidate, route.name, typical_ms, now_s
+            )
+            answer_ms = wait_ms + run_ms
             cost = _cost(candidate, route, answer_ms)
             cost *= 1.0 + self._rng.random() * COST_JITTER
             if (
@@ -225,11 +291,11 @@
                 and cost > MAX_CROSS_REGION_COST
             ):
                 continue
-            if cost < lowest_cost:
-                best, lowest_cost = (candidate, answer_ms), cost
-        if best is None:
+            ranked.append(_Ranked(cost, answer_ms, wait_ms, candidate))
+        if not ranked:
             raise self._all_full(len(usable))
-        return best
+        ranked.sort(key=_cost_of)
+        return ranked
 
     def _all_full(self, gates: int) -> exceptions.OverloadedError:
         jitter = 1.0 + self._rng.random() * RETRY_JITTER
@@ -285,24 +351,50 @@
     """Returns the expected cost, where 1 is the value of the call."""
     target_latency_ms = route.target_latency_ms or route.timeout_ms
     lateness_cost = _lateness_cost(
-        (ROUND_TRIP_MS[candidate.distance] + answer_ms) / target_latency_ms
+        _total_ms(candidate, answer_ms) / target_latency_ms
     )
     failure_share = candidate.view.failure_permille / MS_PER_S
     return TRANSFER_COST[candidate.distance] + lateness_cost + failure_share
 
 
-def _answer_ms(
+def _times_ms(
     candidate: _Candidate, route: str, typical_ms: float, now_s: float
-) -> float:
-    """Returns the expected time at the gate and its target in ms."""
+) -> tuple[float, float]:
+    """Returns the expected wait at the gate and time at its target in ms."""
     view = candidate.view
     service_ms = view.times.known_ms(route)
     if service_ms is None:
         service_ms = typical_ms
     slots = view.usable_slots(max(1, candidate.member.slots), service_ms)
-    wait_ms = view.wait_ms(route, slots, now_s)
     # No call waits while slots are free; the load term balances the targets.
-    return service_ms + wait_ms + view.calls(now_s) / slots
+    run_ms = service_ms + view.calls(now_s) / slots
+    return view.wait_ms(route, slots, now_s), run_ms
+
+
+def _max_wait_ms(
+    best: _Ranked, next_cost: float, route: host_route.HostRoute
+) -> int:
+    """Returns the wait at a gate at which the next one would cost less."""
+    target_latency_ms = route.target_latency_ms or route.timeout_ms
+    fixed_cost = best.cost - _lateness_cost(
+        _total_ms(best.candidate, best.answer_ms) / target_latency_ms
+    )
+    limit_ms = _lateness_ratio(next_cost - fixed_cost) * target_latency_ms
+    running_ms = _total_ms(best.candidate, best.answer_ms - best.wait_ms)
+    wait_ms = max(0.0, limit_ms - running_ms)
+    return int(wait_ms * (1.0 + OFFER_SLACK_SHARE) + OFFER_SLACK_MS)
+
+
+def _total_ms(candidate: _Candidate, answer_ms: float) -> float:
+    """Returns the time until the answer is here."""
+    return ROUND_TRIP_MS[candidate.distance] + answer_ms
+
+
+def _lateness_ratio(cost: float) -> float:
+    """Returns the share of the target latency at which lateness costs that."""
+    if cost <= BALANCE_COST:
+        return max(0.0, cost) / (BALANCE_COST * 2)
+    return 0.5 + (cost - BALANCE_COST) / LATE_COST
 
 
 def _lateness_cost(ratio: float) -> float:
--- a/src/galenatack/traffic/call_router.py
+++ b/src/galenatack/traffic/call_router.py
@@ -13,6 +13,7 @@
 from galenatack.model import member_record
 from galenatack.model import outcome
 from galenatack.placement import known_conditions
+from galenatack.placement import offer as offer_module
 from galenatack.placement import target_placement
 from galenatack.quarantine import crash_ledger
 from galenatack.quarantine import quarantine as quarantine_module
@@ -175,21 +176,34 @@
                     self._budget.record_first_attempt(
                         attempts.service, retry_share=attempts.retry_share
                     )
-                member = self._choose(attempts)
+                groups = self._groups(attempts)
+                result = await self._offer(attempts, groups)
             except exceptions.CallError as error:
                 self._telemetry.record_not_placed(attempts, error)
                 return attempts.final(_refused(error))
-            result = await self._attempt(attempts, member)
-            attempts.add(member.node_id, result)
             if not self._may_retry(attempts, result):
                 return attempts.final(result)
 
-    def _choose(
+    async def _offer(
+        self,
+        attempts: request_attempts.RequestAttempts,
+        groups: tuple[list[member_record.MemberRecord], ...],
+    ) -> call_result.CallResult:
+        """Offers a call to gates until one takes it or refuses it."""
+        if attempts.is_retry:
+            self._budget.try_spend(attempts.service)
+        while True:
+            offer = self._choose(attempts, groups)
+            result = await self._attempt(attempts, offer)
+            if result.failure != exceptions.OfferDeclinedError.code:
+                attempts.add(offer.member.node_id, result)
+                return result
+            attempts.declined.add(offer.member.node_id)
+
+    def _groups(
         self, attempts: request_attempts.RequestAttempts
-    ) -> member_record.MemberRecord:
-        left_ms = self._left_s(attempts) * MS_PER_S
-        if left_ms <= 0:
-            raise exceptions.DeadlineExceededError("deadline passed")
+    ) -> tuple[list[member_record.MemberRecord], ...]:
+        """Returns the targets of an attempt, the preferred ones first."""
         if attempts.is_retry and not self._budget.has_remaining(
             attempts.service
         ):
@@ -197,34 +211,42 @@
                 "the retry budget is used up",
                 retry_after_ms=local_replies.DEFAULT_RETRY_AFTER_MS,
             )
-        *preferred, last = self._versions.choose(
+        return self._versions.choose(
             attempts.service,
             self._directory.by_version(attempts.service),
             is_retry=bool(attempts.tried),
         )
-        member = None
+
+    def _choose(
+        self,
+        attempts: request_attempts.RequestAttempts,
+        groups: tuple[list[member_record.MemberRecord], ...],
+    ) -> offer_module.Offer:
+        left_ms = self._left_s(attempts) * MS_PER_S
+        if left_ms <= 0:
+            raise exceptions.DeadlineExceededError("deadline passed")
+        *preferred, last = groups
         for members in preferred:
             try:
-                member = self._place(members, attempts, left_ms)
+                return self._place(members, attempts, left_ms)
             except exceptions.OverloadedError as error:
                 _LOGGER.debug("event=trial-targets-full error=%s", error)
-        member = member or self._place(last, attempts, left_ms)
-        if attempts.is_retry:
-            self._budget.try_spend(attempts.service)
-        return member
+        return self._place(last, attempts, left_ms)
 
     def _place(
         self,
         members: list[member_record.MemberRecord],
         attempts: request_attempts.RequestAttempts,
         left_ms: float,
-    ) -> member_record.MemberRecord:
-        return self._placement.choose(
+    ) -> offer_module.Offer:
+        return self._placement.offer(
             members,
             route=attempts.route,
             left_ms=left_ms,
             tried=attempts.tried,
             is_retry=attempts.is_retry,
+            asked=attempts.declined,
+            body_bytes=len(attempts.request.body),
         )
 
     def _may_retry(
@@ -249,9 +271,10 @@
     async def _attempt(
         self,
         attempts: request_attempts.RequestAttempts,
-        member: member_record.MemberRecord,
+        offer: offer_module.Offer,
     ) -> call_result.CallResult:
-        call = self._sender.make_call(attempts, member)
+        member = offer.member
+        call = self._sender.make_call(attempts, offer)
         view = self._placement.view(member)
         self._telemetry.record_placed(attempts, call, member)
         view.in_flight += 1
--- a/src/galenatack/traffic/call_sender.py
+++ b/src/galenatack/traffic/call_sender.py
@@ -15,6 +15,7 @@
 from galenatack.model import call_result
 from galenatack.model import member_record
 from galenatack.placement import known_conditions
+from galenatack.placement import offer as offer_module
 from galenatack.routing import local_replies
 from galenatack.traffic import request_attempts
 
@@ -87,10 +88,11 @@
     def make_call(
         self,
         attempts: request_attempts.RequestAttempts,
-        member: member_record.MemberRecord,
+        offer: offer_module.Offer,
     ) -> call_request.CallRequest:
         """Returns a call with a new id for one attempt at a target."""
         self._calls += 1
+        member = offer.member
         left_ms = (attempts.deadline_s - self._clock.monotonic_s()) * MS_PER_S
         if member.node_id != self._own.node_id:
             return_ms = RETURN_TIME_MS[member.region == self._own.region]
@@ -116,6 +118,7 @@
             is_trial=attempts.is_trial,
             is_retry=attempts.is_retry,
             retry_share=attempts.retry_share,
+            max_wait_ms=offer.max_wait_ms,
         )
 
     async def _send_local(
--- a/src/galenatack/traffic/request_attempts.py
+++ b/src/galenatack/traffic/request_attempts.py
@@ -24,6 +24,8 @@
         arrivals: Number of attempts that reached a target, or may have.
         refusals: Number of attempts that were refused.
         crashes: Number of attempts under which the target crashed.
+        declined: Ids of the nodes whose gates declined an offer since the last
+            attempt.
         is_trial: Whether the next attempt is a trial of its request.
     """
 
@@ -49,6 +51,7 @@
         self.refusals = 0
         self.crashes = 0
         self.is_trial = False
+        self.declined: set[str] = set()
         self._answer: call_result.CallResult | None = None
         self._unknown: call_result.CallResult | None = None
         self._refusal: call_result.CallResult | None = None
@@ -61,6 +64,7 @@
     def add(self, node_id: str, result: call_result.CallResult) -> None:
         """Adds the result of one attempt."""
         self.tried.add(node_id)
+        self.declined.clear()
         self.trail.append(f"{node_id}:{result.failure or result.status}")
         is_unknown = result.outcome == outcome.Outcome.UNKNOWN
         if is_unknown or result.has_reached_target:
