Let gates fetch the long bodies of calls

Bodies that 80 nodes push at once queue in front of the receiver's link; small calls to the same nodes (24 ms of work) got no reply within 500 ms, the runs that had made them failed and held their slots for it, and other services ran out of slots in turn. Bodies of refused calls were carried for nothing. A call whose body was not fetched whole has provably not run. Peers of protocol 2 get bodies with the call.

--- a/bench/retry_world.py
+++ b/bench/retry_world.py
@@ -23,6 +23,9 @@
 from galenatack.app import mesh_base
 from galenatack.app import mesh_quarantine
 from galenatack.app import mesh_rollouts
+from galenatack.bodies import announced_bodies
+from galenatack.bodies import body_fetcher
+from galenatack.links import handshake
 from galenatack.model import caller_limits
 from galenatack.model import caller_request
 from galenatack.model import host_route
@@ -177,6 +180,11 @@
         """Registers a handler."""
         self._handlers[message_type] = handler
 
+    def protocol(self, node_id):
+        """Returns the protocol of this release."""
+        del node_id
+        return handshake.PROTOCOL
+
     def is_connected(self, node_id):
         """Returns whether a node can be reached."""
         return self._world.is_linked(self._name, node_id)
@@ -288,6 +296,7 @@
             on_outcome=rollouts.pool.record,
             quarantine=quarantine.quarantine,
             runs=self._runs,
+            bodies=body_fetcher.BodyFetcher(peers=self.peers, clock=base.clock),
         )
         self.gate.on_target_changed()
         call_message_handler.CallMessageHandler(
@@ -319,6 +328,7 @@
                 peers=self.peers,
                 gate=self.gate,
                 conditions=conditions,
+                bodies=announced_bodies.AnnouncedBodies(peers=self.peers),
                 clock=base.clock,
                 rng=base.rng,
             ),
--- a/src/galenatack/admission/admission_queue.py
+++ b/src/galenatack/admission/admission_queue.py
@@ -154,18 +154,51 @@
         if self._is_idle() and not self._pacer.wait_s():
             self._start(call_id, expected_ms)
             return
-        allowed_ms = self._allowed_ms(
-            expected_ms, deadline_s, target_latency_ms
+        allowed_ms = self.check_wait(
+            self.expected_wait_ms(priority, deadline_s),
+            route=route,
+            deadline_s=deadline_s,
+            target_latency_ms=target_latency_ms,
+            max_wait_ms=max_wait_ms,
         )
-        wait_ms = self.expected_wait_ms(priority, deadline_s)
+        await self._wait(call_id, priority, deadline_s, expected_ms, allowed_ms)
+
+    def check_wait(
+        self,
+        wait_ms: float,
+        *,
+        route: str,
+        deadline_s: float,
+        target_latency_ms: float,
+        max_wait_ms: float | None = None,
+    ) -> float:
+        """Returns how long a call may wait, if its expected wait is shorter.
+
+        Args:
+            wait_ms: Time until it is expected to get a slot.
+            route: Route of the call.
+            deadline_s: Monotonic time by which the call must have ended.
+            target_latency_ms: Latency that the route aims for; 0 if only the
+                deadline applies.
+            max_wait_ms: Wait beyond which another gate is the better choice;
+                None for no limit.
+
+        Raises:
+            exceptions.OverloadedError: The answer would be too late.
+            exceptions.OfferDeclinedError: The wait would be longer than
+                `max_wait_ms`.
+        """
         if max_wait_ms is not None and wait_ms > max_wait_ms:
             raise exceptions.OfferDeclinedError(
                 f"wait of {wait_ms:.0f} ms exceeds the offer's"
                 f" {max_wait_ms:.0f} ms"
             )
+        allowed_ms = self._allowed_ms(
+            self._times.expected_ms(route), deadline_s, target_latency_ms
+        )
         if wait_ms > allowed_ms:
             raise self._overloaded(wait_ms, allowed_ms)
-        await self._wait(call_id, priority, deadline_s, expected_ms, allowed_ms)
+        return allowed_ms
 
     def release(self, call_id: str) -> None:
         """Passes the slot of a call on to the most urgent waiting call."""
--- a/src/galenatack/admission/target_gate.py
+++ b/src/galenatack/admission/target_gate.py
@@ -10,6 +10,8 @@
 from galenatack.admission import service_times
 from galenatack.admission import target_calls
 from galenatack.admission import target_registry
+from galenatack.bodies import announced_body
+from galenatack.bodies import body_fetcher
 from galenatack.interfaces import clock as clock_interface
 from galenatack.messages import call_answer
 from galenatack.model import call_request
@@ -52,6 +54,7 @@
         on_outcome: Receives the outcome of each call as rollout evidence.
         quarantine: Decides on requests under which targets crash.
         runs: Share of retries among the runs of the target.
+        bodies: Fetches announced bodies.
     """
 
     def __init__(
@@ -68,6 +71,7 @@
         on_outcome: dispatcher.OnOutcome,
         quarantine: quarantine_module.Quarantine,
         runs: retried_runs.RetriedRuns,
+        bodies: body_fetcher.BodyFetcher,
     ):
         self._registry = registry
         self._queue = queue
@@ -80,6 +84,7 @@
         self._on_outcome = on_outcome
         self._quarantine = quarantine
         self._runs = runs
+        self._bodies = bodies
         self._failures = failure_rate.FailureRate()
         self._is_closed = False
         self._accepted_calls = 0
@@ -174,20 +179,30 @@
 
     def cancel(self, call_id: str) -> None:
         """Drops a call if it is waiting, or if it is running and idempotent."""
-        is_waiting = self._queue.cancel(call_id) or (
-            self._quarantine.cancel(call_id)
+        is_waiting = (
+            self._queue.cancel(call_id)
+            or self._quarantine.cancel(call_id)
+            or self._bodies.cancel(call_id)
         )
         if not is_waiting:
             self._calls.cancel(call_id)
 
     async def handle(
-        self, request: call_request.CallRequest
+        self,
+        request: call_request.CallRequest,
+        *,
+        announced: announced_body.AnnouncedBody | None = None,
     ) -> call_answer.CallAnswer:
-        """Runs a call; a failed call is a result, not an exception."""
+        """Runs a call; a failed call is a result, not an exception.
+
+        Args:
+            request: The call.
+            announced: Its body, if it is to be fetched.
+        """
         started_s = self._clock.monotonic_s()
         self._accepted_calls += 1
         try:
-            result, ran_ms = await self._admit(request, started_s)
+            result, ran_ms = await self._admit(request, announced, started_s)
         finally:
             self._accepted_calls -= 1
         report = gate_report.GateReport(
@@ -195,24 +210,59 @@
             queued=self._queue.queued,
             ran_ms=int(ran_ms),
             failure_permille=self._failures.permille,
-            wait_ms=int(
-                self._queue.expected_wait_ms(
-                    request.priority,
-                    self._clock.monotonic_s() + request.deadline_ms / MS_PER_S,
-                )
-            ),
+            wait_ms=int(self._wait_ms(request, announced)),
             condition=self._condition,
             admits_retries=self._runs.admits_retry(),
         )
         return call_answer.CallAnswer(request.call_id, result, report)
 
+    def _wait_ms(
+        self,
+        request: call_request.CallRequest,
+        announced: announced_body.AnnouncedBody | None,
+    ) -> float:
+        """Returns how long a call like this one would wait now."""
+        deadline_s = self._clock.monotonic_s() + request.deadline_ms / MS_PER_S
+        wait_ms = self._queue.expected_wait_ms(request.priority, deadline_s)
+        if announced is None:
+            return wait_ms
+        return max(wait_ms, self._bodies.wait_ms())
+
+    async def _with_body(
+        self,
+        request: call_request.CallRequest,
+        announced: announced_body.AnnouncedBody,
+        deadline_s: float,
+    ) -> call_request.CallRequest:
+        """Fetches the body of a call that the queue would admit."""
+        self._queue.check_wait(
+            self._wait_ms(request, announced),
+            route=request.route,
+            deadline_s=deadline_s,
+            target_latency_ms=request.target_latency_ms,
+            max_wait_ms=request.max_wait_ms,
+        )
+        body = await self._bodies.fetch(
+            request.call_id,
+            announced,
+            priority=request.priority,
+            deadline_s=deadline_s,
+        )
+        # The gate has taken the call: it isn't declined any more.
+        return request._replace(body=body, max_wait_ms=None)
+
     async def _admit(
-        self, request: call_request.CallRequest, started_s: float
+        self,
+        request: call_request.CallRequest,
+        announced: announced_body.AnnouncedBody | None,
+        started_s: float,
     ) -> tuple[call_result.CallResult, float]:
         deadline_s = started_s + request.deadline_ms / MS_PER_S
         try:
             self._check(request)
             self._learn_limit(request)
+            if announced is not None:
+                request = await self._with_body(request, announced, deadline_s)
             async with self._quarantine.turn(request):
                 return await self._queue_and_run(request, started_s, deadline_s)
         except exceptions.CallError as error:
--- a/src/galenatack/app/mesh_inbound.py
+++ b/src/galenatack/app/mesh_inbound.py
@@ -12,6 +12,7 @@
 from galenatack.app import mesh_base
 from galenatack.app import mesh_quarantine
 from galenatack.app import mesh_rollouts
+from galenatack.bodies import body_fetcher
 from galenatack.links import translated_target
 from galenatack.platform import target_headers
 from galenatack.quarantine import crash_detector
@@ -63,6 +64,7 @@
     slack = retry_slack.RetrySlack(
         clock=base.clock, bounds=base.settings.bounds.retries
     )
+    bodies = body_fetcher.BodyFetcher(peers=base.peers, clock=base.clock)
     runs = retried_runs.RetriedRuns(clock=base.clock, slack=slack)
     gate = target_gate.TargetGate(
         registry=registry,
@@ -88,6 +90,7 @@
         on_outcome=rollouts.pool.record,
         quarantine=quarantine.quarantine,
         runs=runs,
+        bodies=bodies,
     )
     call_message_handler.CallMessageHandler(peers=base.peers, gate=gate)
     return MeshInbound(registry, target, gate, runs, slack)
--- a/src/galenatack/app/mesh_outbound.py
+++ b/src/galenatack/app/mesh_outbound.py
@@ -6,6 +6,7 @@
 from galenatack.app import mesh_inbound
 from galenatack.app import mesh_quarantine
 from galenatack.app import mesh_rollouts
+from galenatack.bodies import announced_bodies
 from galenatack.placement import known_conditions
 from galenatack.placement import target_placement
 from galenatack.traffic import attempt_budget
@@ -58,6 +59,7 @@
             peers=base.peers,
             gate=inbound.gate,
             conditions=conditions,
+            bodies=announced_bodies.AnnouncedBodies(peers=base.peers),
             clock=base.clock,
             rng=base.rng,
         ),
--- /dev/null
+++ b/src/galenatack/bodies/__init__.py
@@ -0,0 +1,1 @@
+"""Long bodies of calls, which gates fetch when they can use them."""
--- a/src/galenatack/exceptions/__init__.py
+++ b/src/galenatack/exceptions/__init__.py
@@ -50,6 +50,7 @@
 DeadlineExceededError = _call_errors.DeadlineExceededError
 BadCallError = _call_errors.BadCallError
 LeavingError = _call_errors.LeavingError
+BodyUnavailableError = _call_errors.BodyUnavailableError
 OfferDeclinedError = _call_errors.OfferDeclinedError
 RetryRefusedError = _call_errors.RetryRefusedError
 QuarantinedError = _call_errors.QuarantinedError
--- a/src/galenatack/exceptions/_call_errors.py
+++ b/src/galenatack/exceptions/_call_errors.py
@@ -32,6 +32,20 @@
     code = "offer-declined"
 
 
+class BodyUnavailableError(CallError):
+    """An announced body did not arrive whole; its call has not run.
+
+    Attributes:
+        retry_after_ms: Delay before a retry, in milliseconds.
+    """
+
+    code = "body-unavailable"
+
+    def __init__(self, message: str, *, retry_after_ms: int):
+        super().__init__(message)
+        self.retry_after_ms = retry_after_ms
+
+
 class RetryRefusedError(CallError):
     """A retry was refused because retries are too large a share of all runs.
 
--- a/src/galenatack/interfaces/peer_network.py
+++ b/src/galenatack/interfaces/peer_network.py
@@ -44,5 +44,8 @@
             exceptions.PeerBusyError: The peer refused because of load.
         """
 
+    def protocol(self, node_id: str) -> int:
+        """Returns the newest protocol that a node speaks; 0 if unknown."""
+
     def neighbours(self) -> frozenset[str]:
         """Returns the node ids of all open overlay and carrier links."""
--- a/src/galenatack/links/handshake.py
+++ b/src/galenatack/links/handshake.py
@@ -15,8 +15,8 @@
 from galenatack.messages import protocol_failure
 from galenatack.model import member_record
 
-PROTOCOL = 2
-"""Protocol version of this release."""
+PROTOCOL = 3
+"""Protocol version of this release. Version 3 fetches announced bodies."""
 
 OLDEST_PROTOCOL = 2
 """Oldest protocol version that this release supports. Version 1 refuses records
--- a/src/galenatack/links/message_tags.py
+++ b/src/galenatack/links/message_tags.py
@@ -1,6 +1,8 @@
 """Numeric tags of the message types on the wire."""
 
+from galenatack.messages import announced_call
 from galenatack.messages import ask_posting
+from galenatack.messages import body_part
 from galenatack.messages import busy
 from galenatack.messages import call
 from galenatack.messages import call_answer
@@ -8,6 +10,7 @@
 from galenatack.messages import crash_report
 from galenatack.messages import delta
 from galenatack.messages import evidence
+from galenatack.messages import fetch_body
 from galenatack.messages import fragment
 from galenatack.messages import heartbeat
 from galenatack.messages import held
@@ -45,6 +48,9 @@
     19: trial_evidence.TrialEvidence,
     20: fragment.Fragment,
     21: crash_report.CrashReport,
+    22: announced_call.AnnouncedCall,
+    23: fetch_body.FetchBody,
+    24: body_part.BodyPart,
 }
 """Message type by tag."""
 
--- a/src/galenatack/links/peer_network.py
+++ b/src/galenatack/links/peer_network.py
@@ -26,9 +26,11 @@
 from galenatack.links import tls
 from galenatack.links import traffic_counter
 from galenatack.membership import member_table
+from galenatack.messages import announced_call
 from galenatack.messages import call
 from galenatack.messages import cancel_call
 from galenatack.messages import delta
+from galenatack.messages import fetch_body
 from galenatack.messages import hello
 from galenatack.messages import members
 
@@ -44,6 +46,14 @@
 Anti-entropy repairs losses.
 """
 
+_OF_CALLS = (
+    call.Call,
+    announced_call.AnnouncedCall,
+    fetch_body.FetchBody,
+    cancel_call.CancelCall,
+)
+"""Types that use the links for calls."""
+
 _LOGGER = logging.getLogger(__name__)
 
 OnLost = collections.abc.Callable[[str], None]
@@ -89,6 +99,7 @@
         self._traffic = traffic_counter.TrafficCounter(own_region=own.region)
         self._registry = link_registry.LinkRegistry(own_id=own.node_id)
         self._server = message_server.MessageServer()
+        self._protocols: dict[str, int] = {}
         self._on_lost: list[OnLost] = []
         self._tasks: anyio.abc.TaskGroup | None = None
         self._factory = self._make_factory(deployment)
@@ -125,6 +136,10 @@
         """Returns whether a link for calls to a node is open."""
         return self._registry.find(node_id, for_calls=True) is not None
 
+    def protocol(self, node_id: str) -> int:
+        """Returns the protocol of a node's last link; 0 before the first."""
+        return self._protocols.get(node_id, 0)
+
     def open_soon(self, node_id: str) -> None:
         """Dials a node in the background unless a link for calls is open."""
         if self._tasks is not None and not self.is_connected(node_id):
@@ -195,7 +210,7 @@
     async def send(self, node_id: str, message: typing.Any) -> None:
         """Sends to one node; dials a link if needed."""
         link = await self._find_or_open(
-            node_id, for_calls=isinstance(message, cancel_call.CancelCall)
+            node_id, for_calls=isinstance(message, _OF_CALLS)
         )
         link.post(message)
 
@@ -203,7 +218,7 @@
         self, node_id: str, message: typing.Any, *, timeout_s: float
     ) -> typing.Any:
         """Sends a request to one node and returns its reply."""
-        for_calls = isinstance(message, call.Call)
+        for_calls = isinstance(message, _OF_CALLS)
         link = self._registry.find(node_id, for_calls=for_calls)
         if link is not None:
             return await link.request(message, timeout_s=timeout_s)
@@ -297,6 +312,7 @@
     async def _read_link(
         self, link: peer_link.PeerLink, peer_hello: hello.Hello
     ) -> None:
+        self._protocols[link.node_id] = peer_hello.protocol
         self._server.handle_hello(link, peer_hello)
         self._monitor.send_first_heartbeat(link)
         try:
--- a/src/galenatack/placement/target_placement.py
+++ b/src/galenatack/placement/target_placement.py
@@ -61,9 +61,6 @@
 """Slack as a share of the wait that is expected at the next gate: when all are
 busy, a small difference is not worth another offer."""
 
-MAX_OFFERED_BODY_BYTES = 32_768
-"""Sending a longer body takes longer than most waits that an offer avoids."""
-
 COST_JITTER = 0.08
 """Jitter as a share of the cost, which keeps nodes that see the same reports
 from choosing the same target."""
@@ -164,7 +161,6 @@
         tried: collections.abc.Set[str],
         is_retry: bool = False,
         asked: collections.abc.Set[str] = frozenset(),
-        body_bytes: int = 0,
     ) -> offer_module.Offer:
         """Returns the target with the lowest expected cost.
 
@@ -180,7 +176,6 @@
             is_retry: Whether the call may have reached one of them.
             asked: Ids of the nodes that have declined the call, whose reports
                 are fresh: chosen again, they get it without a limit.
-            body_bytes: Size of its body.
 
         Raises:
             exceptions.NoTargetError: No untried target is left.
@@ -210,12 +205,7 @@
         best, *others = self._ranked(usable, untried, route, now_s)
         self._check_time(best.candidate, route, best.answer_ms, left_ms)
         member = best.candidate.member
-        if (
-            not others
-            or member.node_id in asked
-            or len(asked) >= MAX_OFFERS
-            or body_bytes > MAX_OFFERED_BODY_BYTES
-        ):
+        if not others or member.node_id in asked or len(asked) >= MAX_OFFERS:
             return offer_module.Offer(member)
         return offer_module.Offer(
             member, _max_wait_ms(best, others[0].cost, route)
--- a/src/galenatack/routing/local_replies.py
+++ b/src/galenatack/routing/local_replies.py
@@ -9,6 +9,7 @@
 DEFAULT_RETRY_AFTER_MS = 1000
 _STATUS = {
     exceptions.OverloadedError.code: 503,
+    exceptions.BodyUnavailableError.code: 503,
     exceptions.OfferDeclinedError.code: 503,
     exceptions.RetryRefusedError.code: 503,
     exceptions.NoTargetError.code: 503,
--- a/src/galenatack/traffic/call_router.py
+++ b/src/galenatack/traffic/call_router.py
@@ -246,7 +246,6 @@
             tried=attempts.tried,
             is_retry=attempts.is_retry,
             asked=attempts.declined,
-            body_bytes=len(attempts.request.body),
         )
 
     def _may_retry(
--- a/src/galenatack/traffic/call_sender.py
+++ b/src/galenatack/traffic/call_sender.py
@@ -2,12 +2,15 @@
 
 import asyncio
 import logging
+import typing
 
 from galenatack import exceptions
 from galenatack.admission import target_gate
+from galenatack.bodies import announced_bodies
 from galenatack.interfaces import clock as clock_interface
 from galenatack.interfaces import peer_network
 from galenatack.interfaces import random_source
+from galenatack.messages import announced_call
 from galenatack.messages import call as call_message
 from galenatack.messages import call_answer
 from galenatack.messages import cancel_call
@@ -32,6 +35,9 @@
 """Maximum share of the remaining time that is reserved for returning the
 answer."""
 
+ANNOUNCING_PROTOCOL = 3
+"""Protocol from which on a peer fetches announced bodies."""
+
 CANCEL_SEND_TIMEOUT_S = 0.3
 """Time limit for sending a cancellation; without it, the gate drops the call at
 its deadline."""
@@ -45,6 +51,7 @@
         peers: Links to other nodes.
         gate: Gate of the local target.
         conditions: What targets have said of themselves.
+        bodies: Bodies that gates fetch.
         clock: Source of time.
         rng: Source of randomness, for call ids.
     """
@@ -56,6 +63,7 @@
         peers: peer_network.PeerNetwork,
         gate: target_gate.TargetGate,
         conditions: known_conditions.KnownConditions,
+        bodies: announced_bodies.AnnouncedBodies,
         clock: clock_interface.Clock,
         rng: random_source.RandomSource,
     ):
@@ -63,6 +71,7 @@
         self._peers = peers
         self._gate = gate
         self._conditions = conditions
+        self._bodies = bodies
         self._clock = clock
         self._call_prefix = f"{rng.getrandbits(CALL_ID_BITS):010x}"
         self._calls = 0
@@ -140,14 +149,12 @@
         member: member_record.MemberRecord,
         deadline_s: float,
     ) -> call_answer.CallAnswer | call_result.CallResult:
-        left_s = deadline_s - self._clock.monotonic_s()
         try:
-            reply = await self._peers.request(
-                member.node_id, call_message.Call(call, 0), timeout_s=left_s
-            )
+            reply = await self._request(call, member.node_id, deadline_s)
         except (
             exceptions.PeerUnreachableError,
             exceptions.PeerBusyError,
+            exceptions.BodyUnavailableError,
         ) as error:
             return local_replies.not_run(error)
         except exceptions.PeerError as error:
@@ -165,6 +172,37 @@
             )
         return reply
 
+    async def _request(
+        self,
+        call: call_request.CallRequest,
+        node_id: str,
+        deadline_s: float,
+    ) -> typing.Any:
+        left_s = deadline_s - self._clock.monotonic_s()
+        is_announced = (
+            len(call.body) > announced_bodies.MIN_ANNOUNCED_BYTES
+            and self._peers.protocol(node_id) >= ANNOUNCING_PROTOCOL
+        )
+        if not is_announced:
+            return await self._peers.request(
+                node_id, call_message.Call(call, 0), timeout_s=left_s
+            )
+        message = announced_call.AnnouncedCall(
+            call._replace(body=b""), len(call.body)
+        )
+        with self._bodies.announced(call.call_id, node_id, call.body):
+            try:
+                return await self._peers.request(
+                    node_id, message, timeout_s=left_s
+                )
+            except exceptions.PeerTimeoutError as error:
+                if self._bodies.is_handed_out(call.call_id):
+                    raise
+                raise exceptions.BodyUnavailableError(
+                    f"{node_id} has not fetched the body: {error}",
+                    retry_after_ms=local_replies.DEFAULT_RETRY_AFTER_MS,
+                ) from error
+
     async def _cancel(self, node_id: str, call_id: str) -> None:
         try:
             async with asyncio.timeout(CANCEL_SEND_TIMEOUT_S):
--- a/tests/fakes/memory_network.py
+++ b/tests/fakes/memory_network.py
@@ -9,6 +9,7 @@
 
 from galenatack import exceptions
 from galenatack.interfaces import peer_network
+from galenatack.links import handshake
 
 SILENT_S = 2.0
 """Delay until a lost link is reported; the real links have one too."""
@@ -163,6 +164,11 @@
             self.node_id, node_id, message, timeout_s
         )
 
+    def protocol(self, node_id: str) -> int:
+        """Returns the protocol of this release."""
+        del node_id
+        return handshake.PROTOCOL
+
     def neighbours(self) -> frozenset[str]:
         """Returns all reachable nodes."""
         return frozenset(
--- a/tests/placement/test_known_conditions.py
+++ b/tests/placement/test_known_conditions.py
@@ -67,6 +67,7 @@
                 clock=clock, bounds=retry_bounds.RetryBounds()
             ),
         ),
+        bodies=mock.Mock(),
     )
     gate.on_target_changed()
     return gate, link
