--- a/src/galenatack/app/mesh_inbound.py
+++ b/src/galenatack/app/mesh_inbound.py
@@ -37,6 +37,7 @@
     gate: target_gate.TargetGate
     runs: retried_runs.RetriedRuns
     slack: retry_slack.RetrySlack
+    bodies: body_fetcher.BodyFetcher
 
 
 def make(
@@ -93,4 +94,4 @@
         bodies=bodies,
     )
     call_message_handler.CallMessageHandler(peers=base.peers, gate=gate)
-    return MeshInbound(registry, target, gate, runs, slack)
+    return MeshInbound(registry, target, gate, runs, slack, bodies)
--- a/src/galenatack/app/mesh_metrics.py
+++ b/src/galenatack/app/mesh_metrics.py
@@ -73,6 +73,14 @@
             exposition.sample(
                 "gate_failure_ratio", parts.gate.failure_permille / 1000
             ),
+            exposition.sample("offers_declined_total", parts.router.declined),
+            exposition.sample("body_backlog_bytes", parts.bodies.backlog_bytes),
+            exposition.sample(
+                "bodies_fetched_total", parts.bodies.fetched, {"result": "ok"}
+            ),
+            exposition.sample(
+                "bodies_fetched_total", parts.bodies.failed, {"result": "lost"}
+            ),
             exposition.sample("caller_connections", parts.callers.connections),
             *(
                 exposition.sample(
--- a/src/galenatack/app/mesh_parts.py
+++ b/src/galenatack/app/mesh_parts.py
@@ -5,6 +5,7 @@
 from galenatack.admission import retry_slack
 from galenatack.admission import target_gate
 from galenatack.admission import target_registry
+from galenatack.bodies import body_fetcher
 from galenatack.config import instrumented_table
 from galenatack.config import row_mirror
 from galenatack.config import store_follower_election
@@ -54,6 +55,7 @@
     driver: rollout_driver.RolloutDriver
     registry: target_registry.TargetRegistry
     gate: target_gate.TargetGate
+    bodies: body_fetcher.BodyFetcher
     router: call_router.CallRouter
     budget: attempt_budget.AttemptBudget
     slack: retry_slack.RetrySlack
--- a/src/galenatack/app/mesh_wiring.py
+++ b/src/galenatack/app/mesh_wiring.py
@@ -102,6 +102,7 @@
         ),
         registry=inbound.registry,
         gate=inbound.gate,
+        bodies=inbound.bodies,
         router=outbound.router,
         budget=outbound.budget,
         slack=inbound.slack,
--- a/src/galenatack/traffic/call_router.py
+++ b/src/galenatack/traffic/call_router.py
@@ -66,6 +66,10 @@
         shutdown: Decides which requests are taken during a shutdown.
         clock: Source of time.
         telemetry: Log lines and counters.
+
+    Attributes:
+        in_flight: Requests without an answer yet.
+        declined: Offers of calls that gates have declined.
     """
 
     def __init__(
@@ -98,6 +102,7 @@
         self._telemetry = telemetry
         self._weights = weighted_choice.WeightedChoice()
         self.in_flight = 0
+        self.declined = 0
 
     async def handle(
         self, request: caller_request.CallerRequest
@@ -199,6 +204,7 @@
                 attempts.add(offer.member.node_id, result)
                 return result
             attempts.declined.add(offer.member.node_id)
+            self.declined += 1
 
     def _groups(
         self, attempts: request_attempts.RequestAttempts
--- a/tests/placement/fleet_load.py
+++ b/tests/placement/fleet_load.py
@@ -76,11 +76,12 @@
         self.calls = 0
         self.failure_average = 0.0
 
-    async def handle(self, call_id, call_route, left_s):
+    async def handle(self, call_id, call_route, left_s, max_wait_ms=None):
         """Runs one call and returns the gate's answer."""
         now_s = asyncio.get_running_loop().time()
         ran_s = 0.0
         status = 200
+        failure = ""
         try:
             await self.queue.acquire(
                 call_id,
@@ -88,9 +89,13 @@
                 priority=call_route.priority,
                 deadline_s=now_s + left_s,
                 target_latency_ms=call_route.target_latency_ms,
+                max_wait_ms=max_wait_ms,
             )
-        except exceptions.OverloadedError:
-            status = 503
+        except (
+            exceptions.OverloadedError,
+            exceptions.OfferDeclinedError,
+        ) as error:
+            status, failure = 503, error.code
         else:
             work_s = self.route_work_s.get(call_route.name, self.work_s)
             ran_s = work_s * self.rng.uniform(0.6, 1.4) / self.speed
@@ -114,7 +119,9 @@
             ),
         )
         outcome = "not-run" if status == 503 else "answer"
-        result = call_result.CallResult(outcome, status, (), b"")
+        result = call_result.CallResult(
+            outcome, status, (), b"", failure=failure
+        )
         return call_answer.CallAnswer(call_id, result, report)
 
 
@@ -154,6 +161,7 @@
         self.rng = rng
         self.outcomes = outcomes
         self.calls = 0
+        self.makes_offers = True
         self.placement = target_placement.TargetPlacement(
             own=self.own,
             clock=virtual_loop.LoopClock(),
@@ -176,38 +184,49 @@
         self.calls += 1
         call_id = f"{self.own.node_id}-{self.calls}"
         tried = set()
+        declined = set()
         records = [target.record for target in self.targets.values()]
         status = 503
         while status == 503 and len(tried) < 3:
             left_ms = call_route.timeout_ms - (loop.time() - began_s) * 1000
             try:
-                chosen = self.placement.choose(
+                offer = self.placement.offer(
                     records,
                     route=call_route,
                     left_ms=left_ms,
                     tried=tried,
+                    asked=declined,
                 )
             except exceptions.CallError:
                 break
-            tried.add(chosen.node_id)
-            answer = await self._send(chosen, call_id, call_route, left_ms)
+            if not self.makes_offers:
+                offer = offer._replace(max_wait_ms=None)
+            answer = await self._send(offer, call_id, call_route, left_ms)
             status = answer.result.status
+            if answer.result.failure == exceptions.OfferDeclinedError.code:
+                declined.add(offer.member.node_id)
+                continue
+            tried.add(offer.member.node_id)
+            declined.clear()
         took_ms = (loop.time() - began_s) * 1000
         self.outcomes.ended[_outcome(status, took_ms, call_route)] += 1
 
-    async def _send(self, chosen, call_id, call_route, left_ms):
+    async def _send(self, offer, call_id, call_route, left_ms):
+        chosen = offer.member
         distance = self._distance(chosen)
         self.outcomes.distances[distance] += 1
         view = self.placement.view(chosen)
         view.in_flight += 1
         await asyncio.sleep(ONE_WAY_S[distance])
         target = self.targets[chosen.node_id]
-        answer = await target.handle(call_id, call_route, left_ms / 1000)
+        answer = await target.handle(
+            call_id, call_route, left_ms / 1000, offer.max_wait_ms
+        )
         await asyncio.sleep(ONE_WAY_S[distance])
         view.in_flight -= 1
         now_s = asyncio.get_running_loop().time()
         view.apply_report(answer.report, call_route.name, now_s)
-        if answer.result.status == 503:
+        if answer.result.failure == exceptions.OverloadedError.code:
             view.record_refusal(call_route.name, now_s)
         return answer
 
