Fetch short bodies first, by their age

Change: within a priority, bodies are fetched by the time they came plus four times their transfer time.

--- a/src/galenatack/bodies/body_fetcher.py
+++ b/src/galenatack/bodies/body_fetcher.py
@@ -24,6 +24,13 @@
 
 RETRY_AFTER_MS = 100
 
+SIZE_WEIGHT = 4.0
+"""A body goes behind another that comes later by this many times the difference
+of their transfer times. Short ones first lets more calls be in time on a busy
+link; by their age, long ones get their turn."""
+
+MS_PER_S = 1000.0
+
 
 class _Fetch(typing.NamedTuple):
     """A body that is being fetched."""
@@ -31,7 +38,7 @@
     call_id: str
     node_id: str
     size_bytes: int
-    priority: int
+    order: tuple[int, float]
     deadline_s: float
 
 
@@ -89,7 +96,9 @@
                 that its call has not run.
             exceptions.CancelledCallError: The call was cancelled.
         """
-        body = _Fetch(call_id, *announced, priority, deadline_s)
+        body = _Fetch(
+            call_id, *announced, self._order(announced, priority), deadline_s
+        )
         if not 0 < body.size_bytes <= MAX_BODY_BYTES:
             raise _unavailable(body, f"more than {MAX_BODY_BYTES} bytes")
         if self.backlog_bytes + body.size_bytes > MAX_BACKLOG_BYTES:
@@ -119,6 +128,12 @@
         task = self._tasks.get(call_id)
         return task is not None and task.cancel()
 
+    def _order(
+        self, announced: announced_body.AnnouncedBody, priority: int
+    ) -> tuple[int, float]:
+        transfer_s = self._rate.time_ms(announced.size_bytes) / MS_PER_S
+        return priority, self._clock.monotonic_s() + SIZE_WEIGHT * transfer_s
+
     async def _fetch(self, body: _Fetch) -> bytes:
         data = bytearray(body.size_bytes)
         unasked_bytes = body.size_bytes
@@ -126,7 +141,7 @@
         try:
             async with asyncio.TaskGroup() as parts:
                 while unasked_bytes:
-                    await self._window.acquire((body.priority, body.deadline_s))
+                    await self._window.acquire(body.order)
                     offset = body.size_bytes - unasked_bytes
                     size_bytes = min(PART_BYTES, unasked_bytes)
                     unasked_bytes -= size_bytes
--- a/src/galenatack/bodies/part_window.py
+++ b/src/galenatack/bodies/part_window.py
@@ -32,7 +32,8 @@
         """Waits for a permit.
 
         Args:
-            order: Priority and deadline of the call; the lowest goes first.
+            order: Priority of the call and its turn within that; the lowest
+                goes first.
         """
         if self._free and not self._waiting:
             self._free -= 1
