--- a/bench/retry_world.py
+++ b/bench/retry_world.py
@@ -23,6 +23,7 @@
 from galenatack.app import mesh_base
 from galenatack.app import mesh_quarantine
 from galenatack.app import mesh_rollouts
+from galenatack.homes import permitted_targets
 from galenatack.model import caller_limits
 from galenatack.model import caller_request
 from galenatack.model import host_route
@@ -309,7 +310,12 @@
         )
         self.router = call_router.CallRouter(
             config=self.config,
-            directory=target_directory.TargetDirectory(members=base.members),
+            targets=permitted_targets.PermittedTargets(
+                directory=target_directory.TargetDirectory(
+                    members=base.members
+                ),
+                evacuations=base.evacuations,
+            ),
             versions=rollouts.versions,
             placement=placement,
             budget=budget,
--- a/src/galenatack/admission/admission_queue.py
+++ b/src/galenatack/admission/admission_queue.py
@@ -8,6 +8,7 @@
 """
 
 import asyncio
+import collections.abc
 import heapq
 import itertools
 
@@ -51,7 +52,7 @@
         order: tuple[int, float, int],
         expected_ms: float,
         expires_s: float,
-        future: "asyncio.Future[str]",
+        future: "asyncio.Future[str | exceptions.CallError]",
     ):
         self.call_id = call_id
         self.order = order
@@ -65,7 +66,6 @@
 
 _GRANTED = "granted"
 _CANCELLED = "cancelled"
-_CLOSED = "closed"
 
 
 class AdmissionQueue:
@@ -142,8 +142,8 @@
             exceptions.OverloadedError: The answer would be too late.
             exceptions.CancelledCallError: The call was cancelled while it
                 waited.
-            exceptions.LeavingError: The queue was closed while the call
-                waited.
+            exceptions.CallError: All waiting calls were refused; the error
+                tells why.
         """
         expected_ms = self._times.expected_ms(route)
         if self._is_idle() and not self._pacer.wait_s():
@@ -171,13 +171,21 @@
         return True
 
     def close(self) -> None:
-        """Refuses all waiting calls."""
+        """Refuses all waiting calls because the target is leaving."""
+        self.refuse_waiting(
+            lambda: exceptions.LeavingError("the target is leaving")
+        )
+        if self._grant_timer is not None:
+            self._grant_timer.cancel()
+
+    def refuse_waiting(
+        self, make_error: collections.abc.Callable[[], exceptions.CallError]
+    ) -> None:
+        """Refuses all waiting calls, each with an error of its own."""
         waiting, self._waiting = self._waiting, {}
         self._heap.clear()
         for waiter in waiting.values():
-            _resolve(waiter, _CLOSED)
-        if self._grant_timer is not None:
-            self._grant_timer.cancel()
+            _resolve(waiter, make_error())
 
     def expected_wait_ms(self, priority: int, deadline_s: float) -> float:
         """Returns how long a call would wait for a slot.
@@ -252,7 +260,9 @@
         allowed_ms: float,
     ) -> None:
         loop = asyncio.get_running_loop()
-        future: asyncio.Future[str] = loop.create_future()
+        future: asyncio.Future[str | exceptions.CallError] = (
+            loop.create_future()
+        )
         order = (priority, deadline_s, next(self._arrival_numbers))
         allowed_s = allowed_ms / MS_PER_S
         waiter = _Waiter(
@@ -279,8 +289,8 @@
             raise exceptions.CancelledCallError(
                 "cancelled in the queue", is_confirmed=True
             )
-        if result == _CLOSED:
-            raise exceptions.LeavingError("the target is leaving")
+        if isinstance(result, exceptions.CallError):
+            raise result
         if result != _GRANTED:
             wait_ms = self.expected_wait_ms(priority, deadline_s)
             raise self._overloaded(wait_ms + expected_ms, 0.0)
@@ -336,6 +346,6 @@
         _resolve(waiter, _EXPIRED)
 
 
-def _resolve(waiter: _Waiter, result: str) -> None:
+def _resolve(waiter: _Waiter, result: str | exceptions.CallError) -> None:
     if not waiter.future.done():
         waiter.future.set_result(result)
--- a/src/galenatack/admission/target_gate.py
+++ b/src/galenatack/admission/target_gate.py
@@ -23,12 +23,17 @@
 from galenatack.routing import local_replies
 from galenatack.telemetry import call_stats
 from galenatack.telemetry import request_log
+from galenatack.warmup import cold_admission
 
 _LOGGER = logging.getLogger(__name__)
 
 MS_PER_S = 1000
 SERVER_ERROR = 500
 
+_MAY_HAVE_RESTARTED = frozenset(
+    {exceptions.TargetConnectError.code, exceptions.TargetCrashedError.code}
+)
+
 REFUSED_RETRY_AFTER_MS = 100
 """About one service time, after which other calls have run."""
 
@@ -52,6 +57,8 @@
         on_outcome: Receives the outcome of each call as rollout evidence.
         quarantine: Decides on requests under which targets crash.
         runs: Share of retries among the runs of the target.
+        cold: Limits the calls while the target is cold; None without a limit.
+        is_evacuated: Returns whether the data centre is evacuated.
     """
 
     def __init__(
@@ -68,6 +75,8 @@
         on_outcome: dispatcher.OnOutcome,
         quarantine: quarantine_module.Quarantine,
         runs: retried_runs.RetriedRuns,
+        cold: cold_admission.ColdAdmission | None = None,
+        is_evacuated: collections.abc.Callable[[], bool] = lambda: False,
     ):
         self._registry = registry
         self._queue = queue
@@ -80,6 +89,11 @@
         self._on_outcome = on_outcome
         self._quarantine = quarantine
         self._runs = runs
+        self._cold = cold
+        if cold is not None:
+            # They were admitted for a warm target.
+            cold.warmth.subscribe(lambda: queue.refuse_waiting(cold.refusal))
+        self._is_evacuated = is_evacuated
         self._failures = failure_rate.FailureRate()
         self._is_closed = False
         self._accepted_calls = 0
@@ -128,6 +142,14 @@
             self._incarnation = incarnation
             self._condition = None
             self._limit_rate(None)
+            if self._cold is not None:
+                self._cold.warmth.start()
+
+    def refuse_waiting(
+        self, make_error: collections.abc.Callable[[], exceptions.CallError]
+    ) -> None:
+        """Refuses the waiting calls; running calls end as usual."""
+        self._queue.refuse_waiting(make_error)
 
     def apply_condition(
         self, target_id: str, condition: target_condition.TargetCondition
@@ -203,6 +225,7 @@
             ),
             condition=self._condition,
             admits_retries=self._runs.admits_retry(),
+            cold_rate_per_s=self._cold.rate_per_s if self._cold else None,
         )
         return call_answer.CallAnswer(request.call_id, result, report)
 
@@ -213,6 +236,8 @@
         try:
             self._check(request)
             self._learn_limit(request)
+            if self._cold is not None:
+                self._cold.check()
             async with self._quarantine.turn(request):
                 return await self._queue_and_run(request, started_s, deadline_s)
         except exceptions.CallError as error:
@@ -251,6 +276,8 @@
             # may have crashed under the same request.
             self._check(request)
             self._quarantine.check(request)
+            if self._cold is not None:
+                self._cold.take()
             return await self._dispatch(request, started_s, deadline_s)
         finally:
             self._queue.release(request.call_id)
@@ -274,6 +301,8 @@
             raise exceptions.LeavingError(
                 f"version {current.version} is withdrawn"
             )
+        if self._is_evacuated():
+            raise exceptions.EvacuatedError("the data centre is evacuated")
         self._calls.check_connected()
         if request.is_retry and not self._runs.admits_retry():
             raise exceptions.RetryRefusedError(
@@ -327,6 +356,8 @@
         ran_ms: float,
         waited_s: float,
     ) -> None:
+        if self._cold is not None and result.failure in _MAY_HAVE_RESTARTED:
+            self._cold.warmth.assume(result.failure)
         if result.failure == exceptions.CancelledCallError.code:
             return
         is_answer = result.outcome == outcome.Outcome.ANSWER
--- a/src/galenatack/app/explanation.py
+++ b/src/galenatack/app/explanation.py
@@ -25,6 +25,14 @@
     "no-target": (
         "was refused because no target could take it: {detail}; it did not run"
     ),
+    "no-permitted-target": (
+        "was refused and did not run, because there is no target where it may"
+        " run: {detail}"
+    ),
+    "evacuated": (
+        "was refused and did not run, because the data centre of the target is"
+        " evacuated: {detail}"
+    ),
     "leaving": "was refused because its target was leaving: {detail}",
     "target-connect": (
         "did not run, because the target took no connection: {detail}"
--- a/src/galenatack/app/mesh_base.py
+++ b/src/galenatack/app/mesh_base.py
@@ -3,6 +3,7 @@
 import typing
 
 from galenatack.app import mesh_callbacks
+from galenatack.homes import evacuations
 from galenatack.interfaces import clock as clock_interface
 from galenatack.interfaces import random_source
 from galenatack.links import peer_network
@@ -35,6 +36,7 @@
     log: request_log.RequestLog
     stats: call_stats.CallStats
     callbacks: mesh_callbacks.MeshCallbacks
+    evacuations: evacuations.Evacuations
 
 
 def make(
@@ -73,6 +75,7 @@
         log=request_log.RequestLog(clock=clock),
         stats=call_stats.CallStats(),
         callbacks=callbacks,
+        evacuations=evacuations.Evacuations(clock=clock),
     )
 
 
--- a/src/galenatack/app/mesh_callbacks.py
+++ b/src/galenatack/app/mesh_callbacks.py
@@ -11,6 +11,7 @@
 from galenatack.config import row_mirror
 from galenatack.config import store_follower_election
 from galenatack.config import table_watcher
+from galenatack.homes import evacuations as evacuations_module
 from galenatack.interfaces import shared_table
 from galenatack.links import connection_limits
 from galenatack.membership import member_table
@@ -21,12 +22,15 @@
 from galenatack.model import proximity
 from galenatack.model import table_row
 from galenatack.model import target_condition
+from galenatack.model import warm_up
 from galenatack.placement import target_placement
 from galenatack.platform import config_document
+from galenatack.platform import evacuation_rows
 from galenatack.platform import rollout_rows
 from galenatack.rollouts import rollout_registry
 from galenatack.timeline import hybrid_clock
 from galenatack.traffic import config_holder
+from galenatack.warmup import target_warmth
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -51,6 +55,8 @@
     placement: target_placement.TargetPlacement
     limits: connection_limits.ConnectionLimits
     syncs: tuple[neighbour_sync.NeighbourSync, ...]
+    warmth: target_warmth.TargetWarmth
+    evacuations: evacuations_module.Evacuations
 
 
 class MeshCallbacks:
@@ -76,6 +82,7 @@
             hlc=parts.hlc.now(),
             table_revisions=parts.mirror.revisions,
             follows_store=self._claims_to_follow(),
+            evacuations=parts.evacuations.records(),
         )
 
     async def on_heartbeat(
@@ -83,6 +90,7 @@
     ) -> None:
         """Handles the heartbeat of a peer."""
         self._parts.hlc.observe(message.hlc)
+        self._parts.evacuations.merge(message.evacuations)
         self._parts.election.record_heartbeat(
             sender, is_following=message.follows_store
         )
@@ -163,6 +171,26 @@
         """Applies what the target says of itself in an answer."""
         self._parts.gate.apply_condition(target_id, condition)
 
+    def on_target_cold_ms(self, target_id: str, cold_ms: int) -> None:
+        """Applies for how long the target says that it stays cold."""
+        current = self._parts.registry.current
+        if current is not None and current.target_id == target_id:
+            self._parts.warmth.answer(cold_ms, starts=None)
+
+    def evacuation_changed(self, data_centre: str, is_evacuated: bool) -> None:
+        """Refuses the waiting calls, or asks how warm the target is."""
+        parts = self._parts
+        if data_centre != parts.members.own.data_centre:
+            return
+        if is_evacuated:
+            parts.gate.refuse_waiting(
+                lambda: exceptions.EvacuatedError(
+                    "the data centre is evacuated"
+                )
+            )
+        else:
+            parts.warmth.assume("evacuation-ended")
+
     def on_former_record(self, former: member_record.MemberRecord) -> None:
         """Restores the target from the record of this node's previous run."""
         self._parts.registry.restore(former)
@@ -201,6 +229,11 @@
                 parts.rollouts.update_progress(
                     rollout_rows.decode_progress(row)
                 )
+        elif (place := evacuation_rows.data_centre(row)) is not None:
+            if row.is_deleted:
+                parts.evacuations.end(place, row.revision)
+            else:
+                parts.evacuations.begin(place, row.revision)
         elif row.key == config_document.KEY:
             self._apply_config(row)
         elif row.key.startswith(rollout_rows.ORDER_PREFIX):
@@ -228,6 +261,7 @@
         parts.gate.limit_connections(
             parts.config.table.max_connections(service)
         )
+        parts.warmth.configure(config.warm_ups.get(service, warm_up.WarmUp()))
 
 
 def _apply_limits(
--- a/src/galenatack/app/mesh_inbound.py
+++ b/src/galenatack/app/mesh_inbound.py
@@ -12,6 +12,7 @@
 from galenatack.app import mesh_base
 from galenatack.app import mesh_quarantine
 from galenatack.app import mesh_rollouts
+from galenatack.app import mesh_warmup
 from galenatack.links import translated_target
 from galenatack.platform import target_headers
 from galenatack.quarantine import crash_detector
@@ -36,6 +37,7 @@
     gate: target_gate.TargetGate
     runs: retried_runs.RetriedRuns
     slack: retry_slack.RetrySlack
+    warmup: mesh_warmup.MeshWarmup
 
 
 def make(
@@ -57,7 +59,9 @@
         dialect=target_headers.TargetHeaders(),
         max_connections=TARGET_CONNECTIONS,
         on_condition=base.callbacks.on_target_condition,
+        on_cold_ms=base.callbacks.on_target_cold_ms,
     )
+    warmup = mesh_warmup.make(base, registry, target)
     own = base.members.own
     times = service_times.ServiceTimes()
     slack = retry_slack.RetrySlack(
@@ -88,6 +92,10 @@
         on_outcome=rollouts.pool.record,
         quarantine=quarantine.quarantine,
         runs=runs,
+        cold=warmup.cold,
+        is_evacuated=lambda: base.evacuations.has_evacuated(
+            base.settings.data_centre
+        ),
     )
     call_message_handler.CallMessageHandler(peers=base.peers, gate=gate)
-    return MeshInbound(registry, target, gate, runs, slack)
+    return MeshInbound(registry, target, gate, runs, slack, warmup)
--- a/src/galenatack/app/mesh_metrics.py
+++ b/src/galenatack/app/mesh_metrics.py
@@ -67,6 +67,7 @@
                 "gate_rate_limit_per_second",
                 math.inf if limit_per_s is None else limit_per_s,
             ),
+            *self._cold(),
             exposition.sample("calls_in_flight", parts.router.in_flight),
             exposition.sample("gate_running", parts.gate.running),
             exposition.sample("gate_queued", parts.gate.queued),
@@ -90,6 +91,28 @@
             ),
         ]
 
+    def _cold(self) -> list[str]:
+        warmup = self._parts.warmup
+        rate_per_s = warmup.cold.rate_per_s
+        return [
+            exposition.sample(
+                "gate_cold_rate_per_second",
+                math.inf if rate_per_s is None else rate_per_s,
+            ),
+            *(
+                exposition.sample(
+                    "gate_cold_calls_total",
+                    warmup.cold.counts[end],
+                    {"end": end},
+                )
+                for end in ("sent", "refused")
+            ),
+            exposition.sample("warmth_probes_total", warmup.probe.probes),
+            exposition.sample(
+                "warmth_probes_failed_total", warmup.probe.failures
+            ),
+        ]
+
     def _retry_budget(self) -> list[str]:
         budget = self._parts.budget
         return [
@@ -113,6 +136,10 @@
             exposition.sample(
                 "config_unknown_parts", parts.config.unknown_parts
             ),
+            *(
+                exposition.sample("evacuated", 1, {"data_centre": name})
+                for name in sorted(parts.evacuations.active())
+            ),
             exposition.sample("rollouts_active", len(parts.rollouts.active())),
             exposition.sample("crash_requests_known", len(parts.crashes)),
             exposition.sample(
--- a/src/galenatack/app/mesh_node.py
+++ b/src/galenatack/app/mesh_node.py
@@ -54,6 +54,7 @@
         """Puts changed settings in force."""
         self._bounds = settings.bounds
         self._parts.slack.bounds = settings.bounds.retries
+        self._parts.warmup.warmth.bounds = settings.bounds
 
     def request_stop(self) -> None:
         """Begins a graceful stop."""
@@ -104,6 +105,7 @@
             "membership": parts.membership.run,
             "discovery": parts.discovery.run,
             "links": parts.warmer.run,
+            "warmth": parts.warmup.probe.run,
             "rollouts": parts.driver.run,
             "crash-archive": parts.crash_archive.run,
             "log-report": self._report_dropped_lines,
--- a/src/galenatack/app/mesh_outbound.py
+++ b/src/galenatack/app/mesh_outbound.py
@@ -6,6 +6,7 @@
 from galenatack.app import mesh_inbound
 from galenatack.app import mesh_quarantine
 from galenatack.app import mesh_rollouts
+from galenatack.homes import permitted_targets
 from galenatack.placement import known_conditions
 from galenatack.placement import target_placement
 from galenatack.traffic import attempt_budget
@@ -48,7 +49,9 @@
     shutdown = shutdown_admission.ShutdownAdmission(clock=base.clock)
     router = call_router.CallRouter(
         config=config,
-        directory=directory,
+        targets=permitted_targets.PermittedTargets(
+            directory=directory, evacuations=base.evacuations
+        ),
         versions=rollouts.versions,
         placement=placement,
         budget=budget,
--- a/src/galenatack/app/mesh_parts.py
+++ b/src/galenatack/app/mesh_parts.py
@@ -5,10 +5,12 @@
 from galenatack.admission import retry_slack
 from galenatack.admission import target_gate
 from galenatack.admission import target_registry
+from galenatack.app import mesh_warmup
 from galenatack.config import instrumented_table
 from galenatack.config import row_mirror
 from galenatack.config import store_follower_election
 from galenatack.config import table_watcher
+from galenatack.homes import evacuations
 from galenatack.interfaces import clock as clock_interface
 from galenatack.links import peer_network
 from galenatack.links import pipelined_server
@@ -67,3 +69,5 @@
     ready: pipelined_server.PipelinedServer
     target: translated_target.TranslatedTarget
     store: instrumented_table.InstrumentedTable
+    warmup: mesh_warmup.MeshWarmup
+    evacuations: evacuations.Evacuations
--- a/src/galenatack/app/mesh_store.py
+++ b/src/galenatack/app/mesh_store.py
@@ -78,7 +78,9 @@
     mirror: row_mirror.RowMirror,
     election: store_follower_election.StoreFollowerElection,
 ) -> tuple[table_watcher.TableWatcher, ...]:
-    config_s = base.settings.bounds.config_ms / MS_PER_S
+    bounds = base.settings.bounds
+    # Evacuations are rows of the same table.
+    config_s = min(bounds.config_ms, bounds.evacuation_ms) / MS_PER_S
     min_intervals_s = {
         config_document.TABLE: config_s * CONFIG_INTERVAL_SHARE,
         rollout_rows.PROGRESS_TABLE: 0.0,
--- a/src/galenatack/app/mesh_wiring.py
+++ b/src/galenatack/app/mesh_wiring.py
@@ -30,6 +30,7 @@
 from galenatack.settings import mesh_settings
 from galenatack.traffic import link_warmer
 from galenatack.traffic import target_directory
+from galenatack.warmup import announced_warmth
 
 SEED_BITS = 64
 
@@ -115,6 +116,8 @@
         ready=servers.ready,
         target=inbound.target,
         store=instrumented,
+        warmup=inbound.warmup,
+        evacuations=base.evacuations,
     )
 
 
@@ -159,12 +162,15 @@
             placement=outbound.placement,
             limits=servers.callers.limits,
             syncs=syncs,
+            warmth=inbound.warmup.warmth,
+            evacuations=base.evacuations,
         )
     )
     for sync in syncs:
         base.peers.on_lost(sync.on_link_lost)
     shared.mirror.subscribe(base.callbacks.rows_changed)
     base.members.subscribe(base.callbacks.members_changed)
+    base.evacuations.subscribe(base.callbacks.evacuation_changed)
 
 
 def _make_membership(
@@ -206,14 +212,17 @@
         handle=outbound.router.handle, timeout_ms=outbound.router.timeout_ms
     )
     control = control_dialect.ControlDialect(
-        registry=target_departures.TargetDepartures(
-            registry=inbound.registry,
-            confirm=record_confirmation.RecordConfirmation(
-                table=base.members,
-                peers=base.peers,
-                clock=base.clock,
-                flood=membership.flood,
-            ).confirm,
+        registry=announced_warmth.AnnouncedWarmth(
+            registry=target_departures.TargetDepartures(
+                registry=inbound.registry,
+                confirm=record_confirmation.RecordConfirmation(
+                    table=base.members,
+                    peers=base.peers,
+                    clock=base.clock,
+                    flood=membership.flood,
+                ).confirm,
+            ),
+            warmth=inbound.warmup.warmth,
         ),
         is_ready=lambda: (
             outbound.config.table is not None
--- a/src/galenatack/exceptions/_call_errors.py
+++ b/src/galenatack/exceptions/_call_errors.py
@@ -44,6 +44,34 @@
     code = "no-target"
 
 
+class NoPermittedTargetError(CallError):
+    """No target is left where the call may run.
+
+    Attributes:
+        retry_after_ms: Delay before a retry, in milliseconds.
+    """
+
+    code = "no-permitted-target"
+
+    def __init__(self, message: str, *, retry_after_ms: int):
+        super().__init__(message)
+        self.retry_after_ms = retry_after_ms
+
+
+class EvacuatedError(CallError):
+    """The data centre of the target is evacuated.
+
+    Attributes:
+        retry_after_ms: Delay before a retry, in milliseconds.
+    """
+
+    code = "evacuated"
+
+    def __init__(self, message: str, *, retry_after_ms: int = 1000):
+        super().__init__(message)
+        self.retry_after_ms = retry_after_ms
+
+
 class NoRouteError(CallError):
     """No route of the service matches the call."""
 
--- /dev/null
+++ b/src/galenatack/homes/__init__.py
@@ -0,0 +1,1 @@
+"""Where calls may run: home regions and evacuated data centres."""
--- a/src/galenatack/interfaces/target_dialect.py
+++ b/src/galenatack/interfaces/target_dialect.py
@@ -28,6 +28,14 @@
         None if the response comes from another target than the called one.
         """
 
+    def cold_ms(
+        self, target_id: str, status: int, headers: Headers
+    ) -> int | None:
+        """Returns how long a target stays cold, as it says in a response.
+
+        None if it does not say so, or if another target answered.
+        """
+
     def answer(
         self,
         request: call_request.CallRequest,
--- a/src/galenatack/links/translated_target.py
+++ b/src/galenatack/links/translated_target.py
@@ -35,6 +35,9 @@
 ]
 """Receives the id of a target and what it says of itself."""
 
+OnColdMs = collections.abc.Callable[[str, int], None]
+"""Receives the id of a target and for how long it says that it stays cold."""
+
 
 class TranslatedTarget:
     """Implements `interfaces.target_link.TargetLink`.
@@ -46,6 +49,8 @@
         dialect: Translates headers and answers of the target.
         max_connections: Maximum number of connections to the target.
         on_condition: Called with each answer of the target, refusals included.
+        on_cold_ms: Called with each answer that says how long the target stays
+            cold.
     """
 
     def __init__(
@@ -55,9 +60,11 @@
         dialect: target_dialect.TargetDialect,
         max_connections: int,
         on_condition: OnCondition,
+        on_cold_ms: OnColdMs | None = None,
     ):
         self._dialect = dialect
         self._on_condition = on_condition
+        self._on_cold_ms = on_cold_ms
         self._client = http_client.HttpClient(
             address=address,
             max_connections=max_connections,
@@ -91,8 +98,28 @@
         condition = self._dialect.condition(raw.status, headers)
         if condition is not None:
             self._on_condition(request.target_id, condition)
+        cold_ms = self._dialect.cold_ms(request.target_id, raw.status, headers)
+        if cold_ms is not None and self._on_cold_ms is not None:
+            self._on_cold_ms(request.target_id, cold_ms)
         return self._dialect.answer(request, raw.status, headers, raw.body)
 
+    async def ask_cold_ms(self, path: str, target_id: str) -> int | None:
+        """Returns how long the target stays cold; None if it does not say.
+
+        Args:
+            path: Path that the target answers at once.
+            target_id: The target; the answer of another one counts for
+                nothing.
+        """
+        try:
+            raw = await self._client.request(
+                "GET", path, max_idle_s=REPEATABLE_MAX_IDLE_S
+            )
+        except exceptions.CallError as error:
+            _LOGGER.debug("event=probe-unanswered error=%s", error)
+            return None
+        return self._dialect.cold_ms(target_id, raw.status, tuple(raw.headers))
+
     async def cancel(self, call_id: str) -> bool:
         """Returns False: the target cannot confirm a cancellation."""
         del call_id
--- a/src/galenatack/messages/heartbeat.py
+++ b/src/galenatack/messages/heartbeat.py
@@ -2,6 +2,8 @@
 
 import typing
 
+from galenatack.model import evacuation_record
+
 
 class Heartbeat(typing.NamedTuple):
     """Sent on each link every second; carries the digests for anti-entropy.
@@ -14,6 +16,7 @@
             mirrored table, in the order of their names.
         follows_store: True if the sender follows the store itself; other
             nodes of its data centre then get the changes from it.
+        evacuations: What the sender knows of evacuated data centres.
     """
 
     held_seq: int
@@ -21,3 +24,4 @@
     hlc: int
     table_revisions: tuple[int, ...] = ()
     follows_store: bool = False
+    evacuations: tuple[evacuation_record.EvacuationRecord, ...] = ()
--- a/src/galenatack/placement/gate_view.py
+++ b/src/galenatack/placement/gate_view.py
@@ -4,6 +4,7 @@
 
 from galenatack.admission import service_times
 from galenatack.model import gate_report
+from galenatack.warmup import cold_view
 
 REPORT_DECAY_S = 0.3
 """Time constant, a few service times, after which most of the other nodes'
@@ -37,6 +38,7 @@
         times: Service times by route.
         rate_limit_per_s: Calls per second that its target takes; None without
             a limit.
+        cold: What is known of the target if it may be cold.
     """
 
     def __init__(self, *, boot_ms: int):
@@ -45,6 +47,7 @@
         self.failure_permille = 0
         self.times = service_times.ServiceTimes()
         self.rate_limit_per_s: float | None = None
+        self.cold = cold_view.ColdView()
         self._other_calls = 0
         self._reported_s = -math.inf
         self._wait_reports: dict[str, tuple[float, float]] = {}
@@ -107,7 +110,9 @@
             -age_s / REPORT_DECAY_S
         )
 
-    def usable_slots(self, slots: int, service_ms: float) -> float:
+    def usable_slots(
+        self, slots: int, service_ms: float, now_s: float
+    ) -> float:
         """Returns how many slots the rate limit lets the target use.
 
         By Little's law, calls at the limited rate occupy this many slots.
@@ -115,10 +120,16 @@
         Args:
             slots: Slots of the target.
             service_ms: Service time of a call; 0 if it is not known.
+            now_s: Monotonic time.
         """
-        if self.rate_limit_per_s is None or not service_ms:
+        limits = [
+            limit
+            for limit in (self.rate_limit_per_s, self.cold.rate_per_s(now_s))
+            if limit is not None
+        ]
+        if not limits or not service_ms:
             return slots
-        limited = self.rate_limit_per_s * service_ms / MS_PER_S
+        limited = min(limits) * service_ms / MS_PER_S
         return max(MIN_USABLE_SLOTS, min(slots, limited))
 
     def wait_ms(self, route: str, slots: float, now_s: float) -> float:
--- a/src/galenatack/placement/target_placement.py
+++ b/src/galenatack/placement/target_placement.py
@@ -191,6 +191,7 @@
             candidate
             for candidate in candidates
             if not candidate.view.is_refusing(route, now_s)
+            and not candidate.view.cold.is_paused(now_s)
         ]
         if with_room:
             return with_room
@@ -299,7 +300,7 @@
     service_ms = view.times.known_ms(route)
     if service_ms is None:
         service_ms = typical_ms
-    slots = view.usable_slots(max(1, candidate.member.slots), service_ms)
+    slots = view.usable_slots(max(1, candidate.member.slots), service_ms, now_s)
     wait_ms = view.wait_ms(route, slots, now_s)
     # No call waits while slots are free; the load term balances the targets.
     return service_ms + wait_ms + view.calls(now_s) / slots
--- a/src/galenatack/platform/_headers.py
+++ b/src/galenatack/platform/_headers.py
@@ -10,6 +10,8 @@
 STORE_ERA = "store-era"
 TARGET_LIMIT = "server-limit"
 TARGET_LEAVING = "server-leaving"
+TARGET_ID = "x-instance-id"
+TARGET_COLD_MS = "x-warmup-ms"
 
 _HOP_BY_HOP = frozenset(
     {
--- a/src/galenatack/platform/config_document.py
+++ b/src/galenatack/platform/config_document.py
@@ -107,6 +107,7 @@
         rate_per_s=_values.field(
             row, "warmup_per_s", _values.non_negative_number, default=0.0
         ),
+        probe_path=_values.field(row, "health_path", str, default=""),
     )
 
 
--- a/src/galenatack/platform/target_headers.py
+++ b/src/galenatack/platform/target_headers.py
@@ -22,6 +22,8 @@
 _STAMP = _headers.STAMP.encode()
 _LIMIT = _headers.TARGET_LIMIT.encode()
 _LEAVING = _headers.TARGET_LEAVING.encode()
+_TARGET_ID = _headers.TARGET_ID.encode()
+_COLD_MS = _headers.TARGET_COLD_MS.encode()
 
 
 class TargetHeaders:
@@ -70,6 +72,20 @@
             return target_condition.NORMAL
         return target_condition.TargetCondition(limit_per_s, is_leaving)
 
+    def cold_ms(
+        self, target_id: str, status: int, headers: Headers
+    ) -> int | None:
+        """Returns how long a target stays cold, None if it does not say."""
+        if status == _MISDIRECTED:
+            return None
+        cold_ms = None
+        for name, value in headers:
+            if name == _TARGET_ID and value.decode("latin-1") != target_id:
+                return None
+            if name == _COLD_MS:
+                cold_ms = _number_ms(value)
+        return cold_ms
+
     def _limit_per_s(self, value: bytes) -> float | None:
         try:
             limit_per_s = float(value)
@@ -120,3 +136,12 @@
         return target_answer.TargetAnswer(
             status, _headers.forwarded_answer_headers(decoded), body
         )
+
+
+def _number_ms(value: bytes) -> int | None:
+    try:
+        # A target that is cold for part of a millisecond is cold.
+        number_ms = math.ceil(float(value))
+    except (ValueError, OverflowError):
+        return None
+    return number_ms if number_ms >= 0 else None
--- a/src/galenatack/routing/local_replies.py
+++ b/src/galenatack/routing/local_replies.py
@@ -11,6 +11,8 @@
     exceptions.OverloadedError.code: 503,
     exceptions.RetryRefusedError.code: 503,
     exceptions.NoTargetError.code: 503,
+    exceptions.NoPermittedTargetError.code: 503,
+    exceptions.EvacuatedError.code: 503,
     exceptions.UnusableRouteError.code: 503,
     exceptions.LeavingError.code: 503,
     exceptions.TargetConnectError.code: 503,
--- a/src/galenatack/traffic/call_router.py
+++ b/src/galenatack/traffic/call_router.py
@@ -5,6 +5,8 @@
 from galenatack import exceptions
 from galenatack.admission import retried_runs
 from galenatack.admission import target_gate
+from galenatack.homes import homes
+from galenatack.homes import permitted_targets
 from galenatack.interfaces import clock as clock_interface
 from galenatack.messages import call_answer
 from galenatack.model import call_result
@@ -24,7 +26,6 @@
 from galenatack.traffic import config_holder
 from galenatack.traffic import request_attempts
 from galenatack.traffic import shutdown_admission
-from galenatack.traffic import target_directory
 from galenatack.traffic import weighted_choice
 
 _LOGGER = logging.getLogger(__name__)
@@ -54,7 +55,7 @@
 
     Args:
         config: The configuration in force.
-        directory: Targets by service and version.
+        targets: Targets that a call may be sent to.
         versions: Chooses the version.
         placement: Chooses the target.
         budget: Retry budget.
@@ -71,7 +72,7 @@
         self,
         *,
         config: config_holder.ConfigHolder,
-        directory: target_directory.TargetDirectory,
+        targets: permitted_targets.PermittedTargets,
         versions: version_chooser.VersionChooser,
         placement: target_placement.TargetPlacement,
         budget: attempt_budget.AttemptBudget,
@@ -84,7 +85,7 @@
         telemetry: call_telemetry.CallTelemetry,
     ):
         self._config = config
-        self._directory = directory
+        self._targets = targets
         self._versions = versions
         self._placement = placement
         self._budget = budget
@@ -199,7 +200,9 @@
             )
         *preferred, last = self._versions.choose(
             attempts.service,
-            self._directory.by_version(attempts.service),
+            self._targets.by_version(
+                attempts.service, attempts.route, attempts.tenant
+            ),
             is_retry=bool(attempts.tried),
         )
         member = None
@@ -220,7 +223,7 @@
         left_ms: float,
     ) -> member_record.MemberRecord:
         return self._placement.choose(
-            members,
+            homes.permitted(members, attempts.route, attempts.tenant),
             route=attempts.route,
             left_ms=left_ms,
             tried=attempts.tried,
@@ -275,8 +278,11 @@
         now_s = self._clock.monotonic_s()
         if answer.report is not None:
             view.apply_report(answer.report, attempts.route.name, now_s)
+            view.cold.apply(answer.report, answer.result, now_s)
             if answer.report.condition is not None:
                 self._conditions.record(member, answer.report.condition)
+        if answer.result.failure == exceptions.EvacuatedError.code:
+            self._targets.note_refusal(member)
         if answer.result.failure == exceptions.OverloadedError.code:
             view.record_refusal(attempts.route.name, now_s)
         if answer.result.failure in _TARGET_DOWN:
--- a/src/galenatack/traffic/request_attempts.py
+++ b/src/galenatack/traffic/request_attempts.py
@@ -5,6 +5,7 @@
 from galenatack.model import caller_request
 from galenatack.model import host_route
 from galenatack.model import outcome
+from galenatack.model import tenant as tenant_module
 
 
 class RequestAttempts:
@@ -17,6 +18,7 @@
         config_version: Version of the configuration that has the route.
         deadline_s: Monotonic time by which the caller must have an answer.
         retry_share: Probability that the request descends from a retry.
+        tenant: Tenant that sent the request; None if it is not known.
 
     Attributes:
         tried: Ids of the nodes that were tried.
@@ -36,6 +38,7 @@
         config_version: int,
         deadline_s: float,
         retry_share: float = 0.0,
+        tenant: tenant_module.Tenant | None = None,
     ):
         self.request = request
         self.route = route
@@ -43,6 +46,7 @@
         self.config_version = config_version
         self.deadline_s = deadline_s
         self.retry_share = retry_share
+        self.tenant = tenant
         self.tried: set[str] = set()
         self.trail: list[str] = []
         self.arrivals = 0
--- a/src/galenatack/traffic/target_directory.py
+++ b/src/galenatack/traffic/target_directory.py
@@ -2,6 +2,7 @@
 
 import collections
 
+from galenatack.homes import permitted_places
 from galenatack.membership import member_table
 from galenatack.model import member_record
 from galenatack.model import member_status
@@ -21,28 +22,41 @@
     def __init__(self, *, members: member_table.MemberTable):
         self._members = members
 
-    def by_version(self, service: str) -> dict[str, tuple[_Record, ...]]:
+    def by_version(
+        self,
+        service: str,
+        places: permitted_places.PermittedPlaces = permitted_places.ANYWHERE,
+    ) -> dict[str, tuple[_Record, ...]]:
         """Returns the usable targets of a service, by version.
 
         Each version has its best group of targets. If all of them are leaving
         or suspected, they are still returned: an attempt is better than
         refusing the call.
+
+        Args:
+            service: The service.
+            places: Places of the targets.
         """
         return self._members.cached(
-            (_CACHE_KEY, service), lambda: self._find(service)
+            (_CACHE_KEY, service, places),
+            lambda: self._find(service, places),
         )
 
     def count(self, service: str, version: str) -> int:
         """Returns the number of usable targets of a version."""
         return len(self.by_version(service).get(version, ()))
 
-    def _find(self, service: str) -> dict[str, tuple[_Record, ...]]:
+    def _find(
+        self, service: str, places: permitted_places.PermittedPlaces
+    ) -> dict[str, tuple[_Record, ...]]:
         ranked: dict[str, dict[int, list[_Record]]] = collections.defaultdict(
             lambda: collections.defaultdict(list)
         )
         for record in self._members.live():
             if record.service != service or not record.target_id:
                 continue
+            if not places.admits(record):
+                continue
             rank = _rank(record)
             if rank is not None:
                 ranked[record.version][rank].append(record)
--- /dev/null
+++ b/src/galenatack/warmup/__init__.py
@@ -0,0 +1,1 @@
+"""Protection of targets that are cold after a start."""
--- /dev/null
+++ b/src/galenatack/warmup/target_warmth.py
@@ -0,0 +1,199 @@
+"""Whether the own target is cold, as far as its gate knows."""
+
+import asyncio
+import collections.abc
+import logging
+
+from galenatack.interfaces import clock as clock_interface
+from galenatack.model import warm_up as warm_up_module
+from galenatack.settings import fleet_bounds
+
+_LOGGER = logging.getLogger(__name__)
+
+MS_PER_S = 1000.0
+
+MIN_ASSUMED_S = 3.0
+"""Two announcements of a target come within this time."""
+
+LATE_ANNOUNCEMENT_S = 1.0
+"""An announcement that comes this long after a target may have started was
+probably not made before."""
+
+REORDERED_S = 0.25
+"""An answer that comes this soon after a statement may have been made before
+it."""
+
+MAX_LEFT_MS = 600_000
+"""No target is cold for longer; a larger value is an error."""
+
+CHECKED_SHARE = 0.25
+"""Share of the calls that a cold target may get in a second, after which a warm
+one is asked whether it still is warm. The answer takes some milliseconds, in
+which the remaining share is not used up."""
+
+
+class TargetWarmth:
+    """Joins what announcements, answers and probes say of the own target.
+
+    A target may turn cold at any moment. Answers and probes are fresh; an
+    announcement may be late, so that it only prolongs the time for which the
+    target is cold. After an event that may have made the target cold, it is
+    assumed to be so until it is known.
+
+    Args:
+        clock: Source of time.
+        bounds: Bounds of the deployment.
+
+    Attributes:
+        bounds: The same; may be replaced.
+        warm_up: Behaviour of the service's cold targets.
+        probe_wanted: Set while the target is to be asked.
+        epoch: Number of the latest assumption; what was asked before it tells
+            nothing.
+        starts: Number of calls that were sent.
+    """
+
+    def __init__(
+        self,
+        *,
+        clock: clock_interface.Clock,
+        bounds: fleet_bounds.FleetBounds,
+    ):
+        self._clock = clock
+        self.bounds = bounds
+        self.warm_up = warm_up_module.WarmUp()
+        self.probe_wanted = asyncio.Event()
+        self.epoch = 0
+        self.starts = 0
+        self._known_starts = 0
+        self._cold_until_s = 0.0
+        self._prolonged_s = 0.0
+        self._assumed_s: float | None = None
+        self._callbacks: list[collections.abc.Callable[[], None]] = []
+
+    @property
+    def is_cold(self) -> bool:
+        """Whether the target is cold or may be, and then limits its calls."""
+        if not self.warm_up.rate_per_s:
+            return False
+        return self._is_assumed or (
+            self._clock.monotonic_s() < self._cold_until_s
+        )
+
+    @property
+    def wants_probe(self) -> bool:
+        """Whether the target is to be asked."""
+        if not self.warm_up.rate_per_s or not self.warm_up.probe_path:
+            return False
+        if self._is_assumed:
+            return True
+        if self.is_cold:
+            return False
+        most = (
+            self.warm_up.rate_per_s * self.bounds.cold_overshoot
+            + self.bounds.cold_slack
+        )
+        unchecked = self.starts - self._known_starts
+        return unchecked >= max(1.0, most * CHECKED_SHARE)
+
+    @property
+    def _is_assumed(self) -> bool:
+        if self._assumed_s is None:
+            return False
+        lasts_s = max(MIN_ASSUMED_S, self.warm_up.duration_ms / MS_PER_S)
+        return self._clock.monotonic_s() < self._assumed_s + lasts_s
+
+    def subscribe(self, on_cold: collections.abc.Callable[[], None]) -> None:
+        """Registers a callback for a target that has turned cold."""
+        self._callbacks.append(on_cold)
+
+    def configure(self, warm_up: warm_up_module.WarmUp) -> None:
+        """Sets the behaviour of the service's cold targets."""
+        self.warm_up = warm_up
+        self._request_probe()
+
+    def start(self) -> None:
+        """Handles the start of another target."""
+        self._cold_until_s = 0.0
+        self.assume("start")
+
+    def assume(self, reason: str) -> None:
+        """Assumes that the target is cold until it says whether it is."""
+        was_cold = self.is_cold
+        self.epoch += 1
+        self._assumed_s = self._clock.monotonic_s()
+        if self.is_cold and not was_cold:
+            _LOGGER.info("event=target-assumed-cold reason=%s", reason)
+            self._notify()
+        self._request_probe()
+
+    def record_start(self) -> None:
+        """Counts a call that is sent to the target."""
+        self.starts += 1
+        self._request_probe()
+
+    def announce(self, left_ms: int) -> None:
+        """Handles an announcement.
+
+        Args:
+            left_ms: Remaining time for which the target is cold.
+        """
+        now_s = self._clock.monotonic_s()
+        was_cold = self.is_cold
+        if self._assumed_s is not None and (
+            left_ms
+            or not self.warm_up.probe_path
+            or now_s - self._assumed_s >= LATE_ANNOUNCEMENT_S
+        ):
+            self._assumed_s = None
+        if left_ms:
+            self._prolong(left_ms, now_s, was_cold=was_cold)
+
+    def answer(
+        self, left_ms: int, *, epoch: int | None = None, starts: int | None
+    ) -> None:
+        """Handles an answer.
+
+        Args:
+            left_ms: Remaining time for which the target is cold.
+            epoch: Number of the assumption when the target was asked; None for
+                the present one.
+            starts: Number of calls that had been sent then; None for all.
+        """
+        if epoch is not None and epoch != self.epoch:
+            return
+        now_s = self._clock.monotonic_s()
+        was_cold = self.is_cold
+        self._assumed_s = None
+        self._known_starts = self.starts if starts is None else starts
+        if left_ms:
+            self._prolong(left_ms, now_s, was_cold=was_cold)
+        if now_s - self._prolonged_s >= REORDERED_S:
+            until_s = now_s + left_ms / MS_PER_S
+            self._cold_until_s = min(self._cold_until_s, until_s)
+
+    def _prolong(self, left_ms: int, now_s: float, *, was_cold: bool) -> None:
+        until_s = now_s + min(left_ms, MAX_LEFT_MS) / MS_PER_S
+        if until_s <= self._cold_until_s:
+            return
+        is_new = now_s >= self._cold_until_s
+        self._cold_until_s = until_s
+        self._prolonged_s = now_s
+        if not self.warm_up.rate_per_s:
+            return
+        if is_new:
+            _LOGGER.info(
+                "event=target-cold left_ms=%d per_s=%g",
+                left_ms,
+                self.warm_up.rate_per_s,
+            )
+        if not was_cold:
+            self._notify()
+
+    def _notify(self) -> None:
+        for callback in self._callbacks:
+            callback()
+
+    def _request_probe(self) -> None:
+        if self.wants_probe:
+            self.probe_wanted.set()
--- /dev/null
+++ b/src/galenatack/warmup/warmth_probe.py
@@ -0,0 +1,79 @@
+"""Asks the own target whether it is cold."""
+
+import asyncio
+import collections.abc
+import typing
+
+from galenatack.interfaces import clock as clock_interface
+from galenatack.warmup import target_warmth
+
+MIN_INTERVAL_S = 0.02
+"""Time between probes. At 200 calls/s, 4 calls are sent in it."""
+
+FAILED_INTERVAL_S = 0.25
+"""Time after a probe without an answer."""
+
+TIMEOUT_S = 0.5
+"""The target is on the same machine and answers probes at once."""
+
+
+class Ask(typing.Protocol):
+    """Asks the own target."""
+
+    def __call__(self, path: str) -> collections.abc.Awaitable[int | None]:
+        """Returns the time in ms for which it stays cold; None if unknown."""
+
+
+class WarmthProbe:
+    """Asks whenever the warmth of the target is in doubt.
+
+    Args:
+        warmth: Whether the target is cold.
+        ask: Asks the target.
+        clock: Source of time.
+
+    Attributes:
+        failures: Number of probes without an answer.
+        probes: Number of probes.
+    """
+
+    def __init__(
+        self,
+        *,
+        warmth: target_warmth.TargetWarmth,
+        ask: Ask,
+        clock: clock_interface.Clock,
+    ):
+        self._warmth = warmth
+        self._ask = ask
+        self._clock = clock
+        self.probes = 0
+        self.failures = 0
+
+    async def run(self) -> typing.NoReturn:
+        """Asks until it is cancelled, one probe at a time."""
+        while True:
+            await self._warmth.probe_wanted.wait()
+            self._warmth.probe_wanted.clear()
+            while self._warmth.wants_probe:
+                is_answered = await self.probe()
+                await self._clock.sleep_s(
+                    MIN_INTERVAL_S if is_answered else FAILED_INTERVAL_S
+                )
+
+    async def probe(self) -> bool:
+        """Asks once; returns whether the target said how cold it is."""
+        warmth = self._warmth
+        epoch, starts = warmth.epoch, warmth.starts
+        self.probes += 1
+        left_ms = None
+        try:
+            async with asyncio.timeout(TIMEOUT_S):
+                left_ms = await self._ask(warmth.warm_up.probe_path)
+        except TimeoutError:
+            pass
+        if left_ms is None:
+            self.failures += 1
+            return False
+        warmth.answer(left_ms, epoch=epoch, starts=starts)
+        return True
--- a/standins/mesh/fake_target.py
+++ b/standins/mesh/fake_target.py
@@ -2,11 +2,14 @@
 
 import asyncio
 import json
+import time
 
 from galenatack.links import http_client
 from galenatack.links import http_response
 from galenatack.links import pipelined_server
 
+HEALTH_PATH = "/health"
+
 
 class FakeTarget:
     """Runs calls, announces itself and keeps a ledger of what it ran.
@@ -21,6 +24,8 @@
         on_run: If set, called with this target and the attempt id of each run.
         is_deadly: Returns whether a run of a request crashes the target.
         crash_delay_s: Duration of such a run.
+        cold_until_s: Monotonic time until which it is cold; it says so when it
+            is asked under `HEALTH_PATH`, and in announcements.
         on_crash: If set, called with this target and the attempt ids of its
             runs when it crashes.
     """
@@ -44,6 +49,7 @@
         self.is_deadly = lambda request: False
         self.crash_delay_s = 0.02
         self.on_crash = None
+        self.cold_until_s = 0.0
         self._running = set()
         self._starts = 1
         self._has_crashed = False
@@ -85,7 +91,7 @@
             "version": self.version,
             "capacity": 12,
             "state": state,
-            "warmup_left": "0ms",
+            "warmup_left": f"{self._cold_ms()}ms",
             "sequence": self._sequence,
             "born": self.born_ms,
         }
@@ -121,8 +127,19 @@
         await client.close()
         return answer.status
 
+    def _cold_ms(self):
+        return max(0, round((self.cold_until_s - time.monotonic()) * 1000))
+
     async def _respond(self, request):
         headers = dict(request.headers)
+        if request.target == HEALTH_PATH:
+            return http_response.HttpResponse(
+                200,
+                (
+                    ("x-instance-id", self.target_id),
+                    ("x-warmup-ms", str(self._cold_ms())),
+                ),
+            )
         attempt = headers.get("x-attempt-id", "")
         attempt_header = (("x-attempt-id", attempt),)
         if headers.get("x-expected-instance") != self.target_id:
--- a/standins/mesh/operator_config.py
+++ b/standins/mesh/operator_config.py
@@ -24,6 +24,7 @@
     kinds: tuple[str, ...] = ("idempotent", "non_idempotent"),
     mark: str = "",
     max_connections: int = 100,
+    warmup_per_s: float = 0.0,
 ) -> bytes:
     """Returns a configuration with one route per service and kind.
 
@@ -34,6 +35,8 @@
         mark: If set, adds a route that only this version has, to this service:
             on the host `MARK_HOST`, its prefix is the version.
         max_connections: Maximum number of connections to one target.
+        warmup_per_s: Requests per second that a cold target takes; it is cold
+            for 5 s after its start.
     """
     rows = [
         _row(f"{service}-{kind}", f"{service}.example", kind, kind, service)
@@ -48,8 +51,17 @@
             "version": version,
             "routes": {"columns": COLUMNS, "rows": rows},
             "services": {
-                "columns": ["name", "max_connections"],
-                "rows": [[service, max_connections] for service in services],
+                "columns": [
+                    "name",
+                    "max_connections",
+                    "health_path",
+                    "warmup",
+                    "warmup_per_s",
+                ],
+                "rows": [
+                    [service, max_connections, "/health", "5s", warmup_per_s]
+                    for service in services
+                ],
             },
             "limits": {},
         }
--- /dev/null
+++ b/tests/homes/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of homes and evacuations."""
--- /dev/null
+++ b/tests/homes/test_evacuations.py
@@ -0,0 +1,149 @@
+"""Tests of which rows begin and end an evacuation."""
+
+import unittest
+
+from galenatack.config import row_mirror
+from galenatack.homes import evacuations
+from galenatack.model import store_revision
+from galenatack.model import table_page
+from galenatack.model import table_row
+from galenatack.platform import evacuation_rows
+from tests.fakes import manual_clock
+
+OTHER_KEY = "config"
+
+
+def revision(number, era=0):
+    """Returns the revision of a number."""
+    return store_revision.make(era, number)
+
+
+def row(number, era=0, *, key="evacuate/z", is_deleted=False):
+    """Returns a row of the operator, or its tombstone."""
+    value = b"" if is_deleted else b"{}"
+    return table_row.TableRow(
+        "op", key, value, revision(number, era), is_deleted
+    )
+
+
+class Node:
+    """The mirror and the evacuations of one node."""
+
+    def __init__(self):
+        self.clock = manual_clock.ManualClock()
+        self.mirror = row_mirror.RowMirror(tables=("op",))
+        self.known = evacuations.Evacuations(clock=self.clock)
+        self.changes = []
+        self.known.subscribe(lambda *change: self.changes.append(change))
+        self.mirror.subscribe(self.apply)
+
+    def apply(self, rows):
+        """Applies changed rows as `app.mesh_callbacks` does."""
+        for changed in rows:
+            place = evacuation_rows.data_centre(changed)
+            if place is None:
+                continue
+            if changed.is_deleted:
+                self.known.end(place, changed.revision)
+            else:
+                self.known.begin(place, changed.revision)
+
+    def read(self, *rows, number, era=0):
+        """Reads the whole table from the store."""
+        self.mirror.replace(
+            "op", table_page.TablePage(rows, revision(number, era))
+        )
+
+    @property
+    def is_evacuated(self):
+        """Whether the data centre is evacuated."""
+        return self.known.has_evacuated("z")
+
+
+class TestEvacuations(unittest.TestCase):
+    def setUp(self):
+        self.node = Node()
+
+    def test_a_row_begins_it_and_its_deletion_ends_it(self):
+        """Each change is told once."""
+        self.node.mirror.apply([row(5)])
+        self.node.mirror.apply([row(6)])
+        self.assertTrue(self.node.is_evacuated)
+        self.node.mirror.apply([row(7, is_deleted=True)])
+        self.assertFalse(self.node.is_evacuated)
+        self.assertEqual(self.node.changes, [("z", True), ("z", False)])
+
+    def test_a_deletion_that_only_a_read_shows_ends_it(self):
+        """The tombstone was no longer in the history of the store."""
+        self.node.mirror.apply([row(5)])
+        self.node.read(row(9, key=OTHER_KEY), number=9)
+        self.assertFalse(self.node.is_evacuated)
+
+    def test_a_late_row_does_not_begin_it_again(self):
+        """A peer that was cut off hands on the deleted row."""
+        self.node.mirror.apply([row(5)])
+        self.node.mirror.apply([row(7, is_deleted=True)])
+        self.node.mirror.apply([row(6)])
+        self.assertFalse(self.node.is_evacuated)
+
+    def test_a_row_that_a_restored_store_lost_stays_in_force(self):
+        """The copy is older than the row; the operator took nothing back."""
+        self.node.mirror.apply([row(5)])
+        self.node.read(row(3, era=1, key=OTHER_KEY), number=3, era=1)
+        self.assertTrue(self.node.is_evacuated)
+        self.node.mirror.apply([row(9, era=1)])
+        self.node.mirror.apply([row(10, era=1, is_deleted=True)])
+        self.assertFalse(self.node.is_evacuated)
+
+    def test_a_row_that_a_restored_store_shows_again_is_in_force(self):
+        """Nodes that start read it, and all nodes must agree."""
+        self.node.mirror.apply([row(5)])
+        self.node.mirror.apply([row(7, is_deleted=True)])
+        self.node.read(row(5, era=1), number=5, era=1)
+        self.assertTrue(self.node.is_evacuated)
+
+    def test_a_node_that_starts_after_the_loss_learns_of_it(self):
+        """Its rows are as new as those of its peers, so that it pulls none."""
+        self.node.mirror.apply([row(5)])
+        self.node.read(row(3, era=1, key=OTHER_KEY), number=3, era=1)
+        started = Node()
+        started.read(row(3, era=1, key=OTHER_KEY), number=3, era=1)
+        self.assertFalse(started.is_evacuated)
+        started.known.merge(self.node.known.records())
+        self.assertTrue(started.is_evacuated)
+
+    def test_a_node_that_missed_the_end_learns_of_it(self):
+        """Cut off from the deletion until after a restore, it sees a loss."""
+        cut_off = Node()
+        for node in (self.node, cut_off):
+            node.mirror.apply([row(5)])
+        self.node.mirror.apply([row(6, is_deleted=True)])
+        cut_off.read(row(7, era=1, key=OTHER_KEY), number=7, era=1)
+        self.assertTrue(cut_off.is_evacuated)
+        cut_off.known.merge(self.node.known.records())
+        self.assertFalse(cut_off.is_evacuated)
+
+    def test_peers_are_told_nothing_in_ordinary_times(self):
+        """Each heartbeat on each link would carry it for the node's life."""
+        self.assertEqual(self.node.known.records(), ())
+        self.node.mirror.apply([row(5)])
+        self.node.mirror.apply([row(6, is_deleted=True)])
+        self.assertEqual(len(self.node.known.records()), 1)
+        self.node.clock.advance(evacuations.ENDED_KEPT_S)
+        self.assertEqual(self.node.known.records(), ())
+
+
+class TestEvacuationRows(unittest.TestCase):
+    def test_only_keys_of_the_operator_name_data_centres(self):
+        """Other rows of the table keep their meaning; no value is read."""
+        named = row(1)
+        self.assertEqual(evacuation_rows.data_centre(named), "z")
+        broken = named._replace(value=b"{")
+        self.assertEqual(evacuation_rows.data_centre(broken), "z")
+        for other in (
+            row(1, key="config"),
+            row(1, key="rollout/evacuate/z"),
+            row(1, key="evacuate/"),
+            named._replace(table="other"),
+        ):
+            self.assertIsNone(evacuation_rows.data_centre(other))
--- /dev/null
+++ b/tests/homes/test_way_of_a_call.py
@@ -0,0 +1,137 @@
+"""Tests of homes and evacuations on the way of a call, without a network."""
+
+import asyncio
+import random
+import unittest
+from unittest import mock
+
+from galenatack import exceptions
+from galenatack.homes import evacuations
+from galenatack.homes import permitted_targets
+from galenatack.membership import member_table
+from galenatack.messages import call_answer
+from galenatack.model import caller_request
+from galenatack.placement import known_conditions
+from galenatack.placement import target_placement
+from galenatack.routing import local_replies
+from galenatack.traffic import call_router
+from galenatack.traffic import target_directory
+from tests.fakes import manual_clock
+from tests.placement import fleet_load
+
+OWN = fleet_load.member("own", region="north")._replace(service="caller")
+REQUEST = caller_request.CallerRequest("r", "PUT", "h", "/", (), b"body", 0)
+
+
+def targets(region, count):
+    """Returns the records of targets in one data centre of a region."""
+    return [
+        fleet_load.member(f"{region}{n}", region=region, data_centre=region)
+        for n in range(count)
+    ]
+
+
+class Way:
+    """A node in `north` that routes calls to targets that refuse them."""
+
+    def __init__(self, *records, home_regions=("south",), refusal):
+        clock = manual_clock.ManualClock()
+        members = member_table.MemberTable(own=OWN, clock=clock)
+        members.merge(records)
+        conditions = known_conditions.KnownConditions()
+        self.evacuations = evacuations.Evacuations(clock=clock)
+        self.refusal = refusal
+        self.sent = []
+        route = fleet_load.route()._replace(home_regions=home_regions)
+        self.router = call_router.CallRouter(
+            config=mock.Mock(
+                table=mock.Mock(
+                    find=lambda *_: route,
+                    limits=mock.Mock(max_body_bytes=1000),
+                )
+            ),
+            targets=permitted_targets.PermittedTargets(
+                directory=target_directory.TargetDirectory(members=members),
+                evacuations=self.evacuations,
+            ),
+            versions=mock.Mock(
+                choose=lambda _, by_version, is_retry: (
+                    [r for group in by_version.values() for r in group],
+                )
+            ),
+            placement=target_placement.TargetPlacement(
+                own=OWN,
+                clock=clock,
+                rng=random.Random(1),
+                is_connected=lambda _: True,
+                conditions=conditions,
+            ),
+            budget=mock.Mock(),
+            runs=mock.Mock(retry_share=0.0),
+            sender=mock.Mock(send=self._send),
+            conditions=conditions,
+            quarantine=mock.Mock(admit=mock.AsyncMock(return_value=False)),
+            shutdown=mock.Mock(left_s=lambda deadline_s: deadline_s),
+            clock=clock,
+            telemetry=mock.Mock(),
+        )
+
+    async def _send(self, call, member, deadline_s):
+        del call, deadline_s
+        self.sent.append(member)
+        result = local_replies.not_run(self.refusal(member))
+        return call_answer.CallAnswer("c", result, None)
+
+    def call(self):
+        """Returns the result of one request."""
+        return asyncio.run(self.router.handle(REQUEST))
+
+
+def leaving(_):
+    """Refuses each call."""
+    return exceptions.LeavingError("leaving")
+
+
+class TestWayOfACall(unittest.TestCase):
+    def test_a_refused_call_is_never_sent_away_from_home(self):
+        """A body in a forbidden region cannot be taken back."""
+        way = Way(*targets("south", 2), *targets("north", 2), refusal=leaving)
+        result = way.call()
+        self.assertEqual({m.region for m in way.sent}, {"south"})
+        self.assertEqual(len(way.sent), 2)
+        self.assertEqual((result.status, result.outcome), (503, "not-run"))
+
+    def test_without_a_target_at_home_nothing_is_sent(self):
+        """The refusal has a retry time."""
+        way = Way(*targets("north", 2), refusal=leaving)
+        result = way.call()
+        self.assertEqual(way.sent, [])
+        self.assertEqual((result.status, result.outcome), (503, "not-run"))
+        self.assertGreater(result.retry_after_ms, 0)
+
+    def test_a_call_leaves_a_data_centre_after_one_evacuated_gate(self):
+        """Its other gates would use up the number of refusals."""
+
+        def refusal(member):
+            return (
+                exceptions.EvacuatedError("evacuated")
+                if member.region == "north"
+                else exceptions.LeavingError("leaving")
+            )
+
+        way = Way(
+            *targets("north", 6),
+            *targets("south", 1),
+            home_regions=(),
+            refusal=refusal,
+        )
+        way.call()
+        self.assertEqual([m.region for m in way.sent], ["north", "south"])
+
+    def test_if_all_is_evacuated_nothing_is_sent(self):
+        """An attempt is better than a refusal only without an evacuation."""
+        way = Way(*targets("south", 2), refusal=leaving)
+        way.evacuations.begin("south", 5)
+        result = way.call()
+        self.assertEqual((way.sent, result.status), ([], 503))
+        self.assertIn("evacuated south", local_replies.detail(result))
--- a/tests/placement/test_known_conditions.py
+++ b/tests/placement/test_known_conditions.py
@@ -32,11 +32,11 @@
     await asyncio.Event().wait()
 
 
-def restarted_gate():
+def restarted_gate(*, call=never_answer, **options):
     """Returns a gate whose target has not answered it yet, and its link."""
     clock = virtual_loop.LoopClock()
     times = service_times.ServiceTimes()
-    link = mock.Mock(call=mock.AsyncMock(side_effect=never_answer))
+    link = mock.Mock(call=mock.AsyncMock(side_effect=call))
     registry = target_registry.TargetRegistry(
         service="s", clock=clock, drain_notice_s=1.0, on_changed=mock.Mock()
     )
@@ -67,6 +67,7 @@
                 clock=clock, bounds=retry_bounds.RetryBounds()
             ),
         ),
+        **options,
     )
     gate.on_target_changed()
     return gate, link
--- a/tests/platform/test_config_document.py
+++ b/tests/platform/test_config_document.py
@@ -4,6 +4,7 @@
 import unittest
 
 from galenatack import exceptions
+from galenatack.model import warm_up
 from galenatack.platform import config_document
 from galenatack.traffic import weighted_choice
 
@@ -188,3 +189,21 @@
         for value in bad:
             with self.assertRaises(exceptions.DocumentError):
                 config_document.decode(value)
+
+    def test_cold_targets_and_homes_are_decoded(self):
+        """Without them, a service has no rate and a route all regions."""
+        columns = ["name", "health_path", "warmup", "warmup_per_s"]
+        config = config_document.decode(
+            document(
+                row(),
+                services={
+                    "columns": columns,
+                    "rows": [["a", "/h", "2.5s", 7.5], ["b", None, None, None]],
+                },
+            )
+        )
+        self.assertEqual(
+            dict(config.warm_ups),
+            {"a": warm_up.WarmUp(2500, 7.5, "/h"), "b": warm_up.WarmUp()},
+        )
+        self.assertEqual(config.routes[0].home_regions, ())
--- a/tests/platform/test_target_headers.py
+++ b/tests/platform/test_target_headers.py
@@ -103,3 +103,22 @@
         )
         names = {name for name, _ in answer.headers}
         self.assertEqual(names, {"x-attempt-id", "x-upstream-stamp"})
+
+    def test_only_the_asked_target_says_how_long_it_stays_cold(self):
+        """Any of its answers may; one that cannot be read says nothing."""
+        own, other = (b"x-instance-id", b"i-1"), (b"x-instance-id", b"i-2")
+        cases = (
+            (200, (own, (b"x-warmup-ms", b"1500")), 1500),
+            (503, ((b"x-warmup-ms", b"0.2"),), 1),
+            (200, (own, (b"x-warmup-ms", b"0")), 0),
+            (200, (own,), None),
+            (200, (other, (b"x-warmup-ms", b"0")), None),
+            (421, (own, (b"x-warmup-ms", b"0")), None),
+            (200, (own, (b"x-warmup-ms", b"nan")), None),
+            (200, (own, (b"x-warmup-ms", b"1e400")), None),
+            (200, (own, (b"x-warmup-ms", b"-1")), None),
+        )
+        for status, headers, expected in cases:
+            with self.subTest(status=status, headers=headers):
+                cold_ms = self.dialect.cold_ms("i-1", status, headers)
+                self.assertEqual(cold_ms, expected)
--- /dev/null
+++ b/tests/warmup/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the protection of cold targets."""
