--- a/src/galenatack/traffic/call_router.py
+++ b/src/galenatack/traffic/call_router.py
@@ -44,7 +44,6 @@
 """Number of gates that may refuse a call before the caller is told to retry
 later; each refusal costs a network round trip."""
 
-
 _TARGET_DOWN = frozenset(
     {exceptions.TargetConnectError.code, exceptions.TargetCrashedError.code}
 )
@@ -278,7 +277,8 @@
         now_s = self._clock.monotonic_s()
         if answer.report is not None:
             view.apply_report(answer.report, attempts.route.name, now_s)
-            view.cold.apply(answer.report, answer.result, now_s)
+            if view.cold.apply(answer.report, answer.result, now_s):
+                attempts.excuse_refusal()
             if answer.report.condition is not None:
                 self._conditions.record(member, answer.report.condition)
         if answer.result.failure == exceptions.EvacuatedError.code:
--- a/src/galenatack/traffic/request_attempts.py
+++ b/src/galenatack/traffic/request_attempts.py
@@ -7,6 +7,10 @@
 from galenatack.model import outcome
 from galenatack.model import tenant as tenant_module
 
+MAX_EXCUSED_REFUSALS = 5
+"""Refusals of cold targets that do not count. When a data centre starts, most
+of its targets are cold, and a node learns so from the refusal of each."""
+
 
 class RequestAttempts:
     """Attempts of one request and the final answer derived from them.
@@ -24,7 +28,7 @@
         tried: Ids of the nodes that were tried.
         trail: Result of each attempt, as `node:failure` or `node:status`.
         arrivals: Number of attempts that reached a target, or may have.
-        refusals: Number of attempts that were refused.
+        refusals: Number of attempts that were refused, but for excused ones.
         crashes: Number of attempts under which the target crashed.
         is_trial: Whether the next attempt is a trial of its request.
     """
@@ -51,6 +55,7 @@
         self.trail: list[str] = []
         self.arrivals = 0
         self.refusals = 0
+        self._excused = 0
         self.crashes = 0
         self.is_trial = False
         self._answer: call_result.CallResult | None = None
@@ -78,6 +83,12 @@
             self.refusals += 1
             self._refusal = result
 
+    def excuse_refusal(self) -> None:
+        """Excuses the refusal of a cold target, which others need not share."""
+        if self._excused < MAX_EXCUSED_REFUSALS:
+            self._excused += 1
+            self.refusals -= 1
+
     def final(self, last: call_result.CallResult) -> call_result.CallResult:
         """Returns the answer for the caller.
 
--- a/src/galenatack/warmup/cold_view.py
+++ b/src/galenatack/warmup/cold_view.py
@@ -32,21 +32,24 @@
         report: gate_report.GateReport,
         result: call_result.CallResult,
         now_s: float,
-    ) -> None:
-        """Updates the view from an answer of the gate."""
+    ) -> bool:
+        """Updates the view from an answer; returns whether it is a refusal."""
         self._rate_per_s = report.cold_rate_per_s
         self._reported_s = now_s
         if report.cold_rate_per_s is None:
             self._refusals = 0
             self._paused_until_s = -math.inf
-        elif result.failure != exceptions.OverloadedError.code:
+            return False
+        if result.failure != exceptions.OverloadedError.code:
             self._refusals = max(0, self._refusals - 1)
-        elif now_s >= self._paused_until_s:
+            return False
+        if now_s >= self._paused_until_s:
             # Calls that were sent together are refused together, and count
             # once.
             pause_s = result.retry_after_ms / MS_PER_S * 2**self._refusals
             self._paused_until_s = now_s + min(MAX_PAUSE_S, pause_s)
             self._refusals = min(MAX_DOUBLINGS, self._refusals + 1)
+        return True
 
     def is_paused(self, now_s: float) -> bool:
         """Returns whether another call would probably be refused."""
--- a/tests/homes/test_way_of_a_call.py
+++ b/tests/homes/test_way_of_a_call.py
@@ -11,10 +11,12 @@
 from galenatack.membership import member_table
 from galenatack.messages import call_answer
 from galenatack.model import caller_request
+from galenatack.model import gate_report
 from galenatack.placement import known_conditions
 from galenatack.placement import target_placement
 from galenatack.routing import local_replies
 from galenatack.traffic import call_router
+from galenatack.traffic import request_attempts
 from galenatack.traffic import target_directory
 from tests.fakes import manual_clock
 from tests.placement import fleet_load
@@ -41,6 +43,7 @@
         conditions = known_conditions.KnownConditions()
         self.evacuations = evacuations.Evacuations(clock=clock)
         self.refusal = refusal
+        self.report = None
         self.sent = []
         route = fleet_load.route()._replace(home_regions=home_regions)
         self.router = call_router.CallRouter(
@@ -80,7 +83,7 @@
         del call, deadline_s
         self.sent.append(member)
         result = local_replies.not_run(self.refusal(member))
-        return call_answer.CallAnswer("c", result, None)
+        return call_answer.CallAnswer("c", result, self.report)
 
     def call(self):
         """Returns the result of one request."""
@@ -135,3 +138,15 @@
         result = way.call()
         self.assertEqual((way.sent, result.status), ([], 503))
         self.assertIn("evacuated south", local_replies.detail(result))
+
+    def test_cold_targets_do_not_use_up_the_refusals(self):
+        """A node learns of each of them when a data centre has started."""
+
+        def refusal(_):
+            return exceptions.OverloadedError("cold", retry_after_ms=200)
+
+        way = Way(*targets("south", 20), refusal=refusal)
+        way.report = gate_report.GateReport(0, 0, 0, 0, 0, cold_rate_per_s=5.0)
+        way.call()
+        most = call_router.MAX_REFUSALS + request_attempts.MAX_EXCUSED_REFUSALS
+        self.assertEqual(len(way.sent), most)
