--- a/bench/retry_world.py
+++ b/bench/retry_world.py
@@ -25,6 +25,7 @@
 from galenatack.app import mesh_rollouts
 from galenatack.bodies import announced_bodies
 from galenatack.bodies import body_fetcher
+from galenatack.homes import permitted_targets
 from galenatack.links import handshake
 from galenatack.model import caller_limits
 from galenatack.model import caller_request
@@ -318,7 +319,12 @@
         )
         self.router = call_router.CallRouter(
             config=self.config,
-            directory=target_directory.TargetDirectory(members=base.members),
+            targets=permitted_targets.PermittedTargets(
+                directory=target_directory.TargetDirectory(
+                    members=base.members
+                ),
+                evacuations=base.evacuations,
+            ),
             versions=rollouts.versions,
             placement=placement,
             budget=budget,
--- a/src/galenatack/traffic/call_router.py
+++ b/src/galenatack/traffic/call_router.py
@@ -5,6 +5,8 @@
 from galenatack import exceptions
 from galenatack.admission import retried_runs
 from galenatack.admission import target_gate
+from galenatack.homes import homes
+from galenatack.homes import permitted_targets
 from galenatack.interfaces import clock as clock_interface
 from galenatack.messages import call_answer
 from galenatack.model import call_result
@@ -25,7 +27,6 @@
 from galenatack.traffic import config_holder
 from galenatack.traffic import request_attempts
 from galenatack.traffic import shutdown_admission
-from galenatack.traffic import target_directory
 from galenatack.traffic import weighted_choice
 
 _LOGGER = logging.getLogger(__name__)
@@ -44,7 +45,6 @@
 """Number of gates that may refuse a call before the caller is told to retry
 later; each refusal costs a network round trip."""
 
-
 _TARGET_DOWN = frozenset(
     {exceptions.TargetConnectError.code, exceptions.TargetCrashedError.code}
 )
@@ -55,7 +55,7 @@
 
     Args:
         config: The configuration in force.
-        directory: Targets by service and version.
+        targets: Targets that a call may be sent to.
         versions: Chooses the version.
         placement: Chooses the target.
         budget: Retry budget.
@@ -76,7 +76,7 @@
         self,
         *,
         config: config_holder.ConfigHolder,
-        directory: target_directory.TargetDirectory,
+        targets: permitted_targets.PermittedTargets,
         versions: version_chooser.VersionChooser,
         placement: target_placement.TargetPlacement,
         budget: attempt_budget.AttemptBudget,
@@ -89,7 +89,7 @@
         telemetry: call_telemetry.CallTelemetry,
     ):
         self._config = config
-        self._directory = directory
+        self._targets = targets
         self._versions = versions
         self._placement = placement
         self._budget = budget
@@ -219,7 +219,9 @@
             )
         return self._versions.choose(
             attempts.service,
-            self._directory.by_version(attempts.service),
+            self._targets.by_version(
+                attempts.service, attempts.route, attempts.tenant
+            ),
             is_retry=bool(attempts.tried),
         )
 
@@ -246,7 +248,7 @@
         left_ms: float,
     ) -> offer_module.Offer:
         return self._placement.offer(
-            members,
+            homes.permitted(members, attempts.route, attempts.tenant),
             route=attempts.route,
             left_ms=left_ms,
             tried=attempts.tried,
@@ -303,8 +305,12 @@
         now_s = self._clock.monotonic_s()
         if answer.report is not None:
             view.apply_report(answer.report, attempts.route.name, now_s)
+            if view.cold.apply(answer.report, answer.result, now_s):
+                attempts.excuse_refusal()
             if answer.report.condition is not None:
                 self._conditions.record(member, answer.report.condition)
+        if answer.result.failure == exceptions.EvacuatedError.code:
+            self._targets.note_refusal(member)
         if answer.result.failure == exceptions.OverloadedError.code:
             view.record_refusal(attempts.route.name, now_s)
         if answer.result.failure in _TARGET_DOWN:
--- a/src/galenatack/traffic/request_attempts.py
+++ b/src/galenatack/traffic/request_attempts.py
@@ -5,6 +5,11 @@
 from galenatack.model import caller_request
 from galenatack.model import host_route
 from galenatack.model import outcome
+from galenatack.model import tenant as tenant_module
+
+MAX_EXCUSED_REFUSALS = 5
+"""Refusals of cold targets that do not count. When a data centre starts, most
+of its targets are cold, and a node learns so from the refusal of each."""
 
 
 class RequestAttempts:
@@ -17,12 +22,13 @@
         config_version: Version of the configuration that has the route.
         deadline_s: Monotonic time by which the caller must have an answer.
         retry_share: Probability that the request descends from a retry.
+        tenant: Tenant that sent the request; None if it is not known.
 
     Attributes:
         tried: Ids of the nodes that were tried.
         trail: Result of each attempt, as `node:failure` or `node:status`.
         arrivals: Number of attempts that reached a target, or may have.
-        refusals: Number of attempts that were refused.
+        refusals: Number of attempts that were refused, but for excused ones.
         crashes: Number of attempts under which the target crashed.
         declined: Ids of the nodes whose gates declined an offer since the last
             attempt.
@@ -38,6 +44,7 @@
         config_version: int,
         deadline_s: float,
         retry_share: float = 0.0,
+        tenant: tenant_module.Tenant | None = None,
     ):
         self.request = request
         self.route = route
@@ -45,10 +52,12 @@
         self.config_version = config_version
         self.deadline_s = deadline_s
         self.retry_share = retry_share
+        self.tenant = tenant
         self.tried: set[str] = set()
         self.trail: list[str] = []
         self.arrivals = 0
         self.refusals = 0
+        self._excused = 0
         self.crashes = 0
         self.is_trial = False
         self.declined: set[str] = set()
@@ -78,6 +87,12 @@
             self.refusals += 1
             self._refusal = result
 
+    def excuse_refusal(self) -> None:
+        """Excuses the refusal of a cold target, which others need not share."""
+        if self._excused < MAX_EXCUSED_REFUSALS:
+            self._excused += 1
+            self.refusals -= 1
+
     def final(self, last: call_result.CallResult) -> call_result.CallResult:
         """Returns the answer for the caller.
 
