Admit requests by the keys of tenants

Cause: a configuration with tenants had no effect; their keys went on to targets as an ordinary header. The key and a client's own header of the tenant are removed at the first node, only where the configuration has tenants or the settings have a time limit for revoking, and the gate tells the target the name. A tenant's priority replaces that of the route. Errors of a malformed tenants table no longer quote its values, which may be keys.

--- a/bench/retry_world.py
+++ b/bench/retry_world.py
@@ -35,6 +35,7 @@
 from galenatack.quarantine import crash_detector
 from galenatack.settings import fleet_bounds
 from galenatack.settings import mesh_settings
+from galenatack.tenants import tenant_admission
 from galenatack.traffic import attempt_budget
 from galenatack.traffic import call_message_handler
 from galenatack.traffic import call_router
@@ -325,6 +326,9 @@
             conditions=conditions,
             quarantine=quarantine.quarantine,
             shutdown=shutdown_admission.ShutdownAdmission(clock=base.clock),
+            tenants=tenant_admission.TenantAdmission(
+                in_force=lambda: self.config.tenants
+            ),
             clock=base.clock,
             telemetry=call_telemetry.CallTelemetry(
                 config=self.config,
--- a/src/galenatack/app/mesh_outbound.py
+++ b/src/galenatack/app/mesh_outbound.py
@@ -8,6 +8,7 @@
 from galenatack.app import mesh_rollouts
 from galenatack.placement import known_conditions
 from galenatack.placement import target_placement
+from galenatack.tenants import tenant_admission
 from galenatack.traffic import attempt_budget
 from galenatack.traffic import call_router
 from galenatack.traffic import call_sender
@@ -24,6 +25,7 @@
     budget: attempt_budget.AttemptBudget
     placement: target_placement.TargetPlacement
     shutdown: shutdown_admission.ShutdownAdmission
+    tenants: tenant_admission.TenantAdmission
     router: call_router.CallRouter
 
 
@@ -46,6 +48,10 @@
         conditions=conditions,
     )
     shutdown = shutdown_admission.ShutdownAdmission(clock=base.clock)
+    tenants = tenant_admission.TenantAdmission(
+        in_force=lambda: config.tenants,
+        expects_keys=base.settings.bounds.revoke_ms > 0,
+    )
     router = call_router.CallRouter(
         config=config,
         directory=directory,
@@ -64,6 +70,7 @@
         conditions=conditions,
         quarantine=quarantine.quarantine,
         shutdown=shutdown,
+        tenants=tenants,
         clock=base.clock,
         telemetry=call_telemetry.CallTelemetry(
             config=config,
@@ -74,4 +81,4 @@
             stats=base.stats,
         ),
     )
-    return MeshOutbound(config, budget, placement, shutdown, router)
+    return MeshOutbound(config, budget, placement, shutdown, tenants, router)
--- a/src/galenatack/app/mesh_wiring.py
+++ b/src/galenatack/app/mesh_wiring.py
@@ -203,7 +203,9 @@
 ) -> _Servers:
     settings = base.settings
     callers = caller_dialect.CallerDialect(
-        handle=outbound.router.handle, timeout_ms=outbound.router.timeout_ms
+        handle=outbound.router.handle,
+        timeout_ms=outbound.router.timeout_ms,
+        has_tenants=outbound.tenants.has_tenants,
     )
     control = control_dialect.ControlDialect(
         registry=target_departures.TargetDepartures(
--- a/src/galenatack/exceptions/_call_errors.py
+++ b/src/galenatack/exceptions/_call_errors.py
@@ -112,6 +112,40 @@
         self.retry_after_ms = retry_after_ms
 
 
+class UnknownKeyError(CallError):
+    """The request has no key of a tenant, or an unknown one."""
+
+    code = "unknown-key"
+
+
+class KeysOutdatedError(CallError):
+    """This node cannot tell whether the key is still valid.
+
+    Attributes:
+        retry_after_ms: Delay before a retry, in milliseconds.
+    """
+
+    code = "keys-outdated"
+
+    def __init__(self, message: str, *, retry_after_ms: int):
+        super().__init__(message)
+        self.retry_after_ms = retry_after_ms
+
+
+class QuotaExceededError(CallError):
+    """The tenant's requests exceed its quota.
+
+    Attributes:
+        retry_after_ms: Delay before a retry, in milliseconds.
+    """
+
+    code = "quota-exceeded"
+
+    def __init__(self, message: str, *, retry_after_ms: int):
+        super().__init__(message)
+        self.retry_after_ms = retry_after_ms
+
+
 class CancelledCallError(CallError):
     """The call was cancelled because its caller disconnected.
 
--- a/src/galenatack/platform/_headers.py
+++ b/src/galenatack/platform/_headers.py
@@ -7,6 +7,8 @@
 NOT_EXECUTED = "x-not-executed"
 CALLER_SERVICE = "x-caller-service"
 RETRY_AFTER = "retry-after"
+CREDENTIAL = "x-credential"
+TENANT = "x-tenant"
 STORE_ERA = "store-era"
 TARGET_LIMIT = "server-limit"
 TARGET_LEAVING = "server-leaving"
@@ -29,13 +31,28 @@
 _SET_BY_NODE = frozenset(
     {ATTEMPT_ID, DEADLINE_MS, EXPECTED_TARGET, CALLER_SERVICE}
 )
+_OF_TENANTS = frozenset({CREDENTIAL, TENANT})
 
 
 def forwarded_request_headers(
-    headers: tuple[tuple[str, str], ...],
+    headers: tuple[tuple[str, str], ...], *, has_tenants: bool = False
 ) -> tuple[tuple[str, str], ...]:
-    """Returns the end-to-end headers that the node does not set itself."""
-    return _without(headers, _HOP_BY_HOP | _SET_BY_NODE)
+    """Returns the end-to-end headers that the node does not set itself.
+
+    Args:
+        headers: Headers of a caller's request.
+        has_tenants: True if callers send keys, which are not forwarded.
+    """
+    removed = _HOP_BY_HOP | _SET_BY_NODE
+    return _without(headers, removed | _OF_TENANTS if has_tenants else removed)
+
+
+def credential(headers: tuple[tuple[str, str], ...]) -> str:
+    """Returns the key that a caller sent; empty without one.
+
+    Several such headers are joined as HTTP prescribes, which is no key.
+    """
+    return ",".join(value for name, value in headers if name == CREDENTIAL)
 
 
 def forwarded_answer_headers(
--- a/src/galenatack/platform/caller_dialect.py
+++ b/src/galenatack/platform/caller_dialect.py
@@ -31,11 +31,20 @@
         handle: Routes a call and returns its result.
         timeout_ms: Returns how long a request to a host and path may take;
             None if no route matches.
+        has_tenants: Returns whether callers send keys of tenants. Only then
+            the headers for them are removed.
     """
 
-    def __init__(self, *, handle: Handle, timeout_ms: TimeoutMs):
+    def __init__(
+        self,
+        *,
+        handle: Handle,
+        timeout_ms: TimeoutMs,
+        has_tenants: collections.abc.Callable[[], bool] = lambda: False,
+    ):
         self._handle = handle
         self._timeout_ms = timeout_ms
+        self._has_tenants = has_tenants
 
     def time_limit_s(self, request: http_request.HttpRequest) -> float | None:
         """Returns how long a request may take, or None if it is unknown.
@@ -59,16 +68,22 @@
         if not host:
             return _MISSING_HOST
         request_id = by_name.get(_headers.ATTEMPT_ID, "")
+        has_tenants = self._has_tenants()
         result = await self._handle(
             caller_request.CallerRequest(
                 request_id=request_id,
                 method=request.method,
                 host=_host(host),
                 path=request.target,
-                headers=_headers.forwarded_request_headers(request.headers),
+                headers=_headers.forwarded_request_headers(
+                    request.headers, has_tenants=has_tenants
+                ),
                 body=request.body,
                 deadline_ms=_deadline_ms(by_name.get(_headers.DEADLINE_MS)),
                 receive_ms=request.receive_s * _MS_PER_S,
+                credential=(
+                    _headers.credential(request.headers) if has_tenants else ""
+                ),
             )
         )
         return _response(request_id, result)
--- a/src/galenatack/platform/config_document.py
+++ b/src/galenatack/platform/config_document.py
@@ -113,7 +113,13 @@
 def _tenants(document: typing.Any) -> tuple[tenant.Tenant, ...] | None:
     if not isinstance(document, dict) or document.get("tenants") is None:
         return None
-    return tuple(_tenant(row) for row in _table(document, "tenants"))
+    try:
+        return tuple(_tenant(row) for row in _table(document, "tenants"))
+    except exceptions.DocumentError as error:
+        # The malformed value may be a key, and errors are logged. The cause is
+        # left out as well.
+        text = str(error).partition(", got ")[0]
+        raise exceptions.DocumentError(f"tenants: {text}") from None
 
 
 def _tenant(row: _Document) -> tenant.Tenant:
--- a/src/galenatack/platform/target_headers.py
+++ b/src/galenatack/platform/target_headers.py
@@ -22,6 +22,7 @@
 _STAMP = _headers.STAMP.encode()
 _LIMIT = _headers.TARGET_LIMIT.encode()
 _LEAVING = _headers.TARGET_LEAVING.encode()
+_TENANT = _headers.TENANT.encode()
 
 
 class TargetHeaders:
@@ -38,11 +39,12 @@
             (_headers.EXPECTED_TARGET, request.target_id),
             (_headers.CALLER_SERVICE, request.caller_service),
         )
-        return tuple(
+        encoded = tuple(
             (name.encode("latin-1"), value.encode("latin-1"))
             for name, value in (*request.headers, *added)
             if value
         )
+        return (*encoded, *_tenant_headers(request))
 
     def is_answer(
         self, request: call_request.CallRequest, headers: Headers
@@ -120,3 +122,9 @@
         return target_answer.TargetAnswer(
             status, _headers.forwarded_answer_headers(decoded), body
         )
+
+
+def _tenant_headers(request: call_request.CallRequest) -> Headers:
+    # The operator's names may have characters beyond Latin-1.
+    name = request.tenant.encode("utf-8", "replace")
+    return ((_TENANT, name),) if name else ()
--- a/src/galenatack/routing/local_replies.py
+++ b/src/galenatack/routing/local_replies.py
@@ -19,6 +19,9 @@
     exceptions.PeerBusyError.code: 503,
     exceptions.CancelledCallError.code: 503,
     exceptions.QuarantinedError.code: 503,
+    exceptions.KeysOutdatedError.code: 503,
+    exceptions.UnknownKeyError.code: 401,
+    exceptions.QuotaExceededError.code: 429,
     exceptions.NoRouteError.code: 404,
     exceptions.NotFoundError.code: 404,
     exceptions.DeadlineExceededError.code: 504,
@@ -28,6 +31,7 @@
     exceptions.TicketGoneError.code: 502,
 }
 _BAD_GATEWAY = 502
+_TOO_MANY_REQUESTS = 429
 _FIRST_SERVER_ERROR = 500
 
 
@@ -58,7 +62,9 @@
     explicit_status = getattr(error, "status", 0)
     status = explicit_status or _STATUS.get(error.code, _BAD_GATEWAY)
     # A retry of a malformed call, or of one without a route, would fail again.
-    is_retryable = status >= _FIRST_SERVER_ERROR
+    is_retryable = status >= _FIRST_SERVER_ERROR or (
+        status == _TOO_MANY_REQUESTS
+    )
     retry_after_ms = getattr(error, "retry_after_ms", DEFAULT_RETRY_AFTER_MS)
     return call_result.CallResult(
         outcome=result_outcome.value,
--- /dev/null
+++ b/src/galenatack/tenants/tenant_admission.py
@@ -0,0 +1,99 @@
+"""Decides whether the sender of a request may have it run."""
+
+import collections.abc
+import typing
+
+from galenatack import exceptions
+from galenatack.model import caller_request
+from galenatack.model import host_route
+from galenatack.tenants import tenant_pass
+from galenatack.tenants import tenant_table
+
+NEW_KEYS_RETRY_AFTER_MS = 200
+"""Delay for a request that came before keys were needed; it is sent again with
+its headers as they are now treated."""
+
+InForce = collections.abc.Callable[[], tenant_table.TenantTable | None]
+
+
+class Freshness(typing.Protocol):
+    """Tells whether the keys on this node are current enough."""
+
+    def check(self) -> None:
+        """Raises `exceptions.KeysOutdatedError` if they are not."""
+
+
+class TenantAdmission:
+    """Finds the tenants of requests and checks them again before a dispatch.
+
+    Args:
+        in_force: Returns the tenants of the configuration in force; None if
+            it has none, or before the first one.
+        freshness: Checks the age of the keys; None if a node without a way to
+            the store may go on with the keys that it has.
+        expects_keys: True if the deployment has a time limit for revoking
+            keys, so that callers may send some before the first configuration
+            with tenants.
+    """
+
+    def __init__(
+        self,
+        *,
+        in_force: InForce,
+        freshness: Freshness | None = None,
+        expects_keys: bool = False,
+    ):
+        self._in_force = in_force
+        self._freshness = freshness
+        self._expects_keys = expects_keys
+
+    def has_tenants(self) -> bool:
+        """Returns whether callers may send keys, which go no further."""
+        return self._expects_keys or self._in_force() is not None
+
+    def identify(
+        self,
+        request: caller_request.CallerRequest,
+        route: host_route.HostRoute,
+    ) -> tenant_pass.TenantPass | None:
+        """Returns the sender of a request; None if there are no tenants.
+
+        Raises:
+            exceptions.UnknownKeyError: The key is missing or unknown.
+            exceptions.KeysOutdatedError: The key may have been taken away.
+        """
+        table = self._in_force()
+        if table is None:
+            return None
+        if route.is_anonymous:
+            return tenant_pass.ANONYMOUS
+        tenant, digest = table.find_key(request.credential)
+        if tenant is None:
+            raise exceptions.UnknownKeyError("a key of a tenant is needed")
+        if self._freshness is not None:
+            self._freshness.check()
+        return tenant_pass.TenantPass(tenant, digest)
+
+    def check(self, known: tenant_pass.TenantPass | None) -> None:
+        """Checks an admitted request again, before it is sent to a target.
+
+        Raises:
+            exceptions.UnknownKeyError: The key was taken away meanwhile.
+            exceptions.KeysOutdatedError: It may have been taken away, or the
+                request came before keys were needed.
+        """
+        table = self._in_force()
+        if table is None:
+            return
+        if known is None:
+            raise exceptions.KeysOutdatedError(
+                "tenants were introduced while the request waited",
+                retry_after_ms=NEW_KEYS_RETRY_AFTER_MS,
+            )
+        if known.tenant is None:
+            return
+        tenant = table.find(known.key_digest)
+        if tenant is None or tenant.name != known.name:
+            raise exceptions.UnknownKeyError("the key was taken away")
+        if self._freshness is not None:
+            self._freshness.check()
--- a/src/galenatack/traffic/call_router.py
+++ b/src/galenatack/traffic/call_router.py
@@ -18,6 +18,8 @@
 from galenatack.quarantine import quarantine as quarantine_module
 from galenatack.rollouts import version_chooser
 from galenatack.routing import local_replies
+from galenatack.tenants import tenant_admission
+from galenatack.tenants import tenant_pass
 from galenatack.traffic import attempt_budget
 from galenatack.traffic import call_sender
 from galenatack.traffic import call_telemetry
@@ -63,6 +65,7 @@
         conditions: Receives what targets say of themselves.
         quarantine: Decides on requests under which targets crash.
         shutdown: Decides which requests are taken during a shutdown.
+        tenants: Checks the keys of tenants.
         clock: Source of time.
         telemetry: Log lines and counters.
     """
@@ -80,6 +83,7 @@
         conditions: known_conditions.KnownConditions,
         quarantine: quarantine_module.Quarantine,
         shutdown: shutdown_admission.ShutdownAdmission,
+        tenants: tenant_admission.TenantAdmission,
         clock: clock_interface.Clock,
         telemetry: call_telemetry.CallTelemetry,
     ):
@@ -93,6 +97,7 @@
         self._conditions = conditions
         self._quarantine = quarantine
         self._shutdown = shutdown
+        self._tenants = tenants
         self._clock = clock
         self._telemetry = telemetry
         self._weights = weighted_choice.WeightedChoice()
@@ -150,17 +155,20 @@
                 f" {', '.join(route.unknowns)}",
                 retry_after_ms=UNUSABLE_ROUTE_RETRY_AFTER_MS,
             )
+        sender = self._tenants.identify(request, route)
+        service = self._weights.pick(route)
         timeout_ms = _timeout_ms(route, request.deadline_ms)
         deadline_s = started_s + timeout_ms / MS_PER_S
         self._shutdown.check(deadline_s)
         return request_attempts.RequestAttempts(
-            request=request,
-            route=route,
-            service=self._weights.pick(route),
+            request=request._replace(credential=""),
+            route=tenant_pass.route_for(sender, route),
+            service=service,
             config_version=table.version,
             deadline_s=deadline_s,
             # A request of the local target cannot be told from one of a caller.
             retry_share=self._runs.retry_share,
+            sender=sender,
         )
 
     async def _try_targets(
@@ -171,6 +179,7 @@
                 attempts.is_trial = await self._quarantine.admit(
                     attempts.request, left_s=self._left_s(attempts)
                 )
+                self._tenants.check(attempts.sender)
                 if not attempts.trail:
                     self._budget.record_first_attempt(
                         attempts.service, retry_share=attempts.retry_share
--- a/src/galenatack/traffic/call_sender.py
+++ b/src/galenatack/traffic/call_sender.py
@@ -116,6 +116,7 @@
             is_trial=attempts.is_trial,
             is_retry=attempts.is_retry,
             retry_share=attempts.retry_share,
+            tenant=attempts.tenant,
         )
 
     async def _send_local(
--- a/src/galenatack/traffic/config_holder.py
+++ b/src/galenatack/traffic/config_holder.py
@@ -4,6 +4,7 @@
 import typing
 
 from galenatack.model import traffic_config
+from galenatack.tenants import tenant_table
 from galenatack.traffic import route_table
 
 _LOGGER = logging.getLogger(__name__)
@@ -67,6 +68,11 @@
         """Version in force; 0 before the first one."""
         return self.table.version if self.table else 0
 
+    @property
+    def tenants(self) -> tenant_table.TenantTable | None:
+        """Tenants in force; None if requests need no keys."""
+        return self.table.tenants if self.table else None
+
 
 class ApplyIfNewer(typing.Protocol):
     """Applies a decoded configuration."""
--- a/src/galenatack/traffic/request_attempts.py
+++ b/src/galenatack/traffic/request_attempts.py
@@ -5,6 +5,7 @@
 from galenatack.model import caller_request
 from galenatack.model import host_route
 from galenatack.model import outcome
+from galenatack.tenants import tenant_pass
 
 
 class RequestAttempts:
@@ -17,6 +18,7 @@
         config_version: Version of the configuration that has the route.
         deadline_s: Monotonic time by which the caller must have an answer.
         retry_share: Probability that the request descends from a retry.
+        sender: What is known of the sender; None if there are no tenants.
 
     Attributes:
         tried: Ids of the nodes that were tried.
@@ -36,6 +38,7 @@
         config_version: int,
         deadline_s: float,
         retry_share: float = 0.0,
+        sender: tenant_pass.TenantPass | None = None,
     ):
         self.request = request
         self.route = route
@@ -43,6 +46,7 @@
         self.config_version = config_version
         self.deadline_s = deadline_s
         self.retry_share = retry_share
+        self.sender = sender
         self.tried: set[str] = set()
         self.trail: list[str] = []
         self.arrivals = 0
@@ -53,6 +57,11 @@
         self._unknown: call_result.CallResult | None = None
         self._refusal: call_result.CallResult | None = None
 
+    @property
+    def tenant(self) -> str:
+        """Name of the tenant; empty without one."""
+        return "" if self.sender is None else self.sender.name
+
     @property
     def is_retry(self) -> bool:
         """Whether a further attempt is a retry."""
--- a/src/galenatack/traffic/route_table.py
+++ b/src/galenatack/traffic/route_table.py
@@ -5,6 +5,7 @@
 from galenatack.model import caller_limits
 from galenatack.model import host_route
 from galenatack.model import traffic_config
+from galenatack.tenants import tenant_table
 
 _SLASH = "/"
 
@@ -18,11 +19,17 @@
     Attributes:
         version: Version of the configuration.
         limits: Limits on callers.
+        tenants: Tenants and their keys; None if requests need no keys.
     """
 
     def __init__(self, config: traffic_config.TrafficConfig):
         self.version = config.version
         self.limits: caller_limits.CallerLimits = config.limits
+        self.tenants: tenant_table.TenantTable | None = (
+            None
+            if config.tenants is None
+            else tenant_table.TenantTable(config.tenants)
+        )
         self._max_connections = config.max_connections
         self._by_host: dict[str, dict[str, host_route.HostRoute]] = (
             collections.defaultdict(dict)
--- a/standins/mesh/operator_config.py
+++ b/standins/mesh/operator_config.py
@@ -14,6 +14,8 @@
     "service",
 ]
 
+TENANT_COLUMNS = ["name", "api_keys", "rate_per_s", "burst"]
+
 MARK_HOST = "mark.example"
 
 
@@ -24,6 +26,7 @@
     kinds: tuple[str, ...] = ("idempotent", "non_idempotent"),
     mark: str = "",
     max_connections: int = 100,
+    tenants: tuple[tuple, ...] | None = None,
 ) -> bytes:
     """Returns a configuration with one route per service and kind.
 
@@ -34,6 +37,7 @@
         mark: If set, adds a route that only this version has, to this service:
             on the host `MARK_HOST`, its prefix is the version.
         max_connections: Maximum number of connections to one target.
+        tenants: Rows of tenants; None for a deployment without keys.
     """
     rows = [
         _row(f"{service}-{kind}", f"{service}.example", kind, kind, service)
@@ -43,8 +47,10 @@
     if mark:
         name = f"v{version}"
         rows.append(_row(f"mark-{name}", MARK_HOST, name, kinds[0], mark))
+    document = {"tenants": {"columns": TENANT_COLUMNS, "rows": tenants}}
     return json.dumps(
-        {
+        ({} if tenants is None else document)
+        | {
             "version": version,
             "routes": {"columns": COLUMNS, "rows": rows},
             "services": {
--- /dev/null
+++ b/tests/mesh/test_tenants.py
@@ -0,0 +1,121 @@
+"""Tests of tenants' requests through complete nodes."""
+
+import asyncio
+import json
+import unittest
+
+from standins.mesh import operator_config
+from tests.mesh import small_fleet
+
+KEY = (b"x-credential", b"key-of-blue")
+FORGED = (b"x-tenant", b"forged")
+
+
+def config(version, *, keys=("key-of-blue",), priority=5, rate_per_s=0):
+    """Returns a configuration in which only `b.example` needs keys."""
+    document = json.loads(
+        operator_config.config(
+            version,
+            ("a", "b"),
+            tenants=(("blue", list(keys), rate_per_s, 0),),
+        )
+    )
+    table = document["tenants"]
+    table["columns"].append("priority")
+    table["rows"][0].append(priority)
+    columns, rows = document["routes"].values()
+    columns.append("anonymous")
+    for values in rows:
+        values.append(values[1] == "a.example")
+    return json.dumps(document).encode()
+
+
+async def apply(fleet, version, **fields):
+    """Writes a configuration and waits until all nodes run it."""
+    fleet.store.operator_writes("op", "config", config(version, **fields))
+    await fleet.until(
+        lambda: all(m.parts.config.version == version for m in fleet.members)
+    )
+
+
+def run(scenario, *services):
+    """Runs a scenario on a fleet with one member for each service."""
+
+    async def main():
+        async with small_fleet.SmallFleet(*services) as fleet:
+            await apply(fleet, 3)
+            await scenario(fleet)
+
+    asyncio.run(main())
+
+
+class TestTenants(unittest.TestCase):
+    def test_a_key_opens_the_way_and_goes_no_further_than_its_node(self):
+        """The target learns the tenant's name, and nobody the key."""
+
+        async def scenario(fleet):
+            near, far = fleet.members
+            frames = []
+            link_post = far.parts.gate.handle
+
+            async def handle(call):
+                frames.append(call)
+                return await link_post(call)
+
+            far.parts.gate.handle = handle
+            path = "/idempotent/x"
+            answer = await fleet.call(
+                near, "b.example", path, headers=(KEY, FORGED)
+            )
+            self.assertEqual(answer.status, 200)
+            seen = far.target.seen
+            self.assertEqual(seen["x-tenant"], "blue")
+            self.assertNotIn("x-credential", seen)
+            (call,) = frames
+            self.assertEqual((call.tenant, call.priority), ("blue", 5))
+            self.assertNotIn("key-of-blue", repr(call))
+            for headers in ((), ((b"x-credential", b"other"),)):
+                answer = await fleet.call(
+                    near, "b.example", path, headers=headers
+                )
+                self.assertEqual(answer.status, 401)
+                self.assertNotIn(b"retry-after", dict(answer.headers))
+            self.assertEqual(len(far.target.ran), 1)
+
+        run(scenario, "a", "b")
+
+    def test_an_anonymous_route_runs_without_a_key_and_without_a_tenant(self):
+        """Calls of targets carry no key."""
+
+        async def scenario(fleet):
+            answer = await fleet.call(
+                fleet.members[1],
+                "a.example",
+                "/idempotent/x",
+                headers=(KEY, FORGED),
+            )
+            self.assertEqual(answer.status, 200)
+            seen = fleet.members[0].target.seen
+            self.assertFalse({"x-tenant", "x-credential"} & seen.keys())
+
+        run(scenario, "a", "b")
+
+    def test_keys_come_and_go_with_the_configuration(self):
+        """Guards against nodes that keep an index of former keys."""
+
+        async def scenario(fleet):
+            async def status(key):
+                header = (b"x-credential", key)
+                answer = await fleet.call(
+                    fleet.members[0],
+                    "b.example",
+                    "/idempotent/x",
+                    headers=(header,),
+                )
+                return answer.status
+
+            await apply(fleet, 4, keys=("key-2",))
+            self.assertEqual(await status(KEY[1]), 401)
+            self.assertEqual(await status(b"key-2"), 200)
+
+        run(scenario, "a", "b")
--- a/tests/platform/test_caller_dialect.py
+++ b/tests/platform/test_caller_dialect.py
@@ -45,3 +45,36 @@
             )
             asyncio.run(dialect.respond(request))
         self.assertEqual(hosts, ["b.example"] * 3)
+
+    def test_only_a_deployment_with_tenants_takes_their_headers_out(self):
+        """A key must go no further; elsewhere the headers mean nothing."""
+        requests = []
+
+        async def handle(request):
+            requests.append(request)
+            return local_replies.not_run(exceptions.NoRouteError("none"))
+
+        headers = (
+            ("host", "b"),
+            ("x-credential", "k1"),
+            ("x-tenant", "forged"),
+            ("x-other", "1"),
+        )
+        for has_tenants in (True, False):
+            dialect = caller_dialect.CallerDialect(
+                handle=handle,
+                timeout_ms=lambda host, path, deadline_ms: None,
+                has_tenants=lambda has_tenants=has_tenants: has_tenants,
+            )
+            asyncio.run(
+                dialect.respond(
+                    http_request.HttpRequest("GET", "/", headers, b"")
+                )
+            )
+        with_tenants, without = requests
+        self.assertEqual(with_tenants.credential, "k1")
+        self.assertEqual(
+            with_tenants.headers, (("host", "b"), ("x-other", "1"))
+        )
+        self.assertEqual(without.credential, "")
+        self.assertEqual(without.headers, headers)
--- a/tests/platform/test_config_document.py
+++ b/tests/platform/test_config_document.py
@@ -188,3 +188,18 @@
         for value in bad:
             with self.assertRaises(exceptions.DocumentError):
                 config_document.decode(value)
+
+    def test_a_malformed_tenant_is_refused_without_naming_its_keys(self):
+        """The text of the error is logged by every node."""
+        for tenants in (
+            ["secret-1"],
+            {"columns": ["name", "api_keys"], "rows": [["t", "secret-1"]]},
+            {"columns": ["name", "api_keys"], "rows": [["t", ["secret-1", 5]]]},
+            {"columns": ["name", "burst"], "rows": [["t", "secret-1"]]},
+        ):
+            text = json.loads(document(row())) | {"tenants": tenants}
+            with self.assertRaises(exceptions.DocumentError) as caught:
+                config_document.decode(json.dumps(text).encode())
+            self.assertIn("tenants", str(caught.exception))
+            self.assertNotIn("secret", str(caught.exception))
+            self.assertIsNone(caught.exception.__cause__)
--- a/tests/platform/test_target_headers.py
+++ b/tests/platform/test_target_headers.py
@@ -42,6 +42,15 @@
         self.assertEqual(headers[b"host"], b"h.example")
         self.assertEqual(headers[b"x-custom"], b"kept")
 
+    def test_the_target_is_told_the_tenant_of_a_call(self):
+        """A name beyond Latin-1 must not fail each call of its tenant."""
+        self.assertNotIn(b"x-tenant", dict(self.dialect.headers(REQUEST)))
+        for name in ("blue", "sinine \u0161"):
+            call = REQUEST._replace(tenant=name)
+            self.assertIn(
+                (b"x-tenant", name.encode()), self.dialect.headers(call)
+            )
+
     def test_an_answer_to_another_call_is_rejected(self):
         """A surplus answer has the identifier of another call."""
         other = ((b"x-attempt-id", b"a0"),)
