Admit requests of tenants within quotas over all nodes

Cause: a tenant's rate and burst hold for all nodes together, and no node knows what the others run. Change: quotas/ gives each node an equal share of each quota, which it either uses itself or lends to the owner of the tenant's group, the first serving node by rendezvous hash, for 2 s from a stamp of that owner. Owners pool what is lent and grant tokens to nodes by recent demand; held tokens count against the capacity and expire after 1.5 s. What nodes believe of each other never makes the shares in use exceed the quota, so that cuts, dead owners and restarts need no agreement. A request without a token asks the owner at once; beyond the quota it gets 429 with a Retry-After that is spread. Attempts that did not run are not charged. A lowered limit takes held tokens away.

--- a/src/galenatack/app/mesh_callbacks.py
+++ b/src/galenatack/app/mesh_callbacks.py
@@ -25,6 +25,7 @@
 from galenatack.platform import config_document
 from galenatack.platform import rollout_rows
 from galenatack.rollouts import rollout_registry
+from galenatack.tenants import tenant_table
 from galenatack.timeline import hybrid_clock
 from galenatack.traffic import config_holder
 
@@ -132,6 +133,10 @@
         """Returns the configuration version that this node runs."""
         return self._parts.config.version
 
+    def tenants(self) -> tenant_table.TenantTable | None:
+        """Returns the tenants in force; None if requests need no keys."""
+        return self._parts.config.tenants
+
     def is_store_healthy(self) -> bool:
         """Returns whether the store answers all watches."""
         return all(watcher.is_healthy for watcher in self._parts.watchers)
--- a/src/galenatack/app/mesh_metrics.py
+++ b/src/galenatack/app/mesh_metrics.py
@@ -157,15 +157,34 @@
 
     def _tenants(self) -> list[str]:
         freshness = self._parts.tenants.freshness
+        lines = self._quotas()
         if freshness is None:
-            return []
+            return lines
         return [
+            *lines,
             exposition.sample("tenant_keys_age_seconds", freshness.age_s()),
             exposition.sample(
                 "tenant_keys_refused_total", freshness.refused_total
             ),
         ]
 
+    def _quotas(self) -> list[str]:
+        quotas = self._parts.tenants.quotas
+        owned = [
+            exposition.sample("quota_lent_ratio", share, {"group": str(group)})
+            for group, share in sorted(quotas.shares().items())
+        ]
+        refused = [
+            exposition.sample("quota_refused_total", count, {"tenant": tenant})
+            for tenant, count in sorted(quotas.refused.items())
+        ]
+        groups = quotas.own_groups()
+        return [
+            *owned,
+            *refused,
+            exposition.sample("quota_own_share_groups", groups),
+        ]
+
     def _store(self) -> list[str]:
         return [
             exposition.sample(
--- a/src/galenatack/app/mesh_node.py
+++ b/src/galenatack/app/mesh_node.py
@@ -105,6 +105,7 @@
             "discovery": parts.discovery.run,
             "links": parts.warmer.run,
             "rollouts": parts.driver.run,
+            "quotas": parts.tenants.quotas.run,
             "crash-archive": parts.crash_archive.run,
             "log-report": self._report_dropped_lines,
             "loop-monitor": loop_monitor.LoopMonitor(
--- a/src/galenatack/app/mesh_outbound.py
+++ b/src/galenatack/app/mesh_outbound.py
@@ -53,6 +53,7 @@
     tenants = tenant_admission.TenantAdmission(
         in_force=lambda: config.tenants,
         freshness=tenant_parts.freshness,
+        quotas=tenant_parts.quotas,
         expects_keys=base.settings.bounds.revoke_ms > 0,
     )
     router = call_router.CallRouter(
--- a/src/galenatack/app/mesh_tenants.py
+++ b/src/galenatack/app/mesh_tenants.py
@@ -3,6 +3,8 @@
 import typing
 
 from galenatack.app import mesh_base
+from galenatack.quotas import quota_book
+from galenatack.quotas import quota_exchange
 from galenatack.tenants import freshness_exchange
 from galenatack.tenants import freshness_terms
 from galenatack.tenants import key_freshness
@@ -14,17 +16,28 @@
     Attributes:
         freshness: Age of the keys; None unless revoking is strict.
         exchange: Asks other nodes for it; None unless revoking is strict.
+        quotas: Admits requests within the quotas of tenants.
     """
 
     freshness: key_freshness.KeyFreshness | None
     exchange: freshness_exchange.FreshnessExchange | None
+    quotas: quota_exchange.QuotaExchange
 
 
 def make(base: mesh_base.MeshBase) -> MeshTenants:
     """Makes the parts for the tenants."""
+    quotas = quota_exchange.QuotaExchange(
+        members=base.members,
+        peers=base.peers,
+        clock=base.clock,
+        rng=base.rng,
+        book=quota_book.QuotaBook(
+            in_force=base.callbacks.tenants, bounds=base.settings.bounds
+        ),
+    )
     terms = strict_terms(base)
     if terms is None:
-        return MeshTenants(None, None)
+        return MeshTenants(None, None, quotas)
     freshness = key_freshness.KeyFreshness(
         clock=base.clock,
         max_age_s=terms.max_age_s,
@@ -41,6 +54,7 @@
             own_version=base.callbacks.held_version,
             terms=terms,
         ),
+        quotas=quotas,
     )
 
 
--- a/src/galenatack/links/message_tags.py
+++ b/src/galenatack/links/message_tags.py
@@ -20,6 +20,8 @@
 from galenatack.messages import pull_delta
 from galenatack.messages import pull_members
 from galenatack.messages import pull_rows
+from galenatack.messages import quota_ask
+from galenatack.messages import quota_grant
 from galenatack.messages import rows
 from galenatack.messages import trial_evidence
 from galenatack.messages import withdraw
@@ -49,6 +51,8 @@
     21: crash_report.CrashReport,
     30: ask_freshness.AskFreshness,
     31: freshness.Freshness,
+    32: quota_ask.QuotaAsk,
+    33: quota_grant.QuotaGrant,
 }
 """Message type by tag."""
 
--- /dev/null
+++ b/src/galenatack/quotas/__init__.py
@@ -0,0 +1,1 @@
+"""Quotas of tenants over all nodes."""
--- /dev/null
+++ b/src/galenatack/quotas/quota_client.py
@@ -0,0 +1,286 @@
+"""A node's side of the quotas."""
+
+import collections.abc
+import dataclasses
+import logging
+import math
+
+from galenatack.interfaces import clock as clock_interface
+from galenatack.messages import quota_ask
+from galenatack.messages import quota_grant
+from galenatack.model import quota_need
+from galenatack.quotas import own_shares
+from galenatack.quotas import quota_book
+from galenatack.quotas import tenant_tokens
+
+RENEW_S = 0.5
+"""Interval at which a node lends its shares again."""
+
+MAX_ASKS_PER_S = 400.0
+"""Questions per second to one owner; in a larger fleet nodes renew more
+rarely. One takes about 60 us."""
+
+PLEDGE_RENEWALS = 4
+"""Number of intervals for which a share is lent, so that two questions may be
+lost. A dead owner has the shares for this long."""
+
+_MS_PER_S = 1000
+_LOGGER = logging.getLogger(__name__)
+
+
+@dataclasses.dataclass
+class _Group:
+    """State of a group of tenants at this node.
+
+    Attributes:
+        owner: Node that owns its quotas.
+        stamp_ms: Stamp of the owner's last reply; 0 without one.
+        stamped_s: Monotonic time at which it arrived.
+        lent_to: Node to which the share was lent last; empty if it was not.
+        lent_until_s: Monotonic time until which it is lent.
+        asked_s: Monotonic time of the last question.
+        uses_own: Whether the own share is in use.
+        nodes: Number of nodes that the owner knows.
+    """
+
+    owner: str = ""
+    stamp_ms: int = 0
+    stamped_s: float = -math.inf
+    lent_to: str = ""
+    lent_until_s: float = -math.inf
+    asked_s: float = -math.inf
+    uses_own: bool = False
+    nodes: int = 1
+
+
+class QuotaClient:
+    """Uses tokens of owners, and the own shares while they are not lent.
+
+    Args:
+        own_id: Id of this node.
+        clock: Source of time.
+        book: The quotas.
+        nodes: Returns the number of nodes that share them.
+    """
+
+    def __init__(
+        self,
+        *,
+        own_id: str,
+        clock: clock_interface.Clock,
+        book: quota_book.QuotaBook,
+        nodes: collections.abc.Callable[[], int],
+    ):
+        self._clock = clock
+        self._book = book
+        self._nodes = nodes
+        self._own = own_shares.OwnShares(own_id=own_id, clock=clock)
+        self._tokens: dict[str, tenant_tokens.TenantTokens] = {}
+        self._groups: dict[int, _Group] = {}
+        # A run before may have lent the shares just before it ended.
+        self._started_s = clock.monotonic_s()
+
+    def tokens(self, tenant: str) -> tenant_tokens.TenantTokens:
+        """Returns the tokens of a tenant."""
+        tokens = self._tokens.get(tenant)
+        if tokens is None:
+            tokens = tenant_tokens.TenantTokens(tenant, clock=self._clock)
+            self._tokens[tenant] = tokens
+        return tokens
+
+    def take(self, tenant: str) -> bool:
+        """Uses a token or a part of the own share for a request."""
+        terms = self._book.terms(tenant)
+        if terms is None or self.tokens(tenant).take(terms):
+            return True
+        number = quota_book.group_of(tenant)
+        if not self.uses_own_share(number):
+            return False
+        # A node that has started in a cut-off part may know few others.
+        nodes = max(self._nodes(), self._group(number).nodes)
+        return self._own.take(tenant, terms, nodes=nodes)
+
+    def may_wait(self, tenant: str) -> bool:
+        """Returns whether a request without a token may ask the owner."""
+        group = quota_book.group_of(tenant)
+        return not self.uses_own_share(group) and (
+            not self.tokens(tenant).is_denied()
+        )
+
+    def uses_own_share(self, number: int) -> bool:
+        """Returns whether this node lends its shares of a group to nobody."""
+        group = self._group(number)
+        uses_own = self._clock.monotonic_s() >= self._lent_until_s(group)
+        if uses_own and not group.uses_own and group.lent_to:
+            _LOGGER.warning(
+                "event=quota-own-share group=%d owner=%s nodes=%d"
+                " next=check-links-to-owner",
+                number,
+                group.owner or "-",
+                self._nodes(),
+            )
+        group.uses_own = uses_own
+        return uses_own
+
+    def pressure(self, tenant: str) -> float:
+        """Returns the demand as a multiple of what may run."""
+        tokens = self.tokens(tenant)
+        terms = self._book.terms(tenant)
+        if (
+            terms is None
+            or not self._group(quota_book.group_of(tenant)).uses_own
+        ):
+            return tokens.pressure
+        return tokens.demand.per_s() * self._nodes() / terms.rate_per_s
+
+    def is_due(self, number: int) -> bool:
+        """Returns whether the owner of a group is to be asked."""
+        group = self._group(number)
+        age_s = self._clock.monotonic_s() - group.asked_s
+        if age_s >= self._renew_s():
+            return True
+        # A node with its own share only looks for an owner.
+        if self.uses_own_share(number) and not group.stamp_ms:
+            return False
+        return not group.lent_to or self._is_needy(number)
+
+    def former_owner(self, number: int, owner: str) -> str:
+        """Sets the owner of a group.
+
+        Returns:
+            The node to which the share is still lent, if it is another one;
+            otherwise an empty text.
+        """
+        group = self._group(number)
+        if group.owner != owner:
+            _LOGGER.info(
+                "event=quota-owner group=%d owner=%s before=%s",
+                number,
+                owner,
+                group.owner or "-",
+            )
+            group.owner = owner
+            group.stamp_ms = 0
+            for tenant, tokens in self._tokens.items():
+                if quota_book.group_of(tenant) == number:
+                    tokens.discard()
+        is_lent = self._clock.monotonic_s() < group.lent_until_s
+        is_elsewhere = group.lent_to not in ("", owner)
+        return group.lent_to if is_lent and is_elsewhere else ""
+
+    def released(self, number: int, node_id: str) -> None:
+        """Records that a node has confirmed to use the share no more."""
+        group = self._group(number)
+        if group.lent_to == node_id:
+            group.lent_to = ""
+            group.lent_until_s = self._clock.monotonic_s()
+
+    def make_release(self, number: int) -> quota_ask.QuotaAsk:
+        """Returns the message that takes a lent share back."""
+        return quota_ask.QuotaAsk(number, self._nodes(), 0, 0, True, ())
+
+    def make_ask(
+        self, number: int, waiting: collections.abc.Mapping[str, int]
+    ) -> quota_ask.QuotaAsk:
+        """Returns the question to the owner of a group.
+
+        Args:
+            number: The group.
+            waiting: Number of waiting requests by tenant.
+        """
+        group = self._group(number)
+        group.asked_s = self._clock.monotonic_s()
+        needs = tuple(
+            tokens.need(waiting.get(tenant, 0))
+            for tenant, tokens in self._tokens.items()
+            if quota_book.group_of(tenant) == number
+        )
+        return quota_ask.QuotaAsk(
+            group=number,
+            nodes=self._nodes(),
+            stamp_ms=self._lend(group),
+            pledge_ms=int(self._pledge_s() * _MS_PER_S),
+            is_release=False,
+            needs=tuple(need for need in needs if _is_worth_asking(need)),
+        )
+
+    def apply(
+        self,
+        ask: quota_ask.QuotaAsk,
+        grant: quota_grant.QuotaGrant,
+        *,
+        owner: str,
+        asked_s: float,
+    ) -> bool:
+        """Takes what an owner has granted.
+
+        Args:
+            ask: The question.
+            grant: The reply.
+            owner: The node that has replied.
+            asked_s: Monotonic time of the question.
+
+        Returns:
+            False if the node is the owner no more.
+        """
+        group = self._group(ask.group)
+        if group.owner != owner:
+            return False
+        group.stamp_ms = grant.stamp_ms
+        group.stamped_s = self._clock.monotonic_s()
+        group.nodes = grant.nodes
+        for need, part in zip(ask.needs, grant.parts, strict=False):
+            if need.tenant == part.tenant:
+                self.tokens(need.tenant).apply(need, part, asked_s)
+        return True
+
+    def _lend(self, group: _Group) -> int:
+        """Lends the own share; returns the stamp, or 0 if it is not lent.
+
+        The share is lent until a time that is counted from the arrival of the
+        owner's stamp. The owner counts from the stamp itself, which is older.
+        """
+        now_s = self._clock.monotonic_s()
+        until_s = group.stamped_s + self._pledge_s()
+        is_free = now_s >= self._lent_until_s(group)
+        is_renewal = group.lent_to == group.owner and not is_free
+        if not group.stamp_ms or until_s <= now_s:
+            return 0
+        if not is_free and not is_renewal:
+            return 0
+        group.lent_to = group.owner
+        group.lent_until_s = max(group.lent_until_s, until_s)
+        for tenant in self._book.tenants():
+            if self._group(quota_book.group_of(tenant)) is group:
+                self._own.drop(tenant)
+        return group.stamp_ms
+
+    def _is_needy(self, number: int) -> bool:
+        return any(
+            tokens.is_needy()
+            for tenant, tokens in self._tokens.items()
+            if quota_book.group_of(tenant) == number
+        )
+
+    def _group(self, number: int) -> _Group:
+        return self._groups.setdefault(number, _Group())
+
+    def _lent_until_s(self, group: _Group) -> float:
+        return max(group.lent_until_s, self._started_s + self._pledge_s())
+
+    def _renew_s(self) -> float:
+        return max(RENEW_S, self._nodes() / MAX_ASKS_PER_S)
+
+    def _pledge_s(self) -> float:
+        return self._renew_s() * PLEDGE_RENEWALS
+
+
+def _is_worth_asking(need: quota_need.QuotaNeed) -> bool:
+    return bool(
+        need.used
+        or need.returned
+        or need.waiting
+        or need.wanted
+        or need.standing
+        or need.is_short
+    )
--- /dev/null
+++ b/src/galenatack/quotas/quota_exchange.py
@@ -0,0 +1,263 @@
+"""Asks the owners of quotas, and lets requests wait for their replies."""
+
+import asyncio
+import collections
+import collections.abc
+import logging
+
+from galenatack import exceptions
+from galenatack.interfaces import clock as clock_interface
+from galenatack.interfaces import peer_network
+from galenatack.interfaces import random_source
+from galenatack.membership import member_table
+from galenatack.membership import node_roles
+from galenatack.messages import quota_ask
+from galenatack.messages import quota_grant
+from galenatack.model import member_status
+from galenatack.quotas import node_count
+from galenatack.quotas import quota_book
+from galenatack.quotas import quota_client
+from galenatack.quotas import quota_owner
+
+TICK_S = 0.25
+"""Interval at which a node checks which owners it asks."""
+
+ASK_TIMEOUT_S = 0.8
+WAIT_S = 0.4
+"""Longest time that a request waits for a token: more than a round trip between
+regions, and little beside the latency that callers expect."""
+
+MIN_RETRY_S = 0.5
+MAX_RETRY_S = 10.0
+RETRY_SPREAD = (0.5, 1.5)
+"""Bounds of the time until a refused request may come again, and the factors
+between which it is spread."""
+
+REPORT_S = 10.0
+"""A tenant beyond its quota is logged this often at most."""
+
+_MS_PER_S = 1000
+_LOGGER = logging.getLogger(__name__)
+
+
+class QuotaExchange:
+    """Admits requests of tenants within their quotas.
+
+    Args:
+        members: Members of the fleet.
+        peers: Links to other nodes.
+        clock: Source of time.
+        rng: Spread of the times until refused requests may come again.
+        book: The quotas.
+
+    Attributes:
+        refused: Number of refused requests by tenant.
+    """
+
+    def __init__(
+        self,
+        *,
+        members: member_table.MemberTable,
+        peers: peer_network.PeerNetwork,
+        clock: clock_interface.Clock,
+        rng: random_source.RandomSource,
+        book: quota_book.QuotaBook,
+    ):
+        self._members = members
+        self._peers = peers
+        self._clock = clock
+        self._rng = rng
+        self._book = book
+        self._count = node_count.NodeCount(clock=clock)
+        self._owner = quota_owner.QuotaOwner(
+            clock=clock, book=book, nodes=lambda: self._count.count
+        )
+        self._client = quota_client.QuotaClient(
+            own_id=members.own.node_id,
+            clock=clock,
+            book=book,
+            nodes=lambda: self._count.count,
+        )
+        self._waiters: dict[str, collections.deque[asyncio.Future[bool]]] = (
+            collections.defaultdict(collections.deque)
+        )
+        self._asking: dict[int, asyncio.Task[None]] = {}
+        self._releasing: dict[int, asyncio.Task[None]] = {}
+        self._reported_s: dict[str, float] = {}
+        self.refused: collections.Counter[str] = collections.Counter()
+        peers.on(quota_ask.QuotaAsk, self._on_ask)
+
+    async def run(self) -> None:
+        """Asks and updates shares until cancelled."""
+        try:
+            while True:
+                if self._book.groups():
+                    self._tick()
+                await self._clock.sleep_s(TICK_S)
+        finally:
+            for task in (*self._asking.values(), *self._releasing.values()):
+                task.cancel()
+
+    async def take(self, tenant: str) -> None:
+        """Uses a token for a request, and waits for one if need be.
+
+        Raises:
+            exceptions.QuotaExceededError: There is none.
+        """
+        if not tenant or self._book.terms(tenant) is None:
+            return
+        tokens = self._client.tokens(tenant)
+        tokens.add_request()
+        if self._client.take(tenant):
+            return
+        if self._client.may_wait(tenant) and await self._wait(tenant):
+            return
+        tokens.note_refused()
+        self._report(tenant)
+        raise exceptions.QuotaExceededError(
+            "the quota of the tenant is used up",
+            retry_after_ms=self._retry_after_ms(tenant),
+        )
+
+    def give_back(self, tenant: str, count: int) -> None:
+        """Takes back the tokens of a request that did not run."""
+        if tenant and self._book.terms(tenant) is not None:
+            for _ in range(count):
+                self._client.tokens(tenant).give_back()
+
+    def shares(self) -> dict[int, float]:
+        """Returns what other nodes have lent to this one, by group."""
+        return self._owner.shares()
+
+    def own_groups(self) -> int:
+        """Returns for how many groups this node uses its own share."""
+        return sum(map(self._client.uses_own_share, self._book.groups()))
+
+    def _tick(self) -> None:
+        self._count.update(self._members.live())
+        self._owner.tick()
+        for group in self._book.groups():
+            if self._client.is_due(group):
+                self._ask_soon(group)
+
+    async def _wait(self, tenant: str) -> bool:
+        waiter = asyncio.get_running_loop().create_future()
+        waiters = self._waiters[tenant]
+        waiters.append(waiter)
+        self._ask_soon(quota_book.group_of(tenant))
+        try:
+            async with asyncio.timeout(WAIT_S):
+                return await waiter
+        except TimeoutError:
+            return False
+        finally:
+            if waiter in waiters:
+                waiters.remove(waiter)
+
+    def _ask_soon(self, group: int) -> None:
+        if group not in self._asking:
+            task = asyncio.create_task(self._ask_until_served(group))
+            self._asking[group] = task
+            task.add_done_callback(lambda _: self._asking.pop(group, None))
+
+    async def _ask_until_served(self, group: int) -> None:
+        await self._ask(group)
+        while self._waiting(group):
+            await self._ask(group)
+
+    async def _ask(self, group: int) -> None:
+        owner = self._owner_of(group)
+        former = self._client.former_owner(group, owner)
+        if former and group not in self._releasing:
+            task = asyncio.create_task(self._release(group, former))
+            self._releasing[group] = task
+            task.add_done_callback(lambda _: self._releasing.pop(group, None))
+        ask = self._client.make_ask(group, self._waiting(group))
+        asked_s = self._clock.monotonic_s()
+        grant = await self._request(owner, ask)
+        is_applied = grant is not None and self._client.apply(
+            ask, grant, owner=owner, asked_s=asked_s
+        )
+        direct = {}
+        if is_applied:
+            direct = {part.tenant: part.direct for part in grant.parts}
+        for need in ask.needs:
+            if not is_applied:
+                self._client.tokens(need.tenant).deny()
+            self._serve(need.tenant, need.waiting, direct.get(need.tenant, 0))
+
+    def _serve(self, tenant: str, waiting: int, tokens: int) -> None:
+        """Answers the requests that waited when the question was sent."""
+        waiters = self._waiters[tenant]
+        for number in range(min(waiting, len(waiters))):
+            waiter = waiters.popleft()
+            if not waiter.done():
+                waiter.set_result(number < tokens)
+
+    async def _release(self, group: int, node_id: str) -> None:
+        ask = self._client.make_release(group)
+        if await self._request(node_id, ask) is not None:
+            self._client.released(group, node_id)
+
+    async def _request(
+        self, node_id: str, ask: quota_ask.QuotaAsk
+    ) -> quota_grant.QuotaGrant | None:
+        if node_id == self._members.own.node_id:
+            return self._owner.handle(node_id, ask)
+        try:
+            reply = await self._peers.request(
+                node_id, ask, timeout_s=ASK_TIMEOUT_S
+            )
+        except exceptions.PeerError as error:
+            _LOGGER.debug(
+                "event=quota-not-asked owner=%s error=%s", node_id, error
+            )
+            return None
+        # A node of the release before knows no such question.
+        return reply if isinstance(reply, quota_grant.QuotaGrant) else None
+
+    async def _on_ask(
+        self, sender: str, message: quota_ask.QuotaAsk
+    ) -> quota_grant.QuotaGrant:
+        return self._owner.handle(sender, message)
+
+    def _waiting(self, group: int) -> dict[str, int]:
+        return {
+            tenant: len(waiters)
+            for tenant, waiters in self._waiters.items()
+            if waiters and quota_book.group_of(tenant) == group
+        }
+
+    def _owner_of(self, group: int) -> str:
+        return self._members.cached(
+            ("quota-owner", group), lambda: self._choose_owner(group)
+        )
+
+    def _choose_owner(self, group: int) -> str:
+        serving = [
+            record.node_id
+            for record in self._members.live()
+            if record.status == member_status.MemberStatus.SERVING
+        ]
+        candidates = serving or [self._members.own.node_id]
+        return node_roles.rank(candidates, f"quota/{group}")[0]
+
+    def _retry_after_ms(self, tenant: str) -> int:
+        wait_s = max(MIN_RETRY_S, self._client.pressure(tenant))
+        spread = self._rng.uniform(*RETRY_SPREAD)
+        return int(min(MAX_RETRY_S, wait_s) * spread * _MS_PER_S)
+
+    def _report(self, tenant: str) -> None:
+        self.refused[tenant] += 1
+        now_s = self._clock.monotonic_s()
+        if now_s - self._reported_s.get(tenant, -REPORT_S) < REPORT_S:
+            return
+        self._reported_s[tenant] = now_s
+        _LOGGER.info(
+            "event=quota-exceeded tenant=%s pressure=%.2f refused=%d"
+            " own_share=%s next=raise-rate-or-ask-tenant",
+            tenant,
+            self._client.pressure(tenant),
+            self.refused[tenant],
+            self._client.uses_own_share(quota_book.group_of(tenant)),
+        )
--- a/src/galenatack/routing/token_bucket.py
+++ b/src/galenatack/routing/token_bucket.py
@@ -25,6 +25,12 @@
         self._tokens = capacity
         self._refilled_s = clock.monotonic_s()
 
+    @property
+    def level(self) -> float:
+        """Number of tokens; negative after a charge beyond the balance."""
+        self._refill()
+        return self._tokens
+
     def has(self, tokens: float) -> bool:
         """Returns whether this many tokens are available.
 
--- a/src/galenatack/tenants/tenant_admission.py
+++ b/src/galenatack/tenants/tenant_admission.py
@@ -6,8 +6,10 @@
 from galenatack import exceptions
 from galenatack.model import caller_request
 from galenatack.model import host_route
+from galenatack.quotas import quota_exchange
 from galenatack.tenants import tenant_pass
 from galenatack.tenants import tenant_table
+from galenatack.traffic import request_attempts
 
 NEW_KEYS_RETRY_AFTER_MS = 200
 """Delay for a request that came before keys were needed; it is sent again with
@@ -31,6 +33,7 @@
             it has none, or before the first one.
         freshness: Checks the age of the keys; None if a node without a way to
             the store may go on with the keys that it has.
+        quotas: Quotas of the tenants; None without limits.
         expects_keys: True if the deployment has a time limit for revoking
             keys, so that callers may send some before the first configuration
             with tenants.
@@ -41,10 +44,12 @@
         *,
         in_force: InForce,
         freshness: Freshness | None = None,
+        quotas: quota_exchange.QuotaExchange | None = None,
         expects_keys: bool = False,
     ):
         self._in_force = in_force
         self._freshness = freshness
+        self._quotas = quotas
         self._expects_keys = expects_keys
 
     def has_tenants(self) -> bool:
@@ -74,6 +79,34 @@
             self._freshness.check()
         return tenant_pass.TenantPass(tenant, digest)
 
+    async def admit(self, attempts: request_attempts.RequestAttempts) -> None:
+        """Charges the next attempt of a request, and checks its key again.
+
+        An attempt after one that did not run is not charged again. The request
+        may wait here; the next attempt must be sent before anything else
+        happens.
+
+        Raises:
+            exceptions.QuotaExceededError: The tenant's quota is used up.
+            exceptions.UnknownKeyError: The key was taken away meanwhile.
+            exceptions.KeysOutdatedError: It may have been taken away, or the
+                request came before keys were needed.
+        """
+        if self._quotas is not None and attempts.charges <= attempts.runs:
+            await self._quotas.take(attempts.tenant)
+            attempts.charges += 1
+        self.check(attempts.sender)
+
+    def settle(self, attempts: request_attempts.RequestAttempts) -> None:
+        """Gives back what a request was charged for attempts that did not run.
+
+        Called when its last attempt has ended.
+        """
+        if self._quotas is not None and attempts.charges > attempts.runs:
+            self._quotas.give_back(
+                attempts.tenant, attempts.charges - attempts.runs
+            )
+
     def check(self, known: tenant_pass.TenantPass | None) -> None:
         """Checks an admitted request again, before it is sent to a target.
 
--- a/src/galenatack/tenants/tenant_table.py
+++ b/src/galenatack/tenants/tenant_table.py
@@ -27,10 +27,6 @@
             for digest in tenant.key_digests:
                 self._by_digest.setdefault(digest, (digest, tenant))
 
-    def __len__(self) -> int:
-        """Returns the number of keys."""
-        return len(self._by_digest)
-
     def find_key(self, key: str) -> tuple[tenant_model.Tenant | None, bytes]:
         """Returns the tenant of a key, or None, and the key's digest."""
         digest = tenant_key.digest(key)
--- a/src/galenatack/traffic/call_router.py
+++ b/src/galenatack/traffic/call_router.py
@@ -114,6 +114,7 @@
         try:
             attempts = self._start_attempts(request, started_s)
             result = await self._try_targets(attempts)
+            self._tenants.settle(attempts)
         except exceptions.CallError as error:
             result = _refused(error)
         finally:
@@ -156,14 +157,13 @@
                 retry_after_ms=UNUSABLE_ROUTE_RETRY_AFTER_MS,
             )
         sender = self._tenants.identify(request, route)
-        service = self._weights.pick(route)
         timeout_ms = _timeout_ms(route, request.deadline_ms)
         deadline_s = started_s + timeout_ms / MS_PER_S
         self._shutdown.check(deadline_s)
         return request_attempts.RequestAttempts(
             request=request._replace(credential=""),
             route=tenant_pass.route_for(sender, route),
-            service=service,
+            service=self._weights.pick(route),
             config_version=table.version,
             deadline_s=deadline_s,
             # A request of the local target cannot be told from one of a caller.
@@ -179,7 +179,7 @@
                 attempts.is_trial = await self._quarantine.admit(
                     attempts.request, left_s=self._left_s(attempts)
                 )
-                self._tenants.check(attempts.sender)
+                await self._tenants.admit(attempts)
                 if not attempts.trail:
                     self._budget.record_first_attempt(
                         attempts.service, retry_share=attempts.retry_share
--- a/src/galenatack/traffic/request_attempts.py
+++ b/src/galenatack/traffic/request_attempts.py
@@ -25,6 +25,8 @@
         trail: Result of each attempt, as `node:failure` or `node:status`.
         arrivals: Number of attempts that reached a target, or may have.
         refusals: Number of attempts that were refused.
+        runs: Number of attempts that ran, or may have.
+        charges: Number of attempts that the tenant's quota was charged for.
         crashes: Number of attempts under which the target crashed.
         is_trial: Whether the next attempt is a trial of its request.
     """
@@ -51,6 +53,8 @@
         self.trail: list[str] = []
         self.arrivals = 0
         self.refusals = 0
+        self.runs = 0
+        self.charges = 0
         self.crashes = 0
         self.is_trial = False
         self._answer: call_result.CallResult | None = None
@@ -74,6 +78,7 @@
         is_unknown = result.outcome == outcome.Outcome.UNKNOWN
         if is_unknown or result.has_reached_target:
             self.arrivals += 1
+        self.runs += result.outcome != outcome.Outcome.NOT_RUN
         self.crashes += result.failure == exceptions.TargetCrashedError.code
         if result.outcome == outcome.Outcome.ANSWER:
             self._answer = result
--- a/tests/mesh/test_tenants.py
+++ b/tests/mesh/test_tenants.py
@@ -149,3 +149,33 @@
             await serves("b.example")
 
         run(scenario, "a", "b", "a", bounds=STRICT)
+
+    def test_requests_beyond_a_quota_are_refused_on_all_nodes_together(self):
+        """Each node alone would admit the whole quota."""
+
+        async def scenario(fleet):
+            await apply(fleet, 4, rate_per_s=10)
+            # A node lends its share once it has run for some seconds.
+            await asyncio.sleep(4.0)
+            answers = []
+
+            async def send(member):
+                for _ in range(40):
+                    answers.append(
+                        await fleet.call(
+                            member, "b.example", "/idempotent/x", headers=(KEY,)
+                        )
+                    )
+
+            await asyncio.gather(*map(send, fleet.members))
+            refused = [a for a in answers if a.status == 429]
+            ran = [a for a in answers if a.status == 200]
+            self.assertEqual(len(ran) + len(refused), 120)
+            self.assertEqual(len(ran), len(fleet.members[1].target.ran))
+            self.assertGreater(len(ran), 5)
+            self.assertLess(len(ran), 10 * 5 * 1.1 + 20)
+            for answer in refused:
+                wait_s = float(dict(answer.headers)[b"retry-after"])
+                self.assertGreater(wait_s, 0.2)
+
+        run(scenario, "a", "b", "a")
--- /dev/null
+++ b/tests/quotas/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the package quotas."""
