Compute the lent share and the demand once per question

Cause: an owner summed the shares of all nodes and the demand at all nodes for each tenant of each question: 277 us a question with 82 nodes and 83 tenants. Change: once per question, and every 0.25 s.

--- a/src/galenatack/quotas/quota_book.py
+++ b/src/galenatack/quotas/quota_book.py
@@ -11,7 +11,8 @@
 GROUPS = 4
 """Number of owners of quotas. Each node asks each of them regularly, also
 without requests of its tenants, so that fewer cost less; a dead one takes the
-quotas of fewer tenants with it if there are more."""
+quotas of fewer tenants with it if there are more. Part of the protocol: nodes
+that count other groups would lend a share twice."""
 
 InForce = collections.abc.Callable[[], tenant_table.TenantTable | None]
 
--- a/src/galenatack/quotas/quota_owner.py
+++ b/src/galenatack/quotas/quota_owner.py
@@ -6,8 +6,6 @@
 from galenatack.interfaces import clock as clock_interface
 from galenatack.messages import quota_ask
 from galenatack.messages import quota_grant
-from galenatack.model import quota_need
-from galenatack.model import quota_part
 from galenatack.quotas import pledges as pledges_module
 from galenatack.quotas import quota_book
 from galenatack.quotas import quota_terms
@@ -47,7 +45,11 @@
         """Answers a question of a node."""
         now_s = self._clock.monotonic_s()
         self._lend(node_id, ask, now_s)
-        parts = tuple(self._part(node_id, need) for need in ask.needs)
+        share = self._share(ask.group)
+        parts = tuple(
+            self._account(need.tenant, share).grant(node_id, need)
+            for need in ask.needs
+        )
         return quota_grant.QuotaGrant(
             # Never 0, which would lend nothing.
             stamp_ms=max(1, int(now_s * _MS_PER_S)),
@@ -61,29 +63,24 @@
         Accounts exist as long as nodes lend their shares, also without
         requests, so that a burst after a pause finds its tokens.
         """
-        for tenant in self._book.tenants():
-            if tenant not in self._accounts and self._terms(tenant).capacity:
-                self._make_account(tenant)
-        for tenant, account in list(self._accounts.items()):
-            terms = self._terms(tenant)
-            account.update(terms)
-            if not terms.capacity and not account.outstanding:
+        shares = {group: self._share(group) for group in self._book.groups()}
+        lent = {
+            tenant
+            for tenant in self._book.tenants()
+            if shares[quota_book.group_of(tenant)]
+        }
+        for tenant in lent | self._accounts.keys():
+            share = shares.get(quota_book.group_of(tenant), 0.0)
+            account = self._account(tenant, share)
+            is_idle = not share or self._book.terms(tenant) is None
+            if is_idle and not account.outstanding:
                 del self._accounts[tenant]
 
     def shares(self) -> dict[int, float]:
         """Returns the lent part of the quotas by group, without zeros."""
-        now_s = self._clock.monotonic_s()
-        shares = {
-            group: pledges.share(now_s, nodes=self._nodes())
-            for group, pledges in self._pledges.items()
-        }
+        shares = {group: self._share(group) for group in self._pledges}
         return {group: share for group, share in shares.items() if share}
 
-    def _make_account(self, tenant: str) -> tenant_account.TenantAccount:
-        account = tenant_account.TenantAccount(clock=self._clock)
-        self._accounts[tenant] = account
-        return account
-
     def _lend(
         self, node_id: str, ask: quota_ask.QuotaAsk, now_s: float
     ) -> None:
@@ -98,17 +95,19 @@
         if until_s > now_s:
             pledges.renew(node_id, until_s=until_s, nodes=ask.nodes)
 
-    def _part(
-        self, node_id: str, need: quota_need.QuotaNeed
-    ) -> quota_part.QuotaPart:
-        account = self._accounts.get(need.tenant)
+    def _account(
+        self, tenant: str, share: float
+    ) -> tenant_account.TenantAccount:
+        """Returns the account of a tenant, with its terms up to date."""
+        account = self._accounts.get(tenant)
         if account is None:
-            account = self._make_account(need.tenant)
-        account.update(self._terms(need.tenant))
-        return account.grant(node_id, need)
-
-    def _terms(self, tenant: str) -> quota_terms.QuotaTerms:
+            account = tenant_account.TenantAccount(clock=self._clock)
+            self._accounts[tenant] = account
         terms = self._book.terms(tenant) or quota_terms.QuotaTerms(0.0, 0.0)
-        pledges = self._pledges[quota_book.group_of(tenant)]
-        share = pledges.share(self._clock.monotonic_s(), nodes=self._nodes())
-        return terms.scaled(share)
+        account.update(terms.scaled(share))
+        return account
+
+    def _share(self, group: int) -> float:
+        return self._pledges[group].share(
+            self._clock.monotonic_s(), nodes=self._nodes()
+        )
--- a/src/galenatack/quotas/tenant_account.py
+++ b/src/galenatack/quotas/tenant_account.py
@@ -22,6 +22,9 @@
 DEMAND_S = 2.0
 """Time for which the demand that a node has told counts."""
 
+SUM_INTERVAL_S = 0.25
+"""Interval at which the demand is summed, as many nodes tell theirs."""
+
 _Grants = collections.deque[tuple[float, int]]
 
 
@@ -44,7 +47,10 @@
         self._terms = quota_terms.QuotaTerms(0.0, 0.0)
         self._held: dict[str, _Grants] = {}
         self._outstanding = 0
+        self._expiry_s = math.inf
         self._demands: dict[str, tuple[float, float]] = {}
+        self._demand_per_s = 0.0
+        self._summed_s = -math.inf
         self.asked_s = clock.monotonic_s()
 
     @property
@@ -55,11 +61,8 @@
     def update(self, terms: quota_terms.QuotaTerms) -> None:
         """Sets the terms for the lent share of the quota."""
         now_s = self._clock.monotonic_s()
-        for node_id, grants in list(self._held.items()):
-            while grants and grants[0][0] <= now_s:
-                self._outstanding -= grants.popleft()[1]
-            if not grants:
-                del self._held[node_id]
+        if now_s >= self._expiry_s:
+            self._expire(now_s)
         self._terms = terms
         self._limit()
 
@@ -90,9 +93,19 @@
         grants = self._held.setdefault(node_id, collections.deque())
         grants.append((self.asked_s + TOKEN_S, reserved))
         self._outstanding += reserved
+        self._expiry_s = min(self._expiry_s, self.asked_s + TOKEN_S)
         self._limit()
         return reserved
 
+    def _expire(self, now_s: float) -> None:
+        for node_id, grants in list(self._held.items()):
+            while grants and grants[0][0] <= now_s:
+                self._outstanding -= grants.popleft()[1]
+            if not grants:
+                del self._held[node_id]
+        first = (grants[0][0] for grants in self._held.values())
+        self._expiry_s = min(first, default=math.inf)
+
     def _settle(self, node_id: str, need: quota_need.QuotaNeed) -> None:
         self._outstanding -= self._take_back(node_id, need.used)
         returned = self._take_back(node_id, need.returned)
@@ -120,9 +133,11 @@
         )
 
     def _pressure(self) -> float:
-        recent_s = self.asked_s - DEMAND_S
-        for node_id, (time_s, _) in list(self._demands.items()):
-            if time_s < recent_s:
-                del self._demands[node_id]
-        demand_per_s = sum(demand for _, demand in self._demands.values())
-        return demand_per_s / max(self._terms.rate_per_s, 1e-3)
+        if self.asked_s - self._summed_s >= SUM_INTERVAL_S:
+            self._summed_s = self.asked_s
+            recent_s = self.asked_s - DEMAND_S
+            for node_id, (time_s, _) in list(self._demands.items()):
+                if time_s < recent_s:
+                    del self._demands[node_id]
+            self._demand_per_s = sum(d for _, d in self._demands.values())
+        return self._demand_per_s / max(self._terms.rate_per_s, 1e-3)
