--- a/src/galenatack/app/mesh_tenants.py
+++ b/src/galenatack/app/mesh_tenants.py
@@ -17,27 +17,30 @@
         freshness: Age of the keys; None unless revoking is strict.
         exchange: Asks other nodes for it; None unless revoking is strict.
         quotas: Admits requests within the quotas of tenants.
+        book: The quotas of the configuration in force.
     """
 
     freshness: key_freshness.KeyFreshness | None
     exchange: freshness_exchange.FreshnessExchange | None
     quotas: quota_exchange.QuotaExchange
+    book: quota_book.QuotaBook
 
 
 def make(base: mesh_base.MeshBase) -> MeshTenants:
     """Makes the parts for the tenants."""
+    book = quota_book.QuotaBook(
+        in_force=base.callbacks.tenants, bounds=base.settings.bounds
+    )
     quotas = quota_exchange.QuotaExchange(
         members=base.members,
         peers=base.peers,
         clock=base.clock,
         rng=base.rng,
-        book=quota_book.QuotaBook(
-            in_force=base.callbacks.tenants, bounds=base.settings.bounds
-        ),
+        book=book,
     )
     terms = strict_terms(base)
     if terms is None:
-        return MeshTenants(None, None, quotas)
+        return MeshTenants(None, None, quotas, book)
     freshness = key_freshness.KeyFreshness(
         clock=base.clock,
         max_age_s=terms.max_age_s,
@@ -55,6 +58,7 @@
             terms=terms,
         ),
         quotas=quotas,
+        book=book,
     )
 
 
--- a/src/galenatack/links/peer_network.py
+++ b/src/galenatack/links/peer_network.py
@@ -26,11 +26,13 @@
 from galenatack.links import tls
 from galenatack.links import traffic_counter
 from galenatack.membership import member_table
+from galenatack.messages import ask_freshness
 from galenatack.messages import call
 from galenatack.messages import cancel_call
 from galenatack.messages import delta
 from galenatack.messages import hello
 from galenatack.messages import members
+from galenatack.messages import quota_ask
 
 STOP_S = 0.5
 """Maximum time for the closing handshakes of a node that stops."""
@@ -44,6 +46,13 @@
 Anti-entropy repairs losses.
 """
 
+_SENT_WITH_CALLS = frozenset(
+    {call.Call, ask_freshness.AskFreshness, quota_ask.QuotaAsk}
+)
+"""Types of requests that use links for calls. Besides calls, short questions
+that many nodes ask few others: most have such a link already, and each further
+one costs a heartbeat a second."""
+
 _LOGGER = logging.getLogger(__name__)
 
 OnLost = collections.abc.Callable[[str], None]
@@ -203,7 +212,7 @@
         self, node_id: str, message: typing.Any, *, timeout_s: float
     ) -> typing.Any:
         """Sends a request to one node and returns its reply."""
-        for_calls = isinstance(message, call.Call)
+        for_calls = type(message) in _SENT_WITH_CALLS
         link = self._registry.find(node_id, for_calls=for_calls)
         if link is not None:
             return await link.request(message, timeout_s=timeout_s)
--- a/src/galenatack/quotas/quota_book.py
+++ b/src/galenatack/quotas/quota_book.py
@@ -39,6 +39,13 @@
         self._terms: dict[str, quota_terms.QuotaTerms] = {}
         self._groups: frozenset[int] = frozenset()
 
+    def apply(self, bounds: fleet_bounds.FleetBounds) -> None:
+        """Puts changed bounds in force."""
+        self._bounds = bounds
+        self._table = None
+        self._terms = {}
+        self._groups = frozenset()
+
     def terms(self, tenant: str) -> quota_terms.QuotaTerms | None:
         """Returns the terms of a tenant; None if it has no limit."""
         self._refresh()
--- a/src/galenatack/tenants/freshness_exchange.py
+++ b/src/galenatack/tenants/freshness_exchange.py
@@ -107,13 +107,11 @@
         carriers = node_roles.data_centre_carriers(
             self._members, own.data_centre
         )
+        nearby = {r.node_id for r in region if r.follows_store}
         if len(region) > DIRECT_NODES and own.node_id not in carriers:
-            return carriers
-        own_id = own.node_id
-        nearby = [r.node_id for r in region if r.follows_store]
-        return tuple(
-            node_roles.rank((n for n in nearby if n != own_id), own_id)
-        )
+            nearby = set(carriers)
+        # Each node has its own order, so that both get about half of them.
+        return tuple(node_roles.rank(nearby - {own.node_id}, own.node_id))
 
     def _followers(self) -> set[str]:
         return {r.node_id for r in self._members.live() if r.follows_store}
--- a/tests/quotas/test_quota_parts.py
+++ b/tests/quotas/test_quota_parts.py
@@ -55,6 +55,15 @@
         self.assertEqual(make_book(rate_per_s=0.0).groups(), frozenset())
 
 
+class TestQuotaBook(unittest.TestCase):
+    def test_changed_bounds_hold_without_a_new_configuration(self):
+        """The settings file is read again while the node runs."""
+        book = make_book()
+        before = book.terms("t")
+        book.apply(BOUNDS._replace(quota_slack=60))
+        self.assertEqual(book.terms("t").capacity, before.capacity + 20)
+
+
 class TestTenantAccount(unittest.TestCase):
     def setUp(self):
         self.clock = manual_clock.ManualClock()
