Merge tenants' keys and quotas with homes, offers and fetched bodies

A request's tenant is known to homes, quotas and calls; its key is checked again before each further offer of an attempt.

--- a/src/galenatack/app/mesh_node.py
+++ b/src/galenatack/app/mesh_node.py
@@ -55,6 +55,7 @@
         self._bounds = settings.bounds
         self._parts.slack.bounds = settings.bounds.retries
         self._parts.warmup.warmth.bounds = settings.bounds
+        self._parts.tenants.book.apply(settings.bounds)
 
     def request_stop(self) -> None:
         """Begins a graceful stop."""
@@ -107,12 +108,15 @@
             "links": parts.warmer.run,
             "warmth": parts.warmup.probe.run,
             "rollouts": parts.driver.run,
+            "quotas": parts.tenants.quotas.run,
             "crash-archive": parts.crash_archive.run,
             "log-report": self._report_dropped_lines,
             "loop-monitor": loop_monitor.LoopMonitor(
                 clock=parts.clock, stats=parts.stats
             ).run,
         }
+        if parts.tenants.exchange is not None:
+            task_functions["key-freshness"] = parts.tenants.exchange.run
         for watcher in parts.watchers:
             task_functions[f"watch-{watcher.name}"] = watcher.run
         if self._follow_settings is not None:
--- a/src/galenatack/app/mesh_outbound.py
+++ b/src/galenatack/app/mesh_outbound.py
@@ -6,10 +6,12 @@
 from galenatack.app import mesh_inbound
 from galenatack.app import mesh_quarantine
 from galenatack.app import mesh_rollouts
+from galenatack.app import mesh_tenants
 from galenatack.bodies import announced_bodies
 from galenatack.homes import permitted_targets
 from galenatack.placement import known_conditions
 from galenatack.placement import target_placement
+from galenatack.tenants import tenant_admission
 from galenatack.traffic import attempt_budget
 from galenatack.traffic import call_router
 from galenatack.traffic import call_sender
@@ -26,6 +28,7 @@
     budget: attempt_budget.AttemptBudget
     placement: target_placement.TargetPlacement
     shutdown: shutdown_admission.ShutdownAdmission
+    tenants: tenant_admission.TenantAdmission
     router: call_router.CallRouter
 
 
@@ -35,6 +38,7 @@
     rollouts: mesh_rollouts.MeshRollouts,
     quarantine: mesh_quarantine.MeshQuarantine,
     inbound: mesh_inbound.MeshInbound,
+    tenant_parts: mesh_tenants.MeshTenants,
 ) -> MeshOutbound:
     """Makes the parts between callers and targets."""
     config = config_holder.ConfigHolder()
@@ -48,6 +52,12 @@
         conditions=conditions,
     )
     shutdown = shutdown_admission.ShutdownAdmission(clock=base.clock)
+    tenants = tenant_admission.TenantAdmission(
+        in_force=lambda: config.tenants,
+        freshness=tenant_parts.freshness,
+        quotas=tenant_parts.quotas,
+        expects_keys=base.settings.bounds.revoke_ms > 0,
+    )
     router = call_router.CallRouter(
         config=config,
         targets=permitted_targets.PermittedTargets(
@@ -69,6 +79,7 @@
         conditions=conditions,
         quarantine=quarantine.quarantine,
         shutdown=shutdown,
+        tenants=tenants,
         clock=base.clock,
         telemetry=call_telemetry.CallTelemetry(
             config=config,
@@ -79,4 +90,4 @@
             stats=base.stats,
         ),
     )
-    return MeshOutbound(config, budget, placement, shutdown, router)
+    return MeshOutbound(config, budget, placement, shutdown, tenants, router)
--- a/src/galenatack/app/mesh_parts.py
+++ b/src/galenatack/app/mesh_parts.py
@@ -5,6 +5,7 @@
 from galenatack.admission import retry_slack
 from galenatack.admission import target_gate
 from galenatack.admission import target_registry
+from galenatack.app import mesh_tenants
 from galenatack.app import mesh_warmup
 from galenatack.bodies import body_fetcher
 from galenatack.config import instrumented_table
@@ -73,3 +74,4 @@
     store: instrumented_table.InstrumentedTable
     warmup: mesh_warmup.MeshWarmup
     evacuations: evacuations.Evacuations
+    tenants: mesh_tenants.MeshTenants
--- a/src/galenatack/app/mesh_wiring.py
+++ b/src/galenatack/app/mesh_wiring.py
@@ -13,6 +13,7 @@
 from galenatack.app import mesh_quarantine
 from galenatack.app import mesh_rollouts
 from galenatack.app import mesh_store
+from galenatack.app import mesh_tenants
 from galenatack.app import system_clock
 from galenatack.config import instrumented_table
 from galenatack.interfaces import clock as clock_interface
@@ -66,10 +67,11 @@
     instrumented = instrumented_table.InstrumentedTable(table=store)
     quarantine = mesh_quarantine.make(base, instrumented)
     inbound = mesh_inbound.make(base, rollouts, quarantine)
+    tenants = mesh_tenants.make(base)
     outbound = mesh_outbound.make(
-        base, directory, rollouts, quarantine, inbound
+        base, directory, rollouts, quarantine, inbound, tenants
     )
-    shared = mesh_store.make(base, instrumented)
+    shared = mesh_store.make(base, instrumented, tenants)
     membership = _make_membership(base)
     servers = _make_servers(base, inbound, outbound, membership)
     _connect(
@@ -119,6 +121,7 @@
         store=instrumented,
         warmup=inbound.warmup,
         evacuations=base.evacuations,
+        tenants=tenants,
     )
 
 
@@ -210,7 +213,9 @@
 ) -> _Servers:
     settings = base.settings
     callers = caller_dialect.CallerDialect(
-        handle=outbound.router.handle, timeout_ms=outbound.router.timeout_ms
+        handle=outbound.router.handle,
+        timeout_ms=outbound.router.timeout_ms,
+        has_tenants=outbound.tenants.has_tenants,
     )
     control = control_dialect.ControlDialect(
         registry=announced_warmth.AnnouncedWarmth(
--- a/src/galenatack/links/message_tags.py
+++ b/src/galenatack/links/message_tags.py
@@ -1,6 +1,7 @@
 """Numeric tags of the message types on the wire."""
 
 from galenatack.messages import announced_call
+from galenatack.messages import ask_freshness
 from galenatack.messages import ask_posting
 from galenatack.messages import body_part
 from galenatack.messages import busy
@@ -12,6 +13,7 @@
 from galenatack.messages import evidence
 from galenatack.messages import fetch_body
 from galenatack.messages import fragment
+from galenatack.messages import freshness
 from galenatack.messages import heartbeat
 from galenatack.messages import held
 from galenatack.messages import hello
@@ -21,6 +23,8 @@
 from galenatack.messages import pull_delta
 from galenatack.messages import pull_members
 from galenatack.messages import pull_rows
+from galenatack.messages import quota_ask
+from galenatack.messages import quota_grant
 from galenatack.messages import rows
 from galenatack.messages import trial_evidence
 from galenatack.messages import withdraw
@@ -51,6 +55,10 @@
     22: announced_call.AnnouncedCall,
     23: fetch_body.FetchBody,
     24: body_part.BodyPart,
+    30: ask_freshness.AskFreshness,
+    31: freshness.Freshness,
+    32: quota_ask.QuotaAsk,
+    33: quota_grant.QuotaGrant,
 }
 """Message type by tag."""
 
--- a/src/galenatack/links/peer_network.py
+++ b/src/galenatack/links/peer_network.py
@@ -27,12 +27,14 @@
 from galenatack.links import traffic_counter
 from galenatack.membership import member_table
 from galenatack.messages import announced_call
+from galenatack.messages import ask_freshness
 from galenatack.messages import call
 from galenatack.messages import cancel_call
 from galenatack.messages import delta
 from galenatack.messages import fetch_body
 from galenatack.messages import hello
 from galenatack.messages import members
+from galenatack.messages import quota_ask
 
 STOP_S = 0.5
 """Maximum time for the closing handshakes of a node that stops."""
@@ -46,13 +48,19 @@
 Anti-entropy repairs losses.
 """
 
-_OF_CALLS = (
-    call.Call,
-    announced_call.AnnouncedCall,
-    fetch_body.FetchBody,
-    cancel_call.CancelCall,
+_SENT_WITH_CALLS = frozenset(
+    {
+        call.Call,
+        announced_call.AnnouncedCall,
+        fetch_body.FetchBody,
+        cancel_call.CancelCall,
+        ask_freshness.AskFreshness,
+        quota_ask.QuotaAsk,
+    }
 )
-"""Types that use the links for calls."""
+"""Types that use links for calls: also short questions that many nodes
+ask few others. Most have such a link already, and each further one costs a
+heartbeat a second."""
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -210,7 +218,7 @@
     async def send(self, node_id: str, message: typing.Any) -> None:
         """Sends to one node; dials a link if needed."""
         link = await self._find_or_open(
-            node_id, for_calls=isinstance(message, _OF_CALLS)
+            node_id, for_calls=type(message) in _SENT_WITH_CALLS
         )
         link.post(message)
 
@@ -218,7 +226,7 @@
         self, node_id: str, message: typing.Any, *, timeout_s: float
     ) -> typing.Any:
         """Sends a request to one node and returns its reply."""
-        for_calls = isinstance(message, _OF_CALLS)
+        for_calls = type(message) in _SENT_WITH_CALLS
         link = self._registry.find(node_id, for_calls=for_calls)
         if link is not None:
             return await link.request(message, timeout_s=timeout_s)
--- a/src/galenatack/platform/target_headers.py
+++ b/src/galenatack/platform/target_headers.py
@@ -24,6 +24,7 @@
 _LEAVING = _headers.TARGET_LEAVING.encode()
 _TARGET_ID = _headers.TARGET_ID.encode()
 _COLD_MS = _headers.TARGET_COLD_MS.encode()
+_TENANT = _headers.TENANT.encode()
 
 
 class TargetHeaders:
@@ -40,11 +41,12 @@
             (_headers.EXPECTED_TARGET, request.target_id),
             (_headers.CALLER_SERVICE, request.caller_service),
         )
-        return tuple(
+        encoded = tuple(
             (name.encode("latin-1"), value.encode("latin-1"))
             for name, value in (*request.headers, *added)
             if value
         )
+        return (*encoded, *_tenant_headers(request))
 
     def is_answer(
         self, request: call_request.CallRequest, headers: Headers
@@ -145,3 +147,9 @@
     except (ValueError, OverflowError):
         return None
     return number_ms if number_ms >= 0 else None
+
+
+def _tenant_headers(request: call_request.CallRequest) -> Headers:
+    # The operator's names may have characters beyond Latin-1.
+    name = request.tenant.encode("utf-8", "replace")
+    return ((_TENANT, name),) if name else ()
--- a/src/galenatack/traffic/call_router.py
+++ b/src/galenatack/traffic/call_router.py
@@ -21,6 +21,8 @@
 from galenatack.quarantine import quarantine as quarantine_module
 from galenatack.rollouts import version_chooser
 from galenatack.routing import local_replies
+from galenatack.tenants import tenant_admission
+from galenatack.tenants import tenant_pass
 from galenatack.traffic import attempt_budget
 from galenatack.traffic import call_sender
 from galenatack.traffic import call_telemetry
@@ -64,6 +66,7 @@
         conditions: Receives what targets say of themselves.
         quarantine: Decides on requests under which targets crash.
         shutdown: Decides which requests are taken during a shutdown.
+        tenants: Checks the keys of tenants.
         clock: Source of time.
         telemetry: Log lines and counters.
 
@@ -85,6 +88,7 @@
         conditions: known_conditions.KnownConditions,
         quarantine: quarantine_module.Quarantine,
         shutdown: shutdown_admission.ShutdownAdmission,
+        tenants: tenant_admission.TenantAdmission,
         clock: clock_interface.Clock,
         telemetry: call_telemetry.CallTelemetry,
     ):
@@ -98,6 +102,7 @@
         self._conditions = conditions
         self._quarantine = quarantine
         self._shutdown = shutdown
+        self._tenants = tenants
         self._clock = clock
         self._telemetry = telemetry
         self._weights = weighted_choice.WeightedChoice()
@@ -115,6 +120,7 @@
         try:
             attempts = self._start_attempts(request, started_s)
             result = await self._try_targets(attempts)
+            self._tenants.settle(attempts)
         except exceptions.CallError as error:
             result = _refused(error)
         finally:
@@ -156,17 +162,19 @@
                 f" {', '.join(route.unknowns)}",
                 retry_after_ms=UNUSABLE_ROUTE_RETRY_AFTER_MS,
             )
+        sender = self._tenants.identify(request, route)
         timeout_ms = _timeout_ms(route, request.deadline_ms)
         deadline_s = started_s + timeout_ms / MS_PER_S
         self._shutdown.check(deadline_s)
         return request_attempts.RequestAttempts(
-            request=request,
-            route=route,
+            request=request._replace(credential=""),
+            route=tenant_pass.route_for(sender, route),
             service=self._weights.pick(route),
             config_version=table.version,
             deadline_s=deadline_s,
             # A request of the local target cannot be told from one of a caller.
             retry_share=self._runs.retry_share,
+            sender=sender,
         )
 
     async def _try_targets(
@@ -177,6 +185,7 @@
                 attempts.is_trial = await self._quarantine.admit(
                     attempts.request, left_s=self._left_s(attempts)
                 )
+                await self._tenants.admit(attempts)
                 if not attempts.trail:
                     self._budget.record_first_attempt(
                         attempts.service, retry_share=attempts.retry_share
@@ -204,6 +213,7 @@
                 attempts.add(offer.member.node_id, result)
                 return result
             attempts.declined.add(offer.member.node_id)
+            self._tenants.check(attempts.sender)
             self.declined += 1
 
     def _groups(
@@ -220,7 +230,7 @@
         return self._versions.choose(
             attempts.service,
             self._targets.by_version(
-                attempts.service, attempts.route, attempts.tenant
+                attempts.service, attempts.route, attempts.known_tenant
             ),
             is_retry=bool(attempts.tried),
         )
@@ -248,7 +258,7 @@
         left_ms: float,
     ) -> offer_module.Offer:
         return self._placement.offer(
-            homes.permitted(members, attempts.route, attempts.tenant),
+            homes.permitted(members, attempts.route, attempts.known_tenant),
             route=attempts.route,
             left_ms=left_ms,
             tried=attempts.tried,
--- a/src/galenatack/traffic/call_sender.py
+++ b/src/galenatack/traffic/call_sender.py
@@ -128,6 +128,7 @@
             is_retry=attempts.is_retry,
             retry_share=attempts.retry_share,
             max_wait_ms=offer.max_wait_ms,
+            tenant=attempts.tenant,
         )
 
     async def _send_local(
--- a/src/galenatack/traffic/request_attempts.py
+++ b/src/galenatack/traffic/request_attempts.py
@@ -6,6 +6,7 @@
 from galenatack.model import host_route
 from galenatack.model import outcome
 from galenatack.model import tenant as tenant_module
+from galenatack.tenants import tenant_pass
 
 MAX_EXCUSED_REFUSALS = 5
 """Refusals of cold targets that do not count. When a data centre starts, most
@@ -22,13 +23,15 @@
         config_version: Version of the configuration that has the route.
         deadline_s: Monotonic time by which the caller must have an answer.
         retry_share: Probability that the request descends from a retry.
-        tenant: Tenant that sent the request; None if it is not known.
+        sender: What is known of the sender; None if there are no tenants.
 
     Attributes:
         tried: Ids of the nodes that were tried.
         trail: Result of each attempt, as `node:failure` or `node:status`.
         arrivals: Number of attempts that reached a target, or may have.
         refusals: Number of attempts that were refused, but for excused ones.
+        runs: Number of attempts that ran, or may have.
+        charges: Number of attempts that the tenant's quota was charged for.
         crashes: Number of attempts under which the target crashed.
         declined: Ids of the nodes whose gates declined an offer since the last
             attempt.
@@ -44,7 +47,7 @@
         config_version: int,
         deadline_s: float,
         retry_share: float = 0.0,
-        tenant: tenant_module.Tenant | None = None,
+        sender: tenant_pass.TenantPass | None = None,
     ):
         self.request = request
         self.route = route
@@ -52,12 +55,14 @@
         self.config_version = config_version
         self.deadline_s = deadline_s
         self.retry_share = retry_share
-        self.tenant = tenant
+        self.sender = sender
         self.tried: set[str] = set()
         self.trail: list[str] = []
         self.arrivals = 0
         self.refusals = 0
         self._excused = 0
+        self.runs = 0
+        self.charges = 0
         self.crashes = 0
         self.is_trial = False
         self.declined: set[str] = set()
@@ -65,6 +70,16 @@
         self._unknown: call_result.CallResult | None = None
         self._refusal: call_result.CallResult | None = None
 
+    @property
+    def tenant(self) -> str:
+        """Name of the tenant; empty without one."""
+        return "" if self.sender is None else self.sender.name
+
+    @property
+    def known_tenant(self) -> tenant_module.Tenant | None:
+        """The tenant that sent the request; None if there is none."""
+        return None if self.sender is None else self.sender.tenant
+
     @property
     def is_retry(self) -> bool:
         """Whether a further attempt is a retry."""
@@ -78,6 +93,7 @@
         is_unknown = result.outcome == outcome.Outcome.UNKNOWN
         if is_unknown or result.has_reached_target:
             self.arrivals += 1
+        self.runs += result.outcome != outcome.Outcome.NOT_RUN
         self.crashes += result.failure == exceptions.TargetCrashedError.code
         if result.outcome == outcome.Outcome.ANSWER:
             self._answer = result
--- a/standins/mesh/operator_config.py
+++ b/standins/mesh/operator_config.py
@@ -14,6 +14,8 @@
     "service",
 ]
 
+TENANT_COLUMNS = ["name", "api_keys", "rate_per_s", "burst"]
+
 MARK_HOST = "mark.example"
 
 
@@ -25,6 +27,7 @@
     mark: str = "",
     max_connections: int = 100,
     warmup_per_s: float = 0.0,
+    tenants: tuple[tuple, ...] | None = None,
 ) -> bytes:
     """Returns a configuration with one route per service and kind.
 
@@ -37,6 +40,7 @@
         max_connections: Maximum number of connections to one target.
         warmup_per_s: Requests per second that a cold target takes; it is cold
             for 5 s after its start.
+        tenants: Rows of tenants; None for a deployment without keys.
     """
     rows = [
         _row(f"{service}-{kind}", f"{service}.example", kind, kind, service)
@@ -46,8 +50,10 @@
     if mark:
         name = f"v{version}"
         rows.append(_row(f"mark-{name}", MARK_HOST, name, kinds[0], mark))
+    document = {"tenants": {"columns": TENANT_COLUMNS, "rows": tenants}}
     return json.dumps(
-        {
+        ({} if tenants is None else document)
+        | {
             "version": version,
             "routes": {"columns": COLUMNS, "rows": rows},
             "services": {
--- a/tests/homes/test_way_of_a_call.py
+++ b/tests/homes/test_way_of_a_call.py
@@ -15,6 +15,7 @@
 from galenatack.placement import known_conditions
 from galenatack.placement import target_placement
 from galenatack.routing import local_replies
+from galenatack.tenants import tenant_admission
 from galenatack.traffic import call_router
 from galenatack.traffic import request_attempts
 from galenatack.traffic import target_directory
@@ -57,6 +58,7 @@
                 directory=target_directory.TargetDirectory(members=members),
                 evacuations=self.evacuations,
             ),
+            tenants=tenant_admission.TenantAdmission(in_force=lambda: None),
             versions=mock.Mock(
                 choose=lambda _, by_version, is_retry: (
                     [r for group in by_version.values() for r in group],
