Keep goodput above the capacity: late last, waits by priority, fair turns

Cause: among calls of one priority the nearest deadline went first, which a caller has that comes back after a refusal and is late anyway. Urgent calls stayed on the few gates that had answered their route lately. A call that had waited in vain was allowed its whole objective again.

Change: waiting calls go by priority, then in time before late, then by the turn of their tenant (work given, virtual time), then by deadline. Calls carry how long their request has waited; a node recognizes a request that it refused before by its contents and the time at which its caller gives up. Gates report waits by priority. Waiting calls that others have overtaken are refused early, and refused callers get times of their own, as fast as slots become free. A target that has not answered with all slots in use is tested with one call at a time. The model plays tenants, calls of runs, and nodes that know only the deadline of a returning caller; its trial policies have become the code.

--- a/bench/overload_world.py
+++ b/bench/overload_world.py
@@ -6,20 +6,27 @@
 
 import asyncio
 import collections
+import collections.abc
+import itertools
 import math
 import random
 import typing
 
-from bench import overload_policies
+from bench import overload_crowd
+from bench import overload_features
 from galenatack import exceptions
+from galenatack.admission import admission_queue
 from galenatack.admission import service_times
 from galenatack.messages import call_answer
 from galenatack.model import call_result
+from galenatack.model import caller_request
 from galenatack.model import gate_report
 from galenatack.model import host_route
 from galenatack.model import member_record
 from galenatack.model import target_condition
 from galenatack.placement import known_conditions
+from galenatack.placement import target_placement
+from galenatack.traffic import returned_requests
 from tests.fakes import virtual_loop
 from tests.placement import fleet_load
 
@@ -59,12 +66,28 @@
     priority: int
 
 
+class Trait(typing.NamedTuple):
+    """What one request is, beside its class.
+
+    Attributes:
+        body: Contents that all its tries have in common.
+        tenant: Its tenant; empty without one.
+        parts: Class of the call that its run makes; None without one.
+    """
+
+    body: bytes
+    tenant: str = ""
+    parts: CallClass | None = None
+
+
 CLASSES = (
     CallClass("urgent", 0.2, 45.0, 150, 400, 0),
     CallClass("standard", 0.6, 90.0, 300, 1000, 1),
     CallClass("bulk", 0.2, 90.0, 1000, 3000, 2),
 )
-MEAN_WORK_MS = sum(item.share * item.work_ms for item in CLASSES)
+PART = CallClass("part", 0.0, 30.0, 150, 1000, 1)
+"""Calls that runs make, if they do; their deadline is what is left of that of
+the run."""
 
 
 class Tally:
@@ -76,6 +99,7 @@
         tries_refused: Tries that were refused.
         crossed: Sends to another region.
         latencies_ms: Latencies of answered requests by class.
+        served: Requests that were in time, by tenant.
     """
 
     def __init__(self):
@@ -85,6 +109,7 @@
         self.latencies_ms: dict[str, list[float]] = collections.defaultdict(
             list
         )
+        self.served: collections.Counter[str] = collections.Counter()
 
     def count(self, end: str) -> int:
         """Returns the number of requests with an end."""
@@ -110,7 +135,10 @@
         record: Its record.
         rng: Random source for its service times.
         limit_per_s: Calls that it takes per second; None for no limit.
-        policy: Policy of the queue.
+        features: What its gate tells.
+
+    Attributes:
+        node: Node beside it, over which its runs make calls.
     """
 
     def __init__(
@@ -118,14 +146,15 @@
         record: member_record.MemberRecord,
         rng: random.Random,
         limit_per_s: float | None,
-        policy: overload_policies.Policy,
+        features: overload_features.Features,
     ):
-        self._policy = policy
         self.record = record
+        self.node: Node | None = None
         self._rng = rng
+        self._features = features
         self._condition = None
         self._times = service_times.ServiceTimes()
-        self._queue = policy.queue(
+        self._queue = admission_queue.AdmissionQueue(
             clock=virtual_loop.LoopClock(), rng=rng, times=self._times
         )
         self._queue.slots = record.slots
@@ -136,43 +165,74 @@
             self._queue.limit_rate(limit_per_s)
 
     async def handle(
-        self, call_id: str, kind: CallClass, spent_ms: float
-    ) -> tuple[call_answer.CallAnswer, tuple[int, ...]]:
-        """Runs a call, or refuses it; returns its answer and the waits."""
-        now_s = asyncio.get_running_loop().time()
-        deadline_s = now_s + (kind.timeout_ms - spent_ms) / MS_PER_S
-        ran_ms = 0.0
+        self,
+        call_id: str,
+        kind: CallClass,
+        trait: Trait,
+        *,
+        left_ms: float,
+        waited_ms: float,
+    ) -> call_answer.CallAnswer:
+        """Runs a call, or refuses it."""
+        loop = asyncio.get_running_loop()
+        deadline_s = loop.time() + left_ms / MS_PER_S
+        tenant = trait.tenant if self._features.tenants else ""
+        began_s = loop.time()
         try:
             await self._queue.acquire(
                 call_id,
                 route=kind.name,
                 priority=kind.priority,
                 deadline_s=deadline_s,
-                target_latency_ms=self._policy.objective_ms(
-                    kind.objective_ms, spent_ms
-                ),
+                target_latency_ms=kind.objective_ms,
+                waited_ms=waited_ms if self._features.waited else 0.0,
+                tenant=tenant,
             )
         except exceptions.OverloadedError as error:
             result = call_result.CallResult(
                 "not-run", 503, (), b"", retry_after_ms=error.retry_after_ms
             )
+            ran_ms = 0.0
         else:
-            median_ms = kind.work_ms * math.exp(-(SIGMA**2) / 2)
-            ran_ms = median_ms * math.exp(self._rng.gauss(0.0, SIGMA))
-            await asyncio.sleep(ran_ms / MS_PER_S)
+            began_s = loop.time()
+            has_all = await self._run(kind, trait, deadline_s)
+            ran_ms = (loop.time() - began_s) * MS_PER_S
             self._queue.release(call_id)
             self._times.record(kind.name, ran_ms)
-            result = call_result.CallResult("answer", 200, (), b"")
+            result = call_result.CallResult(
+                "answer", 200 if has_all else 500, (), b""
+            )
         report = gate_report.GateReport(
             self._queue.running,
             self._queue.queued,
             int(ran_ms),
             0,
-            int(self._queue.expected_wait_ms(kind.priority, deadline_s)),
+            int(
+                self._queue.expected_wait_ms(
+                    kind.priority, deadline_s, route=kind.name, tenant=tenant
+                )
+            ),
             condition=self._condition,
         )
-        answer = call_answer.CallAnswer(call_id, result, report)
-        return answer, self._policy.waits_ms(self._queue)
+        if self._features.waits:
+            report = report._replace(waits_ms=self._queue.expected_waits_ms())
+        return call_answer.CallAnswer(call_id, result, report)
+
+    async def _run(
+        self, kind: CallClass, trait: Trait, deadline_s: float
+    ) -> bool:
+        """Returns whether the run got what it asked for itself."""
+        work_ms = kind.work_ms - (trait.parts.work_ms if trait.parts else 0.0)
+        median_ms = work_ms * math.exp(-(SIGMA**2) / 2)
+        ran_ms = median_ms * math.exp(self._rng.gauss(0.0, SIGMA))
+        await asyncio.sleep(ran_ms / MS_PER_S)
+        if trait.parts is None:
+            return True
+        left_ms = (deadline_s - asyncio.get_running_loop().time()) * MS_PER_S
+        result = await self.node.try_once(
+            trait.parts, Trait(trait.body + b"/part"), left_ms
+        )
+        return result.status == 200
 
 
 class Node:
@@ -184,7 +244,6 @@
         targets: Targets by node id.
         rng: Source of randomness.
         tally: Counts the ends of the requests.
-        policy: Policy of the queues and of the placement.
     """
 
     def __init__(
@@ -194,18 +253,17 @@
         targets: dict[str, Target],
         rng: random.Random,
         tally: Tally,
-        policy: overload_policies.Policy,
     ):
         self._own = fleet_load.member(
             f"caller-{data_centre}", data_centre=data_centre, region=region
         )
         self._targets = targets
-        self._rng = rng
         self._tally = tally
         self._calls = 0
-        self._policy = policy
-        self._placement = policy.placement(
-            {kind.name: kind.priority for kind in CLASSES},
+        self._returned = returned_requests.ReturnedRequests(
+            clock=virtual_loop.LoopClock()
+        )
+        self._placement = target_placement.TargetPlacement(
             own=self._own,
             clock=virtual_loop.LoopClock(),
             rng=rng,
@@ -213,60 +271,87 @@
             conditions=known_conditions.KnownConditions(),
         )
 
-    async def call(self, kind: CallClass, *, is_counted: bool) -> None:
+    async def call(
+        self, kind: CallClass, trait: Trait, *, is_counted: bool
+    ) -> None:
         """Sends a request, which comes back after a refusal some times."""
         loop = asyncio.get_running_loop()
         began_s = loop.time()
         end = "refused"
         for _ in range(1 + MAX_RETURNS):
-            used_ms = (loop.time() - began_s) * MS_PER_S
-            if used_ms >= kind.timeout_ms:
+            left_ms = kind.timeout_ms - (loop.time() - began_s) * MS_PER_S
+            if left_ms <= 0:
                 break
-            retry_after_ms = await self._try(kind, used_ms)
+            result = await self.try_once(kind, trait, left_ms)
             took_ms = (loop.time() - began_s) * MS_PER_S
-            if retry_after_ms is None:
+            if result.outcome == "answer":
                 end = "in-time" if took_ms <= kind.objective_ms else "late"
+                end = end if result.status == 200 else "failed"
                 break
             self._tally.tries_refused += is_counted
-            await asyncio.sleep(retry_after_ms / MS_PER_S)
+            await asyncio.sleep(result.retry_after_ms / MS_PER_S)
         if is_counted:
             self._tally.ended[kind.name, end] += 1
-            if end != "refused":
+            self._tally.served[trait.tenant] += end == "in-time"
+            if end in {"in-time", "late"}:
                 self._tally.latencies_ms[kind.name].append(took_ms)
 
-    async def _try(self, kind: CallClass, used_ms: float) -> float | None:
-        """Returns the Retry-After if a try was refused, else None."""
+    async def try_once(
+        self, kind: CallClass, trait: Trait, left_ms: float
+    ) -> call_result.CallResult:
+        """Handles a request as a node does, which knows its deadline only."""
+        now_s = asyncio.get_running_loop().time()
+        request = caller_request.CallerRequest(
+            "", "GET", "h", f"/{kind.name}/", (), trait.body, int(left_ms)
+        )
+        first_s = self._returned.arrived_s(request, now_s)
+        deadline_s = now_s + left_ms / MS_PER_S
+        result = await self._attempt(kind, trait, first_s, deadline_s)
+        if result.outcome == "not-run":
+            self._returned.note_refused(request, first_s=first_s, now_s=now_s)
+        return result
+
+    async def _attempt(
+        self, kind: CallClass, trait: Trait, first_s: float, deadline_s: float
+    ) -> call_result.CallResult:
         loop = asyncio.get_running_loop()
-        began_s = loop.time()
         self._calls += 1
         call_id = f"{self._own.node_id}-{self._calls}"
         records = [target.record for target in self._targets.values()]
         tried: set[str] = set()
-        retry_after_ms: float | None = None
+        refusal: call_result.CallResult | None = None
         while len(tried) < MAX_SENDS:
-            spent_ms = used_ms + (loop.time() - began_s) * MS_PER_S
+            left_ms = (deadline_s - loop.time()) * MS_PER_S
             try:
                 chosen = self._placement.choose(
                     records,
                     route=_route(kind),
-                    left_ms=kind.timeout_ms - spent_ms,
+                    left_ms=left_ms,
                     tried=tried,
+                    tenant=trait.tenant,
                 )
             except exceptions.OverloadedError as error:
-                return retry_after_ms or error.retry_after_ms
+                return refusal or call_result.CallResult(
+                    "not-run", 503, (), b"", retry_after_ms=error.retry_after_ms
+                )
             tried.add(chosen.node_id)
-            result = await self._send(chosen, call_id, kind, spent_ms)
-            if result.status == 200:
-                return None
-            retry_after_ms = result.retry_after_ms
-        return retry_after_ms
+            waited_ms = (loop.time() - first_s) * MS_PER_S
+            sending = self._targets[chosen.node_id].handle(
+                call_id, kind, trait, left_ms=left_ms, waited_ms=waited_ms
+            )
+            refusal = await self._send(chosen, kind, trait, sending)
+            if refusal.outcome == "answer":
+                return refusal
+        return refusal
 
     async def _send(
         self,
         chosen: member_record.MemberRecord,
-        call_id: str,
         kind: CallClass,
-        spent_ms: float,
+        trait: Trait,
+        sending: collections.abc.Coroutine[
+            typing.Any, typing.Any, call_answer.CallAnswer
+        ],
     ) -> call_result.CallResult:
         if chosen.data_centre == self._own.data_centre:
             distance = "dc"
@@ -277,15 +362,19 @@
         view = self._placement.view(chosen)
         view.in_flight += 1
         await asyncio.sleep(fleet_load.ONE_WAY_S[distance])
-        target = self._targets[chosen.node_id]
-        answer, waits_ms = await target.handle(call_id, kind, spent_ms)
+        answer = await sending
         await asyncio.sleep(fleet_load.ONE_WAY_S[distance])
         view.in_flight -= 1
         now_s = asyncio.get_running_loop().time()
-        self._policy.apply_waits(view, waits_ms, answer.report, kind.name)
-        view.apply_report(answer.report, kind.name, now_s)
-        if answer.result.status != 200:
-            view.record_refusal(kind.name, now_s)
+        view.apply_report(
+            answer.report,
+            kind.name,
+            now_s,
+            priority=kind.priority,
+            tenant=trait.tenant,
+        )
+        if answer.result.outcome == "not-run":
+            view.record_refusal(kind.name, now_s, tenant=trait.tenant)
         return answer.result
 
 
@@ -306,23 +395,37 @@
         factor: Offered load as a multiple of the capacity.
         is_limited: Whether the targets limit their rates to half of what
             their slots allow.
-        policy: Name of the policy.
         warm_s: Time before calls are counted.
         seconds: Time in which calls are counted.
+        features: What the nodes tell each other.
+        crowd: Tenants that send the requests; None without tenants. They send
+            `standard` requests only.
+        nested: Share of the `standard` requests whose runs make a call.
+        part: Class of these calls.
     """
 
     seed: int
     factor: float
     is_limited: bool
-    policy: str = "current"
     warm_s: float = 3.0
     seconds: float = 12.0
+    features: overload_features.Features = overload_features.Features()
+    crowd: overload_crowd.Crowd | None = None
+    nested: float = 0.0
+    part: CallClass = PART
+
+    @property
+    def classes(self) -> tuple[CallClass, ...]:
+        """Classes of the requests."""
+        return CLASSES if self.crowd is None else CLASSES[1:2]
 
 
 def capacity_per_s(load: Load) -> float:
     """Returns how many calls all targets can run in a second."""
     slots = len(PLACES) * TARGETS_PER_PLACE * SLOTS
-    full_per_s = slots * MS_PER_S / MEAN_WORK_MS
+    shares = sum(kind.share for kind in load.classes)
+    work_ms = sum(kind.share * kind.work_ms for kind in load.classes)
+    full_per_s = slots * MS_PER_S * shares / work_ms
     return full_per_s / 2 if load.is_limited else full_per_s
 
 
@@ -334,7 +437,33 @@
 async def _play(load: Load) -> Tally:
     rng = random.Random(load.seed)
     tally = Tally()
-    policy = overload_policies.POLICIES[load.policy]
+    targets = _targets(load, rng)
+    nodes = [Node(*place, targets, rng, tally) for place in PLACES]
+    for target in targets.values():
+        place = (target.record.data_centre, target.record.region)
+        target.node = nodes[PLACES.index(place)]
+    rate_per_s = load.factor * capacity_per_s(load)
+    loop = asyncio.get_running_loop()
+    weights = [kind.share for kind in load.classes]
+    async with asyncio.TaskGroup() as tasks:
+        for number in itertools.count():
+            if loop.time() >= load.warm_s + load.seconds:
+                break
+            kind = rng.choices(load.classes, weights)[0]
+            is_counted = loop.time() >= load.warm_s
+            trait = Trait(str(number).encode())
+            if load.crowd is not None:
+                trait = trait._replace(tenant=load.crowd.draw(rng))
+            if kind.name == "standard" and rng.random() < load.nested:
+                trait = trait._replace(parts=load.part)
+            tasks.create_task(
+                rng.choice(nodes).call(kind, trait, is_counted=is_counted)
+            )
+            await asyncio.sleep(rng.expovariate(rate_per_s))
+    return tally
+
+
+def _targets(load: Load, rng: random.Random) -> dict[str, Target]:
     targets = {}
     limit_per_s = None
     if load.is_limited:
@@ -347,17 +476,7 @@
                 region=region,
                 slots=SLOTS,
             )
-            targets[record.node_id] = Target(record, rng, limit_per_s, policy)
-    nodes = [Node(*place, targets, rng, tally, policy) for place in PLACES]
-    rate_per_s = load.factor * capacity_per_s(load)
-    loop = asyncio.get_running_loop()
-    weights = [kind.share for kind in CLASSES]
-    async with asyncio.TaskGroup() as tasks:
-        while loop.time() < load.warm_s + load.seconds:
-            kind = rng.choices(CLASSES, weights)[0]
-            is_counted = loop.time() >= load.warm_s
-            tasks.create_task(
-                rng.choice(nodes).call(kind, is_counted=is_counted)
+            targets[record.node_id] = Target(
+                record, rng, limit_per_s, load.features
             )
-            await asyncio.sleep(rng.expovariate(rate_per_s))
-    return tally
+    return targets
--- a/bench/retry_world.py
+++ b/bench/retry_world.py
@@ -41,6 +41,7 @@
 from galenatack.traffic import call_sender
 from galenatack.traffic import call_telemetry
 from galenatack.traffic import config_holder
+from galenatack.traffic import returned_requests
 from galenatack.traffic import shutdown_admission
 from galenatack.traffic import target_directory
 from tests.fakes import virtual_loop
@@ -322,6 +323,7 @@
                 clock=base.clock,
                 rng=base.rng,
             ),
+            returned=returned_requests.ReturnedRequests(clock=base.clock),
             conditions=conditions,
             quarantine=quarantine.quarantine,
             shutdown=shutdown_admission.ShutdownAdmission(clock=base.clock),
--- a/src/galenatack/admission/admission_queue.py
+++ b/src/galenatack/admission/admission_queue.py
@@ -1,33 +1,28 @@
 """Slots of a target and the admission queue in front of them.
 
 Protects a target that receives more calls than it can run. Calls wait only
-while their answer can still be in time, and urgent calls go first. A call that
-would be late is refused at once, with the time after which the queue is
+while their answer can still be in time, in the order of `turn_order`. A call
+that would be late is refused at once, with the time after which the queue is
 expected to have room. A target may also limit the rate of its calls; then they
 wait for their turn in the same queue, by the same rules.
 """
 
 import asyncio
-import heapq
 import itertools
 
 from galenatack import exceptions
 from galenatack.admission import call_pacer
+from galenatack.admission import return_times
 from galenatack.admission import service_times
+from galenatack.admission import stall_detector
+from galenatack.admission import turn_order
+from galenatack.admission import waiting_call
 from galenatack.interfaces import clock as clock_interface
 from galenatack.interfaces import random_source
+from galenatack.model import admission_terms
 
 MS_PER_S = 1000.0
 
-MIN_RETRY_AFTER_MS = 60
-"""A refused caller retries after about one service time at the earliest."""
-
-MAX_RETRY_AFTER_MS = 2000
-
-RETRY_JITTER = 0.5
-"""Jitter as a share of the wait, which keeps refused callers from retrying at
-the same moment."""
-
 TARGET_LATENCY_SHARE = 0.75
 """Share of the target latency that the wait and the expected service time may
 use. The rest covers the network and calls that take longer than expected. A
@@ -41,31 +36,8 @@
 """A wait of this length is shorter than a refusal and a retry, so it is allowed
 even if the target latency leaves less; the deadline still applies."""
 
-
-class _Waiter:
-    __slots__ = ("call_id", "expected_ms", "expires_s", "future", "order")
-
-    def __init__(
-        self,
-        call_id: str,
-        order: tuple[int, float, int],
-        expected_ms: float,
-        expires_s: float,
-        future: "asyncio.Future[str]",
-    ):
-        self.call_id = call_id
-        self.order = order
-        self.expected_ms = expected_ms
-        self.expires_s = expires_s
-        self.future = future
-
-    def __lt__(self, other: "_Waiter") -> bool:
-        return self.order < other.order
-
-
-_GRANTED = "granted"
-_CANCELLED = "cancelled"
-_CLOSED = "closed"
+STALLED_WAIT_MS = 2000.0
+"""Wait at a stalled target: callers prefer every other one."""
 
 
 class AdmissionQueue:
@@ -75,6 +47,7 @@
         clock: Source of time.
         rng: Source of jitter for the retry times.
         times: Service times of the target.
+        stall: Finds out whether the target has stalled; None if nothing does.
     """
 
     def __init__(
@@ -83,13 +56,14 @@
         clock: clock_interface.Clock,
         rng: random_source.RandomSource,
         times: service_times.ServiceTimes,
+        stall: stall_detector.StallDetector | None = None,
     ):
         self._clock = clock
-        self._rng = rng
         self._times = times
+        self._stall = stall
+        self._returns = return_times.ReturnTimes(clock=clock, rng=rng)
         self._arrival_numbers = itertools.count()
-        self._heap: list[_Waiter] = []
-        self._waiting: dict[str, _Waiter] = {}
+        self._waiting = turn_order.TurnOrder(clock=clock)
         self._running: dict[str, tuple[float, float]] = {}
         self._pacer = call_pacer.CallPacer(clock=clock)
         self._grant_timer: asyncio.TimerHandle | None = None
@@ -127,6 +101,9 @@
         priority: int,
         deadline_s: float,
         target_latency_ms: float,
+        waited_ms: float = 0.0,
+        tenant: str = "",
+        cost_ms: float = 0.0,
     ) -> None:
         """Acquires a slot, waiting for one if necessary.
 
@@ -137,6 +114,9 @@
             deadline_s: Monotonic time by which the call must have ended.
             target_latency_ms: Latency that the route aims for; 0 if only the
                 deadline applies.
+            waited_ms: How much of that its request has used before.
+            tenant: Tenant of the call; empty without one.
+            cost_ms: Work of the call; 0 if it is not known.
 
         Raises:
             exceptions.OverloadedError: The answer would be too late.
@@ -145,57 +125,119 @@
             exceptions.LeavingError: The queue was closed while the call
                 waited.
         """
+        terms = admission_terms.AdmissionTerms(
+            call_id,
+            route,
+            priority,
+            deadline_s,
+            target_latency_ms,
+            waited_ms,
+            tenant,
+            cost_ms,
+        )
         expected_ms = self._times.expected_ms(route)
+        self._check_stall(terms)
         if self._is_idle() and not self._pacer.wait_s():
             self._start(call_id, expected_ms)
             return
-        allowed_ms = self._allowed_ms(
-            expected_ms, deadline_s, target_latency_ms
-        )
-        wait_ms = self.expected_wait_ms(priority, deadline_s)
+        allowed_ms = self._allowed_ms(expected_ms, terms)
+        wait_ms = self._wait_ms(terms, expected_ms)
         if wait_ms > allowed_ms:
-            raise self._overloaded(wait_ms, allowed_ms)
-        await self._wait(call_id, priority, deadline_s, expected_ms, allowed_ms)
+            raise self._overloaded(wait_ms, allowed_ms, terms)
+        await self._wait(terms, expected_ms, allowed_ms)
 
     def release(self, call_id: str) -> None:
         """Passes the slot of a call on to the most urgent waiting call."""
         self._running.pop(call_id, None)
         self._grant()
 
+    def note_answer(self) -> None:
+        """Notes that the target has answered a call."""
+        if self._stall is not None:
+            self._stall.note_answer()
+
     def cancel(self, call_id: str) -> bool:
         """Removes a waiting call; returns False if it is not waiting."""
-        waiter = self._waiting.pop(call_id, None)
-        if waiter is None:
+        call = self._waiting.remove(call_id)
+        if call is None:
             return False
-        _resolve(waiter, _CANCELLED)
+        call.end(waiting_call.CANCELLED)
         return True
 
     def close(self) -> None:
         """Refuses all waiting calls."""
-        waiting, self._waiting = self._waiting, {}
-        self._heap.clear()
-        for waiter in waiting.values():
-            _resolve(waiter, _CLOSED)
+        for call in self._waiting.clear():
+            call.end(waiting_call.CLOSED)
         if self._grant_timer is not None:
             self._grant_timer.cancel()
 
-    def expected_wait_ms(self, priority: int, deadline_s: float) -> float:
-        """Returns how long a call would wait for a slot.
+    def expected_wait_ms(
+        self,
+        priority: int,
+        deadline_s: float,
+        *,
+        route: str = "",
+        tenant: str = "",
+    ) -> float:
+        """Returns how long a call in time would wait for a slot.
 
         Only calls that would be admitted earlier count: a call with a near
         deadline is hardly delayed by a long queue.
         """
-        ahead = [
-            waiter.expected_ms
-            for waiter in self._waiting.values()
-            if waiter.order[:2] <= (priority, deadline_s)
-        ]
-        paced_ms = self._pacer.wait_s(len(ahead)) * MS_PER_S
+        terms = admission_terms.AdmissionTerms(
+            "", route, priority, deadline_s, 0.0, tenant=tenant
+        )
+        return self._wait_ms(terms, self._times.expected_ms(route))
+
+    def expected_waits_ms(self) -> tuple[int, ...]:
+        """Returns how long a new call would wait, by its priority."""
+        if self._is_stalled():
+            return (int(STALLED_WAIT_MS),)
+        return tuple(
+            int(self._slot_wait_ms(*ahead))
+            for ahead in self._waiting.by_priority()
+        )
+
+    def _wait_ms(
+        self, terms: admission_terms.AdmissionTerms, expected_ms: float
+    ) -> float:
+        if self._is_stalled():
+            return STALLED_WAIT_MS
+        has_objective = terms.target_latency_ms > 0
+        is_late = has_objective and terms.objective_left_ms < expected_ms
+        ahead = self._waiting.ahead(
+            terms, is_late=is_late, cost_ms=terms.cost_ms or expected_ms
+        )
+        return self._slot_wait_ms(*ahead)
+
+    def _slot_wait_ms(self, calls: float, work_ms: float) -> float:
+        """Returns the wait behind so many calls and so much work."""
+        paced_ms = self._pacer.wait_s(calls) * MS_PER_S
         if self._is_idle():
             return paced_ms
-        slot_ms = (sum(ahead) + self._running_ms()) / max(1, self.slots)
+        slot_ms = (work_ms + self._running_ms()) / max(1, self.slots)
         return max(slot_ms, paced_ms)
 
+    def _is_stalled(self) -> bool:
+        return self._stall is not None and self._stall.is_stalled
+
+    def _check_stall(self, terms: admission_terms.AdmissionTerms) -> None:
+        """Refuses calls while the target is stalled, but for a test.
+
+        Raises:
+            exceptions.OverloadedError: The target has stalled.
+        """
+        if self._stall is None or not self._stall.check(
+            self._running, self.slots
+        ):
+            return
+        for call in self._waiting.clear():
+            call.end(waiting_call.REFUSED)
+        if self._is_idle() and self._stall.may_test(self._running):
+            self._stall.start_test(terms.call_id)
+            return
+        raise self._overloaded(STALLED_WAIT_MS, 0.0, terms)
+
     def _is_idle(self) -> bool:
         """Returns whether a slot is free and no call waits for it."""
         return len(self._running) < self.slots and not self._waiting
@@ -218,89 +260,96 @@
         return total_ms / len(self._running)
 
     def _allowed_ms(
-        self, expected_ms: float, deadline_s: float, target_latency_ms: float
+        self, expected_ms: float, terms: admission_terms.AdmissionTerms
     ) -> float:
-        left_ms = (deadline_s - self._clock.monotonic_s()) * MS_PER_S
-        allowed_ms = left_ms - expected_ms
-        if target_latency_ms:
+        now_s = self._clock.monotonic_s()
+        allowed_ms = (terms.deadline_s - now_s) * MS_PER_S - expected_ms
+        if terms.target_latency_ms:
             latency_bound_ms = max(
-                target_latency_ms * TARGET_LATENCY_SHARE - expected_ms,
+                terms.objective_left_ms * TARGET_LATENCY_SHARE - expected_ms,
                 MIN_ALLOWED_WAIT_MS,
             )
             allowed_ms = min(allowed_ms, latency_bound_ms)
         return allowed_ms
 
     def _overloaded(
-        self, wait_ms: float, allowed_ms: float
+        self,
+        wait_ms: float,
+        allowed_ms: float,
+        terms: admission_terms.AdmissionTerms,
     ) -> exceptions.OverloadedError:
-        excess_ms = max(0.0, wait_ms - max(0.0, allowed_ms))
-        jitter = 1.0 + self._rng.random() * RETRY_JITTER
-        retry_after_ms = max(MIN_RETRY_AFTER_MS, excess_ms) * jitter
+        left_s = terms.deadline_s - self._clock.monotonic_s()
+        retry_after_ms = self._returns.book_ms(
+            wait_ms - max(0.0, allowed_ms),
+            self._interval_ms(),
+            left_s * MS_PER_S,
+            priority=terms.priority,
+            tenant=terms.tenant,
+        )
+        stalled = " of a stalled target" if self._is_stalled() else ""
         return exceptions.OverloadedError(
             f"wait of {wait_ms:.0f} ms exceeds {max(0.0, allowed_ms):.0f} ms"
-            f" with {self.queued} queued, {self.running} running and"
+            f"{stalled} with {self.queued} queued, {self.running} running and"
             f" {_limit_text(self._pacer.limit_per_s)}",
-            retry_after_ms=int(min(MAX_RETRY_AFTER_MS, retry_after_ms)),
+            retry_after_ms=retry_after_ms,
         )
 
+    def _interval_ms(self) -> float:
+        """Returns after which time a further call may start."""
+        slot_ms = self._running_ms() / max(1, self.slots)
+        return max(slot_ms, self._pacer.interval_s * MS_PER_S)
+
     async def _wait(
         self,
-        call_id: str,
-        priority: int,
-        deadline_s: float,
+        terms: admission_terms.AdmissionTerms,
         expected_ms: float,
         allowed_ms: float,
     ) -> None:
         loop = asyncio.get_running_loop()
-        future: asyncio.Future[str] = loop.create_future()
-        order = (priority, deadline_s, next(self._arrival_numbers))
-        allowed_s = allowed_ms / MS_PER_S
-        waiter = _Waiter(
-            call_id,
-            order,
-            expected_ms,
-            self._clock.monotonic_s() + allowed_s,
-            future,
+        call = waiting_call.WaitingCall(
+            terms,
+            next(self._arrival_numbers),
+            now_s=self._clock.monotonic_s(),
+            expected_ms=expected_ms,
+            allowed_ms=allowed_ms,
+            future=loop.create_future(),
         )
-        self._waiting[call_id] = waiter
-        heapq.heappush(self._heap, waiter)
+        self._waiting.push(call)
+        self._refuse_hopeless()
         self._grant()
-        timer = loop.call_later(allowed_s, _expire, self._waiting, waiter)
+        timer = loop.call_later(allowed_ms / MS_PER_S, self._expire, call)
         try:
-            result = await future
+            result = await call.future
         except BaseException:
-            if future.done() and not future.cancelled():
-                self.release(call_id)
-            self._waiting.pop(call_id, None)
+            if call.future.done() and not call.future.cancelled():
+                self.release(terms.call_id)
+            self._waiting.remove(terms.call_id)
             raise
         finally:
             timer.cancel()
-        if result == _CANCELLED:
+        if result == waiting_call.CANCELLED:
             raise exceptions.CancelledCallError(
                 "cancelled in the queue", is_confirmed=True
             )
-        if result == _CLOSED:
+        if result == waiting_call.CLOSED:
             raise exceptions.LeavingError("the target is leaving")
-        if result != _GRANTED:
-            wait_ms = self.expected_wait_ms(priority, deadline_s)
-            raise self._overloaded(wait_ms + expected_ms, 0.0)
+        if result != waiting_call.GRANTED:
+            wait_ms = self._wait_ms(terms, expected_ms)
+            raise self._overloaded(wait_ms + expected_ms, 0.0, terms)
 
     def _start(self, call_id: str, expected_ms: float) -> None:
         self._running[call_id] = (self._clock.monotonic_s(), expected_ms)
         self._pacer.record_start()
 
     def _grant(self) -> None:
-        while self._heap and len(self._running) < self.slots:
+        while self._waiting and len(self._running) < self.slots:
             wait_s = self._pacer.wait_s()
             if wait_s:
                 self._grant_after(wait_s)
                 return
-            waiter = heapq.heappop(self._heap)
-            if self._waiting.get(waiter.call_id) is not waiter:
-                continue
-            del self._waiting[waiter.call_id]
-            self._start(waiter.call_id, waiter.expected_ms)
-            _resolve(waiter, _GRANTED)
+            call = self._waiting.pop()
+            self._start(call.call_id, call.expected_ms)
+            call.end(waiting_call.GRANTED)
 
     def _grant_after(self, wait_s: float) -> None:
         """Resumes granting once the pace allows another call."""
@@ -311,31 +360,28 @@
         )
 
     def _refuse_hopeless(self) -> None:
-        """Refuses the waiting calls whose turn would come too late."""
+        """Refuses the waiting calls whose turn would come too late.
+
+        A call that others have overtaken since is told early, while its caller
+        has time to come back. The calls that run count as if they ended now.
+        """
         now_s = self._clock.monotonic_s()
-        ahead = 0
-        for waiter in sorted(self._waiting.values()):
-            if now_s + self._pacer.wait_s(ahead) > waiter.expires_s:
-                _expire(self._waiting, waiter)
+        calls, work_ms = 0, 0.0
+        for call in self._waiting.in_order():
+            slots_s = work_ms / max(1, self.slots) / MS_PER_S
+            if now_s + max(slots_s, self._pacer.wait_s(calls)) > call.expires_s:
+                self._expire(call)
             else:
-                ahead += 1
+                calls += 1
+                work_ms += call.expected_ms
+
+    def _expire(self, call: waiting_call.WaitingCall) -> None:
+        if call in self._waiting:
+            self._waiting.remove(call.call_id)
+            call.end(waiting_call.REFUSED)
 
 
 def _limit_text(limit_per_s: float | None) -> str:
     if limit_per_s is None:
         return "no rate limit"
     return f"a limit of {limit_per_s:g} calls/s"
-
-
-_EXPIRED = "expired"
-
-
-def _expire(waiting: dict[str, _Waiter], waiter: _Waiter) -> None:
-    if waiting.get(waiter.call_id) is waiter:
-        del waiting[waiter.call_id]
-        _resolve(waiter, _EXPIRED)
-
-
-def _resolve(waiter: _Waiter, result: str) -> None:
-    if not waiter.future.done():
-        waiter.future.set_result(result)
--- a/src/galenatack/admission/call_pacer.py
+++ b/src/galenatack/admission/call_pacer.py
@@ -49,7 +49,12 @@
                 rate_per_s=self._rate_per_s, capacity=capacity
             )
 
-    def wait_s(self, calls_ahead: int = 0) -> float:
+    @property
+    def interval_s(self) -> float:
+        """Time between the starts of two calls; 0 without a limit."""
+        return 0.0 if self._bucket is None else 1.0 / self._rate_per_s
+
+    def wait_s(self, calls_ahead: float = 0) -> float:
         """Returns when a call may start, with others starting before it.
 
         Args:
--- a/src/galenatack/admission/target_gate.py
+++ b/src/galenatack/admission/target_gate.py
@@ -126,6 +126,7 @@
         incarnation = (current.target_id, current.born_ms)
         if incarnation != self._incarnation:
             self._incarnation = incarnation
+            self._queue.note_answer()
             self._condition = None
             self._limit_rate(None)
 
@@ -199,8 +200,11 @@
                 self._queue.expected_wait_ms(
                     request.priority,
                     self._clock.monotonic_s() + request.deadline_ms / MS_PER_S,
+                    route=request.route,
+                    tenant=request.tenant,
                 )
             ),
+            waits_ms=self._queue.expected_waits_ms(),
             condition=self._condition,
             admits_retries=self._runs.admits_retry(),
         )
@@ -245,6 +249,9 @@
             priority=request.priority,
             deadline_s=deadline_s,
             target_latency_ms=request.target_latency_ms,
+            waited_ms=request.waited_ms,
+            tenant=request.tenant,
+            cost_ms=request.cost_ms,
         )
         try:
             # While the call was queued, the target may have left, and others
@@ -316,6 +323,9 @@
         try:
             result = await self._calls.run(request, deadline_s)
             has_run = result.outcome != outcome.Outcome.NOT_RUN
+            is_answer = result.outcome == outcome.Outcome.ANSWER
+            if is_answer or (not has_run and result.has_reached_target):
+                self._queue.note_answer()
             return result
         finally:
             self._runs.end(request, has_run=has_run)
--- a/src/galenatack/app/mesh_inbound.py
+++ b/src/galenatack/app/mesh_inbound.py
@@ -6,6 +6,7 @@
 from galenatack.admission import retried_runs
 from galenatack.admission import retry_slack
 from galenatack.admission import service_times
+from galenatack.admission import stall_detector
 from galenatack.admission import target_calls
 from galenatack.admission import target_gate
 from galenatack.admission import target_registry
@@ -67,7 +68,10 @@
     gate = target_gate.TargetGate(
         registry=registry,
         queue=admission_queue.AdmissionQueue(
-            clock=base.clock, rng=base.rng, times=times
+            clock=base.clock,
+            rng=base.rng,
+            times=times,
+            stall=stall_detector.StallDetector(clock=base.clock),
         ),
         times=times,
         calls=target_calls.TargetCalls(
--- a/src/galenatack/app/mesh_outbound.py
+++ b/src/galenatack/app/mesh_outbound.py
@@ -13,6 +13,7 @@
 from galenatack.traffic import call_sender
 from galenatack.traffic import call_telemetry
 from galenatack.traffic import config_holder
+from galenatack.traffic import returned_requests
 from galenatack.traffic import shutdown_admission
 from galenatack.traffic import target_directory
 
@@ -61,6 +62,7 @@
             clock=base.clock,
             rng=base.rng,
         ),
+        returned=returned_requests.ReturnedRequests(clock=base.clock),
         conditions=conditions,
         quarantine=quarantine.quarantine,
         shutdown=shutdown,
--- a/src/galenatack/placement/gate_view.py
+++ b/src/galenatack/placement/gate_view.py
@@ -4,6 +4,7 @@
 
 from galenatack.admission import service_times
 from galenatack.model import gate_report
+from galenatack.placement import reported_waits
 
 REPORT_DECAY_S = 0.3
 """Time constant, a few service times, after which most of the other nodes'
@@ -47,6 +48,7 @@
         self.rate_limit_per_s: float | None = None
         self._other_calls = 0
         self._reported_s = -math.inf
+        self._waits = reported_waits.ReportedWaits()
         self._wait_reports: dict[str, tuple[float, float]] = {}
         self._admits_retries = True
         self._refused_until_s: dict[str, float] = {}
@@ -54,14 +56,32 @@
         self._ejected_until_s = -math.inf
 
     def apply_report(
-        self, report: gate_report.GateReport, route: str, now_s: float
+        self,
+        report: gate_report.GateReport,
+        route: str,
+        now_s: float,
+        *,
+        priority: int = 0,
+        tenant: str = "",
     ) -> None:
-        """Updates the view from the report in an answer."""
+        """Updates the view from the report in the answer of a call.
+
+        Args:
+            report: The report.
+            route: Route of the call.
+            now_s: Monotonic time now.
+            priority: Priority of the call.
+            tenant: Tenant of the call.
+        """
         self._other_calls = max(
             0, report.running + report.queued - self.in_flight
         )
         self._reported_s = now_s
-        self._wait_reports[route] = (now_s, float(report.wait_ms))
+        self._wait_reports[_key(route, tenant)] = (
+            now_s,
+            float(report.wait_ms),
+        )
+        self._waits.apply(report, route, priority)
         self._ejections = 0
         self.failure_permille = report.failure_permille
         self._admits_retries = report.admits_retries
@@ -76,16 +96,22 @@
         self._ejected_until_s = now_s + min(MAX_EJECTION_S, pause_s)
         self._ejections = min(self._ejections + 1, 8)
 
-    def record_refusal(self, route: str, now_s: float) -> None:
+    def record_refusal(
+        self, route: str, now_s: float, *, tenant: str = ""
+    ) -> None:
         """Records that the gate refused a call of this route as overloaded."""
-        self._refused_until_s[route] = now_s + REFUSAL_TTL_S
+        until_s = now_s + REFUSAL_TTL_S
+        self._refused_until_s[_key(route, tenant)] = until_s
 
-    def is_refusing(self, route: str, now_s: float) -> bool:
+    def is_refusing(
+        self, route: str, now_s: float, *, tenant: str = ""
+    ) -> bool:
         """Returns whether a call of this route would be refused again.
 
-        A more urgent route may still be admitted.
+        A more urgent route may still be admitted, and a call of a tenant that
+        has its turn.
         """
-        return now_s < self._refused_until_s.get(route, -math.inf)
+        return now_s < self._refused_until_s.get(_key(route, tenant), -math.inf)
 
     def is_refusing_retries(self, now_s: float) -> bool:
         """Returns whether a retry would be refused, by a recent report."""
@@ -121,17 +147,37 @@
         limited = self.rate_limit_per_s * service_ms / MS_PER_S
         return max(MIN_USABLE_SLOTS, min(slots, limited))
 
-    def wait_ms(self, route: str, slots: float, now_s: float) -> float:
+    def wait_ms(
+        self,
+        route: str,
+        slots: float,
+        now_s: float,
+        *,
+        priority: int = 0,
+        tenant: str = "",
+    ) -> float:
         """Returns how long a call of a route would wait for a slot.
 
         A recent report of the gate for this route has precedence, because an
-        urgent call is hardly delayed by a long queue. Without a recent report
-        the estimate assumes one queue that all routes share.
+        urgent call is hardly delayed by a long queue. Without one, the waits by
+        priority are used, and without these the estimate assumes one queue that
+        all routes share.
         """
         load = (self.calls(now_s) + 1) / slots
-        shared_ms = max(0.0, load - 1.0) * self.times.expected_ms(route)
-        wait_report = self._wait_reports.get(route)
-        if wait_report is None:
-            return shared_ms
-        freshness = math.exp((wait_report[0] - now_s) / REPORT_DECAY_S)
-        return freshness * wait_report[1] + (1.0 - freshness) * shared_ms
+        wait_ms = max(0.0, load - 1.0) * self.times.expected_ms(route)
+        reported_ms = self._waits.expected_ms(route, priority)
+        if reported_ms is not None:
+            freshness = _freshness(now_s - self._reported_s)
+            wait_ms += freshness * (reported_ms - wait_ms)
+        known = self._wait_reports.get(_key(route, tenant))
+        if known is not None and (tenant or reported_ms is None):
+            wait_ms += _freshness(now_s - known[0]) * (known[1] - wait_ms)
+        return wait_ms
+
+
+def _key(route: str, tenant: str) -> str:
+    return f"{tenant}/{route}" if tenant else route
+
+
+def _freshness(age_s: float) -> float:
+    return math.exp(-max(0.0, age_s) / REPORT_DECAY_S)
--- a/src/galenatack/placement/target_placement.py
+++ b/src/galenatack/placement/target_placement.py
@@ -11,6 +11,7 @@
 import typing
 
 from galenatack import exceptions
+from galenatack.admission import return_times
 from galenatack.interfaces import clock as clock_interface
 from galenatack.interfaces import random_source
 from galenatack.model import host_route
@@ -18,6 +19,7 @@
 from galenatack.model import proximity
 from galenatack.placement import gate_view
 from galenatack.placement import known_conditions
+from galenatack.placement import room_estimate
 
 MS_PER_S = 1000.0
 
@@ -58,9 +60,6 @@
 FULL_GATES_RETRY_AFTER_MS = 120
 """About one service time, after which slots in use now are free again."""
 
-RETRY_JITTER = 0.5
-"""Jitter of the retry time as a share of it."""
-
 
 class _Candidate(typing.NamedTuple):
     """A target that may be chosen, with the view of its gate."""
@@ -95,6 +94,7 @@
         self._rng = rng
         self._is_connected = is_connected
         self._conditions = conditions
+        self._returns = return_times.ReturnTimes(clock=clock, rng=rng)
         self._views: dict[str, gate_view.GateView] = {}
 
     def view(self, member: member_record.MemberRecord) -> gate_view.GateView:
@@ -118,6 +118,7 @@
         left_ms: float,
         tried: collections.abc.Set[str],
         is_retry: bool = False,
+        tenant: str = "",
     ) -> member_record.MemberRecord:
         """Returns the target with the lowest expected cost.
 
@@ -127,6 +128,7 @@
             left_ms: Time until the caller must have an answer.
             tried: Ids of the nodes that were tried before.
             is_retry: Whether the call may have reached one of them.
+            tenant: Tenant of the call; empty without one.
 
         Raises:
             exceptions.NoTargetError: No untried target is left.
@@ -152,8 +154,8 @@
         if is_retry:
             untried = _taking_retries(untried, now_s)
         usable = self._usable(untried, now_s)
-        usable = self._with_room(usable, route.name, now_s)
-        chosen = self._cheapest(usable, untried, route, now_s)
+        usable = self._with_room(usable, route, now_s, tenant)
+        chosen = self._cheapest(usable, untried, route, now_s, tenant)
         self._check_time(chosen[0], route, chosen[1], left_ms)
         return chosen[0].member
 
@@ -180,7 +182,11 @@
         return accepting or linked or candidates
 
     def _with_room(
-        self, candidates: list[_Candidate], route: str, now_s: float
+        self,
+        candidates: list[_Candidate],
+        route: host_route.HostRoute,
+        now_s: float,
+        tenant: str,
     ) -> list[_Candidate]:
         """Returns the candidates that have not just refused such a call.
 
@@ -190,11 +196,11 @@
         with_room = [
             candidate
             for candidate in candidates
-            if not candidate.view.is_refusing(route, now_s)
+            if not candidate.view.is_refusing(route.name, now_s, tenant=tenant)
         ]
         if with_room:
             return with_room
-        raise self._all_full(len(candidates))
+        raise self._all_full(candidates, route, now_s, tenant)
 
     def _cheapest(
         self,
@@ -202,6 +208,7 @@
         untried: list[_Candidate],
         route: host_route.HostRoute,
         now_s: float,
+        tenant: str,
     ) -> tuple[_Candidate, float]:
         """Returns the candidate of the lowest cost and its answer time in ms.
 
@@ -216,7 +223,7 @@
         best = None
         lowest_cost = math.inf
         for candidate in usable:
-            answer_ms = _answer_ms(candidate, route.name, typical_ms, now_s)
+            answer_ms = _answer_ms(candidate, route, typical_ms, now_s, tenant)
             cost = _cost(candidate, route, answer_ms)
             cost *= 1.0 + self._rng.random() * COST_JITTER
             if (
@@ -228,14 +235,32 @@
             if cost < lowest_cost:
                 best, lowest_cost = (candidate, answer_ms), cost
         if best is None:
-            raise self._all_full(len(usable))
+            raise self._all_full(usable, route, now_s, tenant)
         return best
 
-    def _all_full(self, gates: int) -> exceptions.OverloadedError:
-        jitter = 1.0 + self._rng.random() * RETRY_JITTER
+    def _all_full(
+        self,
+        candidates: list[_Candidate],
+        route: host_route.HostRoute,
+        now_s: float,
+        tenant: str,
+    ) -> exceptions.OverloadedError:
+        room = room_estimate.of(
+            [candidate.view for candidate in candidates],
+            [candidate.member.slots for candidate in candidates],
+            route=route,
+            now_s=now_s,
+            tenant=tenant,
+        )
         return exceptions.OverloadedError(
-            f"all {gates} gates are full",
-            retry_after_ms=int(FULL_GATES_RETRY_AFTER_MS * jitter),
+            f"all {len(candidates)} gates are full",
+            retry_after_ms=self._returns.book_ms(
+                max(FULL_GATES_RETRY_AFTER_MS, room.wait_ms),
+                room.interval_ms,
+                route.timeout_ms,
+                priority=route.priority,
+                tenant=tenant,
+            ),
         )
 
     def _check_time(
@@ -292,15 +317,21 @@
 
 
 def _answer_ms(
-    candidate: _Candidate, route: str, typical_ms: float, now_s: float
+    candidate: _Candidate,
+    route: host_route.HostRoute,
+    typical_ms: float,
+    now_s: float,
+    tenant: str,
 ) -> float:
     """Returns the expected time at the gate and its target in ms."""
     view = candidate.view
-    service_ms = view.times.known_ms(route)
+    service_ms = view.times.known_ms(route.name)
     if service_ms is None:
         service_ms = typical_ms
     slots = view.usable_slots(max(1, candidate.member.slots), service_ms)
-    wait_ms = view.wait_ms(route, slots, now_s)
+    wait_ms = view.wait_ms(
+        route.name, slots, now_s, priority=route.priority, tenant=tenant
+    )
     # No call waits while slots are free; the load term balances the targets.
     return service_ms + wait_ms + view.calls(now_s) / slots
 
--- a/src/galenatack/traffic/call_router.py
+++ b/src/galenatack/traffic/call_router.py
@@ -23,6 +23,7 @@
 from galenatack.traffic import call_telemetry
 from galenatack.traffic import config_holder
 from galenatack.traffic import request_attempts
+from galenatack.traffic import returned_requests
 from galenatack.traffic import shutdown_admission
 from galenatack.traffic import target_directory
 from galenatack.traffic import weighted_choice
@@ -60,6 +61,7 @@
         budget: Retry budget.
         runs: Share of retries among the runs of the local target.
         sender: Sends calls to gates.
+        returned: Recognizes callers that come back after a refusal.
         conditions: Receives what targets say of themselves.
         quarantine: Decides on requests under which targets crash.
         shutdown: Decides which requests are taken during a shutdown.
@@ -77,6 +79,7 @@
         budget: attempt_budget.AttemptBudget,
         runs: retried_runs.RetriedRuns,
         sender: call_sender.CallSender,
+        returned: returned_requests.ReturnedRequests,
         conditions: known_conditions.KnownConditions,
         quarantine: quarantine_module.Quarantine,
         shutdown: shutdown_admission.ShutdownAdmission,
@@ -90,6 +93,7 @@
         self._budget = budget
         self._runs = runs
         self._sender = sender
+        self._returned = returned
         self._conditions = conditions
         self._quarantine = quarantine
         self._shutdown = shutdown
@@ -113,6 +117,10 @@
             result = _refused(error)
         finally:
             self.in_flight -= 1
+        if attempts is not None and result.outcome == outcome.Outcome.NOT_RUN:
+            self._returned.note_refused(
+                request, first_s=attempts.arrived_s, now_s=started_s
+            )
         self._telemetry.record_answered(request, attempts, result, started_s)
         return result
 
@@ -161,6 +169,7 @@
             deadline_s=deadline_s,
             # A request of the local target cannot be told from one of a caller.
             retry_share=self._runs.retry_share,
+            arrived_s=self._returned.arrived_s(request, started_s),
         )
 
     async def _try_targets(
@@ -274,7 +283,12 @@
         view = self._placement.view(member)
         now_s = self._clock.monotonic_s()
         if answer.report is not None:
-            view.apply_report(answer.report, attempts.route.name, now_s)
+            view.apply_report(
+                answer.report,
+                attempts.route.name,
+                now_s,
+                priority=attempts.route.priority,
+            )
             if answer.report.condition is not None:
                 self._conditions.record(member, answer.report.condition)
         if answer.result.failure == exceptions.OverloadedError.code:
--- a/src/galenatack/traffic/call_sender.py
+++ b/src/galenatack/traffic/call_sender.py
@@ -91,7 +91,9 @@
     ) -> call_request.CallRequest:
         """Returns a call with a new id for one attempt at a target."""
         self._calls += 1
-        left_ms = (attempts.deadline_s - self._clock.monotonic_s()) * MS_PER_S
+        now_s = self._clock.monotonic_s()
+        left_ms = (attempts.deadline_s - now_s) * MS_PER_S
+        arrived_s = now_s if attempts.arrived_s is None else attempts.arrived_s
         if member.node_id != self._own.node_id:
             return_ms = RETURN_TIME_MS[member.region == self._own.region]
             left_ms -= min(return_ms, left_ms * MAX_RETURN_TIME_SHARE)
@@ -116,6 +118,7 @@
             is_trial=attempts.is_trial,
             is_retry=attempts.is_retry,
             retry_share=attempts.retry_share,
+            waited_ms=(now_s - arrived_s) * MS_PER_S,
         )
 
     async def _send_local(
--- a/src/galenatack/traffic/request_attempts.py
+++ b/src/galenatack/traffic/request_attempts.py
@@ -16,6 +16,8 @@
         service: Service that was chosen by weight, the same for all attempts.
         config_version: Version of the configuration that has the route.
         deadline_s: Monotonic time by which the caller must have an answer.
+        arrived_s: Monotonic time at which the request first came; None if it
+            counts from its first attempt on.
         retry_share: Probability that the request descends from a retry.
 
     Attributes:
@@ -36,6 +38,7 @@
         config_version: int,
         deadline_s: float,
         retry_share: float = 0.0,
+        arrived_s: float | None = None,
     ):
         self.request = request
         self.route = route
@@ -43,6 +46,7 @@
         self.config_version = config_version
         self.deadline_s = deadline_s
         self.retry_share = retry_share
+        self.arrived_s = arrived_s
         self.tried: set[str] = set()
         self.trail: list[str] = []
         self.arrivals = 0
