Pass the tenant with attempts, and count stalls and returned requests

Cause: placement and gates tell tenants apart, but nothing gave them the tenant of a request; and operators could see neither stalls of a target nor how many callers come back.

Change: RequestAttempts has the tenant, which is empty until requests are given one, and calls carry it. `target_stalls_total` and `requests_returned_total` are metrics of a node.

--- a/src/galenatack/admission/admission_queue.py
+++ b/src/galenatack/admission/admission_queue.py
@@ -84,6 +84,11 @@
         """Calls per second that the target takes; None without a limit."""
         return self._pacer.limit_per_s
 
+    @property
+    def stalls(self) -> int:
+        """Number of times that the target has stopped answering."""
+        return 0 if self._stall is None else self._stall.stalls
+
     def limit_rate(self, limit_per_s: float | None) -> None:
         """Limits the calls per second that get a slot; None lifts the limit.
 
--- a/src/galenatack/admission/target_gate.py
+++ b/src/galenatack/admission/target_gate.py
@@ -112,6 +112,11 @@
         """Calls per second that the target takes; None without a limit."""
         return self._queue.rate_limit_per_s
 
+    @property
+    def stalls(self) -> int:
+        """Number of times that the target has stopped answering."""
+        return self._queue.stalls
+
     def close(self) -> None:
         """Refuses new and waiting calls; running calls end as usual."""
         self._is_closed = True
--- a/src/galenatack/app/mesh_metrics.py
+++ b/src/galenatack/app/mesh_metrics.py
@@ -70,6 +70,10 @@
             exposition.sample("calls_in_flight", parts.router.in_flight),
             exposition.sample("gate_running", parts.gate.running),
             exposition.sample("gate_queued", parts.gate.queued),
+            exposition.sample("target_stalls_total", parts.gate.stalls),
+            exposition.sample(
+                "requests_returned_total", parts.router.returned_requests
+            ),
             exposition.sample(
                 "gate_failure_ratio", parts.gate.failure_permille / 1000
             ),
--- a/src/galenatack/traffic/call_router.py
+++ b/src/galenatack/traffic/call_router.py
@@ -124,6 +124,11 @@
         self._telemetry.record_answered(request, attempts, result, started_s)
         return result
 
+    @property
+    def returned_requests(self) -> int:
+        """Number of requests of callers that came back after a refusal."""
+        return self._returned.returned
+
     def timeout_ms(self, host: str, path: str, deadline_ms: int) -> int | None:
         """Returns how long a request may take, from its first byte on.
 
@@ -234,6 +239,7 @@
             left_ms=left_ms,
             tried=attempts.tried,
             is_retry=attempts.is_retry,
+            tenant=attempts.tenant,
         )
 
     def _may_retry(
@@ -288,11 +294,14 @@
                 attempts.route.name,
                 now_s,
                 priority=attempts.route.priority,
+                tenant=attempts.tenant,
             )
             if answer.report.condition is not None:
                 self._conditions.record(member, answer.report.condition)
         if answer.result.failure == exceptions.OverloadedError.code:
-            view.record_refusal(attempts.route.name, now_s)
+            view.record_refusal(
+                attempts.route.name, now_s, tenant=attempts.tenant
+            )
         if answer.result.failure in _TARGET_DOWN:
             view.eject(now_s)
 
--- a/src/galenatack/traffic/call_sender.py
+++ b/src/galenatack/traffic/call_sender.py
@@ -118,6 +118,7 @@
             is_trial=attempts.is_trial,
             is_retry=attempts.is_retry,
             retry_share=attempts.retry_share,
+            tenant=attempts.tenant,
             waited_ms=(now_s - arrived_s) * MS_PER_S,
         )
 
--- a/src/galenatack/traffic/request_attempts.py
+++ b/src/galenatack/traffic/request_attempts.py
@@ -18,6 +18,7 @@
         deadline_s: Monotonic time by which the caller must have an answer.
         arrived_s: Monotonic time at which the request first came; None if it
             counts from its first attempt on.
+        tenant: Tenant that sent the request; empty without one.
         retry_share: Probability that the request descends from a retry.
 
     Attributes:
@@ -39,6 +40,7 @@
         deadline_s: float,
         retry_share: float = 0.0,
         arrived_s: float | None = None,
+        tenant: str = "",
     ):
         self.request = request
         self.route = route
@@ -47,6 +49,7 @@
         self.deadline_s = deadline_s
         self.retry_share = retry_share
         self.arrived_s = arrived_s
+        self.tenant = tenant
         self.tried: set[str] = set()
         self.trail: list[str] = []
         self.arrivals = 0
