--- a/src/galenatack/admission/turn_order.py
+++ b/src/galenatack/admission/turn_order.py
@@ -18,6 +18,9 @@
 """Removed calls that stay in a heap, beside as many as wait, before it is
 rebuilt: those behind calls that always go first would stay for good."""
 
+MAX_PRIORITIES = 16
+"""Priorities of which the waits are told one by one, in each answer."""
+
 
 class TurnOrder:
     """Waiting calls in the order of their turns.
@@ -95,7 +98,7 @@
 
     def in_order(self) -> list[waiting_call.WaitingCall]:
         """Returns the calls in the order of their turns if no other comes."""
-        calls = sorted(self._calls.values())
+        calls = sorted(self._calls.values(), key=waiting_call.WaitingCall.place)
         if not self._is_fair():
             return calls
         given_ms = {
@@ -104,7 +107,7 @@
         turns = []
         for call in calls:
             key = (call.priority, call.flow)
-            turns.append((*call.rank, given_ms[key], call))
+            turns.append((*call.rank, given_ms[key], len(turns), call))
             given_ms[key] += call.cost_ms
         return [turn[-1] for turn in sorted(turns)]
 
@@ -154,8 +157,9 @@
         work_ms: collections.Counter[int] = collections.Counter()
         flows = max(1, len(self._heaps)) if self._is_fair() else 1
         for call in self._calls.values():
-            calls[call.priority + call.is_late] += 1 / flows
-            work_ms[call.priority + call.is_late] += call.expected_ms / flows
+            place = min(MAX_PRIORITIES - 1, call.priority + call.is_late)
+            calls[place] += 1 / flows
+            work_ms[place] += call.expected_ms / flows
         ahead, sums = (0.0, 0.0), []
         for priority in range(max(calls, default=0) + 1):
             ahead = (ahead[0] + calls[priority], ahead[1] + work_ms[priority])
--- a/src/galenatack/admission/waiting_call.py
+++ b/src/galenatack/admission/waiting_call.py
@@ -87,10 +87,10 @@
         if not self.future.done():
             self.future.set_result(result)
 
+    def place(self) -> tuple[int, bool, float, int]:
+        """Returns its place within a flow; the least goes first."""
+        return (self.priority, self.is_late, self.deadline_s, self.number)
+
     def __lt__(self, other: "WaitingCall") -> bool:
         """Returns whether it goes first within a flow."""
-        return (*self.rank, self.deadline_s, self.number) < (
-            *other.rank,
-            other.deadline_s,
-            other.number,
-        )
+        return self.place() < other.place()
--- a/tests/admission/test_turn_order.py
+++ b/tests/admission/test_turn_order.py
@@ -146,6 +146,13 @@
         sums = self.order.by_priority()
         self.assertEqual([calls for calls, _ in sums], [1, 2, 3])
 
+    def test_the_waits_in_an_answer_are_few(self):
+        """A priority is any number; answers would grow with it."""
+        self.push("first", priority=10_000)
+        sums = self.order.by_priority()
+        self.assertEqual(len(sums), turn_order.MAX_PRIORITIES)
+        self.assertEqual(sums[-1][0], 1)
+
     def test_removed_calls_do_not_pile_up(self):
         """Those behind a call that always goes first would stay for good."""
         self.push("first", priority=0)
