--- a/src/galenatack/admission/target_gate.py
+++ b/src/galenatack/admission/target_gate.py
@@ -14,6 +14,7 @@
 from galenatack.bodies import body_fetcher
 from galenatack.interfaces import clock as clock_interface
 from galenatack.messages import call_answer
+from galenatack.model import admission_terms
 from galenatack.model import call_request
 from galenatack.model import call_result
 from galenatack.model import gate_report
@@ -131,6 +132,11 @@
         """Calls per second that the target takes; None without a limit."""
         return self._queue.rate_limit_per_s
 
+    @property
+    def stalls(self) -> int:
+        """Number of times that the target has stopped answering."""
+        return self._queue.stalls
+
     def close(self) -> None:
         """Refuses new and waiting calls; running calls end as usual."""
         self._is_closed = True
@@ -145,6 +151,7 @@
         incarnation = (current.target_id, current.born_ms)
         if incarnation != self._incarnation:
             self._incarnation = incarnation
+            self._queue.note_answer()
             self._condition = None
             self._limit_rate(None)
             if self._cold is not None:
@@ -233,6 +240,7 @@
             ran_ms=int(ran_ms),
             failure_permille=self._failures.permille,
             wait_ms=int(self._wait_ms(request, announced)),
+            waits_ms=self._queue.expected_waits_ms(),
             condition=self._condition,
             admits_retries=self._runs.admits_retry(),
             cold_rate_per_s=self._cold.rate_per_s if self._cold else None,
@@ -246,7 +254,12 @@
     ) -> float:
         """Returns how long a call like this one would wait now."""
         deadline_s = self._clock.monotonic_s() + request.deadline_ms / MS_PER_S
-        wait_ms = self._queue.expected_wait_ms(request.priority, deadline_s)
+        wait_ms = self._queue.expected_wait_ms(
+            request.priority,
+            deadline_s,
+            route=request.route,
+            tenant=request.tenant,
+        )
         if announced is None:
             return wait_ms
         return max(wait_ms, self._bodies.wait_ms())
@@ -258,11 +271,19 @@
         deadline_s: float,
     ) -> call_request.CallRequest:
         """Fetches the body of a call that the queue would admit."""
-        self._queue.check_wait(
-            self._wait_ms(request, announced),
-            route=request.route,
-            deadline_s=deadline_s,
-            target_latency_ms=request.target_latency_ms,
+        terms = admission_terms.AdmissionTerms(
+            request.call_id,
+            request.route,
+            request.priority,
+            deadline_s,
+            request.target_latency_ms,
+            request.waited_ms,
+            request.tenant,
+            request.cost_ms,
+        )
+        self._queue.check(
+            terms,
+            ready_ms=self._bodies.wait_ms(),
             max_wait_ms=request.max_wait_ms,
         )
         body = await self._bodies.fetch(
@@ -321,6 +342,9 @@
             deadline_s=deadline_s,
             target_latency_ms=request.target_latency_ms,
             max_wait_ms=request.max_wait_ms,
+            waited_ms=request.waited_ms,
+            tenant=request.tenant,
+            cost_ms=request.cost_ms,
         )
         try:
             # While the call was queued, the target may have left, and others
@@ -396,6 +420,9 @@
         try:
             result = await self._calls.run(request, deadline_s)
             has_run = result.outcome != outcome.Outcome.NOT_RUN
+            is_answer = result.outcome == outcome.Outcome.ANSWER
+            if is_answer or (not has_run and result.has_reached_target):
+                self._queue.note_answer()
             return result
         finally:
             self._runs.end(request, has_run=has_run)
--- a/src/galenatack/placement/target_placement.py
+++ b/src/galenatack/placement/target_placement.py
@@ -10,6 +10,7 @@
 import typing
 
 from galenatack import exceptions
+from galenatack.admission import return_times
 from galenatack.interfaces import clock as clock_interface
 from galenatack.interfaces import random_source
 from galenatack.model import host_route
@@ -18,6 +19,7 @@
 from galenatack.placement import gate_view
 from galenatack.placement import known_conditions
 from galenatack.placement import offer as offer_module
+from galenatack.placement import room_estimate
 
 MS_PER_S = 1000.0
 
@@ -69,9 +71,6 @@
 FULL_GATES_RETRY_AFTER_MS = 120
 """About one service time, after which slots in use now are free again."""
 
-RETRY_JITTER = 0.5
-"""Jitter of the retry time as a share of it."""
-
 
 class _Candidate(typing.NamedTuple):
     """A target that may be chosen, with the view of its gate."""
@@ -119,6 +118,7 @@
         self._rng = rng
         self._is_connected = is_connected
         self._conditions = conditions
+        self._returns = return_times.ReturnTimes(clock=clock, rng=rng)
         self._views: dict[str, gate_view.GateView] = {}
 
     def view(self, member: member_record.MemberRecord) -> gate_view.GateView:
@@ -142,6 +142,7 @@
         left_ms: float,
         tried: collections.abc.Set[str],
         is_retry: bool = False,
+        tenant: str = "",
     ) -> member_record.MemberRecord:
         """Returns the target with the lowest expected cost; see `offer`."""
         return self.offer(
@@ -150,6 +151,7 @@
             left_ms=left_ms,
             tried=tried,
             is_retry=is_retry,
+            tenant=tenant,
         ).member
 
     def offer(
@@ -161,6 +163,7 @@
         tried: collections.abc.Set[str],
         is_retry: bool = False,
         asked: collections.abc.Set[str] = frozenset(),
+        tenant: str = "",
     ) -> offer_module.Offer:
         """Returns the target with the lowest expected cost.
 
@@ -176,6 +179,7 @@
             is_retry: Whether the call may have reached one of them.
             asked: Ids of the nodes that have declined the call, whose reports
                 are fresh: chosen again, they get it without a limit.
+            tenant: Tenant of the call; empty without one.
 
         Raises:
             exceptions.NoTargetError: No untried target is left.
@@ -201,8 +205,8 @@
         if is_retry:
             untried = _taking_retries(untried, now_s)
         usable = self._usable(untried, now_s)
-        usable = self._with_room(usable, route.name, now_s)
-        best, *others = self._ranked(usable, untried, route, now_s)
+        usable = self._with_room(usable, route, now_s, tenant)
+        best, *others = self._ranked(usable, untried, route, now_s, tenant)
         self._check_time(best.candidate, route, best.answer_ms, left_ms)
         member = best.candidate.member
         if not others or member.node_id in asked or len(asked) >= MAX_OFFERS:
@@ -234,7 +238,11 @@
         return accepting or linked or candidates
 
     def _with_room(
-        self, candidates: list[_Candidate], route: str, now_s: float
+        self,
+        candidates: list[_Candidate],
+        route: host_route.HostRoute,
+        now_s: float,
+        tenant: str,
     ) -> list[_Candidate]:
         """Returns the candidates that have not just refused such a call.
 
@@ -244,12 +252,12 @@
         with_room = [
             candidate
             for candidate in candidates
-            if not candidate.view.is_refusing(route, now_s)
+            if not candidate.view.is_refusing(route.name, now_s, tenant=tenant)
             and not candidate.view.cold.is_paused(now_s)
         ]
         if with_room:
             return with_room
-        raise self._all_full(len(candidates))
+        raise self._all_full(candidates, route, now_s, tenant)
 
     def _ranked(
         self,
@@ -257,6 +265,7 @@
         untried: list[_Candidate],
         route: host_route.HostRoute,
         now_s: float,
+        tenant: str,
     ) -> list[_Ranked]:
         """Returns the candidates by cost, the lowest first; not empty.
 
@@ -271,7 +280,7 @@
         ranked = []
         for candidate in usable:
             wait_ms, run_ms = _times_ms(
-                candidate, route.name, typical_ms, now_s
+                candidate, route, typical_ms, now_s, tenant
             )
             answer_ms = wait_ms + run_ms
             cost = _cost(candidate, route, answer_ms)
@@ -284,15 +293,33 @@
                 continue
             ranked.append(_Ranked(cost, answer_ms, wait_ms, candidate))
         if not ranked:
-            raise self._all_full(len(usable))
+            raise self._all_full(usable, route, now_s, tenant)
         ranked.sort(key=_cost_of)
         return ranked
 
-    def _all_full(self, gates: int) -> exceptions.OverloadedError:
-        jitter = 1.0 + self._rng.random() * RETRY_JITTER
+    def _all_full(
+        self,
+        candidates: list[_Candidate],
+        route: host_route.HostRoute,
+        now_s: float,
+        tenant: str,
+    ) -> exceptions.OverloadedError:
+        room = room_estimate.of(
+            [candidate.view for candidate in candidates],
+            [candidate.member.slots for candidate in candidates],
+            route=route,
+            now_s=now_s,
+            tenant=tenant,
+        )
         return exceptions.OverloadedError(
-            f"all {gates} gates are full",
-            retry_after_ms=int(FULL_GATES_RETRY_AFTER_MS * jitter),
+            f"all {len(candidates)} gates are full",
+            retry_after_ms=self._returns.book_ms(
+                max(FULL_GATES_RETRY_AFTER_MS, room.wait_ms),
+                room.interval_ms,
+                route.timeout_ms,
+                priority=route.priority,
+                tenant=tenant,
+            ),
         )
 
     def _check_time(
@@ -349,17 +376,24 @@
 
 
 def _times_ms(
-    candidate: _Candidate, route: str, typical_ms: float, now_s: float
+    candidate: _Candidate,
+    route: host_route.HostRoute,
+    typical_ms: float,
+    now_s: float,
+    tenant: str,
 ) -> tuple[float, float]:
     """Returns the expected wait at the gate and time at its target in ms."""
     view = candidate.view
-    service_ms = view.times.known_ms(route)
+    service_ms = view.times.known_ms(route.name)
     if service_ms is None:
         service_ms = typical_ms
     slots = view.usable_slots(max(1, candidate.member.slots), service_ms, now_s)
+    wait_ms = view.wait_ms(
+        route.name, slots, now_s, priority=route.priority, tenant=tenant
+    )
     # No call waits while slots are free; the load term balances the targets.
     run_ms = service_ms + view.calls(now_s) / slots
-    return view.wait_ms(route, slots, now_s), run_ms
+    return wait_ms, run_ms
 
 
 def _max_wait_ms(
--- a/src/galenatack/traffic/call_router.py
+++ b/src/galenatack/traffic/call_router.py
@@ -28,6 +28,7 @@
 from galenatack.traffic import call_telemetry
 from galenatack.traffic import config_holder
 from galenatack.traffic import request_attempts
+from galenatack.traffic import returned_requests
 from galenatack.traffic import shutdown_admission
 from galenatack.traffic import weighted_choice
 
@@ -63,6 +64,7 @@
         budget: Retry budget.
         runs: Share of retries among the runs of the local target.
         sender: Sends calls to gates.
+        returned: Recognizes callers that come back after a refusal.
         conditions: Receives what targets say of themselves.
         quarantine: Decides on requests under which targets crash.
         shutdown: Decides which requests are taken during a shutdown.
@@ -85,6 +87,7 @@
         budget: attempt_budget.AttemptBudget,
         runs: retried_runs.RetriedRuns,
         sender: call_sender.CallSender,
+        returned: returned_requests.ReturnedRequests,
         conditions: known_conditions.KnownConditions,
         quarantine: quarantine_module.Quarantine,
         shutdown: shutdown_admission.ShutdownAdmission,
@@ -99,6 +102,7 @@
         self._budget = budget
         self._runs = runs
         self._sender = sender
+        self._returned = returned
         self._conditions = conditions
         self._quarantine = quarantine
         self._shutdown = shutdown
@@ -125,9 +129,18 @@
             result = _refused(error)
         finally:
             self.in_flight -= 1
+        if attempts is not None and result.outcome == outcome.Outcome.NOT_RUN:
+            self._returned.note_refused(
+                request, first_s=attempts.arrived_s, now_s=started_s
+            )
         self._telemetry.record_answered(request, attempts, result, started_s)
         return result
 
+    @property
+    def returned_requests(self) -> int:
+        """Number of requests of callers that came back after a refusal."""
+        return self._returned.returned
+
     def timeout_ms(self, host: str, path: str, deadline_ms: int) -> int | None:
         """Returns how long a request may take, from its first byte on.
 
@@ -175,6 +188,7 @@
             # A request of the local target cannot be told from one of a caller.
             retry_share=self._runs.retry_share,
             sender=sender,
+            arrived_s=self._returned.arrived_s(request, started_s),
         )
 
     async def _try_targets(
@@ -264,6 +278,7 @@
             tried=attempts.tried,
             is_retry=attempts.is_retry,
             asked=attempts.declined,
+            tenant=attempts.tenant,
         )
 
     def _may_retry(
@@ -314,7 +329,13 @@
         view = self._placement.view(member)
         now_s = self._clock.monotonic_s()
         if answer.report is not None:
-            view.apply_report(answer.report, attempts.route.name, now_s)
+            view.apply_report(
+                answer.report,
+                attempts.route.name,
+                now_s,
+                priority=attempts.route.priority,
+                tenant=attempts.tenant,
+            )
             if view.cold.apply(answer.report, answer.result, now_s):
                 attempts.excuse_refusal()
             if answer.report.condition is not None:
@@ -322,7 +343,9 @@
         if answer.result.failure == exceptions.EvacuatedError.code:
             self._targets.note_refusal(member)
         if answer.result.failure == exceptions.OverloadedError.code:
-            view.record_refusal(attempts.route.name, now_s)
+            view.record_refusal(
+                attempts.route.name, now_s, tenant=attempts.tenant
+            )
         if answer.result.failure in _TARGET_DOWN:
             view.eject(now_s)
 
--- a/src/galenatack/traffic/call_sender.py
+++ b/src/galenatack/traffic/call_sender.py
@@ -102,7 +102,9 @@
         """Returns a call with a new id for one attempt at a target."""
         self._calls += 1
         member = offer.member
-        left_ms = (attempts.deadline_s - self._clock.monotonic_s()) * MS_PER_S
+        now_s = self._clock.monotonic_s()
+        left_ms = (attempts.deadline_s - now_s) * MS_PER_S
+        arrived_s = now_s if attempts.arrived_s is None else attempts.arrived_s
         if member.node_id != self._own.node_id:
             return_ms = RETURN_TIME_MS[member.region == self._own.region]
             left_ms -= min(return_ms, left_ms * MAX_RETURN_TIME_SHARE)
@@ -129,6 +131,7 @@
             retry_share=attempts.retry_share,
             max_wait_ms=offer.max_wait_ms,
             tenant=attempts.tenant,
+            waited_ms=(now_s - arrived_s) * MS_PER_S,
         )
 
     async def _send_local(
--- a/src/galenatack/traffic/request_attempts.py
+++ b/src/galenatack/traffic/request_attempts.py
@@ -22,6 +22,8 @@
         service: Service that was chosen by weight, the same for all attempts.
         config_version: Version of the configuration that has the route.
         deadline_s: Monotonic time by which the caller must have an answer.
+        arrived_s: Monotonic time at which the request first came; None if it
+            counts from its first attempt on.
         retry_share: Probability that the request descends from a retry.
         sender: What is known of the sender; None if there are no tenants.
 
@@ -48,6 +50,7 @@
         deadline_s: float,
         retry_share: float = 0.0,
         sender: tenant_pass.TenantPass | None = None,
+        arrived_s: float | None = None,
     ):
         self.request = request
         self.route = route
@@ -56,6 +59,7 @@
         self.deadline_s = deadline_s
         self.retry_share = retry_share
         self.sender = sender
+        self.arrived_s = arrived_s
         self.tried: set[str] = set()
         self.trail: list[str] = []
         self.arrivals = 0
--- a/tests/homes/test_way_of_a_call.py
+++ b/tests/homes/test_way_of_a_call.py
@@ -18,8 +18,10 @@
 from galenatack.tenants import tenant_admission
 from galenatack.traffic import call_router
 from galenatack.traffic import request_attempts
+from galenatack.traffic import returned_requests
 from galenatack.traffic import target_directory
 from tests.fakes import manual_clock
+from tests.fakes import virtual_loop
 from tests.placement import fleet_load
 
 OWN = fleet_load.member("own", region="north")._replace(service="caller")
@@ -59,6 +61,9 @@
                 evacuations=self.evacuations,
             ),
             tenants=tenant_admission.TenantAdmission(in_force=lambda: None),
+            returned=returned_requests.ReturnedRequests(
+                clock=virtual_loop.LoopClock()
+            ),
             versions=mock.Mock(
                 choose=lambda _, by_version, is_retry: (
                     [r for group in by_version.values() for r in group],
