One account bounds what all clients make a node keep

Cause: limits hold for each request or connection, not for their sum. A head of 15.7 kB in lines of 4 bytes is 0.7 MB of Python objects; sixteen requests of a connection are kept at a time, with 256 kB read ahead; bodies below 64 kB and answers below 1 MB a connection were counted nowhere; nothing limited connections. When many requests arrived in one turn of the event loop, closing the biggest freed nothing before the next turn.

Change: clients/ keeps one account a node, at the size of the objects, of heads, bodies, read-ahead, running requests (twice), unsent answers and connections of all HTTP listeners, and of calls that other nodes send. Above half of the bound a connection runs one request at a time; beyond it the biggest holder is refused with 503 if it has not begun to run, else closed; a large request that finds no room is refused before it runs, with 503 to callers and busy to nodes. Connections have bounds a listener, of peers until they are links; the longest silent one that never served goes first. Bounds follow from limits.memory_mb and limits.max_fds of the settings, with defaults of 256 MB and 4,096 descriptors.

Weighed and ruled out: a limit on header lines (refuses a single request inside the configured limits); see docs/design/clients.md.

--- a/src/galenatack/app/mesh_base.py
+++ b/src/galenatack/app/mesh_base.py
@@ -3,6 +3,8 @@
 import typing
 
 from galenatack.app import mesh_callbacks
+from galenatack.clients import client_account
+from galenatack.clients import client_bounds
 from galenatack.interfaces import clock as clock_interface
 from galenatack.interfaces import random_source
 from galenatack.links import peer_network
@@ -35,6 +37,7 @@
     log: request_log.RequestLog
     stats: call_stats.CallStats
     callbacks: mesh_callbacks.MeshCallbacks
+    account: client_account.ClientAccount
 
 
 def make(
@@ -47,6 +50,12 @@
     hlc = hybrid_clock.HybridClock(clock=clock)
     members = member_table.MemberTable(own=own, clock=clock)
     callbacks = mesh_callbacks.MeshCallbacks()
+    account = client_account.ClientAccount(
+        bounds=client_bounds.derive(
+            memory_mb=settings.memory_mb, max_fds=settings.max_fds
+        ),
+        now_s=clock.monotonic_s,
+    )
     trust = trust_settings.TrustSettings(mode=tls.MODE_NONE, ticket_key="")
     return MeshBase(
         settings=settings,
@@ -69,10 +78,12 @@
             rng=rng,
             heartbeat_source=callbacks.own_heartbeat,
             peer_tls=tls.PeerTls(trust=trust),
+            account=account,
         ),
         log=request_log.RequestLog(clock=clock),
         stats=call_stats.CallStats(),
         callbacks=callbacks,
+        account=account,
     )
 
 
--- a/src/galenatack/app/mesh_metrics.py
+++ b/src/galenatack/app/mesh_metrics.py
@@ -88,6 +88,20 @@
             exposition.sample(
                 "callers_dropped_total", parts.callers.stats.dropped_peers
             ),
+            *self._clients(),
+        ]
+
+    def _clients(self) -> list[str]:
+        account = self._parts.account
+        return [
+            exposition.sample("client_held_bytes", account.held_bytes),
+            exposition.sample(
+                "client_held_limit_bytes", account.bounds.held_bytes
+            ),
+            *(
+                exposition.sample("clients_shed_total", count, {"cause": cause})
+                for cause, count in sorted(account.shed.items())
+            ),
         ]
 
     def _retry_budget(self) -> list[str]:
--- a/src/galenatack/app/mesh_node.py
+++ b/src/galenatack/app/mesh_node.py
@@ -48,6 +48,8 @@
             address=parts.settings.metrics_address,
             respond=mesh_metrics.MeshMetrics(parts=parts).respond,
             limits=connection_limits.short_requests(),
+            account=parts.account,
+            max_connections=parts.account.bounds.own_connections,
         )
 
     def apply(self, settings: mesh_settings.MeshSettings) -> None:
--- a/src/galenatack/app/mesh_parts.py
+++ b/src/galenatack/app/mesh_parts.py
@@ -5,6 +5,7 @@
 from galenatack.admission import retry_slack
 from galenatack.admission import target_gate
 from galenatack.admission import target_registry
+from galenatack.clients import client_account
 from galenatack.config import instrumented_table
 from galenatack.config import row_mirror
 from galenatack.config import store_follower_election
@@ -60,6 +61,7 @@
     shutdown: shutdown_admission.ShutdownAdmission
     placement: target_placement.TargetPlacement
     warmer: link_warmer.LinkWarmer
+    account: client_account.ClientAccount
     log: request_log.RequestLog
     stats: call_stats.CallStats
     callers: pipelined_server.PipelinedServer
--- /dev/null
+++ b/src/galenatack/clients/__init__.py
@@ -0,0 +1,1 @@
+"""What clients make a node keep, and its bounds."""
--- /dev/null
+++ b/src/galenatack/clients/request_size.py
@@ -0,0 +1,24 @@
+"""Sizes of requests as Python objects."""
+
+import collections.abc
+
+HEADER_BYTES = 184
+"""A pair of texts without their characters: 72 for the tuple, 8 for its
+reference, and 52 for each text with its padding."""
+
+RUNNING_FACTOR = 2
+"""A request that runs is kept once as it was received, and once as a message,
+as bytes for the target, or in both at different times."""
+
+
+def of_header(name: bytes | str, value: bytes | str) -> int:
+    """Returns the size of a header that is kept as a pair of texts."""
+    return HEADER_BYTES + len(name) + len(value)
+
+
+def of_running(
+    headers: collections.abc.Iterable[tuple[str, str]], body: bytes
+) -> int:
+    """Returns the size of a request while it runs."""
+    head_bytes = sum(of_header(name, value) for name, value in headers)
+    return (head_bytes + len(body)) * RUNNING_FACTOR
--- /dev/null
+++ b/src/galenatack/links/handshake_limit.py
@@ -0,0 +1,68 @@
+"""Limits inbound peer connections that are not links yet."""
+
+import asyncio
+import typing
+
+from websockets.asyncio import server as websockets_server
+
+from galenatack import steady_clock
+from galenatack.clients import connection_slots
+
+
+class LimitedConnection(websockets_server.ServerConnection):
+    """An inbound connection; implements `connection_slots.SlotUser`."""
+
+    has_served = False
+    is_running = False
+
+    def __init__(
+        self,
+        limit: "HandshakeLimit",
+        *args: typing.Any,
+        **options: typing.Any,
+    ):
+        super().__init__(*args, **options)
+        self._limit = limit
+        self.last_active_s = steady_clock.now_s()
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Counts the connection; an older one may be closed for it."""
+        super().connection_made(transport)
+        self._limit.add(self)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Ends counting the connection."""
+        self._limit.remove(self)
+        super().connection_lost(exc)
+
+    def abort(self) -> None:
+        """Closes the connection at once."""
+        self._limit.remove(self)
+        self.transport.abort()
+
+
+class HandshakeLimit:
+    """Counts connections until they are links.
+
+    Args:
+        slots: Closes the oldest connection beyond the limit.
+    """
+
+    def __init__(self, slots: connection_slots.ConnectionSlots):
+        self._slots = slots
+        self._connections: set[connection_slots.SlotUser] = set()
+
+    def make_connection(
+        self, *args: typing.Any, **options: typing.Any
+    ) -> LimitedConnection:
+        """Returns a connection that is counted from its first moment on."""
+        return LimitedConnection(self, *args, **options)
+
+    def add(self, connection: LimitedConnection) -> None:
+        """Counts a connection."""
+        self._slots.make_room(self._connections)
+        self._connections.add(connection)
+
+    def remove(self, connection: connection_slots.SlotUser) -> None:
+        """Ends counting a connection: it is a link, or closed."""
+        self._connections.discard(connection)
--- a/src/galenatack/links/link_factory.py
+++ b/src/galenatack/links/link_factory.py
@@ -9,6 +9,7 @@
 from galenatack.interfaces import clock as clock_interface
 from galenatack.links import fault_injector
 from galenatack.links import handshake
+from galenatack.links import handshake_limit
 from galenatack.links import inbound_limit
 from galenatack.links import link_purpose
 from galenatack.links import message_codec
@@ -69,23 +70,31 @@
         )
 
     def listen(
-        self, address: str, on_accepted: inbound_limit.OnAccepted
+        self,
+        address: str,
+        on_accepted: inbound_limit.OnAccepted,
+        *,
+        handshakes: handshake_limit.HandshakeLimit,
+        max_links: int,
     ) -> websockets_server.serve:
         """Returns the server of an address as an async context manager.
 
         Args:
             address: host:port; port 0 selects a free port.
             on_accepted: Coroutine function that serves a connection.
+            handshakes: Limits the connections that are not links yet.
+            max_links: Maximum number of accepted connections.
         """
         host, _, port = address.rpartition(":")
         options: dict[str, object] = dict(_OPTIONS)
         if self._tls.server is not None:
             options["ssl_handshake_timeout"] = TLS_TIMEOUT_S
         return websockets_server.serve(
-            inbound_limit.InboundLimit(on_accepted),
+            inbound_limit.InboundLimit(on_accepted, max_connections=max_links),
             host,
             int(port),
             ssl=self._tls.server,
+            create_connection=handshakes.make_connection,
             **options,
         )
 
--- a/src/galenatack/links/message_server.py
+++ b/src/galenatack/links/message_server.py
@@ -5,11 +5,14 @@
 import typing
 
 from galenatack import exceptions
+from galenatack.clients import client_account
+from galenatack.clients import received_calls
 from galenatack.interfaces import peer_network
 from galenatack.links import envelope
 from galenatack.links import peer_link
 from galenatack.links import unknown_message
 from galenatack.messages import busy
+from galenatack.messages import call
 from galenatack.messages import hello
 from galenatack.messages import protocol_failure
 
@@ -37,11 +40,19 @@
     These are plain tasks and not a task group: anyio's overhead was 27 us of
     CPU, a sixth of the cost of a request at both ends of a link.
 
+    Args:
+        account: Counts the memory of calls; None if it is not limited.
+
     Attributes:
         is_open: False while the node is not running.
     """
 
-    def __init__(self):
+    def __init__(self, *, account: client_account.ClientAccount | None = None):
+        self._calls = (
+            None
+            if account is None
+            else received_calls.ReceivedCalls(account=account)
+        )
         self._handlers: dict[type, peer_network.Handler] = {}
         self._tasks: set[asyncio.Task[None]] = set()
         self._unknown_tags: set[int] = set()
@@ -114,12 +125,20 @@
         if handler is None or not self.is_open:
             self._refuse(link, received, NOT_READY_RETRY_MS)
             return
-        link.serving += 1
+        call_bytes = 0
+        if self._calls is not None and isinstance(received.message, call.Call):
+            call_bytes = self._calls.begin(received.message.request)
+            if call_bytes is None:
+                self._refuse(link, received, BUSY_RETRY_MS)
+                return
         self._serving_bytes += size_bytes
+        link.serving += 1
         task = asyncio.create_task(
             self._serve(link, received, size_bytes, handler)
         )
         self._tasks.add(task)
+        if call_bytes:
+            task.add_done_callback(lambda done: self._calls.end(call_bytes))
         task.add_done_callback(self._tasks.discard)
 
     def _refuse_unknown(
--- a/src/galenatack/links/peer_network.py
+++ b/src/galenatack/links/peer_network.py
@@ -9,10 +9,15 @@
 from websockets.asyncio import connection as websockets_connection
 
 from galenatack import exceptions
+from galenatack import steady_clock
+from galenatack.clients import client_account
+from galenatack.clients import client_bounds
+from galenatack.clients import connection_slots
 from galenatack.interfaces import clock as clock_interface
 from galenatack.interfaces import peer_network
 from galenatack.interfaces import random_source
 from galenatack.links import fault_injector
+from galenatack.links import handshake_limit
 from galenatack.links import link_factory
 from galenatack.links import link_keeper
 from galenatack.links import link_monitor
@@ -63,6 +68,7 @@
         heartbeat_source: Returns the heartbeat to send.
         peer_tls: TLS contexts.
         faults: Partitions and delays, for tests.
+        account: Counts connections that are closed; has the bounds.
     """
 
     def __init__(
@@ -77,6 +83,7 @@
         heartbeat_source: link_monitor.HeartbeatSource,
         peer_tls: tls.PeerTls,
         faults: fault_injector.FaultInjector | None = None,
+        account: client_account.ClientAccount | None = None,
     ):
         own = table.own
         self._listen_address = listen_address
@@ -88,7 +95,17 @@
         )
         self._traffic = traffic_counter.TrafficCounter(own_region=own.region)
         self._registry = link_registry.LinkRegistry(own_id=own.node_id)
-        self._server = message_server.MessageServer()
+        self._server = message_server.MessageServer(account=account)
+        account = account or client_account.ClientAccount(
+            bounds=client_bounds.derive(memory_mb=0, max_fds=0),
+            now_s=steady_clock.now_s,
+        )
+        self._max_links = account.bounds.links
+        self._handshakes = handshake_limit.HandshakeLimit(
+            connection_slots.ConnectionSlots(
+                account=account, max_connections=account.bounds.handshakes
+            )
+        )
         self._on_lost: list[OnLost] = []
         self._tasks: anyio.abc.TaskGroup | None = None
         self._factory = self._make_factory(deployment)
@@ -153,7 +170,12 @@
         Raises:
             OSError: The listener's address cannot be used.
         """
-        listener = self._factory.listen(self._listen_address, self._on_accepted)
+        listener = self._factory.listen(
+            self._listen_address,
+            self._on_accepted,
+            handshakes=self._handshakes,
+            max_links=self._max_links,
+        )
         async with anyio.create_task_group() as tasks, listener as server:
             self._set_tasks(tasks)
             host, port = next(iter(server.sockets)).getsockname()[:2]
@@ -282,6 +304,7 @@
             _LOGGER.info("event=peer-refused error=%s", error)
             connection.transport.abort()
             return
+        self._handshakes.remove(connection)
         self._registry.add(link)
         await self._read_link(link, peer_hello)
 
--- a/src/galenatack/links/pipelined_connection.py
+++ b/src/galenatack/links/pipelined_connection.py
@@ -7,6 +7,10 @@
 import typing
 
 from galenatack import exceptions
+from galenatack.clients import client_account
+from galenatack.clients import connection_holding
+from galenatack.clients import connection_slots
+from galenatack.clients import request_size
 from galenatack.links import connection_limits
 from galenatack.links import connection_stats
 from galenatack.links import http_head
@@ -48,6 +52,7 @@
 
 REQUEST_TIMEOUT = 408
 INTERNAL_ERROR = 500
+UNAVAILABLE = 503
 BAD_GATEWAY = 502
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 _NO_BODY = frozenset((204, 304))
@@ -94,6 +99,12 @@
             as its bytes are taken before the next read.
         large_bodies: Limits the long requests that are received at a time.
         stats: Counts what happens to requests.
+        account: Counts the memory that clients hold.
+        slots: Limits the number of connections.
+
+    Attributes:
+        has_served: True once a whole request was received.
+        last_active_s: When something was last received or answered.
     """
 
     def __init__(
@@ -106,6 +117,8 @@
         read_buffer: bytearray,
         large_bodies: large_bodies_module.LargeBodies,
         stats: connection_stats.ConnectionStats,
+        account: client_account.ClientAccount,
+        slots: connection_slots.ConnectionSlots,
     ):
         self._respond = respond
         self._time_limit = time_limit
@@ -114,6 +127,12 @@
         self._read_buffer = read_buffer
         self._large_bodies = large_bodies
         self._stats = stats
+        self._account = account
+        self._slots = slots
+        self._holding = connection_holding.ConnectionHolding(
+            account=account, on_shed=self._shed
+        )
+        self.has_served = False
         self._loop = asyncio.get_running_loop()
         self._transport: asyncio.Transport | None = None
         self._reader = request_reader.RequestReader(
@@ -133,9 +152,9 @@
         self._is_writing_paused = False
         self._has_room = True
         self._is_reading_paused = False
-        self._last_active_s = self._loop.time()
+        self.last_active_s = self._loop.time()
         self._request_began_s: float | None = None
-        self._fed_since_s = self._last_active_s
+        self._fed_since_s = self.last_active_s
         self._request_timer: asyncio.TimerHandle | None = None
 
     @property
@@ -143,6 +162,11 @@
         """True if no request is being received or awaits its answer."""
         return not self._pending and self._request_began_s is None
 
+    @property
+    def is_running(self) -> bool:
+        """True if a request awaits its answer."""
+        return bool(self._pending)
+
     @property
     def unsent_bytes(self) -> int:
         """Bytes of answers that the peer has not taken."""
@@ -156,7 +180,11 @@
         """Stores the transport and registers the connection."""
         self._transport = typing.cast(asyncio.Transport, transport)
         self._transport.set_write_buffer_limits(high=MAX_UNSENT_BYTES)
+        if not self._slots.make_room(self._connections):
+            self.abort()
+            return
         self._connections.add(self)
+        self._update_held()
 
     def get_buffer(self, sizehint: int) -> bytearray:
         """Returns the buffer for the next read."""
@@ -169,15 +197,16 @@
         if not self._reader.is_open:
             self._discard(data)
             return
-        self._last_active_s = self._loop.time()
+        self.last_active_s = self._loop.time()
         if self._request_began_s is None:
-            self._request_began_s = self._last_active_s
+            self._request_began_s = self.last_active_s
         if self._is_full():
-            self._unread.append((self._last_active_s, data))
+            self._unread.append((self.last_active_s, data))
             self._unread_bytes += nbytes
             self._update_reading()
-            return
-        self._feed(data, arrived_s=self._last_active_s)
+        else:
+            self._feed(data, arrived_s=self.last_active_s)
+        self._update_held()
 
     def eof_received(self) -> None:
         """Cancels the requests; the transport then closes itself."""
@@ -191,6 +220,7 @@
         self._cancel_pending()
         self._large_bodies.release(self)
         self._reader.detach()
+        self._holding.update_closed()
 
     def pause_writing(self) -> None:
         """Pauses reading while the peer does not read."""
@@ -233,17 +263,20 @@
 
     def abort(self) -> None:
         """Drops the connection and the answers that wait on it."""
+        self._connections.discard(self)
+        self._holding.is_ending = True
         self._transport.abort()
         self._cancel_pending()
 
     def check_time(self, now_s: float) -> None:
         """Closes an idle connection, or one that sends a head too slowly."""
+        self._update_held()
         limits = self._limits
         if self._request_began_s is not None and not self._reader.has_head:
             if now_s - self._request_began_s > limits.header_timeout_s:
                 self._refuse_late("head", limits.header_timeout_s)
         elif (
-            self.is_idle and now_s - self._last_active_s > limits.idle_timeout_s
+            self.is_idle and now_s - self.last_active_s > limits.idle_timeout_s
         ):
             self._transport.close()
 
@@ -299,8 +332,31 @@
         return (
             self._is_writing_paused
             or len(self._pending) >= MAX_CONCURRENT_REQUESTS
+            or self._waits_for_turn()
+        )
+
+    def _waits_for_turn(self) -> bool:
+        """Returns whether one request at a time is run, to save memory."""
+        return bool(self._pending) and self._account.is_tight
+
+    def _update_held(self) -> None:
+        """Tells the account what this connection makes the node keep."""
+        if self._holding.is_ending:
+            self._holding.update_closed()
+            return
+        self._holding.update(
+            waiting_bytes=self._reader.held_bytes + self._unread_bytes,
+            unsent_bytes=self.unsent_bytes,
         )
 
+    def _shed(self) -> None:
+        """Frees memory: requests that have not begun to run are refused."""
+        if self._reader.is_open and self._holding.is_mostly_waiting:
+            self._refuse(UNAVAILABLE)
+        else:
+            self.abort()
+        self._update_held()
+
     def _discard(self, data: bytes) -> None:
         """Drops bytes behind the last request, up to a limit."""
         self._discarded_bytes += len(data)
@@ -315,6 +371,7 @@
             self._is_writing_paused
             or not self._has_room
             or self._unread_bytes > MAX_UNREAD_BYTES
+            or (self._unread_bytes > 0 and self._waits_for_turn())
         )
         if is_paused == self._is_reading_paused:
             return
@@ -347,9 +404,31 @@
         self._request_began_s = None
         self._stop_request_timer()
         self._pending.append(exchange)
+        self.has_served = True
         if self._is_finishing:
             self._stop_reading()
+        running_bytes = request_size.of_running(request.headers, request.body)
+        if not self._holding.begin(running_bytes):
+            self._refuse_whole(exchange)
+            return
         exchange.task = self._loop.create_task(self._answer(exchange, request))
+        exchange.task.add_done_callback(
+            lambda done: self._end_running(running_bytes)
+        )
+
+    def _refuse_whole(self, exchange: _Exchange) -> None:
+        """Refuses a request that has no room to run, and reads no more."""
+        self._stats.refusals[UNAVAILABLE] += 1
+        exchange.keeps_alive = False
+        exchange.response = http_response.HttpResponse(UNAVAILABLE)
+        exchange.ready_s = self._loop.time()
+        self._stop_reading()
+        # The parser is still busy with the bytes behind the request.
+        self._loop.call_soon(self._flush)
+
+    def _end_running(self, running_bytes: int) -> None:
+        self._holding.end(running_bytes)
+        self._update_held()
 
     def _send_continue(self) -> None:
         # While an earlier answer is pending, the peer would take this for it.
@@ -398,7 +477,7 @@
             if self._transport.is_closing():
                 return
             exchange = self._pending.popleft()
-            self._last_active_s = self._loop.time()
+            self.last_active_s = self._loop.time()
             self._note_held(exchange)
             if not self._send(exchange):
                 return
@@ -408,7 +487,7 @@
 
     def _note_held(self, exchange: _Exchange) -> None:
         """Counts and logs an answer that waited for those before it."""
-        held_s = self._last_active_s - exchange.ready_s
+        held_s = self.last_active_s - exchange.ready_s
         if held_s < HELD_S:
             return
         self._stats.held_answers += 1
--- a/src/galenatack/links/pipelined_server.py
+++ b/src/galenatack/links/pipelined_server.py
@@ -4,6 +4,10 @@
 
 import anyio
 
+from galenatack import steady_clock
+from galenatack.clients import client_account
+from galenatack.clients import client_bounds
+from galenatack.clients import connection_slots
 from galenatack.links import connection_limits
 from galenatack.links import connection_stats
 from galenatack.links import http_request
@@ -12,6 +16,13 @@
 
 BACKLOG = 1024
 
+MAX_CONNECTIONS = 1 << 16
+"""Limit for a listener that has none of its own; it has no effect."""
+
+LARGE_SHARE = 3
+"""Long bodies may take this part of the memory for clients: each is copied
+when it is passed on."""
+
 MAX_LARGE_REQUESTS = 8
 """Number of requests of the maximum size that are received at a time."""
 
@@ -36,6 +47,8 @@
         time_limit: Limits the time to receive a request; by default the limits
             of connections do.
         limits: Limits of connections; changes apply at once.
+        account: Counts the memory that clients hold; listeners can share it.
+        max_connections: Maximum number of connections.
 
     Attributes:
         limits: Limits of connections.
@@ -49,6 +62,8 @@
         respond: pipelined_connection.Respond,
         time_limit: pipelined_connection.TimeLimit = _no_limit,
         limits: connection_limits.ConnectionLimits | None = None,
+        account: client_account.ClientAccount | None = None,
+        max_connections: int = MAX_CONNECTIONS,
     ):
         self._address = address
         self._respond = respond
@@ -56,8 +71,18 @@
         self.limits = limits or connection_limits.ConnectionLimits()
         self._connections: set[pipelined_connection.PipelinedConnection] = set()
         self._read_buffer = bytearray(READ_BYTES)
+        self._account = account or client_account.ClientAccount(
+            bounds=client_bounds.derive(memory_mb=0, max_fds=0),
+            now_s=steady_clock.now_s,
+        )
+        self._slots = connection_slots.ConnectionSlots(
+            account=self._account, max_connections=max_connections
+        )
         self._large_bodies = large_bodies.LargeBodies(
-            max_bytes=MAX_LARGE_REQUESTS * self.limits.max_body_bytes
+            max_bytes=min(
+                MAX_LARGE_REQUESTS * self.limits.max_body_bytes,
+                self._account.bounds.held_bytes // LARGE_SHARE,
+            )
         )
         self.stats = connection_stats.ConnectionStats()
         self._server: asyncio.Server | None = None
@@ -127,6 +152,8 @@
             read_buffer=self._read_buffer,
             large_bodies=self._large_bodies,
             stats=self.stats,
+            account=self._account,
+            slots=self._slots,
         )
         if self._is_draining:
             connection.drain()
--- a/src/galenatack/links/request_reader.py
+++ b/src/galenatack/links/request_reader.py
@@ -6,6 +6,7 @@
 
 import httptools
 
+from galenatack.clients import request_size
 from galenatack.links import connection_limits
 from galenatack.links import http_request
 from galenatack.links import request_target
@@ -80,6 +81,7 @@
         self.is_open = False
         self.has_begun = False
         self._headers = []
+        self._kept_head_bytes = 0
         self._body = bytearray()
 
     def detach(self) -> None:
@@ -97,6 +99,11 @@
         """Received bytes of the body of the request being received."""
         return len(self._body)
 
+    @property
+    def held_bytes(self) -> int:
+        """Memory of the request being received."""
+        return self._kept_head_bytes + self._partial_bytes + len(self._body)
+
     def head(self) -> http_request.HttpRequest:
         """Returns the request being received, whose head is complete."""
         host, target = request_target.split(self._target.decode("latin-1"))
@@ -175,6 +182,7 @@
         self._headers.append(
             (name.decode("latin-1").lower(), value.decode("latin-1"))
         )
+        self._kept_head_bytes += request_size.of_header(name, value)
         self._count_head(len(name) + len(value))
 
     def on_headers_complete(self) -> None:
@@ -201,6 +209,8 @@
         self._has_ended_one = True
         request = self.head()._replace(body=bytes(self._body))
         # The connection may stay idle for long.
+        self._headers = []
+        self._kept_head_bytes = 0
         self._body = bytearray()
         self._received_bytes = 0
         self._on_request(request, keeps_alive=self._parser.should_keep_alive())
@@ -216,6 +226,7 @@
         self._body = bytearray()
         self._received_bytes = 0
         self._head_bytes = 0
+        self._kept_head_bytes = 0
         self._partial_bytes = 0
         self.has_head = False
 
--- a/src/galenatack/platform/settings_document.py
+++ b/src/galenatack/platform/settings_document.py
@@ -61,6 +61,7 @@
     store = _values.field(document, "platform", _mapping)
     host = _values.field(document, "ip", _values.text)
     ports = _values.field(document, "internal_ports", _ports)
+    limits = _values.field(document, "limits", _mapping, default={})
     return mesh_settings.MeshSettings(
         node_id=_values.field(document, "node_id", _values.text),
         data_centre=_values.field(document, "zone", _values.text),
@@ -77,6 +78,12 @@
         advertised_address=_values.field(
             document, "advertised_address", _address, default=""
         ),
+        memory_mb=_values.field(
+            limits, "memory_mb", _values.non_negative_int, default=0
+        ),
+        max_fds=_values.field(
+            limits, "max_fds", _values.non_negative_int, default=0
+        ),
     )
 
 
--- a/src/galenatack/settings/mesh_settings.py
+++ b/src/galenatack/settings/mesh_settings.py
@@ -23,6 +23,8 @@
         bounds: Limits that the deployment sets.
         advertised_address: host:port under which other nodes reach
             `peer_address` if the port is forwarded; empty if it is the same.
+        memory_mb: Memory of the machine; 0 if it is unknown.
+        max_fds: Limit of the machine on descriptors; 0 if it is unknown.
     """
 
     node_id: str
@@ -38,3 +40,5 @@
     store_address: str
     bounds: fleet_bounds.FleetBounds
     advertised_address: str = ""
+    memory_mb: int = 0
+    max_fds: int = 0
