--- a/tests/clients/test_crowds.py
+++ b/tests/clients/test_crowds.py
@@ -19,6 +19,11 @@
 SHORT_LINES = b"a:\r\n" * 3_900
 ODD_LINES = b"zz:\r\n" * 3_100
 BODY_BYTES = 3_900_000
+UPGRADE = (
+    b"GET / HTTP/1.1\r\nhost: a\r\nupgrade: websocket\r\n"
+    b"connection: upgrade\r\nsec-websocket-version: 13\r\n"
+    b"sec-websocket-key: AAAAAAAAAAAAAAAAAAAAAA==\r\n\r\n"
+)
 SMALL_BODY = bytes(60_000)
 
 
@@ -169,6 +174,24 @@
         asyncio.run(crowd(self))
 
 
+class TestPeerListener(unittest.TestCase):
+    def test_first_messages_that_do_not_end(self):
+        """Who has not said who it is may make a node keep little."""
+
+        async def main():
+            async with besieged_node.BesiegedNode(memory_mb=MEMORY_MB) as node:
+                sockets = await node.connect(60, port=node_process.PEER_PORT)
+                await node.send(sockets, UPGRADE)
+                # A masked frame of which the last byte is missing.
+                size = BODY_BYTES.to_bytes(8, "big")
+                frame = b"\x82\xff" + size + bytes(4 + BODY_BYTES - 1)
+                await node.send(sockets, frame)
+                await node.settle()
+                await node.check(self)
+
+        asyncio.run(main())
+
+
 class TestConnections(unittest.TestCase):
     def check_silent_crowd(self, port):
         async def main():
