Take only short messages from peers that have not said who they are

Cause: a connection to the peer listener could make the node keep a frame of 4 MB before its Hello was read; the time-out of 2 s bounds each, nothing their sum. Change: messages are limited to 64 KiB until the Hello is valid; a Hello has about 300 bytes, and 2 kB with rejections. The limit is raised before the own Hello is sent, as the peer may send at once after it.

--- a/src/galenatack/links/handshake.py
+++ b/src/galenatack/links/handshake.py
@@ -90,6 +90,8 @@
             connection, await _receive(connection)
         )
         purpose = link_purpose.LinkPurpose(their_hello.purpose)
+        # Until now the connection has taken short messages only.
+        connection.protocol.max_message_size = message_codec.MAX_FRAME_BYTES
         await _send(connection, self._make_hello(record, purpose))
         return their_hello
 
--- a/src/galenatack/links/handshake_limit.py
+++ b/src/galenatack/links/handshake_limit.py
@@ -8,6 +8,10 @@
 from galenatack import steady_clock
 from galenatack.clients import connection_slots
 
+MAX_HELLO_BYTES = 65_536
+"""Limit on messages of a peer that has not said who it is; a Hello has about
+300 bytes. Long messages would add up over all such connections."""
+
 
 class LimitedConnection(websockets_server.ServerConnection):
     """An inbound connection; implements `connection_slots.SlotUser`."""
@@ -23,6 +27,7 @@
     ):
         super().__init__(*args, **options)
         self._limit = limit
+        self.protocol.max_message_size = MAX_HELLO_BYTES
         self.last_active_s = steady_clock.now_s()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
