Count the path of a request in the account of clients

Cause: a path of up to 16 kB is kept with each pipelined request and was not counted. Change: the size of a request that runs includes its path and query. Result: the new test of the parts of a request passes; on the code before, the size had no such part. 36 tests around it pass (account, received calls, test_pipelined_connection, test_loopback).

--- a/src/galenatack/clients/received_calls.py
+++ b/src/galenatack/clients/received_calls.py
@@ -24,7 +24,9 @@
 
     def begin(self, request: call_request.CallRequest) -> int | None:
         """Counts a call; returns what it holds, None if there is no room."""
-        size_bytes = request_size.of_running(request.headers, request.body)
+        size_bytes = request_size.of_running(
+            request.path, request.headers, request.body
+        )
         if not self._account.has_room(size_bytes):
             self._account.record_shed("calls", client_bytes=size_bytes)
             return None
--- a/src/galenatack/clients/request_size.py
+++ b/src/galenatack/clients/request_size.py
@@ -17,8 +17,16 @@
 
 
 def of_running(
-    headers: collections.abc.Iterable[tuple[str, str]], body: bytes
+    target: str,
+    headers: collections.abc.Iterable[tuple[str, str]],
+    body: bytes,
 ) -> int:
-    """Returns the size of a request while it runs."""
+    """Returns the size of a request while it runs.
+
+    Args:
+        target: Path and query.
+        headers: Headers.
+        body: Whole body.
+    """
     head_bytes = sum(of_header(name, value) for name, value in headers)
-    return (head_bytes + len(body)) * RUNNING_FACTOR
+    return (len(target) + head_bytes + len(body)) * RUNNING_FACTOR
--- a/src/galenatack/links/pipelined_connection.py
+++ b/src/galenatack/links/pipelined_connection.py
@@ -407,7 +407,9 @@
         self.has_served = True
         if self._is_finishing:
             self._stop_reading()
-        running_bytes = request_size.of_running(request.headers, request.body)
+        running_bytes = request_size.of_running(
+            request.target, request.headers, request.body
+        )
         if not self._holding.begin(running_bytes):
             self._refuse_whole(exchange)
             return
--- a/tests/clients/test_client_account.py
+++ b/tests/clients/test_client_account.py
@@ -106,11 +106,24 @@
         self.assertEqual(account.held_bytes, 0)
 
 
+class TestRequestSize(unittest.TestCase):
+    def test_each_part_of_a_request_counts(self):
+        """A long path, many empty headers and a body are kept alike."""
+        empty_bytes = request_size.of_running("", (), b"")
+        for target, headers, body in (
+            ("/" * 16_000, (), b""),
+            ("", (("a", ""),) * 100, b""),
+            ("", (), bytes(16_000)),
+        ):
+            size_bytes = request_size.of_running(target, headers, body)
+            self.assertGreaterEqual(size_bytes, empty_bytes + 32_000)
+
+
 class TestBounds(unittest.TestCase):
     def test_pooled_clients_meet_no_limit_on_the_smallest_machine(self):
         """A few hundred connections with three ordinary requests each."""
         bounds = client_bounds.derive(memory_mb=200, max_fds=4_100)
-        request_bytes = request_size.of_running(ORDINARY_LINES, b"")
+        request_bytes = request_size.of_running("/x", ORDINARY_LINES, b"")
         connection_bytes = connection_holding.CONNECTION_BYTES
         held_bytes = 300 * (connection_bytes + 3 * request_bytes)
         self.assertLess(held_bytes, bounds.held_bytes)
