Take a status that is none for a broken answer at once

RFC 9112, section 4: the status is three digits, the reason is optional; RFC 9110, section 15: valid ones are 100 to 599. Change: an answer to this attempt with a status outside 100 to 599, or with another major version, fails the exchange when its head is read: 502, or a repeat where the call may be repeated. It is counted (target_odd_answers_total) and logged once a target. An odd answer to another attempt is skipped as before, a line without a reason is accepted.

--- a/src/galenatack/app/mesh_metrics.py
+++ b/src/galenatack/app/mesh_metrics.py
@@ -70,6 +70,9 @@
             exposition.sample("calls_in_flight", parts.router.in_flight),
             exposition.sample("gate_running", parts.gate.running),
             exposition.sample("gate_queued", parts.gate.queued),
+            exposition.sample(
+                "target_odd_answers_total", parts.target.odd_answers
+            ),
             exposition.sample(
                 "gate_failure_ratio", parts.gate.failure_permille / 1000
             ),
--- a/src/galenatack/exceptions/__init__.py
+++ b/src/galenatack/exceptions/__init__.py
@@ -62,6 +62,7 @@
 TargetError = _target_errors.TargetError
 TargetConnectError = _target_errors.TargetConnectError
 TargetAnswerLostError = _target_errors.TargetAnswerLostError
+TargetStatusError = _target_errors.TargetStatusError
 TargetCrashedError = _target_errors.TargetCrashedError
 TargetShedError = _target_errors.TargetShedError
 ToolError = _tool_errors.ToolError
--- a/src/galenatack/exceptions/_target_errors.py
+++ b/src/galenatack/exceptions/_target_errors.py
@@ -21,6 +21,10 @@
     code = "target-answer-lost"
 
 
+class TargetStatusError(TargetAnswerLostError):
+    """The target answered with a status line that is no answer."""
+
+
 class TargetCrashedError(TargetAnswerLostError):
     """The target crashed while it ran the call."""
 
--- a/src/galenatack/links/target_connection.py
+++ b/src/galenatack/links/target_connection.py
@@ -13,7 +13,10 @@
 IsAnswer = collections.abc.Callable[[Headers], bool]
 
 _LENGTHS = frozenset({b"content-length", b"transfer-encoding"})
-_FIRST_FINAL_STATUS = 200
+_INTERIM = range(100, 200)
+_FINAL = range(200, 600)
+_VERSION = "1."
+"""An answer of another major version is not framed as HTTP/1.1."""
 
 READ_BYTES = 16_384
 """Bytes that are read and parsed at a time, before other connections have their
@@ -190,6 +193,7 @@
         self._has_head = True
         names = {name for name, _ in self._headers}
         self._has_length = bool(names & _LENGTHS)
+        self._check_status_line()
         if self._is_head_request and not self._is_informational():
             self._finish()
 
@@ -234,7 +238,23 @@
         return self._waiter is None or self._waiter.done()
 
     def _is_informational(self) -> bool:
-        return self._parser.get_status_code() < _FIRST_FINAL_STATUS
+        return self._parser.get_status_code() in _INTERIM
+
+    def _check_status_line(self) -> None:
+        """Fails the exchange if its answer has a status that is none."""
+        if self._is_done():
+            return
+        if self._is_answer is not None and not self._is_answer(self._headers):
+            return
+        status = self._parser.get_status_code()
+        version = self._parser.get_http_version()
+        is_status = status in _INTERIM or status in _FINAL
+        if not is_status or not version.startswith(_VERSION):
+            self._fail_with(
+                exceptions.TargetStatusError(
+                    f"answer with status {status:03d} of HTTP/{version}"
+                )
+            )
 
     def _finish(self) -> None:
         if self._is_done():
@@ -251,9 +271,12 @@
         )
 
     def _fail(self, reason: str) -> None:
+        self._fail_with(exceptions.TargetAnswerLostError(reason))
+
+    def _fail_with(self, error: exceptions.TargetAnswerLostError) -> None:
         self.close()
         if not self._is_done():
-            self._waiter.set_exception(exceptions.TargetAnswerLostError(reason))
+            self._waiter.set_exception(error)
 
 
 def _keep_alive_s(headers: Headers) -> float | None:
--- a/src/galenatack/links/translated_target.py
+++ b/src/galenatack/links/translated_target.py
@@ -46,6 +46,9 @@
         dialect: Translates headers and answers of the target.
         max_connections: Maximum number of connections to the target.
         on_condition: Called with each answer of the target, refusals included.
+
+    Attributes:
+        odd_answers: Number of answers whose status line is no answer.
     """
 
     def __init__(
@@ -58,6 +61,8 @@
     ):
         self._dialect = dialect
         self._on_condition = on_condition
+        self.odd_answers = 0
+        self._odd_target_id: str | None = None
         self._client = http_client.HttpClient(
             address=address,
             max_connections=max_connections,
@@ -79,20 +84,37 @@
         idle_s = (
             POSTING_MAX_IDLE_S if request.posting else (REPEATABLE_MAX_IDLE_S)
         )
-        raw = await self._client.request(
-            request.method,
-            request.path,
-            headers=self._dialect.headers(request),
-            body=request.body,
-            max_idle_s=idle_s,
-            is_answer=functools.partial(self._dialect.is_answer, request),
-        )
+        try:
+            raw = await self._client.request(
+                request.method,
+                request.path,
+                headers=self._dialect.headers(request),
+                body=request.body,
+                max_idle_s=idle_s,
+                is_answer=functools.partial(self._dialect.is_answer, request),
+            )
+        except exceptions.TargetStatusError as error:
+            self._record_odd(request.target_id, error)
+            raise
         headers = tuple(raw.headers)
         condition = self._dialect.condition(raw.status, headers)
         if condition is not None:
             self._on_condition(request.target_id, condition)
         return self._dialect.answer(request, raw.status, headers, raw.body)
 
+    def _record_odd(
+        self, target_id: str, error: exceptions.TargetStatusError
+    ) -> None:
+        """Counts an odd answer; the first one of a target is logged."""
+        self.odd_answers += 1
+        if target_id != self._odd_target_id:
+            self._odd_target_id = target_id
+            _LOGGER.warning(
+                "event=target-answer-odd target=%s detail=%r",
+                target_id,
+                str(error),
+            )
+
     async def cancel(self, call_id: str) -> bool:
         """Returns False: the target cannot confirm a cancellation."""
         del call_id
