Count heads without a step for each line

Cause: the account added the size of each header as it was parsed. Change: the size follows from the number of lines and the bytes of the head that is counted already.

--- a/src/galenatack/clients/request_size.py
+++ b/src/galenatack/clients/request_size.py
@@ -11,11 +11,6 @@
 as bytes for the target, or in both at different times."""
 
 
-def of_header(name: bytes | str, value: bytes | str) -> int:
-    """Returns the size of a header that is kept as a pair of texts."""
-    return HEADER_BYTES + len(name) + len(value)
-
-
 def of_running(
     target: str,
     headers: collections.abc.Iterable[tuple[str, str]],
@@ -28,5 +23,7 @@
         headers: Headers.
         body: Whole body.
     """
-    head_bytes = sum(of_header(name, value) for name, value in headers)
+    head_bytes = sum(
+        HEADER_BYTES + len(name) + len(value) for name, value in headers
+    )
     return (len(target) + head_bytes + len(body)) * RUNNING_FACTOR
--- a/src/galenatack/links/request_reader.py
+++ b/src/galenatack/links/request_reader.py
@@ -81,7 +81,7 @@
         self.is_open = False
         self.has_begun = False
         self._headers = []
-        self._kept_head_bytes = 0
+        self._head_bytes = self._partial_bytes = 0
         self._body = bytearray()
 
     def detach(self) -> None:
@@ -102,7 +102,9 @@
     @property
     def held_bytes(self) -> int:
         """Memory of the request being received."""
-        return self._kept_head_bytes + self._partial_bytes + len(self._body)
+        lines_bytes = len(self._headers) * request_size.HEADER_BYTES
+        head_bytes = self._head_bytes + self._partial_bytes
+        return lines_bytes + head_bytes + len(self._body)
 
     def head(self) -> http_request.HttpRequest:
         """Returns the request being received, whose head is complete."""
@@ -182,7 +184,6 @@
         self._headers.append(
             (name.decode("latin-1").lower(), value.decode("latin-1"))
         )
-        self._kept_head_bytes += request_size.of_header(name, value)
         self._count_head(len(name) + len(value))
 
     def on_headers_complete(self) -> None:
@@ -210,7 +211,7 @@
         request = self.head()._replace(body=bytes(self._body))
         # The connection may stay idle for long.
         self._headers = []
-        self._kept_head_bytes = 0
+        self._head_bytes = self._partial_bytes = 0
         self._body = bytearray()
         self._received_bytes = 0
         self._on_request(request, keeps_alive=self._parser.should_keep_alive())
@@ -226,7 +227,6 @@
         self._body = bytearray()
         self._received_bytes = 0
         self._head_bytes = 0
-        self._kept_head_bytes = 0
         self._partial_bytes = 0
         self.has_head = False
 
