Share the turns of the event loop between a crowd and others

Cause: with 600 connections of pipelined heads of 3,900 lines an ordinary request had no answer for 4 to 28 s (a trial ended there). Its connection was not accepted: libuv accepts one connection a handle and turn of the loop, and the crowd made a turn 0.2 s long, as libuv also reads up to 32 times from a connection whose reads fill the buffer. Ruled out: the gate (no refusal, no time-out for that request in the log) and the test's own process (its loop was late by 0.04 s); /proc/net/tcp showed the connection in the backlog with its request unread. Change: the listener of callers has 16 handles on its socket, and a connection gives way after each full read of 8 kB.

--- a/src/galenatack/app/mesh_wiring.py
+++ b/src/galenatack/app/mesh_wiring.py
@@ -229,6 +229,7 @@
             time_limit=callers.time_limit_s,
             account=base.account,
             max_connections=base.account.bounds.caller_connections,
+            accept_handles=pipelined_server.ACCEPT_HANDLES,
         ),
         control=pipelined_server.PipelinedServer(
             address=settings.control_address,
--- a/src/galenatack/links/pipelined_connection.py
+++ b/src/galenatack/links/pipelined_connection.py
@@ -151,6 +151,7 @@
         self._is_finishing = False
         self._is_writing_paused = False
         self._has_room = True
+        self._has_yielded = False
         self._is_reading_paused = False
         self.last_active_s = self._loop.time()
         self._request_began_s: float | None = None
@@ -207,6 +208,8 @@
         else:
             self._feed(data, arrived_s=self.last_active_s)
         self._update_held()
+        if nbytes == len(self._read_buffer):
+            self._yield_turn()
 
     def eof_received(self) -> None:
         """Cancels the requests; the transport then closes itself."""
@@ -357,6 +360,22 @@
             self.abort()
         self._update_held()
 
+    def _yield_turn(self) -> None:
+        """Lets other connections be read before more is read from this one.
+
+        While reads fill the buffer, the event loop would go on reading from
+        the same connection, up to 32 times.
+        """
+        if self._has_yielded or self._transport.is_closing():
+            return
+        self._has_yielded = True
+        self._update_reading()
+        self._loop.call_soon(self._take_turn)
+
+    def _take_turn(self) -> None:
+        self._has_yielded = False
+        self._update_reading()
+
     def _discard(self, data: bytes) -> None:
         """Drops bytes behind the last request, up to a limit."""
         self._discarded_bytes += len(data)
@@ -369,6 +388,7 @@
             return
         is_paused = (
             self._is_writing_paused
+            or self._has_yielded
             or not self._has_room
             or self._unread_bytes > MAX_UNREAD_BYTES
             or (self._unread_bytes > 0 and self._waits_for_turn())
--- a/src/galenatack/links/pipelined_server.py
+++ b/src/galenatack/links/pipelined_server.py
@@ -1,6 +1,8 @@
 """An HTTP/1.1 listener with pipelining."""
 
 import asyncio
+import os
+import socket
 
 import anyio
 
@@ -16,6 +18,10 @@
 
 BACKLOG = 1024
 
+ACCEPT_HANDLES = 16
+"""Handles of the listener of callers. The event loop accepts one connection a
+handle and turn, so that a crowd would keep others waiting in the backlog."""
+
 MAX_CONNECTIONS = 1 << 16
 """Limit for a listener that has none of its own; it has no effect."""
 
@@ -49,6 +55,8 @@
         limits: Limits of connections; changes apply at once.
         account: Counts the memory that clients hold; listeners can share it.
         max_connections: Maximum number of connections.
+        accept_handles: Number of connections that are accepted in one turn of
+            the event loop.
 
     Attributes:
         limits: Limits of connections.
@@ -64,6 +72,7 @@
         limits: connection_limits.ConnectionLimits | None = None,
         account: client_account.ClientAccount | None = None,
         max_connections: int = MAX_CONNECTIONS,
+        accept_handles: int = 1,
     ):
         self._address = address
         self._respond = respond
@@ -85,7 +94,8 @@
             )
         )
         self.stats = connection_stats.ConnectionStats()
-        self._server: asyncio.Server | None = None
+        self._accept_handles = accept_handles
+        self._servers: list[asyncio.AbstractServer] = []
         self._is_draining = False
 
     @property
@@ -105,9 +115,19 @@
             OSError: The address cannot be used.
         """
         host, _, port = self._address.rpartition(":")
-        self._server = await asyncio.get_running_loop().create_server(
+        loop = asyncio.get_running_loop()
+        server = await loop.create_server(
             self._make_connection, host=host, port=int(port), backlog=BACKLOG
         )
+        self._servers.append(server)
+        for listener in tuple(server.sockets):
+            for _ in range(self._accept_handles - 1):
+                copy = socket.socket(fileno=os.dup(listener.fileno()))
+                self._servers.append(
+                    await loop.create_server(
+                        self._make_connection, sock=copy, backlog=BACKLOG
+                    )
+                )
 
     async def run(self) -> None:
         """Enforces timeouts until cancelled, then drops all connections."""
@@ -128,8 +148,8 @@
 
     def stop_listening(self) -> None:
         """Stops accepting connections."""
-        if self._server is not None:
-            self._server.close()
+        while self._servers:
+            self._servers.pop().close()
 
     def finish(self) -> None:
         """Stops accepting; answers the requests that have begun to arrive."""
