--- a/src/galenatack/app/mesh_metrics.py
+++ b/src/galenatack/app/mesh_metrics.py
@@ -76,6 +76,9 @@
             exposition.sample(
                 "requests_returned_total", parts.router.returned_requests
             ),
+            exposition.sample(
+                "target_odd_answers_total", parts.target.odd_answers
+            ),
             exposition.sample(
                 "gate_failure_ratio", parts.gate.failure_permille / 1000
             ),
@@ -102,6 +105,20 @@
             exposition.sample(
                 "callers_dropped_total", parts.callers.stats.dropped_peers
             ),
+            *self._clients(),
+        ]
+
+    def _clients(self) -> list[str]:
+        account = self._parts.account
+        return [
+            exposition.sample("client_held_bytes", account.held_bytes),
+            exposition.sample(
+                "client_held_limit_bytes", account.bounds.held_bytes
+            ),
+            *(
+                exposition.sample("clients_shed_total", count, {"cause": cause})
+                for cause, count in sorted(account.shed.items())
+            ),
         ]
 
     def _cold(self) -> list[str]:
--- a/src/galenatack/app/mesh_parts.py
+++ b/src/galenatack/app/mesh_parts.py
@@ -8,6 +8,7 @@
 from galenatack.app import mesh_tenants
 from galenatack.app import mesh_warmup
 from galenatack.bodies import body_fetcher
+from galenatack.clients import client_account
 from galenatack.config import instrumented_table
 from galenatack.config import row_mirror
 from galenatack.config import store_follower_election
@@ -65,6 +66,7 @@
     shutdown: shutdown_admission.ShutdownAdmission
     placement: target_placement.TargetPlacement
     warmer: link_warmer.LinkWarmer
+    account: client_account.ClientAccount
     log: request_log.RequestLog
     stats: call_stats.CallStats
     callers: pipelined_server.PipelinedServer
--- /dev/null
+++ b/src/galenatack/clients/request_size.py
@@ -0,0 +1,29 @@
+"""Sizes of requests as Python objects."""
+
+import collections.abc
+
+HEADER_BYTES = 184
+"""A pair of texts without their characters: 72 for the tuple, 8 for its
+reference, and 52 for each text with its padding."""
+
+RUNNING_FACTOR = 2
+"""A request that runs is kept once as it was received, and once as a message,
+as bytes for the target, or in both at different times."""
+
+
+def of_running(
+    target: str,
+    headers: collections.abc.Iterable[tuple[str, str]],
+    body: bytes,
+) -> int:
+    """Returns the size of a request while it runs.
+
+    Args:
+        target: Path and query.
+        headers: Headers.
+        body: Whole body.
+    """
+    head_bytes = sum(
+        HEADER_BYTES + len(name) + len(value) for name, value in headers
+    )
+    return (len(target) + head_bytes + len(body)) * RUNNING_FACTOR
--- a/src/galenatack/links/request_reader.py
+++ b/src/galenatack/links/request_reader.py
@@ -6,6 +6,7 @@
 
 import httptools
 
+from galenatack.clients import request_size
 from galenatack.links import connection_limits
 from galenatack.links import http_request
 from galenatack.links import request_target
@@ -80,6 +81,7 @@
         self.is_open = False
         self.has_begun = False
         self._headers = []
+        self._head_bytes = self._partial_bytes = 0
         self._body = bytearray()
 
     def detach(self) -> None:
@@ -97,6 +99,13 @@
         """Received bytes of the body of the request being received."""
         return len(self._body)
 
+    @property
+    def held_bytes(self) -> int:
+        """Memory of the request being received."""
+        lines_bytes = len(self._headers) * request_size.HEADER_BYTES
+        head_bytes = self._head_bytes + self._partial_bytes
+        return lines_bytes + head_bytes + len(self._body)
+
     def head(self) -> http_request.HttpRequest:
         """Returns the request being received, whose head is complete."""
         host, target = request_target.split(self._target.decode("latin-1"))
@@ -201,6 +210,8 @@
         self._has_ended_one = True
         request = self.head()._replace(body=bytes(self._body))
         # The connection may stay idle for long.
+        self._headers = []
+        self._head_bytes = self._partial_bytes = 0
         self._body = bytearray()
         self._received_bytes = 0
         self._on_request(request, keeps_alive=self._parser.should_keep_alive())
--- a/src/galenatack/links/translated_target.py
+++ b/src/galenatack/links/translated_target.py
@@ -51,6 +51,9 @@
         on_condition: Called with each answer of the target, refusals included.
         on_cold_ms: Called with each answer that says how long the target stays
             cold.
+
+    Attributes:
+        odd_answers: Number of answers whose status line is no answer.
     """
 
     def __init__(
@@ -65,6 +68,8 @@
         self._dialect = dialect
         self._on_condition = on_condition
         self._on_cold_ms = on_cold_ms
+        self.odd_answers = 0
+        self._odd_target_id: str | None = None
         self._client = http_client.HttpClient(
             address=address,
             max_connections=max_connections,
@@ -86,14 +91,18 @@
         idle_s = (
             POSTING_MAX_IDLE_S if request.posting else (REPEATABLE_MAX_IDLE_S)
         )
-        raw = await self._client.request(
-            request.method,
-            request.path,
-            headers=self._dialect.headers(request),
-            body=request.body,
-            max_idle_s=idle_s,
-            is_answer=functools.partial(self._dialect.is_answer, request),
-        )
+        try:
+            raw = await self._client.request(
+                request.method,
+                request.path,
+                headers=self._dialect.headers(request),
+                body=request.body,
+                max_idle_s=idle_s,
+                is_answer=functools.partial(self._dialect.is_answer, request),
+            )
+        except exceptions.TargetStatusError as error:
+            self._record_odd(request.target_id, error)
+            raise
         headers = tuple(raw.headers)
         condition = self._dialect.condition(raw.status, headers)
         if condition is not None:
@@ -120,6 +129,19 @@
             return None
         return self._dialect.cold_ms(target_id, raw.status, tuple(raw.headers))
 
+    def _record_odd(
+        self, target_id: str, error: exceptions.TargetStatusError
+    ) -> None:
+        """Counts an odd answer; the first one of a target is logged."""
+        self.odd_answers += 1
+        if target_id != self._odd_target_id:
+            self._odd_target_id = target_id
+            _LOGGER.warning(
+                "event=target-answer-odd target=%s detail=%r",
+                target_id,
+                str(error),
+            )
+
     async def cancel(self, call_id: str) -> bool:
         """Returns False: the target cannot confirm a cancellation."""
         del call_id
