Place calls by what they are likely to cost and what targets still do

Cause: requests that look alike cost very different amounts of work, and placement counts calls. Change: estimates/ learns classes of requests by what a node sees of them, how slow each target is (its own report of this moment, and its permanent speed from times), and the work that the calls at a gate still need; gates tell it in backlog_ms, callers tell the cost in cost_ms. Placement asks a Predictor; counting stays where estimates have nothing to tell or have lately predicted worse, both in placement and for the times in the admission queue. platform/ reads the reported load.

--- a/bench/overload_policies.py
+++ b/bench/overload_policies.py
@@ -130,10 +130,12 @@
         priority: int,
         deadline_s: float,
         target_latency_ms: float,
+        expected_ms: float | None = None,
     ) -> None:
         """Acquires a slot, waiting for one if necessary."""
         now_s = self._clock.monotonic_s()
-        expected_ms = self._times.expected_ms(route)
+        if expected_ms is None:
+            expected_ms = self._times.expected_ms(route)
         self._objectives_s[call_id] = now_s + target_latency_ms / MS_PER_S
         if target_latency_ms < expected_ms:
             priority += LATE_PRIORITY
@@ -144,6 +146,7 @@
                 priority=priority,
                 deadline_s=deadline_s,
                 target_latency_ms=target_latency_ms,
+                expected_ms=expected_ms,
             )
         finally:
             del self._objectives_s[call_id]
--- a/bench/retry_world.py
+++ b/bench/retry_world.py
@@ -23,6 +23,8 @@
 from galenatack.app import mesh_base
 from galenatack.app import mesh_quarantine
 from galenatack.app import mesh_rollouts
+from galenatack.estimates import call_estimates
+from galenatack.estimates import gate_work
 from galenatack.model import caller_limits
 from galenatack.model import caller_request
 from galenatack.model import host_route
@@ -288,6 +290,7 @@
             on_outcome=rollouts.pool.record,
             quarantine=quarantine.quarantine,
             runs=self._runs,
+            work=gate_work.GateWork(clock=base.clock),
         )
         self.gate.on_target_changed()
         call_message_handler.CallMessageHandler(
@@ -334,6 +337,7 @@
                 log=base.log,
                 stats=base.stats,
             ),
+            estimates=call_estimates.CallEstimates(is_enabled=False),
         )
 
     def _members_changed(self, changed):
--- a/src/galenatack/admission/admission_queue.py
+++ b/src/galenatack/admission/admission_queue.py
@@ -127,6 +127,7 @@
         priority: int,
         deadline_s: float,
         target_latency_ms: float,
+        expected_ms: float | None = None,
     ) -> None:
         """Acquires a slot, waiting for one if necessary.
 
@@ -137,6 +138,8 @@
             deadline_s: Monotonic time by which the call must have ended.
             target_latency_ms: Latency that the route aims for; 0 if only the
                 deadline applies.
+            expected_ms: Time for which the call is expected to hold its slot;
+                None for the mean of its route.
 
         Raises:
             exceptions.OverloadedError: The answer would be too late.
@@ -145,7 +148,8 @@
             exceptions.LeavingError: The queue was closed while the call
                 waited.
         """
-        expected_ms = self._times.expected_ms(route)
+        if expected_ms is None:
+            expected_ms = self._times.expected_ms(route)
         if self._is_idle() and not self._pacer.wait_s():
             self._start(call_id, expected_ms)
             return
--- a/src/galenatack/admission/target_gate.py
+++ b/src/galenatack/admission/target_gate.py
@@ -10,6 +10,7 @@
 from galenatack.admission import service_times
 from galenatack.admission import target_calls
 from galenatack.admission import target_registry
+from galenatack.estimates import gate_work
 from galenatack.interfaces import clock as clock_interface
 from galenatack.messages import call_answer
 from galenatack.model import call_request
@@ -52,6 +53,7 @@
         on_outcome: Receives the outcome of each call as rollout evidence.
         quarantine: Decides on requests under which targets crash.
         runs: Share of retries among the runs of the target.
+        work: What the calls here still need.
     """
 
     def __init__(
@@ -68,6 +70,7 @@
         on_outcome: dispatcher.OnOutcome,
         quarantine: quarantine_module.Quarantine,
         runs: retried_runs.RetriedRuns,
+        work: gate_work.GateWork,
     ):
         self._registry = registry
         self._queue = queue
@@ -80,6 +83,7 @@
         self._on_outcome = on_outcome
         self._quarantine = quarantine
         self._runs = runs
+        self._work = work
         self._failures = failure_rate.FailureRate()
         self._is_closed = False
         self._accepted_calls = 0
@@ -127,6 +131,7 @@
         if incarnation != self._incarnation:
             self._incarnation = incarnation
             self._condition = None
+            self._work.reset()
             self._limit_rate(None)
 
     def apply_condition(
@@ -137,6 +142,7 @@
         if current is None or current.target_id != target_id:
             return
         self._condition = condition
+        self._work.apply_load(condition.load)
         self._limit_rate(condition.rate_limit_per_s)
         if condition.is_leaving:
             self._registry.note_leaving(target_id)
@@ -201,8 +207,9 @@
                     self._clock.monotonic_s() + request.deadline_ms / MS_PER_S,
                 )
             ),
-            condition=self._condition,
+            condition=self._work.faded(self._condition),
             admits_retries=self._runs.admits_retry(),
+            backlog_ms=self._work.backlog_ms(),
         )
         return call_answer.CallAnswer(request.call_id, result, report)
 
@@ -239,20 +246,30 @@
         started_s: float,
         deadline_s: float,
     ) -> tuple[call_result.CallResult, float]:
-        await self._queue.acquire(
-            request.call_id,
-            route=request.route,
-            priority=request.priority,
-            deadline_s=deadline_s,
-            target_latency_ms=request.target_latency_ms,
+        expected_ms = self._work.add(
+            request, self._times.expected_ms(request.route)
         )
         try:
+            await self._queue.acquire(
+                request.call_id,
+                route=request.route,
+                priority=request.priority,
+                deadline_s=deadline_s,
+                target_latency_ms=request.target_latency_ms,
+                expected_ms=expected_ms,
+            )
+        except BaseException:
+            self._work.end(request.call_id)
+            raise
+        try:
+            self._work.start(request.call_id)
             # While the call was queued, the target may have left, and others
             # may have crashed under the same request.
             self._check(request)
             self._quarantine.check(request)
             return await self._dispatch(request, started_s, deadline_s)
         finally:
+            self._work.end(request.call_id)
             self._queue.release(request.call_id)
 
     def _check(self, request: call_request.CallRequest) -> None:
@@ -346,6 +363,11 @@
         self._stats.record_ms("queue", waited_s * MS_PER_S)
         self._failures.record(has_failed=has_failed)
         if is_answer and not has_failed:
+            self._work.record(
+                request,
+                ran_ms=ran_ms,
+                mean_ms=self._times.expected_ms(request.route),
+            )
             self._times.record(request.route, ran_ms)
         if has_run:
             self._on_outcome(
--- a/src/galenatack/app/mesh_inbound.py
+++ b/src/galenatack/app/mesh_inbound.py
@@ -12,6 +12,7 @@
 from galenatack.app import mesh_base
 from galenatack.app import mesh_quarantine
 from galenatack.app import mesh_rollouts
+from galenatack.estimates import gate_work
 from galenatack.links import translated_target
 from galenatack.platform import target_headers
 from galenatack.quarantine import crash_detector
@@ -36,6 +37,7 @@
     gate: target_gate.TargetGate
     runs: retried_runs.RetriedRuns
     slack: retry_slack.RetrySlack
+    work: gate_work.GateWork
 
 
 def make(
@@ -64,6 +66,7 @@
         clock=base.clock, bounds=base.settings.bounds.retries
     )
     runs = retried_runs.RetriedRuns(clock=base.clock, slack=slack)
+    work = gate_work.GateWork(clock=base.clock)
     gate = target_gate.TargetGate(
         registry=registry,
         queue=admission_queue.AdmissionQueue(
@@ -88,6 +91,7 @@
         on_outcome=rollouts.pool.record,
         quarantine=quarantine.quarantine,
         runs=runs,
+        work=work,
     )
     call_message_handler.CallMessageHandler(peers=base.peers, gate=gate)
-    return MeshInbound(registry, target, gate, runs, slack)
+    return MeshInbound(registry, target, gate, runs, slack, work)
--- a/src/galenatack/app/mesh_metrics.py
+++ b/src/galenatack/app/mesh_metrics.py
@@ -40,6 +40,7 @@
             *self._process(),
             *self._load(),
             *self._retry_budget(),
+            *self._estimates(),
             *self._parts.stats.samples(),
             *self._node_state(),
             *self._store_state(),
@@ -101,6 +102,23 @@
             for service in budget.services()
         ]
 
+    def _estimates(self) -> list[str]:
+        estimates = self._parts.estimates
+        samples = [
+            ("gate_backlog_ms", self._parts.work.backlog_ms(), {}),
+            ("cost_classes", estimates.split_total, {}),
+            ("requests_placed_total", estimates.used_total, {"by": "cost"}),
+            ("requests_placed_total", estimates.unused_total, {"by": "count"}),
+        ]
+        for service, errors in sorted(estimates.errors.items()):
+            for by, error_ms in (
+                ("cost", errors.estimated_ms),
+                ("count", errors.counted_ms),
+            ):
+                labels = {"service": service, "by": by}
+                samples.append(("prediction_error_ms", error_ms, labels))
+        return [exposition.sample(*sample) for sample in samples]
+
     def _node_state(self) -> list[str]:
         parts = self._parts
         states = collections.Counter(
--- a/src/galenatack/app/mesh_outbound.py
+++ b/src/galenatack/app/mesh_outbound.py
@@ -6,6 +6,7 @@
 from galenatack.app import mesh_inbound
 from galenatack.app import mesh_quarantine
 from galenatack.app import mesh_rollouts
+from galenatack.estimates import call_estimates
 from galenatack.placement import known_conditions
 from galenatack.placement import target_placement
 from galenatack.traffic import attempt_budget
@@ -25,6 +26,7 @@
     placement: target_placement.TargetPlacement
     shutdown: shutdown_admission.ShutdownAdmission
     router: call_router.CallRouter
+    estimates: call_estimates.CallEstimates
 
 
 def make(
@@ -38,12 +40,16 @@
     config = config_holder.ConfigHolder()
     budget = attempt_budget.AttemptBudget(clock=base.clock, slack=inbound.slack)
     conditions = known_conditions.KnownConditions()
+    estimates = call_estimates.CallEstimates(
+        is_enabled=base.settings.bounds.uses_estimates
+    )
     placement = target_placement.TargetPlacement(
         own=base.members.own,
         clock=base.clock,
         rng=base.rng,
         is_connected=base.peers.is_connected,
         conditions=conditions,
+        predictor=estimates,
     )
     shutdown = shutdown_admission.ShutdownAdmission(clock=base.clock)
     router = call_router.CallRouter(
@@ -73,5 +79,6 @@
             log=base.log,
             stats=base.stats,
         ),
+        estimates=estimates,
     )
-    return MeshOutbound(config, budget, placement, shutdown, router)
+    return MeshOutbound(config, budget, placement, shutdown, router, estimates)
--- a/src/galenatack/app/mesh_parts.py
+++ b/src/galenatack/app/mesh_parts.py
@@ -9,6 +9,8 @@
 from galenatack.config import row_mirror
 from galenatack.config import store_follower_election
 from galenatack.config import table_watcher
+from galenatack.estimates import call_estimates
+from galenatack.estimates import gate_work
 from galenatack.interfaces import clock as clock_interface
 from galenatack.links import peer_network
 from galenatack.links import pipelined_server
@@ -67,3 +69,5 @@
     ready: pipelined_server.PipelinedServer
     target: translated_target.TranslatedTarget
     store: instrumented_table.InstrumentedTable
+    estimates: call_estimates.CallEstimates
+    work: gate_work.GateWork
--- a/src/galenatack/app/mesh_wiring.py
+++ b/src/galenatack/app/mesh_wiring.py
@@ -107,6 +107,8 @@
         slack=inbound.slack,
         shutdown=outbound.shutdown,
         placement=outbound.placement,
+        estimates=outbound.estimates,
+        work=inbound.work,
         warmer=_make_warmer(base, outbound),
         log=base.log,
         stats=base.stats,
--- /dev/null
+++ b/src/galenatack/estimates/__init__.py
@@ -0,0 +1,1 @@
+"""What calls cost and what targets still have to do."""
--- a/src/galenatack/placement/gate_view.py
+++ b/src/galenatack/placement/gate_view.py
@@ -3,6 +3,7 @@
 import math
 
 from galenatack.admission import service_times
+from galenatack.estimates import target_work
 from galenatack.model import gate_report
 
 REPORT_DECAY_S = 0.3
@@ -37,6 +38,7 @@
         times: Service times by route.
         rate_limit_per_s: Calls per second that its target takes; None without
             a limit.
+        work: What the target still has to do, by estimates.
     """
 
     def __init__(self, *, boot_ms: int):
@@ -45,6 +47,7 @@
         self.failure_permille = 0
         self.times = service_times.ServiceTimes()
         self.rate_limit_per_s: float | None = None
+        self.work = target_work.TargetWork()
         self._other_calls = 0
         self._reported_s = -math.inf
         self._wait_reports: dict[str, tuple[float, float]] = {}
--- a/src/galenatack/placement/known_conditions.py
+++ b/src/galenatack/placement/known_conditions.py
@@ -33,6 +33,8 @@
 
         A target that was leaving stays so until it starts again.
         """
+        # Its load changes with each answer and is kept in the view of its gate.
+        condition = condition._replace(load=None)
         if not self._conditions and condition == target_condition.NORMAL:
             return
         identity = _identity(member)
--- a/src/galenatack/placement/target_placement.py
+++ b/src/galenatack/placement/target_placement.py
@@ -11,6 +11,8 @@
 import typing
 
 from galenatack import exceptions
+from galenatack.estimates import predictor as predictor_interface
+from galenatack.estimates import request_cost
 from galenatack.interfaces import clock as clock_interface
 from galenatack.interfaces import random_source
 from galenatack.model import host_route
@@ -79,6 +81,8 @@
         rng: Source of randomness.
         is_connected: Returns whether a link to a node is open.
         conditions: What targets have said of themselves.
+        predictor: Expects answer times from estimates of the cost of requests;
+            None to count calls only.
     """
 
     def __init__(
@@ -89,12 +93,14 @@
         rng: random_source.RandomSource,
         is_connected: collections.abc.Callable[[str], bool],
         conditions: known_conditions.KnownConditions,
+        predictor: predictor_interface.Predictor | None = None,
     ):
         self._own = own
         self._clock = clock
         self._rng = rng
         self._is_connected = is_connected
         self._conditions = conditions
+        self._predictor = predictor
         self._views: dict[str, gate_view.GateView] = {}
 
     def view(self, member: member_record.MemberRecord) -> gate_view.GateView:
@@ -105,6 +111,10 @@
             self._views[member.node_id] = known
         return known
 
+    def round_trip_ms(self, member: member_record.MemberRecord) -> float:
+        """Returns the round trip time to a target."""
+        return ROUND_TRIP_MS[proximity.between(self._own, member)]
+
     def retain_only(self, node_ids: collections.abc.Set[str]) -> None:
         """Removes the views of all other nodes."""
         for node_id in self._views.keys() - node_ids:
@@ -118,6 +128,7 @@
         left_ms: float,
         tried: collections.abc.Set[str],
         is_retry: bool = False,
+        cost: request_cost.RequestCost | None = None,
     ) -> member_record.MemberRecord:
         """Returns the target with the lowest expected cost.
 
@@ -127,6 +138,8 @@
             left_ms: Time until the caller must have an answer.
             tried: Ids of the nodes that were tried before.
             is_retry: Whether the call may have reached one of them.
+            cost: What the request is expected to cost; receives the
+                predictions for the chosen target.
 
         Raises:
             exceptions.NoTargetError: No untried target is left.
@@ -153,7 +166,7 @@
             untried = _taking_retries(untried, now_s)
         usable = self._usable(untried, now_s)
         usable = self._with_room(usable, route.name, now_s)
-        chosen = self._cheapest(usable, untried, route, now_s)
+        chosen = self._cheapest(usable, untried, route, cost, now_s)
         self._check_time(chosen[0], route, chosen[1], left_ms)
         return chosen[0].member
 
@@ -201,6 +214,7 @@
         usable: list[_Candidate],
         untried: list[_Candidate],
         route: host_route.HostRoute,
+        request: request_cost.RequestCost | None,
         now_s: float,
     ) -> tuple[_Candidate, float]:
         """Returns the candidate of the lowest cost and its answer time in ms.
@@ -216,7 +230,10 @@
         best = None
         lowest_cost = math.inf
         for candidate in usable:
-            answer_ms = _answer_ms(candidate, route.name, typical_ms, now_s)
+            counted_ms = _answer_ms(candidate, route.name, typical_ms, now_s)
+            answer_ms = self._predicted_ms(
+                candidate, request, counted_ms, now_s
+            )
             cost = _cost(candidate, route, answer_ms)
             cost *= 1.0 + self._rng.random() * COST_JITTER
             if (
@@ -227,10 +244,46 @@
                 continue
             if cost < lowest_cost:
                 best, lowest_cost = (candidate, answer_ms), cost
+                chosen_counted_ms = counted_ms
         if best is None:
             raise self._all_full(len(usable))
+        if request is not None:
+            self._note_predictions(best[0], request, chosen_counted_ms, now_s)
         return best
 
+    def _predicted_ms(
+        self,
+        candidate: _Candidate,
+        request: request_cost.RequestCost | None,
+        counted_ms: float,
+        now_s: float,
+    ) -> float:
+        if self._predictor is None or request is None or not request.is_used:
+            return counted_ms
+        return self._predictor.answer_ms(
+            candidate.view,
+            request,
+            slots=max(1, candidate.member.slots),
+            now_s=now_s,
+        )
+
+    def _note_predictions(
+        self,
+        chosen: _Candidate,
+        request: request_cost.RequestCost,
+        counted_ms: float,
+        now_s: float,
+    ) -> None:
+        """Keeps both predictions, which the answer will judge."""
+        request.counted_ms = counted_ms
+        if self._predictor is not None and request.work_ms:
+            request.estimated_ms = self._predictor.answer_ms(
+                chosen.view,
+                request,
+                slots=max(1, chosen.member.slots),
+                now_s=now_s,
+            )
+
     def _all_full(self, gates: int) -> exceptions.OverloadedError:
         jitter = 1.0 + self._rng.random() * RETRY_JITTER
         return exceptions.OverloadedError(
--- a/src/galenatack/platform/_headers.py
+++ b/src/galenatack/platform/_headers.py
@@ -10,6 +10,7 @@
 STORE_ERA = "store-era"
 TARGET_LIMIT = "server-limit"
 TARGET_LEAVING = "server-leaving"
+TARGET_LOAD = "x-upstream-load"
 
 _HOP_BY_HOP = frozenset(
     {
--- a/src/galenatack/platform/settings_document.py
+++ b/src/galenatack/platform/settings_document.py
@@ -107,6 +107,7 @@
         quota_slack=int(number("quota_slack", _DEFAULTS.quota_slack)),
         cold_overshoot=number("warmup_overshoot", _DEFAULTS.cold_overshoot),
         cold_slack=int(number("warmup_slack", _DEFAULTS.cold_slack)),
+        uses_estimates=values.get("cost_estimates") != "off",
     )
 
 
--- a/src/galenatack/platform/target_headers.py
+++ b/src/galenatack/platform/target_headers.py
@@ -7,6 +7,7 @@
 from galenatack.model import call_request
 from galenatack.model import target_answer
 from galenatack.model import target_condition
+from galenatack.model import target_load
 from galenatack.platform import _headers
 
 _LOGGER = logging.getLogger(__name__)
@@ -22,6 +23,12 @@
 _STAMP = _headers.STAMP.encode()
 _LIMIT = _headers.TARGET_LIMIT.encode()
 _LEAVING = _headers.TARGET_LEAVING.encode()
+_LOAD = _headers.TARGET_LOAD.encode()
+
+_PERCENT = 100.0
+_LOAD_FIGURES = (3, 4)
+_MAX_DIGITS = 6
+"""Far above any real figure; a longer one is not a load."""
 
 
 class TargetHeaders:
@@ -61,14 +68,17 @@
             return None
         limit_per_s = None
         is_leaving = False
+        load = None
         for name, value in headers:
             if name == _LIMIT:
                 limit_per_s = self._limit_per_s(value)
             elif name == _LEAVING:
                 is_leaving = value.strip() == b"1"
-        if limit_per_s is None and not is_leaving:
+            elif name == _LOAD:
+                load = _load(value)
+        if limit_per_s is None and not is_leaving and load is None:
             return target_condition.NORMAL
-        return target_condition.TargetCondition(limit_per_s, is_leaving)
+        return target_condition.TargetCondition(limit_per_s, is_leaving, load)
 
     def _limit_per_s(self, value: bytes) -> float | None:
         try:
@@ -120,3 +130,20 @@
         return target_answer.TargetAnswer(
             status, _headers.forwarded_answer_headers(decoded), body
         )
+
+
+def _load(value: bytes) -> target_load.TargetLoad | None:
+    """Returns a reported load, None if it is malformed."""
+    figures = [figure.strip() for figure in value.split(b",")]
+    if len(figures) not in _LOAD_FIGURES:
+        return None
+    if not all(
+        figure.isdigit() and len(figure) <= _MAX_DIGITS for figure in figures
+    ):
+        return None
+    numbers = [int(figure) for figure in figures]
+    running, queued, slots = numbers[:3]
+    percent = numbers[3] if len(numbers) > 3 else _PERCENT
+    if slots < 1 or percent < 1:
+        return None
+    return target_load.TargetLoad(running, queued, slots, percent / _PERCENT)
--- a/src/galenatack/settings/fleet_bounds.py
+++ b/src/galenatack/settings/fleet_bounds.py
@@ -31,6 +31,8 @@
         cold_overshoot: Factor on the rate of a cold target up to which all
             nodes may exceed it.
         cold_slack: Requests per second to a cold target beyond that.
+        uses_estimates: Whether targets may be chosen by estimates of what
+            requests cost; False to count calls only.
     """
 
     drain_ms: int = 2500
@@ -48,6 +50,7 @@
     quota_slack: int = 20
     cold_overshoot: float = 1.5
     cold_slack: int = 8
+    uses_estimates: bool = True
 
     @property
     def retries(self) -> retry_bounds.RetryBounds:
--- a/src/galenatack/traffic/call_router.py
+++ b/src/galenatack/traffic/call_router.py
@@ -5,6 +5,7 @@
 from galenatack import exceptions
 from galenatack.admission import retried_runs
 from galenatack.admission import target_gate
+from galenatack.estimates import call_estimates
 from galenatack.interfaces import clock as clock_interface
 from galenatack.messages import call_answer
 from galenatack.model import call_result
@@ -65,6 +66,7 @@
         shutdown: Decides which requests are taken during a shutdown.
         clock: Source of time.
         telemetry: Log lines and counters.
+        estimates: Estimates of what requests cost.
     """
 
     def __init__(
@@ -82,6 +84,7 @@
         shutdown: shutdown_admission.ShutdownAdmission,
         clock: clock_interface.Clock,
         telemetry: call_telemetry.CallTelemetry,
+        estimates: call_estimates.CallEstimates,
     ):
         self._config = config
         self._directory = directory
@@ -95,6 +98,7 @@
         self._shutdown = shutdown
         self._clock = clock
         self._telemetry = telemetry
+        self._estimates = estimates
         self._weights = weighted_choice.WeightedChoice()
         self.in_flight = 0
 
@@ -153,14 +157,16 @@
         timeout_ms = _timeout_ms(route, request.deadline_ms)
         deadline_s = started_s + timeout_ms / MS_PER_S
         self._shutdown.check(deadline_s)
+        service = self._weights.pick(route)
         return request_attempts.RequestAttempts(
             request=request,
             route=route,
-            service=self._weights.pick(route),
+            service=service,
             config_version=table.version,
             deadline_s=deadline_s,
             # A request of the local target cannot be told from one of a caller.
             retry_share=self._runs.retry_share,
+            cost=self._estimates.cost(request, route, service),
         )
 
     async def _try_targets(
@@ -225,6 +231,7 @@
             left_ms=left_ms,
             tried=attempts.tried,
             is_retry=attempts.is_retry,
+            cost=attempts.cost,
         )
 
     def _may_retry(
@@ -255,14 +262,17 @@
         view = self._placement.view(member)
         self._telemetry.record_placed(attempts, call, member)
         view.in_flight += 1
+        sent_s = self._clock.monotonic_s()
+        self._estimates.record_sent(attempts.cost, view, sent_s)
         try:
             answer = await self._sender.send(call, member, attempts.deadline_s)
         finally:
             view.in_flight -= 1
+            self._estimates.record_ended(attempts.cost, view)
         if isinstance(answer, call_result.CallResult):
             view.eject(self._clock.monotonic_s())
             return answer
-        self._apply_report(attempts, member, answer)
+        self._apply_report(attempts, member, answer, sent_s)
         return answer.result
 
     def _apply_report(
@@ -270,11 +280,20 @@
         attempts: request_attempts.RequestAttempts,
         member: member_record.MemberRecord,
         answer: call_answer.CallAnswer,
+        sent_s: float,
     ) -> None:
         view = self._placement.view(member)
         now_s = self._clock.monotonic_s()
         if answer.report is not None:
             view.apply_report(answer.report, attempts.route.name, now_s)
+            self._estimates.record_report(
+                attempts.cost,
+                view,
+                answer.report,
+                took_ms=(now_s - sent_s) * MS_PER_S
+                - self._placement.round_trip_ms(member),
+                now_s=now_s,
+            )
             if answer.report.condition is not None:
                 self._conditions.record(member, answer.report.condition)
         if answer.result.failure == exceptions.OverloadedError.code:
--- a/src/galenatack/traffic/call_sender.py
+++ b/src/galenatack/traffic/call_sender.py
@@ -116,6 +116,7 @@
             is_trial=attempts.is_trial,
             is_retry=attempts.is_retry,
             retry_share=attempts.retry_share,
+            cost_ms=attempts.cost.work_ms if attempts.cost else 0.0,
         )
 
     async def _send_local(
--- a/src/galenatack/traffic/request_attempts.py
+++ b/src/galenatack/traffic/request_attempts.py
@@ -1,6 +1,7 @@
 """State of the attempts of one request."""
 
 from galenatack import exceptions
+from galenatack.estimates import request_cost
 from galenatack.model import call_result
 from galenatack.model import caller_request
 from galenatack.model import host_route
@@ -17,6 +18,7 @@
         config_version: Version of the configuration that has the route.
         deadline_s: Monotonic time by which the caller must have an answer.
         retry_share: Probability that the request descends from a retry.
+        cost: What the request is expected to cost; None without estimates.
 
     Attributes:
         tried: Ids of the nodes that were tried.
@@ -36,6 +38,7 @@
         config_version: int,
         deadline_s: float,
         retry_share: float = 0.0,
+        cost: request_cost.RequestCost | None = None,
     ):
         self.request = request
         self.route = route
@@ -43,6 +46,7 @@
         self.config_version = config_version
         self.deadline_s = deadline_s
         self.retry_share = retry_share
+        self.cost = cost
         self.tried: set[str] = set()
         self.trail: list[str] = []
         self.arrivals = 0
--- /dev/null
+++ b/tests/estimates/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of what calls cost and what targets still have to do."""
--- a/tests/mesh/test_target_condition.py
+++ b/tests/mesh/test_target_condition.py
@@ -40,6 +40,28 @@
 
         asyncio.run(main())
 
+    def test_the_slowdown_of_a_target_reaches_callers(self):
+        """It goes with the gate's report, and the cost with the call."""
+
+        async def main():
+            async with small_fleet.SmallFleet("a", "b") as fleet:
+                caller, slow = fleet.members
+                slow.target.work_s = 0.02
+                slow.target.extra_headers = (("x-upstream-load", "1,0,9,250"),)
+                for _ in range(60):
+                    await fleet.call(caller, "b.example", "/idempotent/x")
+                parts = caller.parts
+                record = parts.members.get(slow.name)
+                view = parts.placement.view(record)
+                reported = view.work.slowness.reported(
+                    parts.clock.monotonic_s()
+                )
+                return reported, slow.parts.work.errors.has_samples
+
+        reported, has_costs = asyncio.run(main())
+        self.assertGreater(reported, 2.0)
+        self.assertTrue(has_costs)
+
     def test_a_target_that_says_it_leaves_gets_no_more_calls(self):
         """Its announcements still call it ready."""
 
--- a/tests/placement/test_known_conditions.py
+++ b/tests/placement/test_known_conditions.py
@@ -13,6 +13,7 @@
 from galenatack.admission import target_calls
 from galenatack.admission import target_gate
 from galenatack.admission import target_registry
+from galenatack.estimates import gate_work
 from galenatack.model import retry_bounds
 from galenatack.model import target_condition
 from galenatack.placement import known_conditions
@@ -67,6 +68,7 @@
                 clock=clock, bounds=retry_bounds.RetryBounds()
             ),
         ),
+        work=gate_work.GateWork(clock=clock),
     )
     gate.on_target_changed()
     return gate, link
--- a/tests/platform/test_target_headers.py
+++ b/tests/platform/test_target_headers.py
@@ -5,6 +5,7 @@
 from galenatack import exceptions
 from galenatack.model import call_request
 from galenatack.model import target_condition
+from galenatack.model import target_load
 from galenatack.platform import target_headers
 
 REQUEST = call_request.CallRequest(
@@ -87,6 +88,27 @@
             )
             self.assertIsNone(self.dialect.condition(421, headers))
 
+    def test_the_load_of_a_target_is_read_from_any_answer(self):
+        """A malformed one counts as none: it is a divisor of times."""
+        for value, expected in (
+            (b"3,1,12,250", target_load.TargetLoad(3, 1, 12, 2.5)),
+            (b" 3, 1 ,12", target_load.TargetLoad(3, 1, 12, 1.0)),
+            (b"0,0,1,100", target_load.TargetLoad(0, 0, 1, 1.0)),
+            (b"3,1,0,100", None),
+            (b"3,1,12,0", None),
+            (b"3,1", None),
+            (b"3,1,12,100,7", None),
+            (b"3,1,12,-5", None),
+            (b"3,1,12,1.5", None),
+            (b"3,1,12,nan", None),
+            (b"3,1,12,99999999999999999999", None),
+            (b"3,1,12,\xb2", None),
+            (b"", None),
+        ):
+            headers = ((b"x-upstream-load", value),)
+            condition = self.dialect.condition(200, headers)
+            self.assertEqual(condition.load, expected, value)
+
     def test_hop_by_hop_headers_are_not_forwarded(self):
         """The target's connection headers do not reach the caller."""
         answer = self.dialect.answer(
