--- a/src/galenatack/app/mesh_node.py
+++ b/src/galenatack/app/mesh_node.py
@@ -54,6 +54,7 @@
         """Puts changed settings in force."""
         self._bounds = settings.bounds
         self._parts.slack.bounds = settings.bounds.retries
+        self._parts.estimates.is_enabled = settings.bounds.uses_estimates
 
     def request_stop(self) -> None:
         """Begins a graceful stop."""
--- a/src/galenatack/estimates/call_estimates.py
+++ b/src/galenatack/estimates/call_estimates.py
@@ -38,10 +38,13 @@
 
     Args:
         is_enabled: Whether estimates may be used at all.
+
+    Attributes:
+        is_enabled: Whether estimates may be used at all.
     """
 
     def __init__(self, *, is_enabled: bool):
-        self._is_enabled = is_enabled
+        self.is_enabled = is_enabled
         self._classes = cost_classes.CostClasses()
         self._elastic: dict[str, elastic_share.ElasticShare] = (
             collections.defaultdict(elastic_share.ElasticShare)
@@ -77,7 +80,7 @@
             The cost, which has no estimate yet or is not used if there is
             nothing to tell; None if estimates are turned off.
         """
-        if not self._is_enabled:
+        if not self.is_enabled:
             return None
         features = request_features.of(request, route, tenant)
         cost = request_cost.RequestCost(features, route=route.name, group=group)
--- a/src/galenatack/estimates/target_slowness.py
+++ b/src/galenatack/estimates/target_slowness.py
@@ -69,6 +69,8 @@
 
     def reported(self, now_s: float) -> float:
         """Returns the reported slowdown, faded by its age."""
+        if self._reported == 1.0:
+            return 1.0
         age_s = max(0.0, now_s - self._reported_s)
         return 1.0 + (self._reported - 1.0) * math.exp(-age_s / FADE_S)
 
--- a/src/galenatack/estimates/target_work.py
+++ b/src/galenatack/estimates/target_work.py
@@ -62,7 +62,7 @@
 
     def queued_there(self, now_s: float) -> float:
         """Returns how many calls wait in the target's own queue."""
-        if self.load is None:
+        if self.load is None or not self.load.queued:
             return 0.0
         return self.load.queued * self._freshness(self._reported_s, now_s)
 
--- a/src/galenatack/placement/target_placement.py
+++ b/src/galenatack/placement/target_placement.py
@@ -230,10 +230,9 @@
         best = None
         lowest_cost = math.inf
         for candidate in usable:
-            counted_ms = _answer_ms(candidate, route.name, typical_ms, now_s)
-            answer_ms = self._predicted_ms(
-                candidate, request, counted_ms, now_s
-            )
+            answer_ms = self._estimated_ms(candidate, request, now_s)
+            if answer_ms is None:
+                answer_ms = _answer_ms(candidate, route.name, typical_ms, now_s)
             cost = _cost(candidate, route, answer_ms)
             cost *= 1.0 + self._rng.random() * COST_JITTER
             if (
@@ -244,22 +243,24 @@
                 continue
             if cost < lowest_cost:
                 best, lowest_cost = (candidate, answer_ms), cost
-                chosen_counted_ms = counted_ms
         if best is None:
             raise self._all_full(len(usable))
-        if request is not None:
-            self._note_predictions(best[0], request, chosen_counted_ms, now_s)
+        if request is not None and request.work_ms:
+            request.counted_ms = _answer_ms(
+                best[0], route.name, typical_ms, now_s
+            )
+            self._note_estimate(best[0], request, now_s)
         return best
 
-    def _predicted_ms(
+    def _estimated_ms(
         self,
         candidate: _Candidate,
         request: request_cost.RequestCost | None,
-        counted_ms: float,
         now_s: float,
-    ) -> float:
+    ) -> float | None:
+        """Returns the answer time by estimates, None if calls are counted."""
         if self._predictor is None or request is None or not request.is_used:
-            return counted_ms
+            return None
         return self._predictor.answer_ms(
             candidate.view,
             request,
@@ -267,16 +268,14 @@
             now_s=now_s,
         )
 
-    def _note_predictions(
+    def _note_estimate(
         self,
         chosen: _Candidate,
         request: request_cost.RequestCost,
-        counted_ms: float,
         now_s: float,
     ) -> None:
-        """Keeps both predictions, which the answer will judge."""
-        request.counted_ms = counted_ms
-        if self._predictor is not None and request.work_ms:
+        """Keeps the estimate for the chosen target, for the answer to judge."""
+        if self._predictor is not None:
             request.estimated_ms = self._predictor.answer_ms(
                 chosen.view,
                 request,
--- a/tests/app/test_settings_follower.py
+++ b/tests/app/test_settings_follower.py
@@ -68,6 +68,12 @@
         applied = self.run_with(TEXT.replace("slack=58", "slack=30"))
         self.assertEqual(applied[-1].bounds.repeat_slack, 30)
 
+    def test_estimates_of_costs_are_turned_off_without_a_restart(self):
+        """Operators who distrust them must not restart all nodes."""
+        text = TEXT.replace("grace=6s", "cost_estimates=off")
+        self.assertTrue(settings_document.load(self.file).bounds.uses_estimates)
+        self.assertFalse(self.run_with(text)[-1].bounds.uses_estimates)
+
     def test_a_requested_reload_is_immediate(self):
         """A requested reload does not wait for the next poll."""
         text = TEXT.replace("grace=6s", "grace=9s")
--- a/tests/estimates/test_call_estimates.py
+++ b/tests/estimates/test_call_estimates.py
@@ -114,6 +114,16 @@
         self.learn()
         self.assertIsNone(self.cost("heavy"))
 
+    def test_turned_off_while_calls_run_it_leaves_no_work(self):
+        """The settings file may change between a call and its answer."""
+        self.learn()
+        cost = self.cost("heavy")
+        view = self.placement.view(MEMBERS[0])
+        self.estimates.record_sent(cost, view, self.now_s)
+        self.estimates.is_enabled = False
+        self.estimates.record_ended(cost, view)
+        self.assertEqual(view.work.backlog_ms(self.now_s), 0.0)
+
     def test_a_slow_target_is_avoided_and_used_again(self):
         """It is slow for 0.6 s, and is seen within a few answers."""
         self.slowdowns["t-2"] = 1.2
