Tell where a request would go now, and why: explain-route

Cause: operators could see where a request went, but not where one would go and why targets are passed over. Change: TargetPlacement.assess uses the functions of choose without randomness; a node answers /explain-route on the listener of its metrics; the command prints text or JSON. The tenant is named: a key would pass a listener without protection. A call id that comes twice to a gate is no failure for its work any more.

--- a/src/galenatack/app/cli.py
+++ b/src/galenatack/app/cli.py
@@ -14,6 +14,7 @@
 from galenatack.app import tool_clock
 from galenatack.app.commands import config
 from galenatack.app.commands import explain
+from galenatack.app.commands import explain_route
 from galenatack.app.commands import fleet
 from galenatack.app.commands import move
 from galenatack.app.commands import profile
@@ -139,6 +140,7 @@
 
 cli.add_command(config.config)
 cli.add_command(explain.explain)
+cli.add_command(explain_route.explain_route)
 cli.add_command(fleet.fleet)
 cli.add_command(move.move)
 cli.add_command(profile.profile)
--- a/src/galenatack/app/mesh_node.py
+++ b/src/galenatack/app/mesh_node.py
@@ -7,8 +7,8 @@
 
 from galenatack import exceptions
 from galenatack.app import loop_monitor
-from galenatack.app import mesh_metrics
 from galenatack.app import mesh_parts
+from galenatack.app import operator_pages
 from galenatack.app import shutdown_schedule
 from galenatack.app import supervisor
 from galenatack.links import connection_limits
@@ -46,7 +46,7 @@
         self._stopping = anyio.Event()
         self._metrics = pipelined_server.PipelinedServer(
             address=parts.settings.metrics_address,
-            respond=mesh_metrics.MeshMetrics(parts=parts).respond,
+            respond=operator_pages.OperatorPages(parts=parts).respond,
             limits=connection_limits.short_requests(),
         )
 
--- a/src/galenatack/estimates/call_estimates.py
+++ b/src/galenatack/estimates/call_estimates.py
@@ -80,6 +80,21 @@
             The cost, which has no estimate yet or is not used if there is
             nothing to tell; None if estimates are turned off.
         """
+        cost = self.peek(request, route, group, tenant)
+        if cost is not None and cost.is_used:
+            self.used_total += 1
+        else:
+            self.unused_total += 1
+        return cost
+
+    def peek(
+        self,
+        request: caller_request.CallerRequest,
+        route: host_route.HostRoute,
+        group: str,
+        tenant: str = "",
+    ) -> request_cost.RequestCost | None:
+        """Returns the same as `cost` for a request that is not sent."""
         if not self.is_enabled:
             return None
         features = request_features.of(request, route, tenant)
@@ -88,11 +103,10 @@
         has_news = self._has_slowdowns or self._classes.is_split(route.name)
         if found is not None and found.samples >= MIN_SAMPLES and has_news:
             cost.work_ms = found.cost_ms
-            cost.is_used = self.errors[group].is_estimate_better
-        if cost.is_used:
-            self.used_total += 1
-        else:
-            self.unused_total += 1
+            cost.is_used = (
+                group in self.errors and self.errors[group].is_estimate_better
+            )
+            cost.label = found.label
         return cost
 
     def answer_ms(
--- a/src/galenatack/estimates/gate_work.py
+++ b/src/galenatack/estimates/gate_work.py
@@ -77,7 +77,9 @@
 
     def start(self, call_id: str) -> None:
         """Records that a call has got its slot."""
-        self._calls[call_id].started_s = self._clock.monotonic_s()
+        # A call id comes from another node, which may have used it twice.
+        if (call := self._calls.get(call_id)) is not None:
+            call.started_s = self._clock.monotonic_s()
 
     def end(self, call_id: str) -> None:
         """Removes a call, whether it has run or not."""
--- a/src/galenatack/estimates/request_cost.py
+++ b/src/galenatack/estimates/request_cost.py
@@ -19,6 +19,7 @@
         group: Name of the targets that may run it, for errors.
         work_ms: Expected work; 0 if it is not known.
         is_used: Whether targets are chosen by it.
+        label: Name of its class, for people.
         estimated_ms: Time to the answer of the chosen target, by estimates.
         counted_ms: The same by counting.
         slots: Slots of the target.
@@ -31,6 +32,7 @@
         "features",
         "group",
         "is_used",
+        "label",
         "route",
         "slots",
         "slowdown",
@@ -51,6 +53,7 @@
         self.group = group
         self.work_ms = work_ms
         self.is_used = is_used
+        self.label = ""
         self.estimated_ms = 0.0
         self.counted_ms = 0.0
         self.slots = 1
--- a/src/galenatack/placement/target_placement.py
+++ b/src/galenatack/placement/target_placement.py
@@ -18,8 +18,11 @@
 from galenatack.model import host_route
 from galenatack.model import member_record
 from galenatack.model import proximity
+from galenatack.placement import assessment
 from galenatack.placement import gate_view
 from galenatack.placement import known_conditions
+from galenatack.placement import verdict
+from galenatack.placement import verdict_order
 
 MS_PER_S = 1000.0
 
@@ -170,6 +173,72 @@
         self._check_time(chosen[0], route, chosen[1], left_ms)
         return chosen[0].member
 
+    def assess(
+        self,
+        members: collections.abc.Sequence[member_record.MemberRecord],
+        *,
+        route: host_route.HostRoute,
+        left_ms: float,
+        cost: request_cost.RequestCost | None = None,
+    ) -> list[assessment.Assessment]:
+        """Returns what `choose` would think of each target for a first attempt.
+
+        It uses no randomness and changes nothing. The order is that of the
+        cost.
+        """
+        now_s = self._clock.monotonic_s()
+        all_of_them = [
+            _Candidate(
+                member, self.view(member), proximity.between(self._own, member)
+            )
+            for member in members
+        ]
+        staying = [
+            candidate
+            for candidate in all_of_them
+            if not self._conditions.is_leaving(candidate.member)
+        ]
+        usable = self._usable(staying, now_s)
+        usable_ids = {candidate.member.node_id for candidate in usable}
+        typical_ms = _typical_ms(usable, route.name)
+        found = []
+        for candidate in all_of_them:
+            answer_ms = self._estimated_ms(candidate, cost, now_s)
+            is_estimated = answer_ms is not None
+            if answer_ms is None:
+                answer_ms = _answer_ms(candidate, route.name, typical_ms, now_s)
+            obstacle = self._obstacle(candidate, usable_ids, route.name, now_s)
+            if obstacle is None and answer_ms > left_ms:
+                obstacle = verdict.Verdict.TOO_LATE
+            found.append(
+                _assessment(
+                    candidate, route, obstacle, answer_ms, is_estimated, now_s
+                )
+            )
+        return verdict_order.judged(
+            found,
+            max_cross_region_cost=MAX_CROSS_REGION_COST,
+            jitter=COST_JITTER,
+        )
+
+    def _obstacle(
+        self,
+        candidate: _Candidate,
+        usable_ids: collections.abc.Set[str],
+        route: str,
+        now_s: float,
+    ) -> verdict.Verdict | None:
+        """Returns why a candidate is not considered, None if it is."""
+        if self._conditions.is_leaving(candidate.member):
+            return verdict.Verdict.LEAVING
+        if candidate.member.node_id not in usable_ids:
+            if candidate.view.is_ejected(now_s):
+                return verdict.Verdict.EJECTED
+            return verdict.Verdict.NOT_CONNECTED
+        if candidate.view.is_refusing(route, now_s):
+            return verdict.Verdict.REFUSING
+        return None
+
     def _usable(
         self, candidates: list[_Candidate], now_s: float
     ) -> list[_Candidate]:
@@ -362,3 +431,29 @@
     if ratio <= 0.5:
         return BALANCE_COST * ratio * 2
     return BALANCE_COST + LATE_COST * (ratio - 0.5)
+
+
+def _assessment(
+    candidate: _Candidate,
+    route: host_route.HostRoute,
+    obstacle: verdict.Verdict | None,
+    answer_ms: float,
+    is_estimated: bool,
+    now_s: float,
+) -> assessment.Assessment:
+    view = candidate.view
+    slots = max(1, candidate.member.slots)
+    return assessment.Assessment(
+        member=candidate.member,
+        distance=candidate.distance,
+        verdict=obstacle or verdict.Verdict.HIGHER_COST,
+        calls=view.calls(now_s),
+        answer_ms=answer_ms,
+        cost=_cost(candidate, route, answer_ms),
+        is_estimated=is_estimated,
+        wait_ms=view.wait_ms(route.name, slots, now_s),
+        slowdown=view.work.slowness.reported(now_s),
+        slowness=view.work.slowness.permanent(now_s),
+        backlog_ms=view.work.backlog_ms(now_s),
+        failure_permille=view.failure_permille,
+    )
--- a/tests/estimates/test_gate_work.py
+++ b/tests/estimates/test_gate_work.py
@@ -78,6 +78,15 @@
             self.work.end(str(number))
         self.assertEqual(self.work.backlog_ms(), 0)
 
+    def test_a_call_id_that_came_twice_is_no_failure(self):
+        """It comes from another node; the second call must still run."""
+        for _ in range(2):
+            self.work.add(call("same", 50.0), MEAN_MS)
+        for _ in range(2):
+            self.work.start("same")
+            self.work.end("same")
+        self.assertEqual(self.work.backlog_ms(), 0)
+
     def test_a_stale_slowdown_fades_in_reports(self):
         """A gate that only refuses would pass on an old figure as new."""
         load = target_load.TargetLoad(1, 0, 4, 2.5)
