--- a/bench/retry_world.py
+++ b/bench/retry_world.py
@@ -25,6 +25,8 @@
 from galenatack.app import mesh_rollouts
 from galenatack.bodies import announced_bodies
 from galenatack.bodies import body_fetcher
+from galenatack.estimates import call_estimates
+from galenatack.estimates import gate_work
 from galenatack.homes import permitted_targets
 from galenatack.links import handshake
 from galenatack.model import caller_limits
@@ -300,6 +302,7 @@
             quarantine=quarantine.quarantine,
             runs=self._runs,
             bodies=body_fetcher.BodyFetcher(peers=self.peers, clock=base.clock),
+            work=gate_work.GateWork(clock=base.clock),
         )
         self.gate.on_target_changed()
         call_message_handler.CallMessageHandler(
@@ -356,6 +359,7 @@
                 log=base.log,
                 stats=base.stats,
             ),
+            estimates=call_estimates.CallEstimates(is_enabled=False),
         )
 
     def _members_changed(self, changed):
--- a/src/galenatack/admission/admission_queue.py
+++ b/src/galenatack/admission/admission_queue.py
@@ -111,6 +111,7 @@
         tenant: str = "",
         cost_ms: float = 0.0,
         max_wait_ms: float | None = None,
+        expected_ms: float | None = None,
     ) -> None:
         """Acquires a slot, waiting for one if necessary.
 
@@ -126,6 +127,8 @@
             cost_ms: Work of the call; 0 if it is not known.
             max_wait_ms: Wait beyond which another gate is the better choice;
                 None for no limit.
+            expected_ms: Time for which the call is expected to hold its slot;
+                None for the mean of its route.
 
         Raises:
             exceptions.OverloadedError: The answer would be too late.
@@ -146,7 +149,8 @@
             tenant,
             cost_ms,
         )
-        expected_ms = self._times.expected_ms(route)
+        if expected_ms is None:
+            expected_ms = self._times.expected_ms(route)
         self._check_stall(terms)
         if self._is_idle() and not self._pacer.wait_s():
             self._start(call_id, expected_ms)
--- a/src/galenatack/admission/target_gate.py
+++ b/src/galenatack/admission/target_gate.py
@@ -12,6 +12,7 @@
 from galenatack.admission import target_registry
 from galenatack.bodies import announced_body
 from galenatack.bodies import body_fetcher
+from galenatack.estimates import gate_work
 from galenatack.interfaces import clock as clock_interface
 from galenatack.messages import call_answer
 from galenatack.model import admission_terms
@@ -63,6 +64,7 @@
         bodies: Fetches announced bodies.
         cold: Limits the calls while the target is cold; None without a limit.
         is_evacuated: Returns whether the data centre is evacuated.
+        work: What the calls here still need.
     """
 
     def __init__(
@@ -80,6 +82,7 @@
         quarantine: quarantine_module.Quarantine,
         runs: retried_runs.RetriedRuns,
         bodies: body_fetcher.BodyFetcher,
+        work: gate_work.GateWork,
         cold: cold_admission.ColdAdmission | None = None,
         is_evacuated: collections.abc.Callable[[], bool] = lambda: False,
     ):
@@ -100,6 +103,7 @@
             # They were admitted for a warm target.
             cold.warmth.subscribe(lambda: queue.refuse_waiting(cold.refusal))
         self._is_evacuated = is_evacuated
+        self._work = work
         self._failures = failure_rate.FailureRate()
         self._is_closed = False
         self._accepted_calls = 0
@@ -153,6 +157,7 @@
             self._incarnation = incarnation
             self._queue.note_answer()
             self._condition = None
+            self._work.reset()
             self._limit_rate(None)
             if self._cold is not None:
                 self._cold.warmth.start()
@@ -171,6 +176,7 @@
         if current is None or current.target_id != target_id:
             return
         self._condition = condition
+        self._work.apply_load(condition.load)
         self._limit_rate(condition.rate_limit_per_s)
         if condition.is_leaving:
             self._registry.note_leaving(target_id)
@@ -241,9 +247,10 @@
             failure_permille=self._failures.permille,
             wait_ms=int(self._wait_ms(request, announced)),
             waits_ms=self._queue.expected_waits_ms(),
-            condition=self._condition,
+            condition=self._work.faded(self._condition),
             admits_retries=self._runs.admits_retry(),
             cold_rate_per_s=self._cold.rate_per_s if self._cold else None,
+            backlog_ms=self._work.backlog_ms(),
         )
         return call_answer.CallAnswer(request.call_id, result, report)
 
@@ -335,18 +342,27 @@
         started_s: float,
         deadline_s: float,
     ) -> tuple[call_result.CallResult, float]:
-        await self._queue.acquire(
-            request.call_id,
-            route=request.route,
-            priority=request.priority,
-            deadline_s=deadline_s,
-            target_latency_ms=request.target_latency_ms,
-            max_wait_ms=request.max_wait_ms,
-            waited_ms=request.waited_ms,
-            tenant=request.tenant,
-            cost_ms=request.cost_ms,
+        expected_ms = self._work.add(
+            request, self._times.expected_ms(request.route)
         )
         try:
+            await self._queue.acquire(
+                request.call_id,
+                route=request.route,
+                priority=request.priority,
+                deadline_s=deadline_s,
+                target_latency_ms=request.target_latency_ms,
+                waited_ms=request.waited_ms,
+                tenant=request.tenant,
+                cost_ms=request.cost_ms,
+                max_wait_ms=request.max_wait_ms,
+                expected_ms=expected_ms,
+            )
+        except BaseException:
+            self._work.end(request.call_id)
+            raise
+        try:
+            self._work.start(request.call_id)
             # While the call was queued, the target may have left, and others
             # may have crashed under the same request.
             self._check(request)
@@ -355,6 +371,7 @@
                 self._cold.take()
             return await self._dispatch(request, started_s, deadline_s)
         finally:
+            self._work.end(request.call_id)
             self._queue.release(request.call_id)
 
     def _check(self, request: call_request.CallRequest) -> None:
@@ -455,6 +472,11 @@
         self._stats.record_ms("queue", waited_s * MS_PER_S)
         self._failures.record(has_failed=has_failed)
         if is_answer and not has_failed:
+            self._work.record(
+                request,
+                ran_ms=ran_ms,
+                mean_ms=self._times.expected_ms(request.route),
+            )
             self._times.record(request.route, ran_ms)
         if has_run:
             self._on_outcome(
--- a/src/galenatack/app/mesh_inbound.py
+++ b/src/galenatack/app/mesh_inbound.py
@@ -15,6 +15,7 @@
 from galenatack.app import mesh_rollouts
 from galenatack.app import mesh_warmup
 from galenatack.bodies import body_fetcher
+from galenatack.estimates import gate_work
 from galenatack.links import translated_target
 from galenatack.platform import target_headers
 from galenatack.quarantine import crash_detector
@@ -41,6 +42,7 @@
     slack: retry_slack.RetrySlack
     bodies: body_fetcher.BodyFetcher
     warmup: mesh_warmup.MeshWarmup
+    work: gate_work.GateWork
 
 
 def make(
@@ -72,6 +74,7 @@
     )
     bodies = body_fetcher.BodyFetcher(peers=base.peers, clock=base.clock)
     runs = retried_runs.RetriedRuns(clock=base.clock, slack=slack)
+    work = gate_work.GateWork(clock=base.clock)
     gate = target_gate.TargetGate(
         registry=registry,
         queue=admission_queue.AdmissionQueue(
@@ -100,10 +103,13 @@
         quarantine=quarantine.quarantine,
         runs=runs,
         bodies=bodies,
+        work=work,
         cold=warmup.cold,
         is_evacuated=lambda: base.evacuations.has_evacuated(
             base.settings.data_centre
         ),
     )
     call_message_handler.CallMessageHandler(peers=base.peers, gate=gate)
-    return MeshInbound(registry, target, gate, runs, slack, bodies, warmup)
+    return MeshInbound(
+        registry, target, gate, runs, slack, bodies, warmup, work
+    )
--- a/src/galenatack/app/mesh_outbound.py
+++ b/src/galenatack/app/mesh_outbound.py
@@ -8,6 +8,7 @@
 from galenatack.app import mesh_rollouts
 from galenatack.app import mesh_tenants
 from galenatack.bodies import announced_bodies
+from galenatack.estimates import call_estimates
 from galenatack.homes import permitted_targets
 from galenatack.placement import known_conditions
 from galenatack.placement import target_placement
@@ -31,6 +32,7 @@
     shutdown: shutdown_admission.ShutdownAdmission
     tenants: tenant_admission.TenantAdmission
     router: call_router.CallRouter
+    estimates: call_estimates.CallEstimates
 
 
 def make(
@@ -45,12 +47,16 @@
     config = config_holder.ConfigHolder()
     budget = attempt_budget.AttemptBudget(clock=base.clock, slack=inbound.slack)
     conditions = known_conditions.KnownConditions()
+    estimates = call_estimates.CallEstimates(
+        is_enabled=base.settings.bounds.uses_estimates
+    )
     placement = target_placement.TargetPlacement(
         own=base.members.own,
         clock=base.clock,
         rng=base.rng,
         is_connected=base.peers.is_connected,
         conditions=conditions,
+        predictor=estimates,
     )
     shutdown = shutdown_admission.ShutdownAdmission(clock=base.clock)
     tenants = tenant_admission.TenantAdmission(
@@ -91,5 +97,8 @@
             log=base.log,
             stats=base.stats,
         ),
+        estimates=estimates,
+    )
+    return MeshOutbound(
+        config, budget, placement, shutdown, tenants, router, estimates
     )
-    return MeshOutbound(config, budget, placement, shutdown, tenants, router)
--- a/src/galenatack/app/mesh_parts.py
+++ b/src/galenatack/app/mesh_parts.py
@@ -13,6 +13,8 @@
 from galenatack.config import row_mirror
 from galenatack.config import store_follower_election
 from galenatack.config import table_watcher
+from galenatack.estimates import call_estimates
+from galenatack.estimates import gate_work
 from galenatack.homes import evacuations
 from galenatack.interfaces import clock as clock_interface
 from galenatack.links import peer_network
@@ -77,3 +79,5 @@
     warmup: mesh_warmup.MeshWarmup
     evacuations: evacuations.Evacuations
     tenants: mesh_tenants.MeshTenants
+    estimates: call_estimates.CallEstimates
+    work: gate_work.GateWork
--- a/src/galenatack/app/mesh_wiring.py
+++ b/src/galenatack/app/mesh_wiring.py
@@ -111,6 +111,8 @@
         slack=inbound.slack,
         shutdown=outbound.shutdown,
         placement=outbound.placement,
+        estimates=outbound.estimates,
+        work=inbound.work,
         warmer=_make_warmer(base, outbound),
         account=base.account,
         log=base.log,
--- a/src/galenatack/placement/gate_view.py
+++ b/src/galenatack/placement/gate_view.py
@@ -3,6 +3,7 @@
 import math
 
 from galenatack.admission import service_times
+from galenatack.estimates import target_work
 from galenatack.model import gate_report
 from galenatack.placement import reported_waits
 from galenatack.warmup import cold_view
@@ -44,6 +45,7 @@
         rate_limit_per_s: Calls per second that its target takes; None without
             a limit.
         cold: What is known of the target if it may be cold.
+        work: What the target still has to do, by estimates.
     """
 
     def __init__(self, *, boot_ms: int):
@@ -53,6 +55,7 @@
         self.times = service_times.ServiceTimes()
         self.rate_limit_per_s: float | None = None
         self.cold = cold_view.ColdView()
+        self.work = target_work.TargetWork()
         self._other_calls = 0
         self._reported_s = -math.inf
         self._waits = reported_waits.ReportedWaits()
--- a/src/galenatack/placement/target_placement.py
+++ b/src/galenatack/placement/target_placement.py
@@ -11,15 +11,20 @@
 
 from galenatack import exceptions
 from galenatack.admission import return_times
+from galenatack.estimates import predictor as predictor_interface
+from galenatack.estimates import request_cost
 from galenatack.interfaces import clock as clock_interface
 from galenatack.interfaces import random_source
 from galenatack.model import host_route
 from galenatack.model import member_record
 from galenatack.model import proximity
+from galenatack.placement import assessment
 from galenatack.placement import gate_view
 from galenatack.placement import known_conditions
 from galenatack.placement import offer as offer_module
 from galenatack.placement import room_estimate
+from galenatack.placement import verdict
+from galenatack.placement import verdict_order
 
 MS_PER_S = 1000.0
 
@@ -80,6 +85,14 @@
     distance: proximity.Proximity
 
 
+class _Call(typing.NamedTuple):
+    """What the choice of a target depends on."""
+
+    route: host_route.HostRoute
+    tenant: str = ""
+    cost: request_cost.RequestCost | None = None
+
+
 class _Ranked(typing.NamedTuple):
     """A candidate with its cost and expected answer time."""
 
@@ -102,6 +115,8 @@
         rng: Source of randomness.
         is_connected: Returns whether a link to a node is open.
         conditions: What targets have said of themselves.
+        predictor: Expects answer times from estimates of the cost of requests;
+            None to count calls only.
     """
 
     def __init__(
@@ -112,6 +127,7 @@
         rng: random_source.RandomSource,
         is_connected: collections.abc.Callable[[str], bool],
         conditions: known_conditions.KnownConditions,
+        predictor: predictor_interface.Predictor | None = None,
     ):
         self._own = own
         self._clock = clock
@@ -119,6 +135,7 @@
         self._is_connected = is_connected
         self._conditions = conditions
         self._returns = return_times.ReturnTimes(clock=clock, rng=rng)
+        self._predictor = predictor
         self._views: dict[str, gate_view.GateView] = {}
 
     def view(self, member: member_record.MemberRecord) -> gate_view.GateView:
@@ -129,6 +146,10 @@
             self._views[member.node_id] = known
         return known
 
+    def round_trip_ms(self, member: member_record.MemberRecord) -> float:
+        """Returns the round trip time to a target."""
+        return ROUND_TRIP_MS[proximity.between(self._own, member)]
+
     def retain_only(self, node_ids: collections.abc.Set[str]) -> None:
         """Removes the views of all other nodes."""
         for node_id in self._views.keys() - node_ids:
@@ -143,6 +164,7 @@
         tried: collections.abc.Set[str],
         is_retry: bool = False,
         tenant: str = "",
+        cost: request_cost.RequestCost | None = None,
     ) -> member_record.MemberRecord:
         """Returns the target with the lowest expected cost; see `offer`."""
         return self.offer(
@@ -152,6 +174,7 @@
             tried=tried,
             is_retry=is_retry,
             tenant=tenant,
+            cost=cost,
         ).member
 
     def offer(
@@ -164,6 +187,7 @@
         is_retry: bool = False,
         asked: collections.abc.Set[str] = frozenset(),
         tenant: str = "",
+        cost: request_cost.RequestCost | None = None,
     ) -> offer_module.Offer:
         """Returns the target with the lowest expected cost.
 
@@ -180,6 +204,8 @@
             asked: Ids of the nodes that have declined the call, whose reports
                 are fresh: chosen again, they get it without a limit.
             tenant: Tenant of the call; empty without one.
+            cost: What the request is expected to cost; receives the
+                predictions for the chosen target.
 
         Raises:
             exceptions.NoTargetError: No untried target is left.
@@ -206,7 +232,8 @@
             untried = _taking_retries(untried, now_s)
         usable = self._usable(untried, now_s)
         usable = self._with_room(usable, route, now_s, tenant)
-        best, *others = self._ranked(usable, untried, route, now_s, tenant)
+        call = _Call(route, tenant, cost)
+        best, *others = self._ranked(usable, untried, call, now_s)
         self._check_time(best.candidate, route, best.answer_ms, left_ms)
         member = best.candidate.member
         if not others or member.node_id in asked or len(asked) >= MAX_OFFERS:
@@ -215,6 +242,75 @@
             member, _max_wait_ms(best, others[0].cost, route)
         )
 
+    def assess(
+        self,
+        members: collections.abc.Sequence[member_record.MemberRecord],
+        *,
+        route: host_route.HostRoute,
+        left_ms: float,
+        tenant: str = "",
+        cost: request_cost.RequestCost | None = None,
+    ) -> list[assessment.Assessment]:
+        """Returns what `choose` would think of each target for a first attempt.
+
+        It uses no randomness and changes nothing. The order is that of the
+        cost.
+        """
+        now_s = self._clock.monotonic_s()
+        all_of_them = [
+            _Candidate(
+                member, self.view(member), proximity.between(self._own, member)
+            )
+            for member in members
+        ]
+        staying = [
+            candidate
+            for candidate in all_of_them
+            if not self._conditions.is_leaving(candidate.member)
+        ]
+        usable = self._usable(staying, now_s)
+        usable_ids = {candidate.member.node_id for candidate in usable}
+        typical_ms = _typical_ms(usable, route.name)
+        call = _Call(route, tenant, cost)
+        found = []
+        for candidate in all_of_them:
+            wait_ms, run_ms = self._times_ms(candidate, call, typical_ms, now_s)
+            answer_ms = wait_ms + run_ms
+            obstacle = self._obstacle(candidate, usable_ids, call, now_s)
+            if obstacle is None and answer_ms > left_ms:
+                obstacle = verdict.Verdict.TOO_LATE
+            found.append(
+                _assessment(
+                    candidate, route, obstacle, answer_ms, wait_ms, cost, now_s
+                )
+            )
+        return verdict_order.judged(
+            found,
+            max_cross_region_cost=MAX_CROSS_REGION_COST,
+            jitter=COST_JITTER,
+        )
+
+    def _obstacle(
+        self,
+        candidate: _Candidate,
+        usable_ids: collections.abc.Set[str],
+        call: _Call,
+        now_s: float,
+    ) -> verdict.Verdict | None:
+        """Returns why a candidate is not considered, None if it is."""
+        if self._conditions.is_leaving(candidate.member):
+            return verdict.Verdict.LEAVING
+        if candidate.member.node_id not in usable_ids:
+            if candidate.view.is_ejected(now_s):
+                return verdict.Verdict.EJECTED
+            return verdict.Verdict.NOT_CONNECTED
+        is_refusing = candidate.view.is_refusing(
+            call.route.name, now_s, tenant=call.tenant
+        )
+        if is_refusing or candidate.view.cold.is_paused(now_s):
+            return verdict.Verdict.REFUSING
+        return None
+
     def _usable(
         self, candidates: list[_Candidate], now_s: float
     ) -> list[_Candidate]:
@@ -263,9 +359,8 @@
         self,
         usable: list[_Candidate],
         untried: list[_Candidate],
-        route: host_route.HostRoute,
+        call: _Call,
         now_s: float,
-        tenant: str,
     ) -> list[_Ranked]:
         """Returns the candidates by cost, the lowest first; not empty.
 
@@ -273,15 +368,14 @@
             exceptions.OverloadedError: Only targets in other regions are
                 left, and each of them costs too much.
         """
+        route, tenant = call.route, call.tenant
         typical_ms = _typical_ms(usable, route.name)
         has_same_region = any(
             candidate.distance != _OTHER_REGION for candidate in untried
         )
         ranked = []
         for candidate in usable:
-            wait_ms, run_ms = _times_ms(
-                candidate, route, typical_ms, now_s, tenant
-            )
+            wait_ms, run_ms = self._times_ms(candidate, call, typical_ms, now_s)
             answer_ms = wait_ms + run_ms
             cost = _cost(candidate, route, answer_ms)
             cost *= 1.0 + self._rng.random() * COST_JITTER
@@ -295,8 +389,48 @@
         if not ranked:
             raise self._all_full(usable, route, now_s, tenant)
         ranked.sort(key=_cost_of)
+        self._note_predictions(ranked[0].candidate, call, typical_ms, now_s)
         return ranked
 
+    def _times_ms(
+        self,
+        candidate: _Candidate,
+        call: _Call,
+        typical_ms: float,
+        now_s: float,
+    ) -> tuple[float, float]:
+        """Returns the expected wait at a gate and time at its target in ms."""
+        is_used = call.cost is not None and call.cost.is_used
+        if self._predictor is None or not is_used:
+            return _counted_ms(candidate, call, typical_ms, now_s)
+        return self._predictor.times_ms(
+            candidate.view,
+            call.cost,
+            slots=max(1, candidate.member.slots),
+            now_s=now_s,
+        )
+
+    def _note_predictions(
+        self,
+        chosen: _Candidate,
+        call: _Call,
+        typical_ms: float,
+        now_s: float,
+    ) -> None:
+        """Keeps both predictions for a target, for the answer to judge."""
+        request = call.cost
+        if self._predictor is None or request is None or not request.work_ms:
+            return
+        request.counted_ms = sum(_counted_ms(chosen, call, typical_ms, now_s))
+        request.estimated_ms = sum(
+            self._predictor.times_ms(
+                chosen.view,
+                request,
+                slots=max(1, chosen.member.slots),
+                now_s=now_s,
+            )
+        )
+
     def _all_full(
         self,
         candidates: list[_Candidate],
@@ -375,21 +509,17 @@
     return TRANSFER_COST[candidate.distance] + lateness_cost + failure_share
 
 
-def _times_ms(
-    candidate: _Candidate,
-    route: host_route.HostRoute,
-    typical_ms: float,
-    now_s: float,
-    tenant: str,
+def _counted_ms(
+    candidate: _Candidate, call: _Call, typical_ms: float, now_s: float
 ) -> tuple[float, float]:
-    """Returns the expected wait at the gate and time at its target in ms."""
-    view = candidate.view
+    """Returns the wait at a gate and the time at its target by counting."""
+    view, route = candidate.view, call.route
     service_ms = view.times.known_ms(route.name)
     if service_ms is None:
         service_ms = typical_ms
     slots = view.usable_slots(max(1, candidate.member.slots), service_ms, now_s)
     wait_ms = view.wait_ms(
-        route.name, slots, now_s, priority=route.priority, tenant=tenant
+        route.name, slots, now_s, priority=route.priority, tenant=call.tenant
     )
     # No call waits while slots are free; the load term balances the targets.
     run_ms = service_ms + view.calls(now_s) / slots
@@ -427,3 +557,29 @@
     if ratio <= 0.5:
         return BALANCE_COST * ratio * 2
     return BALANCE_COST + LATE_COST * (ratio - 0.5)
+
+
+def _assessment(
+    candidate: _Candidate,
+    route: host_route.HostRoute,
+    obstacle: verdict.Verdict | None,
+    answer_ms: float,
+    wait_ms: float,
+    cost: request_cost.RequestCost | None,
+    now_s: float,
+) -> assessment.Assessment:
+    view = candidate.view
+    return assessment.Assessment(
+        member=candidate.member,
+        distance=candidate.distance,
+        verdict=obstacle or verdict.Verdict.HIGHER_COST,
+        calls=view.calls(now_s),
+        answer_ms=answer_ms,
+        cost=_cost(candidate, route, answer_ms),
+        is_estimated=cost is not None and cost.is_used,
+        wait_ms=wait_ms,
+        slowdown=view.work.slowness.reported(now_s),
+        slowness=view.work.slowness.permanent(now_s),
+        backlog_ms=view.work.backlog_ms(now_s),
+        failure_permille=view.failure_permille,
+    )
--- a/src/galenatack/platform/_headers.py
+++ b/src/galenatack/platform/_headers.py
@@ -14,6 +14,7 @@
 TARGET_LEAVING = "server-leaving"
 TARGET_ID = "x-instance-id"
 TARGET_COLD_MS = "x-warmup-ms"
+TARGET_LOAD = "x-upstream-load"
 
 _HOP_BY_HOP = frozenset(
     {
--- a/src/galenatack/platform/target_headers.py
+++ b/src/galenatack/platform/target_headers.py
@@ -7,6 +7,7 @@
 from galenatack.model import call_request
 from galenatack.model import target_answer
 from galenatack.model import target_condition
+from galenatack.model import target_load
 from galenatack.platform import _headers
 
 _LOGGER = logging.getLogger(__name__)
@@ -25,6 +26,12 @@
 _TARGET_ID = _headers.TARGET_ID.encode()
 _COLD_MS = _headers.TARGET_COLD_MS.encode()
 _TENANT = _headers.TENANT.encode()
+_LOAD = _headers.TARGET_LOAD.encode()
+
+_PERCENT = 100.0
+_LOAD_FIGURES = (3, 4)
+_MAX_DIGITS = 6
+"""Far above any real figure; a longer one is not a load."""
 
 
 class TargetHeaders:
@@ -65,14 +72,17 @@
             return None
         limit_per_s = None
         is_leaving = False
+        load = None
         for name, value in headers:
             if name == _LIMIT:
                 limit_per_s = self._limit_per_s(value)
             elif name == _LEAVING:
                 is_leaving = value.strip() == b"1"
-        if limit_per_s is None and not is_leaving:
+            elif name == _LOAD:
+                load = _load(value)
+        if limit_per_s is None and not is_leaving and load is None:
             return target_condition.NORMAL
-        return target_condition.TargetCondition(limit_per_s, is_leaving)
+        return target_condition.TargetCondition(limit_per_s, is_leaving, load)
 
     def cold_ms(
         self, target_id: str, status: int, headers: Headers
@@ -153,3 +163,20 @@
     # The operator's names may have characters beyond Latin-1.
     name = request.tenant.encode("utf-8", "replace")
     return ((_TENANT, name),) if name else ()
+
+
+def _load(value: bytes) -> target_load.TargetLoad | None:
+    """Returns a reported load, None if it is malformed."""
+    figures = [figure.strip() for figure in value.split(b",")]
+    if len(figures) not in _LOAD_FIGURES:
+        return None
+    if not all(
+        figure.isdigit() and len(figure) <= _MAX_DIGITS for figure in figures
+    ):
+        return None
+    numbers = [int(figure) for figure in figures]
+    running, queued, slots = numbers[:3]
+    percent = numbers[3] if len(numbers) > 3 else _PERCENT
+    if slots < 1 or percent < 1:
+        return None
+    return target_load.TargetLoad(running, queued, slots, percent / _PERCENT)
--- a/src/galenatack/traffic/call_router.py
+++ b/src/galenatack/traffic/call_router.py
@@ -5,6 +5,7 @@
 from galenatack import exceptions
 from galenatack.admission import retried_runs
 from galenatack.admission import target_gate
+from galenatack.estimates import call_estimates
 from galenatack.homes import homes
 from galenatack.homes import permitted_targets
 from galenatack.interfaces import clock as clock_interface
@@ -71,6 +72,7 @@
         tenants: Checks the keys of tenants.
         clock: Source of time.
         telemetry: Log lines and counters.
+        estimates: Estimates of what requests cost.
 
     Attributes:
         in_flight: Requests without an answer yet.
@@ -94,6 +96,7 @@
         tenants: tenant_admission.TenantAdmission,
         clock: clock_interface.Clock,
         telemetry: call_telemetry.CallTelemetry,
+        estimates: call_estimates.CallEstimates,
     ):
         self._config = config
         self._targets = targets
@@ -109,6 +112,7 @@
         self._tenants = tenants
         self._clock = clock
         self._telemetry = telemetry
+        self._estimates = estimates
         self._weights = weighted_choice.WeightedChoice()
         self.in_flight = 0
         self.declined = 0
@@ -179,16 +183,23 @@
         timeout_ms = _timeout_ms(route, request.deadline_ms)
         deadline_s = started_s + timeout_ms / MS_PER_S
         self._shutdown.check(deadline_s)
+        service = self._weights.pick(route)
         return request_attempts.RequestAttempts(
             request=request._replace(credential=""),
             route=tenant_pass.route_for(sender, route),
-            service=self._weights.pick(route),
+            service=service,
             config_version=table.version,
             deadline_s=deadline_s,
             # A request of the local target cannot be told from one of a caller.
             retry_share=self._runs.retry_share,
             sender=sender,
             arrived_s=self._returned.arrived_s(request, started_s),
+            cost=self._estimates.cost(
+                request,
+                route,
+                service,
+                tenant="" if sender is None else sender.name,
+            ),
         )
 
     async def _try_targets(
@@ -279,6 +290,7 @@
             is_retry=attempts.is_retry,
             asked=attempts.declined,
             tenant=attempts.tenant,
+            cost=attempts.cost,
         )
 
     def _may_retry(
@@ -310,14 +322,17 @@
         view = self._placement.view(member)
         self._telemetry.record_placed(attempts, call, member)
         view.in_flight += 1
+        sent_s = self._clock.monotonic_s()
+        self._estimates.record_sent(attempts.cost, view, sent_s)
         try:
             answer = await self._sender.send(call, member, attempts.deadline_s)
         finally:
             view.in_flight -= 1
+            self._estimates.record_ended(attempts.cost, view)
         if isinstance(answer, call_result.CallResult):
             view.eject(self._clock.monotonic_s())
             return answer
-        self._apply_report(attempts, member, answer)
+        self._apply_report(attempts, member, answer, sent_s)
         return answer.result
 
     def _apply_report(
@@ -325,6 +340,7 @@
         attempts: request_attempts.RequestAttempts,
         member: member_record.MemberRecord,
         answer: call_answer.CallAnswer,
+        sent_s: float,
     ) -> None:
         view = self._placement.view(member)
         now_s = self._clock.monotonic_s()
@@ -338,6 +354,14 @@
             )
             if view.cold.apply(answer.report, answer.result, now_s):
                 attempts.excuse_refusal()
+            self._estimates.record_report(
+                attempts.cost,
+                view,
+                answer.report,
+                took_ms=(now_s - sent_s) * MS_PER_S
+                - self._placement.round_trip_ms(member),
+                now_s=now_s,
+            )
             if answer.report.condition is not None:
                 self._conditions.record(member, answer.report.condition)
         if answer.result.failure == exceptions.EvacuatedError.code:
--- a/src/galenatack/traffic/call_sender.py
+++ b/src/galenatack/traffic/call_sender.py
@@ -132,6 +132,7 @@
             max_wait_ms=offer.max_wait_ms,
             tenant=attempts.tenant,
             waited_ms=(now_s - arrived_s) * MS_PER_S,
+            cost_ms=attempts.cost.work_ms if attempts.cost else 0.0,
         )
 
     async def _send_local(
--- a/src/galenatack/traffic/request_attempts.py
+++ b/src/galenatack/traffic/request_attempts.py
@@ -1,6 +1,7 @@
 """State of the attempts of one request."""
 
 from galenatack import exceptions
+from galenatack.estimates import request_cost
 from galenatack.model import call_result
 from galenatack.model import caller_request
 from galenatack.model import host_route
@@ -26,6 +27,7 @@
             counts from its first attempt on.
         retry_share: Probability that the request descends from a retry.
         sender: What is known of the sender; None if there are no tenants.
+        cost: What the request is expected to cost; None without estimates.
 
     Attributes:
         tried: Ids of the nodes that were tried.
@@ -51,6 +53,7 @@
         retry_share: float = 0.0,
         sender: tenant_pass.TenantPass | None = None,
         arrived_s: float | None = None,
+        cost: request_cost.RequestCost | None = None,
     ):
         self.request = request
         self.route = route
@@ -60,6 +63,7 @@
         self.retry_share = retry_share
         self.sender = sender
         self.arrived_s = arrived_s
+        self.cost = cost
         self.tried: set[str] = set()
         self.trail: list[str] = []
         self.arrivals = 0
--- a/tests/homes/test_way_of_a_call.py
+++ b/tests/homes/test_way_of_a_call.py
@@ -6,6 +6,7 @@
 from unittest import mock
 
 from galenatack import exceptions
+from galenatack.estimates import call_estimates
 from galenatack.homes import evacuations
 from galenatack.homes import permitted_targets
 from galenatack.membership import member_table
@@ -61,6 +62,7 @@
                 evacuations=self.evacuations,
             ),
             tenants=tenant_admission.TenantAdmission(in_force=lambda: None),
+            estimates=call_estimates.CallEstimates(is_enabled=False),
             returned=returned_requests.ReturnedRequests(
                 clock=virtual_loop.LoopClock()
             ),
--- a/tests/placement/test_known_conditions.py
+++ b/tests/placement/test_known_conditions.py
@@ -13,6 +13,7 @@
 from galenatack.admission import target_calls
 from galenatack.admission import target_gate
 from galenatack.admission import target_registry
+from galenatack.estimates import gate_work
 from galenatack.model import retry_bounds
 from galenatack.model import target_condition
 from galenatack.placement import known_conditions
@@ -69,6 +70,7 @@
         ),
         bodies=mock.Mock(),
         **options,
+        work=gate_work.GateWork(clock=clock),
     )
     gate.on_target_changed()
     return gate, link
