--- a/src/galenatack/admission/turn_order.py
+++ b/src/galenatack/admission/turn_order.py
@@ -125,7 +125,7 @@
             is_late: Whether it is late.
             cost_ms: Its work.
         """
-        rank = (terms.priority, is_late)
+        rank = (terms.priority, is_late, bool(terms.tenant))
         is_fair = self._is_fair(terms)
         calls, work_ms, own_cost_ms = 0, 0.0, 0.0
         others = collections.defaultdict(list)
--- a/src/galenatack/admission/waiting_call.py
+++ b/src/galenatack/admission/waiting_call.py
@@ -71,9 +71,14 @@
         self.future = future
 
     @property
-    def rank(self) -> tuple[int, bool]:
-        """What goes before any fair turn: priority, then in time."""
-        return (self.priority, self.is_late)
+    def rank(self) -> tuple[int, bool, bool]:
+        """What goes before any fair turn.
+
+        Priority, then in time, then calls of no tenant: nearly all of them are
+        made by runs, which hold slots until they end, for all tenants. One
+        flow beside those of many tenants, they would wait for all of these.
+        """
+        return (self.priority, self.is_late, self.has_tenant)
 
     def note_time(self, now_s: float) -> bool:
         """Returns whether it has become late by now."""
