--- a/src/galenatack/admission/fair_shares.py
+++ b/src/galenatack/admission/fair_shares.py
@@ -5,6 +5,12 @@
 MAX_FLOWS = 512
 """Flows that are kept before those that were given little are forgotten."""
 
+TOLERANCE_MS = 500.0
+"""Work by which a flow may lead before it goes behind the others: a few calls.
+Flows within it go by deadline. Without it, each call of one of many tenants
+goes before or behind all others by chance, and some wait until they are refused
+while there is room for all."""
+
 
 class FairShares:
     """Virtual service of the flows of one priority.
@@ -13,9 +19,13 @@
 
     A flow that has waited for nothing gains no credit: it continues at the
     least service of the flows that wait.
+
+    Args:
+        tolerance_ms: Work by which a flow may lead before it goes behind.
     """
 
-    def __init__(self):
+    def __init__(self, *, tolerance_ms: float = TOLERANCE_MS):
+        self._tolerance_ms = tolerance_ms
         self._given_ms: dict[str, float] = {}
         self._least_ms = 0.0
 
@@ -26,6 +36,15 @@
         """Returns the work that a flow was given; the least goes first."""
         return max(self._least_ms, self._given_ms.get(flow, 0.0))
 
+    def turn_ms(self, flow: str) -> float:
+        """Returns the work by which flows take turns; the least goes first."""
+        lead_ms = self.given_ms(flow) - self._least_ms
+        return self._least_ms + max(0.0, lead_ms - self._tolerance_ms)
+
+    def leads(self, flow: str) -> bool:
+        """Returns whether a flow goes behind one that was given the least."""
+        return self.turn_ms(flow) > self._least_ms
+
     def charge(
         self,
         flow: str,
--- a/src/galenatack/admission/turn_order.py
+++ b/src/galenatack/admission/turn_order.py
@@ -7,6 +7,7 @@
 
 import collections
 import collections.abc
+import functools
 import heapq
 
 from galenatack.admission import fair_shares
@@ -27,14 +28,24 @@
 
     Args:
         clock: Source of time.
+        tolerance_ms: Work by which a flow may lead before it goes behind.
     """
 
-    def __init__(self, *, clock: clock_interface.Clock):
+    def __init__(
+        self,
+        *,
+        clock: clock_interface.Clock,
+        tolerance_ms: float = fair_shares.TOLERANCE_MS,
+    ):
         self._clock = clock
         self._calls: dict[str, waiting_call.WaitingCall] = {}
         self._heaps: dict[str, list[waiting_call.WaitingCall]] = {}
         self._shares: collections.defaultdict[int, fair_shares.FairShares] = (
-            collections.defaultdict(fair_shares.FairShares)
+            collections.defaultdict(
+                functools.partial(
+                    fair_shares.FairShares, tolerance_ms=tolerance_ms
+                )
+            )
         )
         self._tenant_calls = 0
 
@@ -155,17 +166,24 @@
         """
         calls: collections.Counter[int] = collections.Counter()
         work_ms: collections.Counter[int] = collections.Counter()
-        flows = max(1, len(self._heaps)) if self._is_fair() else 1
+        is_fair = self._is_fair()
         for call in self._calls.values():
+            if is_fair and self._leads(call):
+                continue
             place = min(MAX_PRIORITIES - 1, call.priority + call.is_late)
-            calls[place] += 1 / flows
-            work_ms[place] += call.expected_ms / flows
-        ahead, sums = (0.0, 0.0), []
+            calls[place] += 1
+            work_ms[place] += call.expected_ms
+        ahead, sums = (0, 0.0), []
         for priority in range(max(calls, default=0) + 1):
             ahead = (ahead[0] + calls[priority], ahead[1] + work_ms[priority])
             sums.append(ahead)
         return sums
 
+    def _leads(self, call: waiting_call.WaitingCall) -> bool:
+        """Returns whether a new flow would go before a call."""
+        shares = self._shares.get(call.priority)
+        return shares is not None and shares.leads(call.flow)
+
     def _is_fair(
         self, terms: admission_terms.AdmissionTerms | None = None
     ) -> bool:
@@ -178,7 +196,7 @@
     ) -> float:
         if call.priority not in self._shares:
             return 0.0
-        return self._shares[call.priority].given_ms(call.flow)
+        return self._shares[call.priority].turn_ms(call.flow)
 
     def _first(self, flow: str) -> waiting_call.WaitingCall | None:
         """Returns the first call of a flow that still waits."""
