Limit cold targets at gates without a configuration

Cause: until a restarted node had its configuration, its gate had no rate: it limited nothing and counted no starts, though peers send to the target restored from its record at once.

Change: callers send the cold rate of the service with each call, in a field appended to CallRequest; the gate uses the lowest one until its first configuration, and counts starts until then. The target is assumed to be cold when it first has a rate.

--- a/src/galenatack/admission/target_gate.py
+++ b/src/galenatack/admission/target_gate.py
@@ -285,6 +285,7 @@
             self._check(request)
             self._learn_limit(request)
             if self._cold is not None:
+                self._cold.warmth.learn_rate(request.cold_rate_per_s)
                 self._cold.check()
             if announced is not None:
                 request = await self._with_body(request, announced, deadline_s)
--- a/src/galenatack/app/mesh_outbound.py
+++ b/src/galenatack/app/mesh_outbound.py
@@ -75,6 +75,7 @@
             bodies=announced_bodies.AnnouncedBodies(peers=base.peers),
             clock=base.clock,
             rng=base.rng,
+            cold_rate_per_s=config.cold_rate_per_s,
         ),
         conditions=conditions,
         quarantine=quarantine.quarantine,
--- a/src/galenatack/model/call_request.py
+++ b/src/galenatack/model/call_request.py
@@ -41,6 +41,8 @@
             attempt, which it has lost of its objective.
         max_wait_ms: Wait for a slot beyond which the gate declines the call,
             because another gate is then the better choice; None for no limit.
+        cold_rate_per_s: Calls per second that a cold target of the service
+            takes, for a gate that has no configuration yet; 0 without a limit.
     """
 
     call_id: str
@@ -67,3 +69,4 @@
     cost_ms: float = 0.0
     waited_ms: float = 0.0
     max_wait_ms: int | None = None
+    cold_rate_per_s: float = 0.0
--- a/src/galenatack/traffic/call_sender.py
+++ b/src/galenatack/traffic/call_sender.py
@@ -1,6 +1,7 @@
 """Sends a call to the gate of its target, on this node or another one."""
 
 import asyncio
+import collections.abc
 import logging
 import typing
 
@@ -54,6 +55,8 @@
         bodies: Bodies that gates fetch.
         clock: Source of time.
         rng: Source of randomness, for call ids.
+        cold_rate_per_s: Returns the calls per second that a cold target of a
+            service takes; 0 without a limit.
     """
 
     def __init__(
@@ -66,6 +69,7 @@
         bodies: announced_bodies.AnnouncedBodies,
         clock: clock_interface.Clock,
         rng: random_source.RandomSource,
+        cold_rate_per_s: collections.abc.Callable[[str], float] = lambda _: 0.0,
     ):
         self._own = own
         self._peers = peers
@@ -73,6 +77,7 @@
         self._conditions = conditions
         self._bodies = bodies
         self._clock = clock
+        self._cold_rate_per_s = cold_rate_per_s
         self._call_prefix = f"{rng.getrandbits(CALL_ID_BITS):010x}"
         self._calls = 0
         self._tasks: set[asyncio.Task] = set()
@@ -129,6 +134,7 @@
             retry_share=attempts.retry_share,
             max_wait_ms=offer.max_wait_ms,
             tenant=attempts.tenant,
+            cold_rate_per_s=self._cold_rate_per_s(attempts.service),
         )
 
     async def _send_local(
--- a/src/galenatack/traffic/config_holder.py
+++ b/src/galenatack/traffic/config_holder.py
@@ -73,6 +73,10 @@
         """Tenants in force; None if requests need no keys."""
         return self.table.tenants if self.table else None
 
+    def cold_rate_per_s(self, service: str) -> float:
+        """Returns the calls per second of a cold target; 0 means no limit."""
+        return self.table.cold_rate_per_s(service) if self.table else 0.0
+
 
 class ApplyIfNewer(typing.Protocol):
     """Applies a decoded configuration."""
--- a/src/galenatack/traffic/route_table.py
+++ b/src/galenatack/traffic/route_table.py
@@ -31,6 +31,7 @@
             else tenant_table.TenantTable(config.tenants)
         )
         self._max_connections = config.max_connections
+        self._warm_ups = config.warm_ups
         self._by_host: dict[str, dict[str, host_route.HostRoute]] = (
             collections.defaultdict(dict)
         )
@@ -59,3 +60,8 @@
     def max_connections(self, service: str) -> int:
         """Returns the connection limit of one target; 0 means no limit."""
         return self._max_connections.get(service, 0)
+
+    def cold_rate_per_s(self, service: str) -> float:
+        """Returns the calls per second of a cold target; 0 means no limit."""
+        known = self._warm_ups.get(service)
+        return known.rate_per_s if known else 0.0
--- a/src/galenatack/warmup/cold_admission.py
+++ b/src/galenatack/warmup/cold_admission.py
@@ -15,7 +15,8 @@
 
     The gate is the only way to its target, so that it keeps the bound for all
     nodes, without messages between them. Starts are counted while the target
-    is warm as well: they count against the second in which it turns cold.
+    is warm as well: they count against the second in which it turns cold. So
+    are those before the first configuration, which may set a rate.
 
     Args:
         warmth: Whether the target is cold.
@@ -60,7 +61,7 @@
         Raises:
             exceptions.OverloadedError: The target is cold and has its share.
         """
-        if not self.warmth.warm_up.rate_per_s:
+        if self.warmth.is_configured and not self.warmth.warm_up.rate_per_s:
             return
         self.check()
         self._pace.record_start()
--- a/src/galenatack/warmup/target_warmth.py
+++ b/src/galenatack/warmup/target_warmth.py
@@ -47,6 +47,7 @@
     Attributes:
         bounds: The same; may be replaced.
         warm_up: Behaviour of the service's cold targets.
+        is_configured: Whether the node has had a configuration.
         probe_wanted: Set while the target is to be asked.
         epoch: Number of the latest assumption; what was asked before it tells
             nothing.
@@ -62,6 +63,7 @@
         self._clock = clock
         self.bounds = bounds
         self.warm_up = warm_up_module.WarmUp()
+        self.is_configured = False
         self.probe_wanted = asyncio.Event()
         self.epoch = 0
         self.starts = 0
@@ -109,7 +111,31 @@
 
     def configure(self, warm_up: warm_up_module.WarmUp) -> None:
         """Sets the behaviour of the service's cold targets."""
+        self.is_configured = True
+        self._set(warm_up, reason="configured")
+
+    def learn_rate(self, rate_per_s: float) -> None:
+        """Uses the rate that a caller knows until there is a configuration.
+
+        A node that has started again gets calls as soon as its peers reach it,
+        which may be before it has the configuration. Of callers whose
+        configurations differ, the one with the lowest rate counts.
+
+        Args:
+            rate_per_s: Calls per second of a cold target; 0 without a limit.
+        """
+        known = self.warm_up.rate_per_s
+        if self.is_configured or rate_per_s <= 0:
+            return
+        if not known or rate_per_s < known:
+            warm_up = warm_up_module.WarmUp(rate_per_s=rate_per_s)
+            self._set(warm_up, reason="rate-learned")
+
+    def _set(self, warm_up: warm_up_module.WarmUp, *, reason: str) -> None:
+        was_limited = self.warm_up.rate_per_s > 0
         self.warm_up = warm_up
+        if warm_up.rate_per_s and not was_limited:
+            self.assume(reason)
         self._request_probe()
 
     def start(self) -> None:
@@ -142,7 +168,7 @@
         was_cold = self.is_cold
         if self._assumed_s is not None and (
             left_ms
-            or not self.warm_up.probe_path
+            or (self.is_configured and not self.warm_up.probe_path)
             or now_s - self._assumed_s >= LATE_ANNOUNCEMENT_S
         ):
             self._assumed_s = None
--- a/tests/warmup/test_cold_admission.py
+++ b/tests/warmup/test_cold_admission.py
@@ -44,14 +44,16 @@
 class ColdGate:
     """A gate, and the arrivals at its target, which answers in `WORK_S`."""
 
-    def __init__(self, *, rate_per_s=RATE_PER_S, probe_path="/h"):
+    def __init__(
+        self, *, rate_per_s=RATE_PER_S, probe_path="/h", is_configured=True
+    ):
         self.clock = virtual_loop.LoopClock()
         self.warmth = target_warmth.TargetWarmth(
             clock=self.clock, bounds=BOUNDS
         )
-        self.warmth.configure(
-            warm_up.WarmUp(10_000, rate_per_s, probe_path=probe_path)
-        )
+        self.warm_up = warm_up.WarmUp(10_000, rate_per_s, probe_path=probe_path)
+        if is_configured:
+            self.warmth.configure(self.warm_up)
         self.cold = cold_admission.ColdAdmission(
             warmth=self.warmth, clock=self.clock
         )
@@ -72,13 +74,16 @@
             self.warmth.answer(cold_ms, starts=None)
         return target_answer.TargetAnswer(200, (), b"")
 
-    async def call(self):
+    async def call(self, *, cold_rate_per_s=0.0):
         """Sends one call; returns the answer of the gate."""
         self.calls += 1
         started_s = self.clock.monotonic_s()
         answer = await self.gate.handle(
             test_target_headers.REQUEST._replace(
-                call_id=f"{self.calls}", posting=False, deadline_ms=2000
+                call_id=f"{self.calls}",
+                posting=False,
+                deadline_ms=2000,
+                cold_rate_per_s=cold_rate_per_s,
             )
         )
         if answer.result.failure == exceptions.OverloadedError.code:
@@ -86,7 +91,7 @@
             self.refused_after_s.append(waited_s)
         return answer
 
-    async def load(self, rate_per_s, duration_s, *, callers=CALLERS):
+    async def load(self, rate_per_s, duration_s, *, callers=CALLERS, **options):
         """Lets callers send at a rate together, whatever is answered."""
         interval_s = callers / rate_per_s
         ends_s = self.clock.monotonic_s() + duration_s
@@ -94,7 +99,7 @@
         async def caller(number, tasks):
             await asyncio.sleep(interval_s * number / callers)
             while self.clock.monotonic_s() < ends_s:
-                tasks.create_task(self.call())
+                tasks.create_task(self.call(**options))
                 await asyncio.sleep(interval_s)
 
         async with asyncio.TaskGroup() as tasks:
@@ -191,6 +196,40 @@
         self.assertLessEqual(most_in_a_second(arrivals_s), allowed(RATE_PER_S))
         self.assertGreater(len(arrivals_s), RATE_PER_S * 2)
 
+    def test_a_gate_without_a_configuration_keeps_the_rate_of_callers(self):
+        """Peers send to a restored target before its node has the rows."""
+
+        async def main():
+            gate = ColdGate(is_configured=False)
+            gate.cold_ms.return_value = 10_000
+            load = asyncio.create_task(
+                gate.load(200.0, 4.0, cold_rate_per_s=RATE_PER_S)
+            )
+            await asyncio.sleep(2.0)
+            gate.warmth.configure(gate.warm_up)
+            await load
+            return gate.arrivals_s
+
+        arrivals_s = virtual_loop.run(main)
+        self.assertLessEqual(most_in_a_second(arrivals_s), allowed(RATE_PER_S))
+        self.assertGreater(len(arrivals_s), RATE_PER_S * 2)
+
+    def test_calls_before_the_configuration_count_against_its_rate(self):
+        """Nodes of the release before send calls without a rate."""
+
+        async def main():
+            gate = ColdGate(is_configured=False)
+            load = asyncio.create_task(gate.load(25.0, 3.0))
+            await asyncio.sleep(1.5)
+            gate.warmth.configure(gate.warm_up)
+            await load
+            return gate.arrivals_s
+
+        arrivals_s = virtual_loop.run(main)
+        self.assertLessEqual(most_in_a_second(arrivals_s), allowed(RATE_PER_S))
+        turned_s = [at_s for at_s in arrivals_s if 1.5 <= at_s < 1.7]
+        self.assertEqual(turned_s, [])
+
     def test_without_a_rate_nothing_is_counted_or_refused(self):
         """Services whose configuration says nothing run as before."""
 
