Probe targets over a connection of their own

Cause: probes shared the connections of calls and took any answer, so that the late copy of a call's answer counted as that of a probe, and a call could wait for a connection behind a probe.

Change: an HTTP client with one connection for probes; only an answer that names its target and no attempt answers a probe.

--- a/src/galenatack/interfaces/target_dialect.py
+++ b/src/galenatack/interfaces/target_dialect.py
@@ -20,6 +20,9 @@
     ) -> bool:
         """Returns whether a response with these headers answers a call."""
 
+    def is_probe_answer(self, headers: Headers) -> bool:
+        """Returns whether a response with these headers answers a probe."""
+
     def condition(
         self, status: int, headers: Headers
     ) -> target_condition.TargetCondition | None:
--- a/src/galenatack/links/translated_target.py
+++ b/src/galenatack/links/translated_target.py
@@ -30,6 +30,8 @@
 MAX_ANSWER_BYTES = 3_500_000
 """An answer must fit into a 4 MiB frame between nodes."""
 
+MAX_PROBE_ANSWER_BYTES = 65_536
+
 OnCondition = collections.abc.Callable[
     [str, target_condition.TargetCondition], None
 ]
@@ -42,7 +44,9 @@
 class TranslatedTarget:
     """Implements `interfaces.target_link.TargetLink`.
 
-    A call is cancelled by closing its connection.
+    A call is cancelled by closing its connection. Probes have a connection of
+    their own: a faulty target may answer a request twice, and the answer to a
+    probe could otherwise be taken for that of a call, or the reverse.
 
     Args:
         address: host:port of the target.
@@ -71,6 +75,12 @@
             connect_timeout_s=CONNECT_TIMEOUT_S,
             max_answer_bytes=MAX_ANSWER_BYTES,
         )
+        self._probes = http_client.HttpClient(
+            address=address,
+            max_connections=1,
+            connect_timeout_s=CONNECT_TIMEOUT_S,
+            max_answer_bytes=MAX_PROBE_ANSWER_BYTES,
+        )
 
     async def call(
         self, request: call_request.CallRequest
@@ -107,13 +117,16 @@
         """Returns how long the target stays cold; None if it does not say.
 
         Args:
-            path: Path that the target answers at once.
+            path: Path under which the target says it.
             target_id: The target; the answer of another one counts for
                 nothing.
         """
         try:
-            raw = await self._client.request(
-                "GET", path, max_idle_s=REPEATABLE_MAX_IDLE_S
+            raw = await self._probes.request(
+                "GET",
+                path,
+                max_idle_s=REPEATABLE_MAX_IDLE_S,
+                is_answer=self._dialect.is_probe_answer,
             )
         except exceptions.CallError as error:
             _LOGGER.debug("event=probe-unanswered error=%s", error)
@@ -137,3 +150,4 @@
     async def close(self) -> None:
         """Closes the idle connections."""
         await self._client.close()
+        await self._probes.close()
--- a/src/galenatack/platform/target_headers.py
+++ b/src/galenatack/platform/target_headers.py
@@ -57,6 +57,14 @@
                 return value == request.request_id.encode("latin-1")
         return True
 
+    def is_probe_answer(self, headers: Headers) -> bool:
+        """Returns whether an answer may belong to a probe, not to a call.
+
+        An answer without the target's identity may be that of a proxy.
+        """
+        names = {name for name, _ in headers}
+        return _TARGET_ID in names and _ATTEMPT_ID not in names
+
     def condition(
         self, status: int, headers: Headers
     ) -> target_condition.TargetCondition | None:
--- a/tests/platform/test_target_headers.py
+++ b/tests/platform/test_target_headers.py
@@ -57,6 +57,19 @@
         self.assertFalse(self.dialect.is_answer(REQUEST, other))
         self.assertTrue(self.dialect.is_answer(REQUEST, STAMPED))
 
+    def test_only_an_answer_of_the_target_itself_answers_a_probe(self):
+        """A late copy of a call's answer says how cold the target was."""
+        own = (b"x-instance-id", b"i-1")
+        cold = (b"x-warmup-ms", b"0")
+        for headers, expected in (
+            ((own, cold), True),
+            ((cold,), False),
+            ((own, cold, (b"x-attempt-id", b"a1")), False),
+        ):
+            with self.subTest(headers=headers):
+                is_answer = self.dialect.is_probe_answer(headers)
+                self.assertEqual(is_answer, expected)
+
     def test_only_the_target_can_report_that_a_call_did_not_run(self):
         """A 503 without that header is an ordinary answer."""
         for status, header in REFUSALS:
