Bound wrong long times of cold targets, and let them end

Cause: one X-Warmup-Ms of limited a warm target for 600 s: a cold target was not probed, and announcements only prolonged the time.

Change: a time counts up to the configured warm-up and 1 s; a cold target that answers nothing is probed each second; the second announcement in a row of a shorter time counts.

--- a/src/galenatack/warmup/target_warmth.py
+++ b/src/galenatack/warmup/target_warmth.py
@@ -26,6 +26,14 @@
 MAX_LEFT_MS = 600_000
 """No target is cold for longer; a larger value is an error."""
 
+LEFT_MARGIN_MS = 1000
+"""A target may count its warm-up from a little later than its configured
+duration does; a time beyond that is an error."""
+
+COLD_PROBE_S = 1.0
+"""Time after which a cold target that has answered nothing is asked again: its
+last statement may have been wrong."""
+
 CHECKED_SHARE = 0.25
 """Share of the calls that a cold target may get in a second, after which a warm
 one is asked whether it still is warm. The answer takes some milliseconds, in
@@ -48,7 +56,7 @@
         bounds: The same; may be replaced.
         warm_up: Behaviour of the service's cold targets.
         is_configured: Whether the node has had a configuration.
-        probe_wanted: Set while the target is to be asked.
+        probe_wanted: Set when `probe_wait_s` may have become shorter.
         epoch: Number of the latest assumption; what was asked before it tells
             nothing.
         starts: Number of calls that were sent.
@@ -70,6 +78,8 @@
         self._known_starts = 0
         self._cold_until_s = 0.0
         self._prolonged_s = 0.0
+        self._answered_s = 0.0
+        self._shorter_announcements = 0
         self._assumed_s: float | None = None
         self._callbacks: list[collections.abc.Callable[[], None]] = []
 
@@ -84,13 +94,24 @@
 
     @property
     def wants_probe(self) -> bool:
-        """Whether the target is to be asked."""
+        """Whether the target is to be asked now."""
+        return self.probe_wait_s() == 0.0
+
+    def probe_wait_s(self) -> float | None:
+        """Returns when the target is to be asked; None if nothing asks for it.
+
+        0 means now.
+        """
         if not self.warm_up.rate_per_s or not self.warm_up.probe_path:
-            return False
+            return None
         if self._is_assumed:
-            return True
+            return 0.0
         if self.is_cold:
-            return False
+            since_s = self._clock.monotonic_s() - self._answered_s
+            return max(0.0, COLD_PROBE_S - since_s)
+        return 0.0 if self._has_unchecked_share() else None
+
+    def _has_unchecked_share(self) -> bool:
         most = (
             self.warm_up.rate_per_s * self.bounds.cold_overshoot
             + self.bounds.cold_slack
@@ -134,6 +155,8 @@
     def _set(self, warm_up: warm_up_module.WarmUp, *, reason: str) -> None:
         was_limited = self.warm_up.rate_per_s > 0
         self.warm_up = warm_up
+        most_s = self._clock.monotonic_s() + self._most_left_ms() / MS_PER_S
+        self._cold_until_s = min(self._cold_until_s, most_s)
         if warm_up.rate_per_s and not was_limited:
             self.assume(reason)
         self._request_probe()
@@ -166,6 +189,7 @@
         """
         now_s = self._clock.monotonic_s()
         was_cold = self.is_cold
+        self._shorten_by_announcement(left_ms, now_s)
         if self._assumed_s is not None and (
             left_ms
             or (self.is_configured and not self.warm_up.probe_path)
@@ -191,6 +215,7 @@
         now_s = self._clock.monotonic_s()
         was_cold = self.is_cold
         self._assumed_s = None
+        self._answered_s = now_s
         self._known_starts = self.starts if starts is None else starts
         if left_ms:
             self._prolong(left_ms, now_s, was_cold=was_cold)
@@ -198,8 +223,25 @@
             until_s = now_s + left_ms / MS_PER_S
             self._cold_until_s = min(self._cold_until_s, until_s)
 
+    def _shorten_by_announcement(self, left_ms: int, now_s: float) -> None:
+        """Believes the second announcement of a shorter time.
+
+        One may be late; two in a row would both have been made before the
+        longer time was stated only if they were late by their interval.
+        """
+        until_s = now_s + left_ms / MS_PER_S
+        if (
+            now_s - self._prolonged_s < LATE_ANNOUNCEMENT_S
+            or until_s > self._cold_until_s - REORDERED_S
+        ):
+            self._shorter_announcements = 0
+            return
+        self._shorter_announcements += 1
+        if self._shorter_announcements > 1:
+            self._cold_until_s = until_s
+
     def _prolong(self, left_ms: int, now_s: float, *, was_cold: bool) -> None:
-        until_s = now_s + min(left_ms, MAX_LEFT_MS) / MS_PER_S
+        until_s = now_s + min(left_ms, self._most_left_ms()) / MS_PER_S
         if until_s <= self._cold_until_s:
             return
         is_new = now_s >= self._cold_until_s
@@ -207,6 +249,8 @@
         self._prolonged_s = now_s
         if not self.warm_up.rate_per_s:
             return
+        # The probe waits anew, for the time after which it asks again.
+        self.probe_wanted.set()
         if is_new:
             _LOGGER.info(
                 "event=target-cold left_ms=%d per_s=%g",
@@ -216,6 +260,11 @@
         if not was_cold:
             self._notify()
 
+    def _most_left_ms(self) -> int:
+        if not self.warm_up.duration_ms:
+            return MAX_LEFT_MS
+        return min(MAX_LEFT_MS, self.warm_up.duration_ms + LEFT_MARGIN_MS)
+
     def _notify(self) -> None:
         for callback in self._callbacks:
             callback()
--- a/src/galenatack/warmup/warmth_probe.py
+++ b/src/galenatack/warmup/warmth_probe.py
@@ -53,13 +53,25 @@
     async def run(self) -> typing.NoReturn:
         """Asks until it is cancelled, one probe at a time."""
         while True:
-            await self._warmth.probe_wanted.wait()
-            self._warmth.probe_wanted.clear()
-            while self._warmth.wants_probe:
-                is_answered = await self.probe()
-                await self._clock.sleep_s(
-                    MIN_INTERVAL_S if is_answered else FAILED_INTERVAL_S
-                )
+            await self._wait()
+            if not self._warmth.wants_probe:
+                continue
+            is_answered = await self.probe()
+            await self._clock.sleep_s(
+                MIN_INTERVAL_S if is_answered else FAILED_INTERVAL_S
+            )
+
+    async def _wait(self) -> None:
+        """Waits until the target may have to be asked."""
+        wait_s = self._warmth.probe_wait_s()
+        if wait_s == 0.0:
+            return
+        try:
+            async with asyncio.timeout(wait_s):
+                await self._warmth.probe_wanted.wait()
+        except TimeoutError:
+            pass
+        self._warmth.probe_wanted.clear()
 
     async def probe(self) -> bool:
         """Asks once; returns whether the target said how cold it is."""
