Send no probes to targets in an evacuated data centre

Cause: the gate refused calls there, but the probe still asked targets in doubt.

Change: no probe is wanted while the own data centre is evacuated; the end of the evacuation assumes a cold target, which is probed then.

Result: 0 probes in 3 s to a target that started there (tests/warmup/test_target_warmth).

--- a/src/galenatack/app/mesh_warmup.py
+++ b/src/galenatack/app/mesh_warmup.py
@@ -25,7 +25,11 @@
 ) -> MeshWarmup:
     """Makes the parts that protect the own target while it is cold."""
     warmth = target_warmth.TargetWarmth(
-        clock=base.clock, bounds=base.settings.bounds
+        clock=base.clock,
+        bounds=base.settings.bounds,
+        is_evacuated=lambda: base.evacuations.has_evacuated(
+            base.settings.data_centre
+        ),
     )
 
     async def ask(path: str) -> int | None:
--- a/src/galenatack/warmup/target_warmth.py
+++ b/src/galenatack/warmup/target_warmth.py
@@ -51,6 +51,8 @@
     Args:
         clock: Source of time.
         bounds: Bounds of the deployment.
+        is_evacuated: Returns whether the data centre is evacuated; its targets
+            get nothing then, not even probes.
 
     Attributes:
         bounds: The same; may be replaced.
@@ -67,8 +69,10 @@
         *,
         clock: clock_interface.Clock,
         bounds: fleet_bounds.FleetBounds,
+        is_evacuated: collections.abc.Callable[[], bool] = lambda: False,
     ):
         self._clock = clock
+        self._is_evacuated = is_evacuated
         self.bounds = bounds
         self.warm_up = warm_up_module.WarmUp()
         self.is_configured = False
@@ -104,6 +108,8 @@
         """
         if not self.warm_up.rate_per_s or not self.warm_up.probe_path:
             return None
+        if self._is_evacuated():
+            return None
         if self._is_assumed:
             return 0.0
         if self.is_cold:
--- a/tests/warmup/test_target_warmth.py
+++ b/tests/warmup/test_target_warmth.py
@@ -180,12 +180,14 @@
 
 
 class TestWarmthProbe(unittest.TestCase):
-    def run_probe(self, ask, duration_s):
+    def run_probe(self, ask, duration_s, **options):
         """Returns a warmth, and the probe after it has run for a while."""
 
         async def main():
             clock = virtual_loop.LoopClock()
-            warmth = target_warmth.TargetWarmth(clock=clock, bounds=BOUNDS)
+            warmth = target_warmth.TargetWarmth(
+                clock=clock, bounds=BOUNDS, **options
+            )
             warmth.configure(WARM_UP)
             probe = warmth_probe.WarmthProbe(
                 warmth=warmth, ask=ask, clock=clock
@@ -211,6 +213,26 @@
         self.assertFalse(is_cold)
         self.assertEqual(probe.probes, 2)
 
+    def test_a_target_in_an_evacuated_data_centre_is_not_probed(self):
+        """Its targets get nothing; neither a start nor a cold one matters."""
+        ask = mock.AsyncMock(return_value=None)
+        _, probe = self.run_probe(ask, 3.0, is_evacuated=lambda: True)
+        self.assertEqual(probe.probes, 0)
+
+    def test_the_end_of_an_evacuation_is_followed_by_a_probe(self):
+        """Its targets may have started again meanwhile."""
+        evacuated = mock.Mock(return_value=True)
+        warmth = target_warmth.TargetWarmth(
+            clock=manual_clock.ManualClock(),
+            bounds=BOUNDS,
+            is_evacuated=evacuated,
+        )
+        warmth.configure(WARM_UP)
+        self.assertFalse(warmth.probe_wanted.is_set())
+        evacuated.return_value = False
+        warmth.assume("evacuation-ended")
+        self.assertTrue(warmth.probe_wanted.is_set())
+
     def test_a_target_that_does_not_answer_is_not_flooded_with_probes(self):
         """One at a time, each given up after half a second."""
 
