Probe a broken health path at the interval of announcements

Cause: a health path that fails or lacks the header was asked four times a second for as long as the target was in doubt or got calls.

Change: after four probes in a row without an answer, the next ones follow after 1.5 s; announcements count as answers meanwhile.

Result: 9 s of doubt cost at most 10 probes, 36 before (tests/warmup/test_target_warmth).

--- a/src/galenatack/warmup/target_warmth.py
+++ b/src/galenatack/warmup/target_warmth.py
@@ -62,6 +62,8 @@
         epoch: Number of the latest assumption; what was asked before it tells
             nothing.
         starts: Number of calls that were sent.
+        is_health_broken: Whether probes get no answers, so that announcements
+            count as such.
     """
 
     def __init__(
@@ -79,6 +81,7 @@
         self.probe_wanted = asyncio.Event()
         self.epoch = 0
         self.starts = 0
+        self.is_health_broken = False
         self._known_starts = 0
         self._cold_until_s = 0.0
         self._prolonged_s = 0.0
@@ -202,6 +205,9 @@
             or now_s - self._assumed_s >= LATE_ANNOUNCEMENT_S
         ):
             self._assumed_s = None
+        if self.is_health_broken:
+            self._answered_s = now_s
+            self._known_starts = self.starts
         if left_ms:
             self._prolong(left_ms, now_s, was_cold=was_cold)
 
--- a/src/galenatack/warmup/warmth_probe.py
+++ b/src/galenatack/warmup/warmth_probe.py
@@ -13,6 +13,14 @@
 FAILED_INTERVAL_S = 0.25
 """Time after a probe without an answer."""
 
+FAST_FAILURES = 4
+"""Number of probes in a row without an answer after which the health path is
+taken for broken, rather than the target for starting or busy."""
+
+BROKEN_INTERVAL_S = 1.5
+"""Time between probes of a broken health path. Announcements come at this
+interval and say the same."""
+
 TIMEOUT_S = 0.5
 """The target is on the same machine and answers probes at once."""
 
@@ -49,6 +57,7 @@
         self._clock = clock
         self.probes = 0
         self.failures = 0
+        self._failures_in_row = 0
 
     async def run(self) -> typing.NoReturn:
         """Asks until it is cancelled, one probe at a time."""
@@ -56,10 +65,19 @@
             await self._wait()
             if not self._warmth.wants_probe:
                 continue
-            is_answered = await self.probe()
-            await self._clock.sleep_s(
-                MIN_INTERVAL_S if is_answered else FAILED_INTERVAL_S
-            )
+            await self._clock.sleep_s(self._record(await self.probe()))
+
+    def _record(self, is_answered: bool) -> float:
+        """Records the end of a probe; returns the time before another one."""
+        if is_answered:
+            self._failures_in_row = 0
+            self._warmth.is_health_broken = False
+            return MIN_INTERVAL_S
+        self._failures_in_row += 1
+        if self._failures_in_row < FAST_FAILURES:
+            return FAILED_INTERVAL_S
+        self._warmth.is_health_broken = True
+        return BROKEN_INTERVAL_S
 
     async def _wait(self) -> None:
         """Waits until the target may have to be asked."""
--- a/tests/warmup/test_target_warmth.py
+++ b/tests/warmup/test_target_warmth.py
@@ -135,6 +135,17 @@
             self.warmth.record_start()
         self.assertLess(self.warmth.starts, MOST_CALLS / 2)
 
+    def test_announcements_count_if_probes_are_not_answered(self):
+        """A broken health path would be asked as long as calls come."""
+        self.warmth.answer(0, starts=None)
+        while not self.warmth.wants_probe:
+            self.warmth.record_start()
+        self.warmth.announce(0)
+        self.assertTrue(self.warmth.wants_probe)
+        self.warmth.is_health_broken = True
+        self.warmth.announce(0)
+        self.assertFalse(self.warmth.wants_probe)
+
     def test_a_target_that_turns_cold_is_told_once(self):
         """Calls that wait for it are refused then."""
         turned_cold = mock.Mock()
@@ -213,6 +224,23 @@
         self.assertFalse(is_cold)
         self.assertEqual(probe.probes, 2)
 
+    def test_a_broken_health_path_is_asked_as_often_as_targets_announce(self):
+        """Each probe is billed; a path without the header answers at once."""
+        duration_s = 9.0
+        _, probe = self.run_probe(mock.AsyncMock(return_value=None), duration_s)
+        slow_probes = duration_s / warmth_probe.BROKEN_INTERVAL_S
+        self.assertLessEqual(
+            probe.probes, warmth_probe.FAST_FAILURES + slow_probes
+        )
+        self.assertGreaterEqual(probe.probes, slow_probes)
+
+    def test_an_answer_ends_the_longer_interval(self):
+        """The next target that starts is asked at once."""
+        left_ms = mock.AsyncMock(side_effect=[None] * 5 + [2000] * 20)
+        _, probe = self.run_probe(left_ms, 5.0)
+        self.assertEqual(probe.failures, 5)
+        self.assertGreaterEqual(probe.probes, 5 + 2)
+
     def test_a_target_in_an_evacuated_data_centre_is_not_probed(self):
         """Its targets get nothing; neither a start nor a cold one matters."""
         ask = mock.AsyncMock(return_value=None)
