Probe warm targets only if recent calls could break the bound

Cause: the rule counted calls since the last answer, whatever the time: at 1 call/s and a cold rate of 5.3, 60 calls cost 15 probes, which are billed.

Change: only the starts of the last second count. The comments and docs/platform.md say what probes cost and wait for; the fake target answers them in a slot.

--- a/src/galenatack/app/mesh_warmup.py
+++ b/src/galenatack/app/mesh_warmup.py
@@ -39,7 +39,7 @@
 
     return MeshWarmup(
         warmth=warmth,
-        cold=cold_admission.ColdAdmission(warmth=warmth, clock=base.clock),
+        cold=cold_admission.ColdAdmission(warmth=warmth),
         probe=warmth_probe.WarmthProbe(
             warmth=warmth, ask=ask, clock=base.clock
         ),
--- a/src/galenatack/warmup/cold_admission.py
+++ b/src/galenatack/warmup/cold_admission.py
@@ -3,8 +3,6 @@
 import collections
 
 from galenatack import exceptions
-from galenatack.interfaces import clock as clock_interface
-from galenatack.warmup import sliding_pace
 from galenatack.warmup import target_warmth
 
 MS_PER_S = 1000.0
@@ -20,21 +18,15 @@
 
     Args:
         warmth: Whether the target is cold.
-        clock: Source of time.
 
     Attributes:
         warmth: The same.
         counts: Number of calls to the cold target, by `sent` or `refused`.
     """
 
-    def __init__(
-        self,
-        *,
-        warmth: target_warmth.TargetWarmth,
-        clock: clock_interface.Clock,
-    ):
+    def __init__(self, *, warmth: target_warmth.TargetWarmth):
         self.warmth = warmth
-        self._pace = sliding_pace.SlidingPace(clock=clock)
+        self._pace = warmth.pace
         self.counts: collections.Counter[str] = collections.Counter()
 
     @property
@@ -64,7 +56,6 @@
         if self.warmth.is_configured and not self.warmth.warm_up.rate_per_s:
             return
         self.check()
-        self._pace.record_start()
         self.counts["sent"] += self.warmth.is_cold
         self.warmth.record_start()
 
--- a/src/galenatack/warmup/sliding_pace.py
+++ b/src/galenatack/warmup/sliding_pace.py
@@ -35,6 +35,11 @@
         self._expire(now_s)
         self._starts_s.append(now_s)
 
+    def recent(self) -> int:
+        """Returns the number of starts in the last second."""
+        self._expire(self._clock.monotonic_s())
+        return len(self._starts_s)
+
     def wait_s(self, rate_per_s: float) -> float:
         """Returns when a start keeps the rate; 0 if one does now.
 
--- a/src/galenatack/warmup/target_warmth.py
+++ b/src/galenatack/warmup/target_warmth.py
@@ -7,6 +7,7 @@
 from galenatack.interfaces import clock as clock_interface
 from galenatack.model import warm_up as warm_up_module
 from galenatack.settings import fleet_bounds
+from galenatack.warmup import sliding_pace
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -35,9 +36,11 @@
 last statement may have been wrong."""
 
 CHECKED_SHARE = 0.25
-"""Share of the calls that a cold target may get in a second, after which a warm
-one is asked whether it still is warm. The answer takes some milliseconds, in
-which the remaining share is not used up."""
+"""Share of the calls that a cold target may get in a second. If a warm one has
+got as many in the last second, since it last answered, it is asked whether it
+still is warm; fewer could not break the bound. The answer takes some
+milliseconds, or longer if it waits for a slot; the remaining share leaves room
+for the calls that are sent meanwhile."""
 
 
 class TargetWarmth:
@@ -58,6 +61,7 @@
         bounds: The same; may be replaced.
         warm_up: Behaviour of the service's cold targets.
         is_configured: Whether the node has had a configuration.
+        pace: The calls that were sent in the last second.
         probe_wanted: Set when `probe_wait_s` may have become shorter.
         epoch: Number of the latest assumption; what was asked before it tells
             nothing.
@@ -78,6 +82,7 @@
         self.bounds = bounds
         self.warm_up = warm_up_module.WarmUp()
         self.is_configured = False
+        self.pace = sliding_pace.SlidingPace(clock=clock)
         self.probe_wanted = asyncio.Event()
         self.epoch = 0
         self.starts = 0
@@ -126,6 +131,7 @@
             + self.bounds.cold_slack
         )
         unchecked = self.starts - self._known_starts
+        unchecked = min(unchecked, self.pace.recent())
         return unchecked >= max(1.0, most * CHECKED_SHARE)
 
     @property
@@ -188,6 +194,7 @@
     def record_start(self) -> None:
         """Counts a call that is sent to the target."""
         self.starts += 1
+        self.pace.record_start()
         self._request_probe()
 
     def announce(self, left_ms: int) -> None:
--- a/src/galenatack/warmup/warmth_probe.py
+++ b/src/galenatack/warmup/warmth_probe.py
@@ -22,7 +22,8 @@
 interval and say the same."""
 
 TIMEOUT_S = 0.5
-"""The target is on the same machine and answers probes at once."""
+"""The target is on the same machine. A probe may wait for a slot like any
+request; one that waits for longer counts as not answered."""
 
 
 class Ask(typing.Protocol):
--- a/standins/mesh/fake_target.py
+++ b/standins/mesh/fake_target.py
@@ -9,6 +9,7 @@
 from galenatack.links import pipelined_server
 
 HEALTH_PATH = "/health"
+SLOTS = 12
 
 
 class FakeTarget:
@@ -25,7 +26,8 @@
         is_deadly: Returns whether a run of a request crashes the target.
         crash_delay_s: Duration of such a run.
         cold_until_s: Monotonic time until which it is cold; it says so when it
-            is asked under `HEALTH_PATH`, and in announcements.
+            is asked under `HEALTH_PATH`, for which the request needs a slot
+            like any other, and in announcements.
         on_crash: If set, called with this target and the attempt ids of its
             runs when it crashes.
     """
@@ -77,6 +79,7 @@
         self._has_crashed = False
 
     def _make_server(self):
+        self._slots = asyncio.Semaphore(SLOTS)
         self.server = pipelined_server.PipelinedServer(
             address=self.address, respond=self._respond
         )
@@ -89,7 +92,7 @@
             "address": self.address,
             "zone": "z",
             "version": self.version,
-            "capacity": 12,
+            "capacity": SLOTS,
             "state": state,
             "warmup_left": f"{self._cold_ms()}ms",
             "sequence": self._sequence,
@@ -131,6 +134,10 @@
         return max(0, round((self.cold_until_s - time.monotonic()) * 1000))
 
     async def _respond(self, request):
+        async with self._slots:
+            return await self._answer(request)
+
+    async def _answer(self, request):
         headers = dict(request.headers)
         if request.target == HEALTH_PATH:
             return http_response.HttpResponse(
--- a/tests/warmup/test_cold_admission.py
+++ b/tests/warmup/test_cold_admission.py
@@ -54,9 +54,7 @@
         self.warm_up = warm_up.WarmUp(10_000, rate_per_s, probe_path=probe_path)
         if is_configured:
             self.warmth.configure(self.warm_up)
-        self.cold = cold_admission.ColdAdmission(
-            warmth=self.warmth, clock=self.clock
-        )
+        self.cold = cold_admission.ColdAdmission(warmth=self.warmth)
         self.arrivals_s = []
         self.refused_after_s = []
         self.cold_ms = mock.Mock(return_value=None)
--- a/tests/warmup/test_target_warmth.py
+++ b/tests/warmup/test_target_warmth.py
@@ -135,6 +135,15 @@
             self.warmth.record_start()
         self.assertLess(self.warmth.starts, MOST_CALLS / 2)
 
+    def test_a_warm_target_with_few_calls_is_not_asked(self):
+        """Each probe is billed, and these calls keep the bound anyway."""
+        warmth = self.make(config=WARM_UP._replace(rate_per_s=5.3))
+        warmth.answer(0, starts=None)
+        for _ in range(60):
+            self.clock.advance(1.0)
+            warmth.record_start()
+            self.assertFalse(warmth.wants_probe)
+
     def test_announcements_count_if_probes_are_not_answered(self):
         """A broken health path would be asked as long as calls come."""
         self.warmth.answer(0, starts=None)
