Keep the share of a trial that homes or evacuations leave alone

Cause: with one permitted version the chooser returned its targets without a look at the order, so that a version on trial got all calls of a home, uncounted. A version that had not been permitted before looked new for 3 s.

Change: the chooser is told all targets beside the permitted ones. In the trial phase such calls are counted; beyond the share, and for retries, they are refused with no-permitted-target. When versions were first seen is taken from all targets.

--- a/src/galenatack/homes/permitted_targets.py
+++ b/src/galenatack/homes/permitted_targets.py
@@ -60,6 +60,10 @@
             raise _no_target(service, places)
         return targets
 
+    def everywhere(self, service: str) -> dict[str, tuple[_Record, ...]]:
+        """Returns the usable targets by version, also those not permitted."""
+        return self._directory.by_version(service)
+
     def note_refusal(self, member: _Record) -> None:
         """Notes that a gate refused a call since it is evacuated."""
         self._evacuations.note_refusal(member.data_centre)
--- a/src/galenatack/rollouts/version_chooser.py
+++ b/src/galenatack/rollouts/version_chooser.py
@@ -2,6 +2,7 @@
 
 import collections.abc
 
+from galenatack import exceptions
 from galenatack.interfaces import clock as clock_interface
 from galenatack.model import member_record
 from galenatack.model import rollout_order
@@ -16,6 +17,9 @@
 bound."""
 
 
+ONLY_TRIAL_RETRY_AFTER_MS = 2500
+"""The next burst of a trial begins within this time."""
+
 _Record = member_record.MemberRecord
 _Targets = collections.abc.Mapping[str, collections.abc.Sequence[_Record]]
 
@@ -47,38 +51,47 @@
         targets: _Targets,
         *,
         is_retry: bool,
+        everywhere: _Targets | None = None,
     ) -> tuple[list[_Record], ...]:
-        """Returns the targets that the call may be sent to.
+        """Returns groups of targets; a later one is used if no other has room.
 
         Args:
             service: Service of the call.
-            targets: Targets of the service by version.
-            is_retry: Whether the call is a retry; retries are not sent to a
-                version on trial.
+            targets: Permitted targets by version.
+            is_retry: Whether it is a retry, which no version on trial gets.
+            everywhere: All targets by version; None if all are permitted.
 
-        Returns:
-            Groups of targets; a later one is used if no target of those before
-            it has room. Not empty.
+        Raises:
+            exceptions.NoPermittedTargetError: Only a version on trial is
+                permitted, and has had its share.
         """
-        allowed = [
-            version
-            for version in targets
-            if not self._registry.is_withdrawn(service, version)
-        ]
-        order = self._registry.active_order(service)
-        if len(allowed) <= 1:
+        everywhere = targets if everywhere is None else everywhere
+        allowed = self._not_withdrawn(service, targets)
+        existing = self._not_withdrawn(service, everywhere)
+        if not allowed or len(existing) <= 1:
             return (_members(targets, allowed),)
+        order = self._registry.active_order(service)
         if order is None or order.version not in allowed:
-            versions = self._without_order(service, allowed)
+            versions = self._without_order(service, allowed, existing)
             return (_members(targets, versions),)
-        others = _members(targets, [v for v in allowed if v != order.version])
         new = list(targets[order.version])
+        others = _members(targets, _except(order, allowed))
         phase = self._registry.phase(order)
         if phase == rollout_phase.RolloutPhase.TRIAL:
-            return self._on_trial(order, new, others, is_retry=is_retry)
-        if self._share.admits(order.revision, phase, None):
-            return (new,)
-        return (others,)
+            old = others or _members(everywhere, _except(order, existing))
+            return self._on_trial(
+                order, new, others, old_targets=len(old), is_retry=is_retry
+            )
+        if others and not self._share.admits(order.revision, phase, None):
+            return (others,)
+        return (new,)
+
+    def _not_withdrawn(self, service: str, targets: _Targets) -> list[str]:
+        return [
+            version
+            for version in targets
+            if not self._registry.is_withdrawn(service, version)
+        ]
 
     def _on_trial(
         self,
@@ -86,33 +99,35 @@
         new: list[_Record],
         others: list[_Record],
         *,
+        old_targets: int,
         is_retry: bool,
     ) -> tuple[list[_Record], ...]:
         if is_retry:
-            return (others,)
+            return (_old(order, others),)
         burst = trial_bursts.burst_at(
             self._registry.age_s(order),
             share=self._share.trial_share,
-            old_targets=len(others),
+            old_targets=old_targets,
         )
         phase = rollout_phase.RolloutPhase.TRIAL
         if not self._share.admits(order.revision, phase, burst):
-            return (others,)
+            return (_old(order, others),)
         chosen = trial_bursts.targets_of(
             burst, new, order_revision=order.revision
         )
-        return (chosen, others)
+        return (chosen, others) if others else (chosen,)
 
     def _without_order(
-        self, service: str, allowed: list[str]
+        self, service: str, allowed: list[str], existing: list[str]
     ) -> tuple[str, ...]:
         settled = self._registry.settled_version(service)
         if settled in allowed:
             return (settled,)
+        # Where a call may run does not tell how long a version has existed.
         established = [
-            v for v in allowed if self._is_established(service, v, allowed)
+            v for v in existing if self._is_established(service, v, existing)
         ]
-        return tuple(established or allowed)
+        return tuple([v for v in allowed if v in established] or allowed)
 
     def _is_established(
         self, service: str, version: str, versions: list[str]
@@ -128,6 +143,25 @@
         return now_s - since_s >= UNKNOWN_VERSION_DELAY_S
 
 
+def _old(
+    order: rollout_order.RolloutOrder, others: list[_Record]
+) -> list[_Record]:
+    """Returns the targets for a call that the version on trial does not get."""
+    if others:
+        return others
+    raise exceptions.NoPermittedTargetError(
+        f"only {order.version} of {order.service} is permitted, which is on"
+        " trial and has had its share",
+        retry_after_ms=ONLY_TRIAL_RETRY_AFTER_MS,
+    )
+
+
+def _except(
+    order: rollout_order.RolloutOrder, versions: list[str]
+) -> list[str]:
+    return [version for version in versions if version != order.version]
+
+
 def _members(
     targets: _Targets, versions: collections.abc.Iterable[str]
 ) -> list[_Record]:
--- a/src/galenatack/traffic/call_router.py
+++ b/src/galenatack/traffic/call_router.py
@@ -233,6 +233,7 @@
                 attempts.service, attempts.route, attempts.known_tenant
             ),
             is_retry=bool(attempts.tried),
+            everywhere=self._targets.everywhere(attempts.service),
         )
 
     def _choose(
--- a/tests/homes/test_way_of_a_call.py
+++ b/tests/homes/test_way_of_a_call.py
@@ -60,7 +60,7 @@
             ),
             tenants=tenant_admission.TenantAdmission(in_force=lambda: None),
             versions=mock.Mock(
-                choose=lambda _, by_version, is_retry: (
+                choose=lambda _, by_version, **__: (
                     [r for group in by_version.values() for r in group],
                 )
             ),
