Forget the oldest ended evacuation if the table is full

Cause: ended names stayed in the table of 64 data centres for the life of the fleet; with 64 of them a real evacuation was ignored.

Change: an evacuation in force takes the place of the one that ended first; those in force never give way, and what peers tell of ended ones takes no place in a full table.

Result: after 64 evacuations that ended, the next one is in force (tests/homes/test_evacuations); ignored before.

--- a/src/galenatack/homes/evacuations.py
+++ b/src/galenatack/homes/evacuations.py
@@ -21,7 +21,8 @@
 The row itself arrives about within this time."""
 
 MAX_DATA_CENTRES = 64
-"""Number of data centres that are remembered; the largest fleet has 12."""
+"""Number of data centres that are remembered; the largest fleet has 12. If
+there are more, the one whose evacuation ended first is forgotten."""
 
 OnChanged = collections.abc.Callable[[str, bool], None]
 """Receives a data centre and whether it is evacuated now."""
@@ -111,8 +112,7 @@
     def _merge(self, record: _Record) -> None:
         name = record.data_centre
         known = self._records.get(name)
-        if known is None and len(self._records) >= MAX_DATA_CENTRES:
-            _LOGGER.warning("event=evacuation-ignored data_centre=%s", name)
+        if known is None and not self._has_room(record):
             return
         known = known or _Record(name, 0)
         merged = _Record(
@@ -127,6 +127,24 @@
             self._ended_s[name] = self._clock.monotonic_s()
         self._update(name, is_active=merged.written > merged.ended)
 
+    def _has_room(self, record: _Record) -> bool:
+        """Makes room for an evacuation in force; returns whether there is."""
+        if len(self._records) < MAX_DATA_CENTRES:
+            return True
+        if record.written <= record.ended:
+            # Peers would tell each other of the forgotten ones in turn.
+            return False
+        ended = [name for name in self._records if name not in self._active]
+        if not ended:
+            _LOGGER.warning(
+                "event=evacuation-ignored data_centre=%s", record.data_centre
+            )
+            return False
+        oldest = min(ended, key=lambda name: self._ended_s[name])
+        del self._records[oldest]
+        del self._ended_s[oldest]
+        return True
+
     def _update(self, name: str, *, is_active: bool) -> None:
         if is_active == (name in self._active):
             return
--- a/tests/homes/test_evacuations.py
+++ b/tests/homes/test_evacuations.py
@@ -4,6 +4,7 @@
 
 from galenatack.config import row_mirror
 from galenatack.homes import evacuations
+from galenatack.model import evacuation_record
 from galenatack.model import store_revision
 from galenatack.model import table_page
 from galenatack.model import table_row
@@ -132,6 +133,38 @@
         self.node.clock.advance(evacuations.ENDED_KEPT_S)
         self.assertEqual(self.node.known.records(), ())
 
+    def test_ended_evacuations_give_way_to_a_real_one(self):
+        """Names that were tried or misspelt would fill the table for good."""
+        known = self.node.known
+        names = [f"z{n}" for n in range(evacuations.MAX_DATA_CENTRES)]
+        for number, name in enumerate(names):
+            self.node.clock.advance(1.0)
+            known.begin(name, revision(10 * number + 1))
+            known.end(name, revision(10 * number + 2))
+        known.begin("z", revision(5000))
+        self.assertTrue(self.node.is_evacuated)
+        kept = {record.data_centre for record in known.records()}
+        self.assertEqual(kept, {*names[1:], "z"})
+
+    def test_evacuations_in_force_do_not_give_way(self):
+        """A data centre would get calls again that the operator forbids."""
+        names = [f"z{n}" for n in range(evacuations.MAX_DATA_CENTRES)]
+        for name in names:
+            self.node.known.begin(name, revision(5))
+        self.node.known.begin("z", revision(6))
+        self.assertEqual(self.node.known.active(), set(names))
+
+    def test_an_ended_evacuation_of_a_peer_takes_no_place(self):
+        """Peers that remember different ones would replace them for ever."""
+        names = [f"z{n}" for n in range(evacuations.MAX_DATA_CENTRES)]
+        for name in names:
+            self.node.known.begin(name, revision(5))
+            self.node.known.end(name, revision(6))
+        before = self.node.known.records()
+        record = evacuation_record.EvacuationRecord("z", 5, 6)
+        self.node.known.merge([record])
+        self.assertEqual(self.node.known.records(), before)
+
 
 class TestEvacuationRows(unittest.TestCase):
     def test_only_keys_of_the_operator_name_data_centres(self):
