Show the row of each evacuation in force

Cause: after a restore, a row that is written again and deleted before a node has it looks lost there, and its evacuation stays in force; nothing showed which row a node had.

Result: a node shows revision of era 1 (tests/mesh/test_metrics); the rewritten row replaces the lost one (tests/homes/test_evacuations).

--- a/src/galenatack/app/mesh_metrics.py
+++ b/src/galenatack/app/mesh_metrics.py
@@ -8,6 +8,7 @@
 from galenatack.app import mesh_parts
 from galenatack.links import http_request
 from galenatack.links import http_response
+from galenatack.model import store_revision
 from galenatack.timeline import exposition
 
 BYTES_PER_KIB = 1024
@@ -149,6 +150,19 @@
                 exposition.sample("evacuated", 1, {"data_centre": name})
                 for name in sorted(parts.evacuations.active())
             ),
+            *(
+                exposition.sample(
+                    "evacuation_row",
+                    1,
+                    {
+                        "data_centre": name,
+                        "era": str(store_revision.era(revision)),
+                        # Values are rounded to six digits.
+                        "revision": str(store_revision.number(revision)),
+                    },
+                )
+                for name, revision in parts.evacuations.in_force().items()
+            ),
             exposition.sample("rollouts_active", len(parts.rollouts.active())),
             exposition.sample("crash_requests_known", len(parts.crashes)),
             exposition.sample(
--- a/src/galenatack/homes/evacuations.py
+++ b/src/galenatack/homes/evacuations.py
@@ -90,6 +90,12 @@
             or self._ended_s.get(name, -math.inf) > oldest_s
         )
 
+    def in_force(self) -> dict[str, int]:
+        """Returns the revision of the row of each evacuation in force."""
+        return {
+            name: self._records[name].written for name in sorted(self._active)
+        }
+
     def has_evacuated(self, data_centre: str) -> bool:
         """Returns whether the operator has evacuated a data centre."""
         return data_centre in self._active
--- a/tests/homes/test_evacuations.py
+++ b/tests/homes/test_evacuations.py
@@ -133,6 +133,16 @@
         self.node.clock.advance(evacuations.ENDED_KEPT_S)
         self.assertEqual(self.node.known.records(), ())
 
+    def test_a_row_that_is_written_again_shows(self):
+        """Deleted before a node has it, it looks lost there and stays."""
+        self.node.mirror.apply([row(5)])
+        self.node.read(row(3, era=1, key=OTHER_KEY), number=3, era=1)
+        self.assertEqual(self.node.known.in_force(), {"z": revision(5)})
+        self.node.mirror.apply([row(9, era=1)])
+        self.assertEqual(self.node.known.in_force(), {"z": revision(9, 1)})
+        self.node.mirror.apply([row(10, era=1, is_deleted=True)])
+        self.assertEqual(self.node.known.in_force(), {})
+
     def test_ended_evacuations_give_way_to_a_real_one(self):
         """Names that were tried or misspelt would fill the table for good."""
         known = self.node.known
--- a/tests/mesh/test_metrics.py
+++ b/tests/mesh/test_metrics.py
@@ -5,6 +5,7 @@
 import unittest
 
 from galenatack.links import http_client
+from galenatack.model import store_revision
 from standins.mesh import operator_config
 from tests.mesh import small_fleet
 
@@ -54,6 +55,20 @@
         ]
         self.assertEqual(samples, ["1", "0"])
 
+    def test_the_row_of_an_evacuation_is_shown(self):
+        """The operator deletes a rewritten row once all nodes show it."""
+
+        async def main():
+            async with small_fleet.SmallFleet("a") as fleet:
+                (member,) = fleet.members
+                revision = store_revision.make(1, 12_345_678)
+                member.parts.evacuations.begin("z", revision)
+                return await read(member)
+
+        name = "galenatack_evacuation_row"
+        labels = '{data_centre="z",era="1",revision="12345678"}'
+        self.assertEqual(asyncio.run(main())[name + labels], "1")
+
     def test_calls_and_the_store_are_counted(self):
         """Calls count by outcome and reason; each line is well formed."""
 
