Test the way of a tenant's requests through the router

Cause: no test sent a request of a tenant with homes through CallRouter.

Change: cases for a tenant alone, route and tenant both, homes without a common region, and an anonymous route. The prefix of the rows that evacuate is a wire name for tests/platform/test_boundary.

It fails if the tenant is left out where targets are found, or there and at each attempt, and if anonymous routes look at the key (tried on a scratch copy).

--- a/tests/homes/test_way_of_a_call.py
+++ b/tests/homes/test_way_of_a_call.py
@@ -12,16 +12,20 @@
 from galenatack.messages import call_answer
 from galenatack.model import caller_request
 from galenatack.model import gate_report
+from galenatack.model import tenant
+from galenatack.model import tenant_key
 from galenatack.placement import known_conditions
 from galenatack.placement import target_placement
 from galenatack.routing import local_replies
 from galenatack.tenants import tenant_admission
+from galenatack.tenants import tenant_table
 from galenatack.traffic import call_router
 from galenatack.traffic import request_attempts
 from galenatack.traffic import target_directory
 from tests.fakes import manual_clock
 from tests.placement import fleet_load
 
+KEY = "k1"
 OWN = fleet_load.member("own", region="north")._replace(service="caller")
 REQUEST = caller_request.CallerRequest("r", "PUT", "h", "/", (), b"body", 0)
 
@@ -34,10 +38,25 @@
     ]
 
 
+def tenants_at(home_regions):
+    """Returns one tenant with `KEY` and these homes."""
+    digests = (tenant_key.digest(KEY),)
+    return tenant_table.TenantTable(
+        [tenant.Tenant("blue", digests, home_regions=home_regions)]
+    )
+
+
+def config_with(**route_fields):
+    """Returns a configuration whose only route has these fields."""
+    route = fleet_load.route()._replace(**route_fields)
+    limits = mock.Mock(max_body_bytes=1000)
+    return mock.Mock(table=mock.Mock(find=lambda *_: route, limits=limits))
+
+
 class Way:
     """A node in `north` that routes calls to targets that refuse them."""
 
-    def __init__(self, *records, home_regions=("south",), refusal):
+    def __init__(self, *records, refusal, tenants=None, **route_fields):
         clock = manual_clock.ManualClock()
         members = member_table.MemberTable(own=OWN, clock=clock)
         members.merge(records)
@@ -46,19 +65,13 @@
         self.refusal = refusal
         self.report = None
         self.sent = []
-        route = fleet_load.route()._replace(home_regions=home_regions)
         self.router = call_router.CallRouter(
-            config=mock.Mock(
-                table=mock.Mock(
-                    find=lambda *_: route,
-                    limits=mock.Mock(max_body_bytes=1000),
-                )
-            ),
+            config=config_with(**{"home_regions": ("south",)} | route_fields),
             targets=permitted_targets.PermittedTargets(
                 directory=target_directory.TargetDirectory(members=members),
                 evacuations=self.evacuations,
             ),
-            tenants=tenant_admission.TenantAdmission(in_force=lambda: None),
+            tenants=tenant_admission.TenantAdmission(in_force=lambda: tenants),
             versions=mock.Mock(
                 choose=lambda _, by_version, **__: (
                     [r for group in by_version.values() for r in group],
@@ -87,9 +100,10 @@
         result = local_replies.not_run(self.refusal(member))
         return call_answer.CallAnswer("c", result, self.report)
 
-    def call(self):
+    def call(self, *, key=""):
         """Returns the result of one request."""
-        return asyncio.run(self.router.handle(REQUEST))
+        request = REQUEST._replace(credential=key)
+        return asyncio.run(self.router.handle(request))
 
 
 def leaving(_):
@@ -106,6 +120,40 @@
         self.assertEqual(len(way.sent), 2)
         self.assertEqual((result.status, result.outcome), (503, "not-run"))
 
+    def test_requests_of_a_tenant_keep_to_its_homes_and_those_of_the_route(
+        self,
+    ):
+        """The key names the tenant; an anonymous route does not look at it."""
+        records = [*targets("north", 1), *targets("south", 1)]
+        records += targets("east", 1)
+        anywhere = {"north", "south", "east"}
+        for of_route, of_tenant, is_anonymous, expected in (
+            ((), ("south",), False, {"south"}),
+            (("south", "north"), ("south", "east"), False, {"south"}),
+            (("north",), ("south",), False, set()),
+            ((), ("south",), True, anywhere),
+            (("north",), ("south",), True, {"north"}),
+            ((), (), False, anywhere),
+        ):
+            with self.subTest(route=of_route, tenant=of_tenant):
+                way = Way(
+                    *records,
+                    refusal=leaving,
+                    tenants=tenants_at(of_tenant),
+                    home_regions=of_route,
+                    is_anonymous=is_anonymous,
+                )
+                result = way.call(key=KEY)
+                self.assertEqual({m.region for m in way.sent}, expected)
+                self.assertEqual(
+                    (result.status, result.outcome), (503, "not-run")
+                )
+                if not expected:
+                    self.assertEqual(
+                        result.retry_after_ms,
+                        permitted_targets.DISJOINT_HOMES_RETRY_AFTER_MS,
+                    )
+
     def test_without_a_target_at_home_nothing_is_sent(self):
         """The refusal has a retry time."""
         way = Way(*targets("north", 2), refusal=leaving)
--- a/tests/platform/test_boundary.py
+++ b/tests/platform/test_boundary.py
@@ -24,6 +24,7 @@
     "allowed_regions",
     "api_keys",
     "warmup_per_s",
+    "evacuate/",
     "revoke_strict",
     "rows-tx",
     "rows-get",
