--- a/src/galenatack/warmup/target_warmth.py
+++ b/src/galenatack/warmup/target_warmth.py
@@ -35,6 +35,9 @@
 """Time after which a cold target that has answered nothing is asked again: its
 last statement may have been wrong."""
 
+CLOCK_STEP_S = 0.001
+"""A shorter wait is none: it may end before the clock has moved."""
+
 CHECKED_SHARE = 0.25
 """Share of the calls that a cold target may get in a second. If a warm one has
 got as many in the last second, since it last answered, it is asked whether it
@@ -122,7 +125,8 @@
             return 0.0
         if self.is_cold:
             since_s = self._clock.monotonic_s() - self._answered_s
-            return max(0.0, COLD_PROBE_S - since_s)
+            left_s = COLD_PROBE_S - since_s
+            return left_s if left_s > CLOCK_STEP_S else 0.0
         return 0.0 if self._has_unchecked_share() else None
 
     def _has_unchecked_share(self) -> bool:
--- a/tests/warmup/test_target_warmth.py
+++ b/tests/warmup/test_target_warmth.py
@@ -48,6 +48,12 @@
         self.clock.advance(0.1)
         self.assertFalse(self.warmth.is_cold)
 
+    def test_a_wait_that_rounding_leaves_is_none(self):
+        """The probe would wait again and again without time passing."""
+        self.warmth.answer(4000, starts=None)
+        self.clock.advance(target_warmth.COLD_PROBE_S - 1e-15)
+        self.assertTrue(self.warmth.wants_probe)
+
     def test_a_cold_target_that_is_silent_is_asked_each_second(self):
         """A wrong time that it stated once would otherwise last."""
         self.warmth.answer(4000, starts=None)
