--- a/src/galenatack/app/mesh_warmup.py
+++ b/src/galenatack/app/mesh_warmup.py
@@ -25,7 +25,11 @@
 ) -> MeshWarmup:
     """Makes the parts that protect the own target while it is cold."""
     warmth = target_warmth.TargetWarmth(
-        clock=base.clock, bounds=base.settings.bounds
+        clock=base.clock,
+        bounds=base.settings.bounds,
+        is_evacuated=lambda: base.evacuations.has_evacuated(
+            base.settings.data_centre
+        ),
     )
 
     async def ask(path: str) -> int | None:
@@ -35,7 +39,7 @@
 
     return MeshWarmup(
         warmth=warmth,
-        cold=cold_admission.ColdAdmission(warmth=warmth, clock=base.clock),
+        cold=cold_admission.ColdAdmission(warmth=warmth),
         probe=warmth_probe.WarmthProbe(
             warmth=warmth, ask=ask, clock=base.clock
         ),
--- a/tests/admission/test_turn_order.py
+++ b/tests/admission/test_turn_order.py
@@ -21,7 +21,8 @@
 class TestTurnOrder(unittest.TestCase):
     def setUp(self):
         self.clock = manual_clock.ManualClock()
-        self.order = turn_order.TurnOrder(clock=self.clock)
+        # Turns of single calls, without a lead.
+        self.order = turn_order.TurnOrder(clock=self.clock, tolerance_ms=0.0)
         self.pushed = 0
 
     def push(self, name, *, objective_ms=1000, waited_ms=0.0, **terms):
@@ -66,6 +67,28 @@
             names.append(call.call_id)
         return names
 
+    def test_a_lead_of_a_few_calls_is_no_crowd(self):
+        """By turns of single calls, some of many tenants wait by chance."""
+        self.order = turn_order.TurnOrder(
+            clock=self.clock, tolerance_ms=3 * WORK_MS
+        )
+        for number in range(6):
+            self.push(f"hot{number}", tenant="hot", deadline_s=1.0)
+        self.push("cool", tenant="cool", deadline_s=1.5)
+        names = self.drain()
+        self.assertEqual(names.index("cool"), 4)
+
+    def test_calls_of_runs_go_before_those_of_tenants(self):
+        """A flow of their own beside 83 tenants' would wait for all of them.
+
+        The runs that made them hold slots meanwhile, and fail.
+        """
+        for number in range(9):
+            self.push(f"t{number}", tenant=f"t{number}", deadline_s=1.0)
+        for number in range(3):
+            self.push(f"nested{number}", deadline_s=1.5)
+        self.assertEqual(self.drain()[:3], ["nested0", "nested1", "nested2"])
+
     def test_a_call_that_is_late_goes_behind_one_in_time(self):
         """A returning caller has the nearest deadline and is late anyway."""
         self.push("returned", waited_ms=950.0, deadline_s=0.5)
