Give charges of tenants no second life

A charge that was given back lived for another 1.5 s at the node, while the owner had it as used and refilled. After an outage of all targets, such tokens ran on top of the refill, and an attempt was sent again on a charge of any age.

take returns until when the charge may serve another attempt: 0.1 s after it was taken, or after the question for a token granted directly, and never later than the token expires. give_back keeps that time; an attempt whose charge is older is charged again. Tokens given back are no longer reported as returned.

--- a/src/galenatack/quotas/quota_client.py
+++ b/src/galenatack/quotas/quota_client.py
@@ -88,17 +88,27 @@
             self._tokens[tenant] = tokens
         return tokens
 
-    def take(self, tenant: str) -> bool:
-        """Uses a token or a part of the own share for a request."""
+    def take(self, tenant: str) -> float | None:
+        """Uses a token or a part of the own share for a request.
+
+        Returns:
+            The monotonic time until which the charge may serve another attempt;
+            None without a token.
+        """
         terms = self._book.terms(tenant)
-        if terms is None or self.tokens(tenant).take(terms):
-            return True
+        if terms is None:
+            return math.inf
+        until_s = self.tokens(tenant).take(terms)
+        if until_s is not None:
+            return until_s
         number = quota_book.group_of(tenant)
         if not self.uses_own_share(number):
-            return False
+            return None
         # A node that has started in a cut-off part may know few others.
         nodes = max(self._nodes(), self._group(number).nodes)
-        return self._own.take(tenant, terms, nodes=nodes)
+        if not self._own.take(tenant, terms, nodes=nodes):
+            return None
+        return self._clock.monotonic_s() + tenant_tokens.REUSE_S
 
     def may_wait(self, tenant: str) -> bool:
         """Returns whether a request without a token may ask the owner."""
--- a/src/galenatack/quotas/quota_exchange.py
+++ b/src/galenatack/quotas/quota_exchange.py
@@ -4,6 +4,7 @@
 import collections
 import collections.abc
 import logging
+import math
 
 from galenatack import exceptions
 from galenatack.interfaces import clock as clock_interface
@@ -14,10 +15,12 @@
 from galenatack.messages import quota_ask
 from galenatack.messages import quota_grant
 from galenatack.model import member_status
+from galenatack.model import quota_need
 from galenatack.quotas import node_count
 from galenatack.quotas import quota_book
 from galenatack.quotas import quota_client
 from galenatack.quotas import quota_owner
+from galenatack.quotas import tenant_tokens
 
 TICK_S = 0.25
 """Interval at which a node checks which owners it asks."""
@@ -78,9 +81,9 @@
             book=book,
             nodes=lambda: self._count.count,
         )
-        self._waiters: dict[str, collections.deque[asyncio.Future[bool]]] = (
-            collections.defaultdict(collections.deque)
-        )
+        self._waiters: dict[
+            str, collections.deque[asyncio.Future[float | None]]
+        ] = collections.defaultdict(collections.deque)
         self._asking: dict[int, asyncio.Task[None]] = {}
         self._releasing: dict[int, asyncio.Task[None]] = {}
         self._reported_s: dict[str, float] = {}
@@ -98,20 +101,25 @@
             for task in (*self._asking.values(), *self._releasing.values()):
                 task.cancel()
 
-    async def take(self, tenant: str) -> None:
+    async def take(self, tenant: str) -> float:
         """Uses a token for a request, and waits for one if need be.
 
+        Returns:
+            The monotonic time until which the charge may serve another attempt
+            if this one does not run.
+
         Raises:
             exceptions.QuotaExceededError: There is none.
         """
         if not tenant or self._book.terms(tenant) is None:
-            return
+            return math.inf
         tokens = self._client.tokens(tenant)
         tokens.add_request()
-        if self._client.take(tenant):
-            return
-        if self._client.may_wait(tenant) and await self._wait(tenant):
-            return
+        until_s = self._client.take(tenant)
+        if until_s is None and self._client.may_wait(tenant):
+            until_s = await self._wait(tenant)
+        if until_s is not None:
+            return until_s
         tokens.note_refused()
         self._report(tenant)
         raise exceptions.QuotaExceededError(
@@ -119,11 +127,15 @@
             retry_after_ms=self._retry_after_ms(tenant),
         )
 
-    def give_back(self, tenant: str, count: int) -> None:
-        """Takes back the tokens of a request that did not run."""
-        if tenant and self._book.terms(tenant) is not None:
-            for _ in range(count):
-                self._client.tokens(tenant).give_back()
+    def is_current(self, until_s: float) -> bool:
+        """Returns whether a charge may serve another attempt."""
+        return self._clock.monotonic_s() < until_s
+
+    def give_back(self, tenant: str, until_s: float) -> None:
+        """Takes back the charge of a request that did not run."""
+        # Without an end, the tenant had no limit.
+        if tenant and until_s < math.inf:
+            self._client.tokens(tenant).give_back(until_s)
 
     def shares(self) -> dict[int, float]:
         """Returns what other nodes have lent to this one, by group."""
@@ -140,7 +152,7 @@
             if self._client.is_due(group):
                 self._ask_soon(group)
 
-    async def _wait(self, tenant: str) -> bool:
+    async def _wait(self, tenant: str) -> float | None:
         waiter = asyncio.get_running_loop().create_future()
         waiters = self._waiters[tenant]
         waiters.append(waiter)
@@ -149,7 +161,7 @@
             async with asyncio.timeout(WAIT_S):
                 return await waiter
         except TimeoutError:
-            return False
+            return None
         finally:
             if waiter in waiters:
                 waiters.remove(waiter)
@@ -184,15 +196,19 @@
         for need in ask.needs:
             if not is_applied:
                 self._client.tokens(need.tenant).deny()
-            self._serve(need.tenant, need.waiting, direct.get(need.tenant, 0))
+            self._serve(need, direct.get(need.tenant, 0), asked_s)
 
-    def _serve(self, tenant: str, waiting: int, tokens: int) -> None:
+    def _serve(
+        self, need: quota_need.QuotaNeed, tokens: int, asked_s: float
+    ) -> None:
         """Answers the requests that waited when the question was sent."""
-        waiters = self._waiters[tenant]
-        for number in range(min(waiting, len(waiters))):
+        # The owner has charged them after the question.
+        until_s = asked_s + tenant_tokens.REUSE_S
+        waiters = self._waiters[need.tenant]
+        for number in range(min(need.waiting, len(waiters))):
             waiter = waiters.popleft()
             if not waiter.done():
-                waiter.set_result(number < tokens)
+                waiter.set_result(until_s if number < tokens else None)
 
     async def _release(self, group: int, node_id: str) -> None:
         ask = self._client.make_release(group)
--- a/src/galenatack/quotas/tenant_tokens.py
+++ b/src/galenatack/quotas/tenant_tokens.py
@@ -21,6 +21,12 @@
 """Time after a request in which a node keeps one token, if there are plenty:
 otherwise each rare request waits for a round trip to the owner."""
 
+REUSE_S = 0.1
+"""Time from a charge in which it may serve another attempt. The owner refills
+from the charge on, so that what runs later than its charge adds to a window:
+0.1 s x rate here, of the 0.2 s x rate that `QuotaTerms` leaves. Most refusals
+of gates come within a round trip."""
+
 SHORT_S = 0.25
 """Time after a refusal by the owner in which no request waits for it again."""
 
@@ -42,6 +48,8 @@
         self._tenant = tenant
         self._clock = clock
         self._held: collections.deque[tuple[float, int]] = collections.deque()
+        # Ends of charges that were given back; the owner has them as used.
+        self._reusable_s: list[float] = []
         self._used = 0
         self._returned = 0
         self._is_short = False
@@ -56,8 +64,12 @@
         self._has_requests = True
         self.demand.add()
 
-    def take(self, terms: quota_terms.QuotaTerms) -> bool:
-        """Uses a token; returns False without one.
+    def take(self, terms: quota_terms.QuotaTerms) -> float | None:
+        """Uses a token.
+
+        Returns:
+            The monotonic time until which the charge may serve another attempt
+            if this one does not run; None without a token.
 
         Args:
             terms: Terms in force. If they were lowered, tokens of before are
@@ -71,20 +83,25 @@
             ):
                 self._give_up()
         self._expire()
+        if self._reusable_s:
+            return self._reusable_s.pop()
         if not self._held:
-            return False
+            return None
         expires_s, count = self._held.popleft()
         if count > 1:
             self._held.appendleft((expires_s, count - 1))
         self._used += 1
-        return True
+        return min(expires_s, self._clock.monotonic_s() + REUSE_S)
+
+    def give_back(self, until_s: float) -> None:
+        """Takes back the charge of a request that did not run.
 
-    def give_back(self) -> None:
-        """Takes back the token of a request that did not run."""
-        expires_s = self._clock.monotonic_s() + tenant_account.TOKEN_S
-        self._held.append((expires_s, 1))
-        # The owner has it as used already, or is told that it was.
-        self._used -= 1
+        Args:
+            until_s: What `take` has returned. A charge has no second life: the
+                owner has it as used, or is told that it was, and refills.
+        """
+        if self._clock.monotonic_s() < until_s:
+            self._reusable_s.append(until_s)
 
     def is_denied(self) -> bool:
         """Returns whether the owner has just refused, or not answered."""
@@ -97,6 +114,7 @@
     def discard(self) -> None:
         """Gives up all tokens and reports, as their owner has changed."""
         self._held.clear()
+        self._reusable_s.clear()
         self._used = self._returned = 0
 
     def is_needy(self) -> bool:
@@ -121,7 +139,7 @@
         is_recent = self._has_requests and self.demand.age_s() < STANDING_S
         need = quota_need.QuotaNeed(
             tenant=self._tenant,
-            used=max(0, self._used),
+            used=self._used,
             returned=self._returned,
             waiting=waiting,
             wanted=max(0, expected - held),
@@ -129,7 +147,7 @@
             is_short=self._is_short,
             demand_per_s=demand_per_s,
         )
-        self._used = min(0, self._used)
+        self._used = 0
         self._returned = 0
         self._is_short = False
         return need
@@ -164,8 +182,12 @@
     def _give_up(self) -> None:
         self._returned += sum(count for _, count in self._held)
         self._held.clear()
+        self._reusable_s.clear()
 
     def _expire(self) -> None:
         now_s = self._clock.monotonic_s()
         while self._held and self._held[0][0] <= now_s:
             self._returned += self._held.popleft()[1]
+        self._reusable_s = [
+            end_s for end_s in self._reusable_s if end_s > now_s
+        ]
--- a/src/galenatack/tenants/tenant_admission.py
+++ b/src/galenatack/tenants/tenant_admission.py
@@ -82,9 +82,9 @@
     async def admit(self, attempts: request_attempts.RequestAttempts) -> None:
         """Charges the next attempt of a request, and checks its key again.
 
-        An attempt after one that did not run is not charged again. The request
-        may wait here; the next attempt must be sent before anything else
-        happens.
+        An attempt after one that did not run is charged again if the charge is
+        old: the quota has been refilled since. The request may wait here; the
+        next attempt must be sent before anything else happens.
 
         Raises:
             exceptions.QuotaExceededError: The tenant's quota is used up.
@@ -92,20 +92,29 @@
             exceptions.KeysOutdatedError: It may have been taken away, or the
                 request came before keys were needed.
         """
-        if self._quotas is not None and attempts.charges <= attempts.runs:
-            await self._quotas.take(attempts.tenant)
-            attempts.charges += 1
+        if self._quotas is not None:
+            await self._charge(self._quotas, attempts)
         self.check(attempts.sender)
 
     def settle(self, attempts: request_attempts.RequestAttempts) -> None:
-        """Gives back what a request was charged for attempts that did not run.
+        """Gives back the charge for an attempt that did not run.
 
-        Called when its last attempt has ended.
+        Called when the last attempt has ended.
         """
         if self._quotas is not None and attempts.charges > attempts.runs:
-            self._quotas.give_back(
-                attempts.tenant, attempts.charges - attempts.runs
-            )
+            attempts.charges = attempts.runs
+            self._quotas.give_back(attempts.tenant, attempts.charged_until_s)
+
+    async def _charge(
+        self,
+        quotas: quota_exchange.QuotaExchange,
+        attempts: request_attempts.RequestAttempts,
+    ) -> None:
+        is_charged = attempts.charges > attempts.runs
+        if is_charged and quotas.is_current(attempts.charged_until_s):
+            return
+        attempts.charged_until_s = await quotas.take(attempts.tenant)
+        attempts.charges = attempts.runs + 1
 
     def check(self, known: tenant_pass.TenantPass | None) -> None:
         """Checks an admitted request again, before it is sent to a target.
--- a/src/galenatack/traffic/request_attempts.py
+++ b/src/galenatack/traffic/request_attempts.py
@@ -1,5 +1,7 @@
 """State of the attempts of one request."""
 
+import math
+
 from galenatack import exceptions
 from galenatack.estimates import request_cost
 from galenatack.model import call_result
@@ -35,7 +37,10 @@
         arrivals: Number of attempts that reached a target, or may have.
         refusals: Number of attempts that were refused, but for excused ones.
         runs: Number of attempts that ran, or may have.
-        charges: Number of attempts that the tenant's quota was charged for.
+        charges: Number of attempts that the tenant's quota was charged for,
+            without those that were charged again.
+        charged_until_s: Monotonic time until which the last charge may serve
+            another attempt, if the one before did not run.
         crashes: Number of attempts under which the target crashed.
         declined: Ids of the nodes whose gates declined an offer since the last
             attempt.
@@ -71,6 +76,7 @@
         self._excused = 0
         self.runs = 0
         self.charges = 0
+        self.charged_until_s = -math.inf
         self.crashes = 0
         self.is_trial = False
         self.declined: set[str] = set()
--- a/tests/quotas/test_quota_fleet.py
+++ b/tests/quotas/test_quota_fleet.py
@@ -177,6 +177,22 @@
 
         quota_fleet.run(scenario)
 
+    def test_an_outage_of_all_targets_saves_no_tokens(self):
+        """Charges that are given back would run on top of the refill."""
+        for held_s in (0.02, 0.09, 0.5, 1.4):
+
+            async def scenario(fleet, held_s=held_s):
+                fleet.held_s = held_s
+                load_all(fleet, 3.0)
+                await asyncio.sleep(5.0)
+                fleet.is_down = True
+                await asyncio.sleep(6.0)
+                fleet.is_down = False
+                await asyncio.sleep(8.0)
+                self.check(fleet)
+
+            quota_fleet.run(scenario)
+
     def test_the_bound_holds_through_random_troubles(self):
         """Cuts, deaths and restarts at any time, under three times the load."""
         for seed in range(4):
--- a/tests/tenants/test_tenant_admission.py
+++ b/tests/tenants/test_tenant_admission.py
@@ -10,6 +10,7 @@
 from galenatack.tenants import tenant_admission
 from galenatack.tenants import tenant_pass
 from galenatack.tenants import tenant_table
+from galenatack.traffic import request_attempts
 
 
 def make_tenant(name, *keys, priority=None):
@@ -40,6 +41,58 @@
         raise exceptions.KeysOutdatedError("old", retry_after_ms=1)
 
 
+class Quotas:
+    """Counts charges, which stay current until told otherwise."""
+
+    def __init__(self):
+        self.taken = 0
+        self.returned_s = []
+        self.current = True
+
+    async def take(self, tenant_name):
+        """Charges a request."""
+        del tenant_name
+        self.taken += 1
+        return float(self.taken)
+
+    def is_current(self, until_s):
+        """Returns whether the last charge may serve another attempt."""
+        return self.current and until_s == self.taken
+
+    def give_back(self, tenant_name, until_s):
+        """Takes a charge back."""
+        del tenant_name
+        self.returned_s.append(until_s)
+
+
+class TestCharges(unittest.IsolatedAsyncioTestCase):
+    async def test_an_attempt_with_an_old_charge_is_charged_again(self):
+        """The owner has refilled since, so that both would run."""
+        table = tenant_table.TenantTable([make_tenant("blue", "k1")])
+        quotas = Quotas()
+        admission = tenant_admission.TenantAdmission(
+            in_force=lambda: table, quotas=quotas
+        )
+        request = make_request("k1")
+        attempts = request_attempts.RequestAttempts(
+            request=request,
+            route=make_route(),
+            service="s",
+            config_version=1,
+            deadline_s=1.0,
+            sender=admission.identify(request, make_route()),
+        )
+        await admission.admit(attempts)
+        await admission.admit(attempts)
+        self.assertEqual(quotas.taken, 1)
+        quotas.current = False
+        await admission.admit(attempts)
+        self.assertEqual(quotas.taken, 2)
+        admission.settle(attempts)
+        admission.settle(attempts)
+        self.assertEqual(quotas.returned_s, [2.0])
+
+
 class TestTenantAdmission(unittest.TestCase):
     def setUp(self):
         self.table = tenant_table.TenantTable(
