Count the nodes before limits of tenants arrive

Nodes were counted only while a tenant had a limit. When the first limits arrived on a running fleet, each node granted the whole quota as its own share until its next tick, 0.25 s later.

Nodes are counted from the start, every second without limits. A node that has counted nobody has no share of its own and grants nothing as an owner.

--- a/src/galenatack/quotas/node_count.py
+++ b/src/galenatack/quotas/node_count.py
@@ -38,5 +38,5 @@
 
     @property
     def count(self) -> int:
-        """Number of nodes, at least 1."""
-        return max(1, len(self._seen_s))
+        """Number of nodes; 0 before the first update."""
+        return len(self._seen_s)
--- a/src/galenatack/quotas/quota_client.py
+++ b/src/galenatack/quotas/quota_client.py
@@ -60,7 +60,7 @@
         own_id: Id of this node.
         clock: Source of time.
         book: The quotas.
-        nodes: Returns the number of nodes that share them.
+        nodes: Returns the number of nodes that share them; 0 if unknown.
     """
 
     def __init__(
@@ -120,7 +120,9 @@
     def uses_own_share(self, number: int) -> bool:
         """Returns whether this node lends its shares of a group to nobody."""
         group = self._group(number)
-        uses_own = self._clock.monotonic_s() >= self._lent_until_s(group)
+        is_lent = self._clock.monotonic_s() < self._lent_until_s(group)
+        # Without a count, an equal share would be the whole quota.
+        uses_own = not is_lent and self._nodes() > 0
         if uses_own and not group.uses_own and group.lent_to:
             _LOGGER.warning(
                 "event=quota-own-share group=%d owner=%s nodes=%d"
--- a/src/galenatack/quotas/quota_exchange.py
+++ b/src/galenatack/quotas/quota_exchange.py
@@ -25,6 +25,9 @@
 TICK_S = 0.25
 """Interval at which a node checks which owners it asks."""
 
+IDLE_COUNT_S = 1.0
+"""Interval at which nodes are counted while no tenant has a limit."""
+
 ASK_TIMEOUT_S = 0.8
 WAIT_S = 0.4
 """Longest time that a request waits for a token: more than a round trip between
@@ -71,6 +74,7 @@
         self._clock = clock
         self._rng = rng
         self._book = book
+        self._counted_s = -math.inf
         self._count = node_count.NodeCount(clock=clock)
         self._owner = quota_owner.QuotaOwner(
             clock=clock, book=book, nodes=lambda: self._count.count
@@ -94,8 +98,7 @@
         """Asks and updates shares until cancelled."""
         try:
             while True:
-                if self._book.groups():
-                    self._tick()
+                self._tick()
                 await self._clock.sleep_s(TICK_S)
         finally:
             for task in (*self._asking.values(), *self._releasing.values()):
@@ -146,12 +149,24 @@
         return sum(map(self._client.uses_own_share, self._book.groups()))
 
     def _tick(self) -> None:
-        self._count.update(self._members.live())
+        self._update_count()
+        if not self._book.groups():
+            return
         self._owner.tick()
         for group in self._book.groups():
             if self._client.is_due(group):
                 self._ask_soon(group)
 
+    def _update_count(self) -> None:
+        """Counts the nodes, also before the first limits arrive.
+
+        More rarely then: a table of thousands of nodes takes a millisecond.
+        """
+        now_s = self._clock.monotonic_s()
+        if self._book.groups() or now_s - self._counted_s >= IDLE_COUNT_S:
+            self._counted_s = now_s
+            self._count.update(self._members.live())
+
     async def _wait(self, tenant: str) -> float | None:
         waiter = asyncio.get_running_loop().create_future()
         waiters = self._waiters[tenant]
--- a/src/galenatack/quotas/quota_owner.py
+++ b/src/galenatack/quotas/quota_owner.py
@@ -20,7 +20,7 @@
     Args:
         clock: Source of time.
         book: The quotas.
-        nodes: Returns the number of nodes that share them.
+        nodes: Returns the number of nodes that share them; 0 if unknown.
     """
 
     def __init__(
@@ -108,6 +108,8 @@
         return account
 
     def _share(self, group: int) -> float:
+        if not self._nodes():
+            return 0.0
         return self._pledges[group].share(
             self._clock.monotonic_s(), nodes=self._nodes()
         )
--- a/tests/quotas/quota_fleet.py
+++ b/tests/quotas/quota_fleet.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import bisect
+import collections
 import itertools
 import random
 
@@ -62,8 +63,8 @@
             name: member_records.build(name, data_centre=f"dc{number % 4}")
             for number, name in enumerate(self.names)
         }
-        self.offered_s = {name: [] for name in limits}
-        self.runs_s = {name: [] for name in limits}
+        self.offered_s = collections.defaultdict(list)
+        self.runs_s = collections.defaultdict(list)
         self.retries_s = []
         self.messages = 0
         self.is_down = False
@@ -260,7 +261,10 @@
     async def main():
         async with anyio.create_task_group() as tasks:
             fleet = QuotaFleet(
-                tasks, nodes=nodes, limits=limits or LIMITS, delay_s=delay_s
+                tasks,
+                nodes=nodes,
+                limits=LIMITS if limits is None else limits,
+                delay_s=delay_s,
             )
             ask = fleet.network.ask
 
--- a/tests/quotas/test_quota_fleet.py
+++ b/tests/quotas/test_quota_fleet.py
@@ -177,6 +177,19 @@
 
         quota_fleet.run(scenario)
 
+    def test_limits_that_arrive_at_a_running_fleet_hold_at_once(self):
+        """Nodes that have not counted each other would use whole quotas."""
+
+        async def scenario(fleet):
+            # Between two ticks of all nodes.
+            await asyncio.sleep(0.01)
+            fleet.limit(quota_fleet.LIMITS)
+            load_all(fleet, 50.0)
+            await asyncio.sleep(6.0)
+            self.check(fleet)
+
+        quota_fleet.run(scenario, limits={})
+
     def test_an_outage_of_all_targets_saves_no_tokens(self):
         """Charges that are given back would run on top of the refill."""
         for held_s in (0.02, 0.09, 0.5, 1.4):
--- a/tests/quotas/test_quota_parts.py
+++ b/tests/quotas/test_quota_parts.py
@@ -211,6 +211,15 @@
         self.assertEqual(self.ask().stamp_ms, 0)
         self.assertIsNone(self.client.take("t"))
 
+    def test_a_node_that_has_counted_no_nodes_has_no_share(self):
+        """It would take the whole quota for its own."""
+        self.client = quota_client.QuotaClient(
+            own_id="a", clock=self.clock, book=self.book, nodes=lambda: 0
+        )
+        self.clock.advance(10.0)
+        self.assertFalse(self.client.uses_own_share(GROUP))
+        self.assertIsNone(self.client.take("t"))
+
     def test_own_shares_begin_empty_and_fill_at_their_rate(self):
         """The owner may have used them up just before."""
         runs = 0
