Bound the questions of tenants beyond their quota

A flood of refused requests asked the owners as fast as replies arrived, since each refusal made its tenant needy and some tenant of a group was always past its denial.

A node asks for a group every 0.1 s at most, and a refusal makes a tenant needy only once the denial has ended.

--- a/src/galenatack/quotas/quota_client.py
+++ b/src/galenatack/quotas/quota_client.py
@@ -1,7 +1,6 @@
 """A node's side of the quotas."""
 
 import collections.abc
-import dataclasses
 import logging
 import math
 
@@ -9,6 +8,7 @@
 from galenatack.messages import quota_ask
 from galenatack.messages import quota_grant
 from galenatack.model import quota_need
+from galenatack.quotas import group_state
 from galenatack.quotas import own_shares
 from galenatack.quotas import quota_book
 from galenatack.quotas import tenant_tokens
@@ -16,6 +16,10 @@
 RENEW_S = 0.5
 """Interval at which a node lends its shares again."""
 
+MIN_ASK_S = 0.1
+"""Shortest interval between questions of one group. Without it, refused
+requests of tenants beyond their quota ask as fast as replies arrive."""
+
 MAX_ASKS_PER_S = 400.0
 """Questions per second to one owner; in a larger fleet nodes renew more
 rarely. One takes about 60 us."""
@@ -28,31 +32,6 @@
 _LOGGER = logging.getLogger(__name__)
 
 
-@dataclasses.dataclass
-class _Group:
-    """State of a group of tenants at this node.
-
-    Attributes:
-        owner: Node that owns its quotas.
-        stamp_ms: Stamp of the owner's last reply; 0 without one.
-        stamped_s: Monotonic time at which it arrived.
-        lent_to: Node to which the share was lent last; empty if it was not.
-        lent_until_s: Monotonic time until which it is lent.
-        asked_s: Monotonic time of the last question.
-        uses_own: Whether the own share is in use.
-        nodes: Number of nodes that the owner knows.
-    """
-
-    owner: str = ""
-    stamp_ms: int = 0
-    stamped_s: float = -math.inf
-    lent_to: str = ""
-    lent_until_s: float = -math.inf
-    asked_s: float = -math.inf
-    uses_own: bool = False
-    nodes: int = 1
-
-
 class QuotaClient:
     """Uses tokens of owners, and the own shares while they are not lent.
 
@@ -76,7 +55,7 @@
         self._nodes = nodes
         self._own = own_shares.OwnShares(own_id=own_id, clock=clock)
         self._tokens: dict[str, tenant_tokens.TenantTokens] = {}
-        self._groups: dict[int, _Group] = {}
+        self._groups: dict[int, group_state.GroupState] = {}
         # A run before may have lent the shares just before it ended.
         self._started_s = clock.monotonic_s()
 
@@ -156,6 +135,12 @@
             return False
         return not group.lent_to or self._is_needy(number)
 
+    def delay_s(self, number: int) -> float:
+        """Returns the time before which the owner is not to be asked."""
+        group = self._group(number)
+        age_s = self._clock.monotonic_s() - group.asked_s
+        return max(0.0, MIN_ASK_S - age_s)
+
     def former_owner(self, number: int, owner: str) -> str:
         """Sets the owner of a group.
 
@@ -246,7 +231,7 @@
                 self.tokens(need.tenant).apply(need, part, asked_s)
         return True
 
-    def _lend(self, group: _Group) -> int:
+    def _lend(self, group: group_state.GroupState) -> int:
         """Lends the own share; returns the stamp, or 0 if it is not lent.
 
         The share is lent until a time that is counted from the arrival of the
@@ -274,10 +259,10 @@
             if quota_book.group_of(tenant) == number
         )
 
-    def _group(self, number: int) -> _Group:
-        return self._groups.setdefault(number, _Group())
+    def _group(self, number: int) -> group_state.GroupState:
+        return self._groups.setdefault(number, group_state.GroupState())
 
-    def _lent_until_s(self, group: _Group) -> float:
+    def _lent_until_s(self, group: group_state.GroupState) -> float:
         return max(group.lent_until_s, self._started_s + self._pledge_s())
 
     def _renew_s(self) -> float:
--- a/src/galenatack/quotas/quota_exchange.py
+++ b/src/galenatack/quotas/quota_exchange.py
@@ -188,9 +188,11 @@
             task.add_done_callback(lambda _: self._asking.pop(group, None))
 
     async def _ask_until_served(self, group: int) -> None:
-        await self._ask(group)
-        while self._waiting(group):
+        is_asking = True
+        while is_asking:
+            await self._clock.sleep_s(self._client.delay_s(group))
             await self._ask(group)
+            is_asking = bool(self._waiting(group))
 
     async def _ask(self, group: int) -> None:
         owner = self._owner_of(group)
--- a/src/galenatack/quotas/tenant_tokens.py
+++ b/src/galenatack/quotas/tenant_tokens.py
@@ -119,7 +119,7 @@
 
     def is_needy(self) -> bool:
         """Returns whether the owner should be asked before the next renewal."""
-        if self._is_short:
+        if self._is_short and not self.is_denied():
             return True
         now_s = self._clock.monotonic_s()
         held = sum(n for end_s, n in self._held if end_s - now_s > FRESH_S)
--- a/tests/quotas/test_quota_fleet.py
+++ b/tests/quotas/test_quota_fleet.py
@@ -4,6 +4,8 @@
 import random
 import unittest
 
+from galenatack.quotas import quota_book
+from galenatack.quotas import quota_client
 from tests.quotas import quota_fleet
 
 TWO_CENTRES = slice(0, 2)
@@ -177,6 +179,22 @@
 
         quota_fleet.run(scenario)
 
+    def test_a_flood_of_refused_requests_does_not_flood_the_owners(self):
+        """Each node has several groups, and may ask 10 times a second each."""
+        limits = {f"t{number}": (10, 10) for number in range(40)}
+
+        async def scenario(fleet):
+            load_all(fleet, 7.5)
+            await asyncio.sleep(2.0)
+            before = fleet.messages
+            await asyncio.sleep(5.0)
+            asks_per_s = (fleet.messages - before) / 2 / 5.0
+            most = quota_book.GROUPS * len(fleet.names) / quota_client.MIN_ASK_S
+            self.assertLess(asks_per_s, most)
+            self.check(fleet)
+
+        quota_fleet.run(scenario, limits=limits)
+
     def test_limits_that_arrive_at_a_running_fleet_hold_at_once(self):
         """Nodes that have not counted each other would use whole quotas."""
 
--- a/tests/quotas/test_tenant_tokens.py
+++ b/tests/quotas/test_tenant_tokens.py
@@ -62,3 +62,14 @@
         self.assertIsNone(self.tokens.take(TERMS))
         asked = self.tokens.need(0)
         self.assertEqual((asked.used, asked.returned), (1, 0))
+
+    def test_a_denied_tenant_is_not_needy_until_the_denial_ends(self):
+        """A flood of refused requests would ask the owner all the time."""
+        self.tokens.deny()
+        self.tokens.note_refused()
+        self.clock.advance(tenant_tokens.SHORT_S - 0.01)
+        self.assertTrue(self.tokens.is_denied())
+        self.assertFalse(self.tokens.is_needy())
+        self.clock.advance(0.02)
+        self.assertFalse(self.tokens.is_denied())
+        self.assertTrue(self.tokens.is_needy())
