Refuse tenants' names without UTF-8, and read keys as UTF-8

A tenant whose name has a lone surrogate made group_of raise. The configuration with such a name is refused, and the table counts as read only once its groups are known.

A key beyond ASCII never matched: headers are decoded as Latin-1, and the configured key is digested as UTF-8. The header's bytes are read as UTF-8. A client that sent such a key as Latin-1 and matched by chance matches no more.

The three new tests fail without the change.

--- a/src/galenatack/platform/_headers.py
+++ b/src/galenatack/platform/_headers.py
@@ -53,9 +53,14 @@
 def credential(headers: tuple[tuple[str, str], ...]) -> str:
     """Returns the key that a caller sent; empty without one.
 
-    Several such headers are joined as HTTP prescribes, which is no key.
+    Several such headers are joined as HTTP prescribes, which is no key. Values
+    of headers are decoded as Latin-1; a key beyond ASCII is sent as UTF-8.
     """
-    return ",".join(value for name, value in headers if name == CREDENTIAL)
+    key = ",".join(value for name, value in headers if name == CREDENTIAL)
+    if key.isascii():
+        return key
+    # Bytes that are not UTF-8 become surrogates, which no configured key has.
+    return key.encode("latin-1", "replace").decode("utf-8", "surrogateescape")
 
 
 def forwarded_answer_headers(
--- a/src/galenatack/platform/config_document.py
+++ b/src/galenatack/platform/config_document.py
@@ -125,7 +125,7 @@
 
 def _tenant(row: _Document) -> tenant.Tenant:
     return tenant.Tenant(
-        name=_values.field(row, "name", _values.text),
+        name=_values.field(row, "name", _encodable),
         key_digests=tuple(
             tenant_key.digest(key)
             for key in _values.field(row, "api_keys", _texts, ())
@@ -139,6 +139,16 @@
     )
 
 
+def _encodable(value: typing.Any) -> str:
+    """Returns a text without lone surrogates, which have no UTF-8."""
+    text = _values.text(value)
+    try:
+        text.encode()
+    except UnicodeEncodeError:
+        raise ValueError("a text without lone surrogates") from None
+    return text
+
+
 def _routes(document: typing.Any) -> tuple[host_route.HostRoute, ...]:
     table = _values.field(document, "routes", dict)
     columns = _values.field(table, "columns", _texts)
--- a/src/galenatack/quotas/quota_book.py
+++ b/src/galenatack/quotas/quota_book.py
@@ -65,8 +65,9 @@
         table = self._in_force()
         if table is self._table:
             return
-        self._table = table
         tenants = () if table is None else table.by_name.values()
         by_name = {t.name: quota_terms.of(t, self._bounds) for t in tenants}
         self._terms = {name: t for name, t in by_name.items() if t is not None}
         self._groups = frozenset(group_of(name) for name in self._terms)
+        # Last, so that a failure shows again with the next request.
+        self._table = table
--- a/tests/platform/test_caller_dialect.py
+++ b/tests/platform/test_caller_dialect.py
@@ -5,6 +5,7 @@
 
 from galenatack import exceptions
 from galenatack.links import http_request
+from galenatack.platform import _headers
 from galenatack.platform import caller_dialect
 from galenatack.routing import local_replies
 
@@ -78,3 +79,12 @@
         )
         self.assertEqual(without.credential, "")
         self.assertEqual(without.headers, headers)
+
+    def test_a_key_beyond_ascii_is_read_as_utf8(self):
+        """Values are decoded as Latin-1, so that it would never match."""
+        for wire, key in (
+            ("k\u00e9\u20ac".encode(), "k\u00e9\u20ac"),
+            (b"k\xe9", "k\udce9"),
+        ):
+            headers = (("x-credential", wire.decode("latin-1")),)
+            self.assertEqual(_headers.credential(headers), key)
--- a/tests/platform/test_config_document.py
+++ b/tests/platform/test_config_document.py
@@ -208,6 +208,13 @@
         )
         self.assertEqual(config.routes[0].home_regions, ())
 
+    def test_a_tenant_whose_name_has_no_utf8_is_refused(self):
+        """Its group is a hash of the name, which would fail on every node."""
+        tenants = {"columns": ["name"], "rows": [["a\ud800"]]}
+        text = json.loads(document(row())) | {"tenants": tenants}
+        with self.assertRaises(exceptions.DocumentError):
+            config_document.decode(json.dumps(text).encode())
+
     def test_a_malformed_tenant_is_refused_without_naming_its_keys(self):
         """The text of the error is logged by every node."""
         for tenants in (
--- a/tests/quotas/test_quota_parts.py
+++ b/tests/quotas/test_quota_parts.py
@@ -61,6 +61,16 @@
         book.apply(BOUNDS._replace(quota_slack=60))
         self.assertEqual(book.terms("t").capacity, before.capacity + 20)
 
+    def test_a_table_that_fails_is_not_taken_as_read(self):
+        """Its tenants would have no limits from the second request on."""
+        table = tenant_table.TenantTable(
+            [tenant_model.Tenant("\ud800", (), rate_per_s=1.0, burst=0.0)]
+        )
+        book = quota_book.QuotaBook(in_force=lambda: table, bounds=BOUNDS)
+        for _ in range(2):
+            with self.assertRaises(UnicodeEncodeError):
+                book.groups()
+
 
 class TestTenantAccount(unittest.TestCase):
     def setUp(self):
