Lend a share again as soon as it is free

A node whose share had been lent to a dead owner lent it to the next one only with the next renewal, up to 0.5 s after it was free. It asks at the next tick.

--- a/src/galenatack/quotas/quota_client.py
+++ b/src/galenatack/quotas/quota_client.py
@@ -133,7 +133,8 @@
         # A node with its own share only looks for an owner.
         if self.uses_own_share(number) and not group.stamp_ms:
             return False
-        return not group.lent_to or self._is_needy(number)
+        is_lent = self._clock.monotonic_s() < group.lent_until_s
+        return not is_lent or self._is_needy(number)
 
     def delay_s(self, number: int) -> float:
         """Returns the time before which the owner is not to be asked."""
