Check keys before telling that a route is unknown to a release

A request without a key on a route that this release cannot serve got a 503 that named the parts of the route, instead of the documented 401. The key is checked first. The new test sees 503 without the change.

--- a/src/galenatack/traffic/call_router.py
+++ b/src/galenatack/traffic/call_router.py
@@ -173,13 +173,10 @@
         route = table.find(request.host, request.path)
         if route is None:
             raise exceptions.NoRouteError("no route matches")
-        if not route.services:
-            raise exceptions.UnusableRouteError(
-                f"route {route.name}: unknown to this release:"
-                f" {', '.join(route.unknowns)}",
-                retry_after_ms=UNUSABLE_ROUTE_RETRY_AFTER_MS,
-            )
+        # Before anything else about a route: a caller without a key learns
+        # nothing of it.
         sender = self._tenants.identify(request, route)
+        _check_usable(route)
         timeout_ms = _timeout_ms(route, request.deadline_ms)
         deadline_s = started_s + timeout_ms / MS_PER_S
         self._shutdown.check(deadline_s)
@@ -374,6 +371,15 @@
             view.eject(now_s)
 
 
+def _check_usable(route: host_route.HostRoute) -> None:
+    if not route.services:
+        raise exceptions.UnusableRouteError(
+            f"route {route.name}: unknown to this release:"
+            f" {', '.join(route.unknowns)}",
+            retry_after_ms=UNUSABLE_ROUTE_RETRY_AFTER_MS,
+        )
+
+
 def _timeout_ms(route: host_route.HostRoute, deadline_ms: int) -> int:
     return min(route.timeout_ms, deadline_ms or route.timeout_ms)
 
--- a/tests/mesh/test_tenants.py
+++ b/tests/mesh/test_tenants.py
@@ -102,6 +102,28 @@
 
         run(scenario, "a", "b")
 
+    def test_a_route_of_a_newer_release_is_not_shown_without_a_key(self):
+        """Its refusal names the parts of the route that are unknown."""
+
+        async def scenario(fleet):
+            document = json.loads(config(4))
+            columns, rows = document["routes"].values()
+            columns.append("redirect")
+            for values in rows:
+                values.append("elsewhere")
+                values[columns.index("service")] = None
+            value = json.dumps(document).encode()
+            fleet.store.operator_writes("op", "config", value)
+            near = fleet.members[0]
+            await fleet.until(lambda: near.parts.config.version == 4)
+            for headers, expected in (((), 401), ((KEY,), 503)):
+                answer = await fleet.call(
+                    near, "b.example", "/idempotent/x", headers=headers
+                )
+                self.assertEqual(answer.status, expected)
+
+        run(scenario, "a", "b")
+
     def test_keys_come_and_go_with_the_configuration(self):
         """Guards against nodes that keep an index of former keys."""
 
