Count dead nodes that have not left, also after a restart

A node counted those that it had seen alive. When all nodes of a cut-off side restarted, each used or lent shares as if the other side did not exist.

Dead records that are not hidden count for 600 s from when a node learns of them, except those of nodes that had announced their stop. Dead records say so in the new last field has_left, so that nodes which start during a roll-out do not count those that were replaced. It is left out of the digest, which stays equal to that of nodes without the field.

--- a/src/galenatack/membership/member_table.py
+++ b/src/galenatack/membership/member_table.py
@@ -28,6 +28,9 @@
 }
 
 
+_HAS_LEFT = Record._fields.index("has_left")
+
+
 def precedence(record: Record) -> tuple[object, ...]:
     """Returns the key by which records of one node are compared.
 
@@ -39,7 +42,11 @@
 
 
 def _hash64(record: Record) -> int:
-    text = repr(tuple(record._replace(running_seq=0)))
+    # Only dead records have `has_left`, and these are not hashed. Without it,
+    # digests equal those of nodes of a release that does not know it.
+    fields = list(record._replace(running_seq=0))
+    del fields[_HAS_LEFT]
+    text = repr(tuple(fields))
     digest = hashlib.blake2b(text.encode(), digest_size=8)
     return int.from_bytes(digest.digest(), "big")
 
--- a/src/galenatack/membership/suspicion.py
+++ b/src/galenatack/membership/suspicion.py
@@ -68,7 +68,7 @@
         if record.status == _Status.DEAD:
             return ()
         if record.status == _Status.LEAVING:
-            return self._table.merge((_with_status(record, _Status.DEAD),))
+            return self._table.merge((_dead(record),))
         return self._suspect((record,))
 
     def expire(self) -> tuple[_Record, ...]:
@@ -83,7 +83,7 @@
             if record is None or record.incarnation != incarnation:
                 continue
             if now_s - since_s >= SUSPICION_TIMEOUT_S + extra_s:
-                dead.append(_with_status(record, _Status.DEAD))
+                dead.append(_dead(record))
         return self._table.merge(dead) if dead else ()
 
     def restart_timers(self) -> None:
@@ -175,5 +175,10 @@
                 self._suspected_s[record.node_id] = (record.incarnation, now_s)
 
 
+def _dead(record: _Record) -> _Record:
+    has_left = record.status == _Status.LEAVING
+    return _with_status(record, _Status.DEAD)._replace(has_left=has_left)
+
+
 def _with_status(record: _Record, status: _Status) -> _Record:
     return record._replace(status=status.value)
--- a/src/galenatack/model/member_record.py
+++ b/src/galenatack/model/member_record.py
@@ -36,6 +36,8 @@
             this record.
         follows_store: True if the node follows the shared tables; other nodes
             of its region then get the changes from it.
+        has_left: True in the dead record of a node that had announced its
+            stop; the others may be cut off and still run.
     """
 
     node_id: str
@@ -58,3 +60,4 @@
     follows_store: bool = False
     target_born_ms: int = 0
     target_sequence: int = 0
+    has_left: bool = False
--- a/src/galenatack/quotas/quota_exchange.py
+++ b/src/galenatack/quotas/quota_exchange.py
@@ -165,7 +165,7 @@
         now_s = self._clock.monotonic_s()
         if self._book.groups() or now_s - self._counted_s >= IDLE_COUNT_S:
             self._counted_s = now_s
-            self._count.update(self._members.live())
+            self._count.update(self._members.records())
 
     async def _wait(self, tenant: str) -> float | None:
         waiter = asyncio.get_running_loop().create_future()
--- a/tests/membership/test_suspicion.py
+++ b/tests/membership/test_suspicion.py
@@ -18,6 +18,20 @@
         self.table.merge((member_records.build("n1"),))
         self.suspicion = suspicion.Suspicion(table=self.table, clock=self.clock)
 
+    def test_only_an_announced_stop_is_marked_as_such(self):
+        """Others may be cut off and use their share of the quotas."""
+        leaving = member_records.build("n2")._replace(status="leaving")
+        self.table.merge((leaving,))
+        self.suspicion.on_link_lost("n1")
+        self.suspicion.on_link_lost("n2")
+        self.clock.advance(100.0)
+        self.suspicion.expire()
+        for name, has_left in (("n1", False), ("n2", True)):
+            record = self.table.get(name)
+            self.assertEqual(
+                (record.status, record.has_left), ("dead", has_left)
+            )
+
     def test_expires_after_the_timeout(self):
         """A suspect is declared dead after 3 s and not before."""
         self.suspicion.on_link_lost("n1")
--- a/tests/quotas/quota_fleet.py
+++ b/tests/quotas/quota_fleet.py
@@ -49,6 +49,7 @@
         retries_s: Times until refused requests may come again.
         messages: Number of messages between nodes.
         is_down: Whether no attempt runs.
+        has_store: Whether starting nodes read the store; else others' tables.
         held_s: Time after which an attempt is known not to have run.
     """
 
@@ -68,6 +69,7 @@
         self.retries_s = []
         self.messages = 0
         self.is_down = False
+        self.has_store = True
         self.held_s = 0.5
         self.members = {}
         self.exchanges = {}
@@ -111,12 +113,14 @@
     def _found(self, name):
         """Returns the records that a starting node gets.
 
-        Those of unreachable nodes come from the store, without their status.
+        Those of unreachable nodes come from the store, without their status, or
+        from the tables of other nodes.
         """
         joining = _Status.JOINING.value
         return [
             record
-            if self.network.reachable(name, record.node_id)
+            if not self.has_store
+            or self.network.reachable(name, record.node_id)
             else record._replace(incarnation=0, status=joining)
             for record in self.records.values()
         ]
--- a/tests/quotas/test_quota_fleet.py
+++ b/tests/quotas/test_quota_fleet.py
@@ -4,6 +4,7 @@
 import random
 import unittest
 
+from galenatack.model import member_status
 from galenatack.quotas import quota_book
 from galenatack.quotas import quota_client
 from tests.quotas import quota_fleet
@@ -141,6 +142,24 @@
 
         quota_fleet.run(scenario)
 
+    def test_a_cut_off_side_whose_nodes_restart_keeps_to_its_part(self):
+        """The last node that knew the other side alive has forgotten it."""
+
+        async def scenario(fleet):
+            load_all(fleet, 3.0)
+            near, far = fleet.names[0::2], fleet.names[1::2]
+            await fleet.cut(near)
+            fleet.tell(near, near, member_status.MemberStatus.SERVING)
+            fleet.has_store = False
+            for name in near:
+                fleet.start(name)
+                await asyncio.sleep(0.5)
+            fleet.tell(far, far, member_status.MemberStatus.SERVING)
+            await asyncio.sleep(12.0)
+            self.check(fleet)
+
+        quota_fleet.run(scenario)
+
     def test_restarted_nodes_do_not_use_a_quota_twice(self):
         """A node forgets what it used, granted and lent."""
 
--- a/tests/quotas/test_quota_parts.py
+++ b/tests/quotas/test_quota_parts.py
@@ -269,3 +269,22 @@
         clock.advance(node_count.KEPT_S + 1)
         count.update(records[2:])
         self.assertEqual(count.count, 3)
+
+    def test_a_node_that_starts_counts_dead_nodes_that_have_not_left(self):
+        """A cut-off side whose nodes restart would forget the other side."""
+        clock = manual_clock.ManualClock()
+        count = node_count.NodeCount(clock=clock)
+        dead = [
+            member_records.build(f"n{n}")._replace(
+                status=member_status.MemberStatus.DEAD.value, has_left=n == 0
+            )
+            for n in range(4)
+        ]
+        live = member_records.build("n9")
+        count.update([live, *dead])
+        self.assertEqual(count.count, 4)
+        # A dead node does not count anew while its record is not hidden yet.
+        clock.advance(node_count.KEPT_S + 1)
+        for _ in range(2):
+            count.update([live, *dead])
+        self.assertEqual(count.count, 1)
