Give charges back when a caller leaves

A caller that left while its request waited left its charge behind: the request was not settled, and a token that the owner granted to it was dropped.

A request is settled however it ends, unless an attempt was sent and has no result. Tokens granted to callers that have left, also those whose reply was in hand, are given back for the 0.1 s in which a charge may be used again.

100 callers that leave at once: the node then has 100 tokens for others without the change (reserved ones), and more than 100 with it.

--- a/src/galenatack/quotas/quota_exchange.py
+++ b/src/galenatack/quotas/quota_exchange.py
@@ -20,6 +20,7 @@
 from galenatack.quotas import quota_book
 from galenatack.quotas import quota_client
 from galenatack.quotas import quota_owner
+from galenatack.quotas import quota_refusals
 from galenatack.quotas import tenant_tokens
 
 TICK_S = 0.25
@@ -33,16 +34,6 @@
 """Longest time that a request waits for a token: more than a round trip between
 regions, and little beside the latency that callers expect."""
 
-MIN_RETRY_S = 0.5
-MAX_RETRY_S = 10.0
-RETRY_SPREAD = (0.5, 1.5)
-"""Bounds of the time until a refused request may come again, and the factors
-between which it is spread."""
-
-REPORT_S = 10.0
-"""A tenant beyond its quota is logged this often at most."""
-
-_MS_PER_S = 1000
 _LOGGER = logging.getLogger(__name__)
 
 
@@ -72,7 +63,6 @@
         self._members = members
         self._peers = peers
         self._clock = clock
-        self._rng = rng
         self._book = book
         self._counted_s = -math.inf
         self._count = node_count.NodeCount(clock=clock)
@@ -90,8 +80,10 @@
         ] = collections.defaultdict(collections.deque)
         self._asking: dict[int, asyncio.Task[None]] = {}
         self._releasing: dict[int, asyncio.Task[None]] = {}
-        self._reported_s: dict[str, float] = {}
-        self.refused: collections.Counter[str] = collections.Counter()
+        self._refusals = quota_refusals.QuotaRefusals(
+            clock=clock, rng=rng, client=self._client
+        )
+        self.refused = self._refusals.refused
         peers.on(quota_ask.QuotaAsk, self._on_ask)
 
     async def run(self) -> None:
@@ -124,11 +116,7 @@
         if until_s is not None:
             return until_s
         tokens.note_refused()
-        self._report(tenant)
-        raise exceptions.QuotaExceededError(
-            "the quota of the tenant is used up",
-            retry_after_ms=self._retry_after_ms(tenant),
-        )
+        raise self._refusals.make(tenant)
 
     def is_current(self, until_s: float) -> bool:
         """Returns whether a charge may serve another attempt."""
@@ -177,6 +165,11 @@
                 return await waiter
         except TimeoutError:
             return None
+        except asyncio.CancelledError:
+            is_served = waiter.done() and not waiter.cancelled()
+            if is_served and (until_s := waiter.result()) is not None:
+                self.give_back(tenant, until_s)
+            raise
         finally:
             if waiter in waiters:
                 waiters.remove(waiter)
@@ -222,10 +215,14 @@
         # The owner has charged them after the question.
         until_s = asked_s + tenant_tokens.REUSE_S
         waiters = self._waiters[need.tenant]
-        for number in range(min(need.waiting, len(waiters))):
+        for _ in range(min(need.waiting, len(waiters))):
             waiter = waiters.popleft()
             if not waiter.done():
-                waiter.set_result(until_s if number < tokens else None)
+                waiter.set_result(until_s if tokens > 0 else None)
+                tokens -= 1
+        # Callers may have left meanwhile.
+        for _ in range(tokens):
+            self.give_back(need.tenant, until_s)
 
     async def _release(self, group: int, node_id: str) -> None:
         ask = self._client.make_release(group)
@@ -274,23 +271,3 @@
         ]
         candidates = serving or [self._members.own.node_id]
         return node_roles.rank(candidates, f"quota/{group}")[0]
-
-    def _retry_after_ms(self, tenant: str) -> int:
-        wait_s = max(MIN_RETRY_S, self._client.pressure(tenant))
-        spread = self._rng.uniform(*RETRY_SPREAD)
-        return int(min(MAX_RETRY_S, wait_s) * spread * _MS_PER_S)
-
-    def _report(self, tenant: str) -> None:
-        self.refused[tenant] += 1
-        now_s = self._clock.monotonic_s()
-        if now_s - self._reported_s.get(tenant, -REPORT_S) < REPORT_S:
-            return
-        self._reported_s[tenant] = now_s
-        _LOGGER.info(
-            "event=quota-exceeded tenant=%s pressure=%.2f refused=%d"
-            " own_share=%s next=raise-rate-or-ask-tenant",
-            tenant,
-            self._client.pressure(tenant),
-            self.refused[tenant],
-            self._client.uses_own_share(quota_book.group_of(tenant)),
-        )
--- a/src/galenatack/tenants/tenant_admission.py
+++ b/src/galenatack/tenants/tenant_admission.py
@@ -99,9 +99,11 @@
     def settle(self, attempts: request_attempts.RequestAttempts) -> None:
         """Gives back the charge for an attempt that did not run.
 
-        Called when the last attempt has ended.
+        Called when the last attempt has ended, or the caller has left. An
+        attempt without a result may run.
         """
-        if self._quotas is not None and attempts.charges > attempts.runs:
+        is_unused = attempts.charges > attempts.runs and not attempts.is_sent
+        if self._quotas is not None and is_unused:
             attempts.charges = attempts.runs
             self._quotas.give_back(attempts.tenant, attempts.charged_until_s)
 
--- a/src/galenatack/traffic/call_router.py
+++ b/src/galenatack/traffic/call_router.py
@@ -128,11 +128,13 @@
         try:
             attempts = self._start_attempts(request, started_s)
             result = await self._try_targets(attempts)
-            self._tenants.settle(attempts)
         except exceptions.CallError as error:
             result = _refused(error)
         finally:
             self.in_flight -= 1
+            # Also for a caller that has left.
+            if attempts is not None:
+                self._tenants.settle(attempts)
         if attempts is not None and result.outcome == outcome.Outcome.NOT_RUN:
             self._returned.note_refused(
                 request, first_s=attempts.arrived_s, now_s=started_s
@@ -321,8 +323,10 @@
         view.in_flight += 1
         sent_s = self._clock.monotonic_s()
         self._estimates.record_sent(attempts.cost, view, sent_s)
+        attempts.is_sent = True
         try:
             answer = await self._sender.send(call, member, attempts.deadline_s)
+            attempts.is_sent = False
         finally:
             view.in_flight -= 1
             self._estimates.record_ended(attempts.cost, view)
--- a/src/galenatack/traffic/request_attempts.py
+++ b/src/galenatack/traffic/request_attempts.py
@@ -41,6 +41,7 @@
             without those that were charged again.
         charged_until_s: Monotonic time until which the last charge may serve
             another attempt, if the one before did not run.
+        is_sent: Whether an attempt has been sent whose result is unknown.
         crashes: Number of attempts under which the target crashed.
         declined: Ids of the nodes whose gates declined an offer since the last
             attempt.
@@ -77,6 +78,7 @@
         self.runs = 0
         self.charges = 0
         self.charged_until_s = -math.inf
+        self.is_sent = False
         self.crashes = 0
         self.is_trial = False
         self.declined: set[str] = set()
--- a/tests/homes/test_way_of_a_call.py
+++ b/tests/homes/test_way_of_a_call.py
@@ -159,3 +159,23 @@
         way.call()
         most = call_router.MAX_REFUSALS + request_attempts.MAX_EXCUSED_REFUSALS
         self.assertEqual(len(way.sent), most)
+
+    def test_a_request_is_settled_when_its_caller_leaves(self):
+        """Its charge would be lost; a sent attempt without a result may run."""
+
+        async def leave(way):
+            settled = way.router._tenants.settle = mock.Mock()
+            task = asyncio.create_task(way.router.handle(REQUEST))
+            await asyncio.sleep(0)
+            task.cancel()
+            await asyncio.wait([task])
+            return settled.call_args.args[0].is_sent
+
+        async def wait(*args, **kwargs):
+            await asyncio.sleep(100.0)
+
+        way = Way(*targets("south", 1), refusal=leaving)
+        way.router._sender.send = wait
+        self.assertTrue(asyncio.run(leave(way)))
+        way.router._quarantine.admit = wait
+        self.assertFalse(asyncio.run(leave(way)))
--- a/tests/quotas/test_quota_fleet.py
+++ b/tests/quotas/test_quota_fleet.py
@@ -87,6 +87,29 @@
 
         quota_fleet.run(scenario)
 
+    def test_tokens_granted_to_callers_that_have_left_serve_others(self):
+        """They would be lost while the owner has them as used."""
+
+        async def scenario(fleet):
+            exchange = fleet.exchanges[fleet.names[3]]
+            # After the renewal, beside which nothing is asked for 0.1 s.
+            await asyncio.sleep(0.15)
+            for since_s in (0.005, 0.02):
+                tasks = [
+                    asyncio.create_task(exchange.take("large"))
+                    for _ in range(100)
+                ]
+                await asyncio.sleep(since_s)
+                for task in tasks:
+                    task.cancel()
+                await asyncio.sleep(0.02)
+                served = [exchange._client.take("large") for _ in range(200)]
+                # As many again are at most reserved for expected requests.
+                self.assertGreater(200 - served.count(None), 100)
+                await asyncio.sleep(3.0)
+
+        quota_fleet.run(scenario, delay_s=(0.01, 0.01))
+
     def test_refused_requests_do_not_come_again_together(self):
         """Callers that wait as told would otherwise come back as a burst."""
 
--- a/tests/tenants/test_tenant_admission.py
+++ b/tests/tenants/test_tenant_admission.py
@@ -66,31 +66,43 @@
 
 
 class TestCharges(unittest.IsolatedAsyncioTestCase):
-    async def test_an_attempt_with_an_old_charge_is_charged_again(self):
-        """The owner has refilled since, so that both would run."""
+    def setUp(self):
         table = tenant_table.TenantTable([make_tenant("blue", "k1")])
-        quotas = Quotas()
-        admission = tenant_admission.TenantAdmission(
-            in_force=lambda: table, quotas=quotas
+        self.quotas = Quotas()
+        self.admission = tenant_admission.TenantAdmission(
+            in_force=lambda: table, quotas=self.quotas
         )
         request = make_request("k1")
-        attempts = request_attempts.RequestAttempts(
+        self.attempts = request_attempts.RequestAttempts(
             request=request,
             route=make_route(),
             service="s",
             config_version=1,
             deadline_s=1.0,
-            sender=admission.identify(request, make_route()),
+            sender=self.admission.identify(request, make_route()),
         )
-        await admission.admit(attempts)
-        await admission.admit(attempts)
-        self.assertEqual(quotas.taken, 1)
-        quotas.current = False
-        await admission.admit(attempts)
-        self.assertEqual(quotas.taken, 2)
-        admission.settle(attempts)
-        admission.settle(attempts)
-        self.assertEqual(quotas.returned_s, [2.0])
+
+    async def test_an_attempt_with_an_old_charge_is_charged_again(self):
+        """The owner has refilled since, so that both would run."""
+        await self.admission.admit(self.attempts)
+        await self.admission.admit(self.attempts)
+        self.assertEqual(self.quotas.taken, 1)
+        self.quotas.current = False
+        await self.admission.admit(self.attempts)
+        self.assertEqual(self.quotas.taken, 2)
+        self.admission.settle(self.attempts)
+        self.admission.settle(self.attempts)
+        self.assertEqual(self.quotas.returned_s, [2.0])
+
+    async def test_an_attempt_without_a_result_keeps_its_charge(self):
+        """Its caller may have left while the target runs it."""
+        await self.admission.admit(self.attempts)
+        self.attempts.is_sent = True
+        self.admission.settle(self.attempts)
+        self.assertEqual(self.quotas.returned_s, [])
+        self.attempts.is_sent = False
+        self.admission.settle(self.attempts)
+        self.assertEqual(self.quotas.returned_s, [1.0])
 
 
 class TestTenantAdmission(unittest.TestCase):
