--- a/src/galenatack/quotas/quota_client.py
+++ b/src/galenatack/quotas/quota_client.py
@@ -1,7 +1,6 @@
 """A node's side of the quotas."""
 
 import collections.abc
-import dataclasses
 import logging
 import math
 
@@ -9,6 +8,7 @@
 from galenatack.messages import quota_ask
 from galenatack.messages import quota_grant
 from galenatack.model import quota_need
+from galenatack.quotas import group_state
 from galenatack.quotas import own_shares
 from galenatack.quotas import quota_book
 from galenatack.quotas import tenant_tokens
@@ -16,6 +16,10 @@
 RENEW_S = 0.5
 """Interval at which a node lends its shares again."""
 
+MIN_ASK_S = 0.1
+"""Shortest interval between questions of one group. Without it, refused
+requests of tenants beyond their quota ask as fast as replies arrive."""
+
 MAX_ASKS_PER_S = 400.0
 """Questions per second to one owner; in a larger fleet nodes renew more
 rarely. One takes about 60 us."""
@@ -28,31 +32,6 @@
 _LOGGER = logging.getLogger(__name__)
 
 
-@dataclasses.dataclass
-class _Group:
-    """State of a group of tenants at this node.
-
-    Attributes:
-        owner: Node that owns its quotas.
-        stamp_ms: Stamp of the owner's last reply; 0 without one.
-        stamped_s: Monotonic time at which it arrived.
-        lent_to: Node to which the share was lent last; empty if it was not.
-        lent_until_s: Monotonic time until which it is lent.
-        asked_s: Monotonic time of the last question.
-        uses_own: Whether the own share is in use.
-        nodes: Number of nodes that the owner knows.
-    """
-
-    owner: str = ""
-    stamp_ms: int = 0
-    stamped_s: float = -math.inf
-    lent_to: str = ""
-    lent_until_s: float = -math.inf
-    asked_s: float = -math.inf
-    uses_own: bool = False
-    nodes: int = 1
-
-
 class QuotaClient:
     """Uses tokens of owners, and the own shares while they are not lent.
 
@@ -60,7 +39,7 @@
         own_id: Id of this node.
         clock: Source of time.
         book: The quotas.
-        nodes: Returns the number of nodes that share them.
+        nodes: Returns the number of nodes that share them; 0 if unknown.
     """
 
     def __init__(
@@ -76,7 +55,7 @@
         self._nodes = nodes
         self._own = own_shares.OwnShares(own_id=own_id, clock=clock)
         self._tokens: dict[str, tenant_tokens.TenantTokens] = {}
-        self._groups: dict[int, _Group] = {}
+        self._groups: dict[int, group_state.GroupState] = {}
         # A run before may have lent the shares just before it ended.
         self._started_s = clock.monotonic_s()
 
@@ -88,17 +67,27 @@
             self._tokens[tenant] = tokens
         return tokens
 
-    def take(self, tenant: str) -> bool:
-        """Uses a token or a part of the own share for a request."""
+    def take(self, tenant: str) -> float | None:
+        """Uses a token or a part of the own share for a request.
+
+        Returns:
+            The monotonic time until which the charge may serve another attempt;
+            None without a token.
+        """
         terms = self._book.terms(tenant)
-        if terms is None or self.tokens(tenant).take(terms):
-            return True
+        if terms is None:
+            return math.inf
+        until_s = self.tokens(tenant).take(terms)
+        if until_s is not None:
+            return until_s
         number = quota_book.group_of(tenant)
         if not self.uses_own_share(number):
-            return False
+            return None
         # A node that has started in a cut-off part may know few others.
         nodes = max(self._nodes(), self._group(number).nodes)
-        return self._own.take(tenant, terms, nodes=nodes)
+        if not self._own.take(tenant, terms, nodes=nodes):
+            return None
+        return self._clock.monotonic_s() + tenant_tokens.REUSE_S
 
     def may_wait(self, tenant: str) -> bool:
         """Returns whether a request without a token may ask the owner."""
@@ -110,7 +99,9 @@
     def uses_own_share(self, number: int) -> bool:
         """Returns whether this node lends its shares of a group to nobody."""
         group = self._group(number)
-        uses_own = self._clock.monotonic_s() >= self._lent_until_s(group)
+        is_lent = self._clock.monotonic_s() < self._lent_until_s(group)
+        # Without a count, an equal share would be the whole quota.
+        uses_own = not is_lent and self._nodes() > 0
         if uses_own and not group.uses_own and group.lent_to:
             _LOGGER.warning(
                 "event=quota-own-share group=%d owner=%s nodes=%d"
@@ -142,7 +133,14 @@
         # A node with its own share only looks for an owner.
         if self.uses_own_share(number) and not group.stamp_ms:
             return False
-        return not group.lent_to or self._is_needy(number)
+        is_lent = self._clock.monotonic_s() < group.lent_until_s
+        return not is_lent or self._is_needy(number)
+
+    def delay_s(self, number: int) -> float:
+        """Returns the time before which the owner is not to be asked."""
+        group = self._group(number)
+        age_s = self._clock.monotonic_s() - group.asked_s
+        return max(0.0, MIN_ASK_S - age_s)
 
     def former_owner(self, number: int, owner: str) -> str:
         """Sets the owner of a group.
@@ -234,7 +232,7 @@
                 self.tokens(need.tenant).apply(need, part, asked_s)
         return True
 
-    def _lend(self, group: _Group) -> int:
+    def _lend(self, group: group_state.GroupState) -> int:
         """Lends the own share; returns the stamp, or 0 if it is not lent.
 
         The share is lent until a time that is counted from the arrival of the
@@ -262,10 +260,10 @@
             if quota_book.group_of(tenant) == number
         )
 
-    def _group(self, number: int) -> _Group:
-        return self._groups.setdefault(number, _Group())
+    def _group(self, number: int) -> group_state.GroupState:
+        return self._groups.setdefault(number, group_state.GroupState())
 
-    def _lent_until_s(self, group: _Group) -> float:
+    def _lent_until_s(self, group: group_state.GroupState) -> float:
         return max(group.lent_until_s, self._started_s + self._pledge_s())
 
     def _renew_s(self) -> float:
--- a/src/galenatack/quotas/quota_exchange.py
+++ b/src/galenatack/quotas/quota_exchange.py
@@ -4,6 +4,7 @@
 import collections
 import collections.abc
 import logging
+import math
 
 from galenatack import exceptions
 from galenatack.interfaces import clock as clock_interface
@@ -14,29 +15,25 @@
 from galenatack.messages import quota_ask
 from galenatack.messages import quota_grant
 from galenatack.model import member_status
+from galenatack.model import quota_need
 from galenatack.quotas import node_count
 from galenatack.quotas import quota_book
 from galenatack.quotas import quota_client
 from galenatack.quotas import quota_owner
+from galenatack.quotas import quota_refusals
+from galenatack.quotas import tenant_tokens
 
 TICK_S = 0.25
 """Interval at which a node checks which owners it asks."""
 
+IDLE_COUNT_S = 1.0
+"""Interval at which nodes are counted while no tenant has a limit."""
+
 ASK_TIMEOUT_S = 0.8
 WAIT_S = 0.4
 """Longest time that a request waits for a token: more than a round trip between
 regions, and little beside the latency that callers expect."""
 
-MIN_RETRY_S = 0.5
-MAX_RETRY_S = 10.0
-RETRY_SPREAD = (0.5, 1.5)
-"""Bounds of the time until a refused request may come again, and the factors
-between which it is spread."""
-
-REPORT_S = 10.0
-"""A tenant beyond its quota is logged this often at most."""
-
-_MS_PER_S = 1000
 _LOGGER = logging.getLogger(__name__)
 
 
@@ -66,8 +63,8 @@
         self._members = members
         self._peers = peers
         self._clock = clock
-        self._rng = rng
         self._book = book
+        self._counted_s = -math.inf
         self._count = node_count.NodeCount(clock=clock)
         self._owner = quota_owner.QuotaOwner(
             clock=clock, book=book, nodes=lambda: self._count.count
@@ -78,52 +75,58 @@
             book=book,
             nodes=lambda: self._count.count,
         )
-        self._waiters: dict[str, collections.deque[asyncio.Future[bool]]] = (
-            collections.defaultdict(collections.deque)
-        )
+        self._waiters: dict[
+            str, collections.deque[asyncio.Future[float | None]]
+        ] = collections.defaultdict(collections.deque)
         self._asking: dict[int, asyncio.Task[None]] = {}
         self._releasing: dict[int, asyncio.Task[None]] = {}
-        self._reported_s: dict[str, float] = {}
-        self.refused: collections.Counter[str] = collections.Counter()
+        self._refusals = quota_refusals.QuotaRefusals(
+            clock=clock, rng=rng, client=self._client
+        )
+        self.refused = self._refusals.refused
         peers.on(quota_ask.QuotaAsk, self._on_ask)
 
     async def run(self) -> None:
         """Asks and updates shares until cancelled."""
         try:
             while True:
-                if self._book.groups():
-                    self._tick()
+                self._tick()
                 await self._clock.sleep_s(TICK_S)
         finally:
             for task in (*self._asking.values(), *self._releasing.values()):
                 task.cancel()
 
-    async def take(self, tenant: str) -> None:
+    async def take(self, tenant: str) -> float:
         """Uses a token for a request, and waits for one if need be.
 
+        Returns:
+            The monotonic time until which the charge may serve another attempt
+            if this one does not run.
+
         Raises:
             exceptions.QuotaExceededError: There is none.
         """
         if not tenant or self._book.terms(tenant) is None:
-            return
+            return math.inf
         tokens = self._client.tokens(tenant)
         tokens.add_request()
-        if self._client.take(tenant):
-            return
-        if self._client.may_wait(tenant) and await self._wait(tenant):
-            return
+        until_s = self._client.take(tenant)
+        if until_s is None and self._client.may_wait(tenant):
+            until_s = await self._wait(tenant)
+        if until_s is not None:
+            return until_s
         tokens.note_refused()
-        self._report(tenant)
-        raise exceptions.QuotaExceededError(
-            "the quota of the tenant is used up",
-            retry_after_ms=self._retry_after_ms(tenant),
-        )
+        raise self._refusals.make(tenant)
+
+    def is_current(self, until_s: float) -> bool:
+        """Returns whether a charge may serve another attempt."""
+        return self._clock.monotonic_s() < until_s
 
-    def give_back(self, tenant: str, count: int) -> None:
-        """Takes back the tokens of a request that did not run."""
-        if tenant and self._book.terms(tenant) is not None:
-            for _ in range(count):
-                self._client.tokens(tenant).give_back()
+    def give_back(self, tenant: str, until_s: float) -> None:
+        """Takes back the charge of a request that did not run."""
+        # Without an end, the tenant had no limit.
+        if tenant and until_s < math.inf:
+            self._client.tokens(tenant).give_back(until_s)
 
     def shares(self) -> dict[int, float]:
         """Returns what other nodes have lent to this one, by group."""
@@ -134,13 +137,25 @@
         return sum(map(self._client.uses_own_share, self._book.groups()))
 
     def _tick(self) -> None:
-        self._count.update(self._members.live())
+        self._update_count()
+        if not self._book.groups():
+            return
         self._owner.tick()
         for group in self._book.groups():
             if self._client.is_due(group):
                 self._ask_soon(group)
 
-    async def _wait(self, tenant: str) -> bool:
+    def _update_count(self) -> None:
+        """Counts the nodes, also before the first limits arrive.
+
+        More rarely then: a table of thousands of nodes takes a millisecond.
+        """
+        now_s = self._clock.monotonic_s()
+        if self._book.groups() or now_s - self._counted_s >= IDLE_COUNT_S:
+            self._counted_s = now_s
+            self._count.update(self._members.records())
+
+    async def _wait(self, tenant: str) -> float | None:
         waiter = asyncio.get_running_loop().create_future()
         waiters = self._waiters[tenant]
         waiters.append(waiter)
@@ -149,7 +164,12 @@
             async with asyncio.timeout(WAIT_S):
                 return await waiter
         except TimeoutError:
-            return False
+            return None
+        except asyncio.CancelledError:
+            is_served = waiter.done() and not waiter.cancelled()
+            if is_served and (until_s := waiter.result()) is not None:
+                self.give_back(tenant, until_s)
+            raise
         finally:
             if waiter in waiters:
                 waiters.remove(waiter)
@@ -161,9 +181,11 @@
             task.add_done_callback(lambda _: self._asking.pop(group, None))
 
     async def _ask_until_served(self, group: int) -> None:
-        await self._ask(group)
-        while self._waiting(group):
+        is_asking = True
+        while is_asking:
+            await self._clock.sleep_s(self._client.delay_s(group))
             await self._ask(group)
+            is_asking = bool(self._waiting(group))
 
     async def _ask(self, group: int) -> None:
         owner = self._owner_of(group)
@@ -184,15 +206,23 @@
         for need in ask.needs:
             if not is_applied:
                 self._client.tokens(need.tenant).deny()
-            self._serve(need.tenant, need.waiting, direct.get(need.tenant, 0))
+            self._serve(need, direct.get(need.tenant, 0), asked_s)
 
-    def _serve(self, tenant: str, waiting: int, tokens: int) -> None:
+    def _serve(
+        self, need: quota_need.QuotaNeed, tokens: int, asked_s: float
+    ) -> None:
         """Answers the requests that waited when the question was sent."""
-        waiters = self._waiters[tenant]
-        for number in range(min(waiting, len(waiters))):
+        # The owner has charged them after the question.
+        until_s = asked_s + tenant_tokens.REUSE_S
+        waiters = self._waiters[need.tenant]
+        for _ in range(min(need.waiting, len(waiters))):
             waiter = waiters.popleft()
             if not waiter.done():
-                waiter.set_result(number < tokens)
+                waiter.set_result(until_s if tokens > 0 else None)
+                tokens -= 1
+        # Callers may have left meanwhile.
+        for _ in range(tokens):
+            self.give_back(need.tenant, until_s)
 
     async def _release(self, group: int, node_id: str) -> None:
         ask = self._client.make_release(group)
@@ -241,23 +271,3 @@
         ]
         candidates = serving or [self._members.own.node_id]
         return node_roles.rank(candidates, f"quota/{group}")[0]
-
-    def _retry_after_ms(self, tenant: str) -> int:
-        wait_s = max(MIN_RETRY_S, self._client.pressure(tenant))
-        spread = self._rng.uniform(*RETRY_SPREAD)
-        return int(min(MAX_RETRY_S, wait_s) * spread * _MS_PER_S)
-
-    def _report(self, tenant: str) -> None:
-        self.refused[tenant] += 1
-        now_s = self._clock.monotonic_s()
-        if now_s - self._reported_s.get(tenant, -REPORT_S) < REPORT_S:
-            return
-        self._reported_s[tenant] = now_s
-        _LOGGER.info(
-            "event=quota-exceeded tenant=%s pressure=%.2f refused=%d"
-            " own_share=%s next=raise-rate-or-ask-tenant",
-            tenant,
-            self._client.pressure(tenant),
-            self.refused[tenant],
-            self._client.uses_own_share(quota_book.group_of(tenant)),
-        )
--- a/src/galenatack/traffic/call_router.py
+++ b/src/galenatack/traffic/call_router.py
@@ -128,11 +128,13 @@
         try:
             attempts = self._start_attempts(request, started_s)
             result = await self._try_targets(attempts)
-            self._tenants.settle(attempts)
         except exceptions.CallError as error:
             result = _refused(error)
         finally:
             self.in_flight -= 1
+            # Also for a caller that has left.
+            if attempts is not None:
+                self._tenants.settle(attempts)
         if attempts is not None and result.outcome == outcome.Outcome.NOT_RUN:
             self._returned.note_refused(
                 request, first_s=attempts.arrived_s, now_s=started_s
@@ -173,13 +175,10 @@
         route = table.find(request.host, request.path)
         if route is None:
             raise exceptions.NoRouteError("no route matches")
-        if not route.services:
-            raise exceptions.UnusableRouteError(
-                f"route {route.name}: unknown to this release:"
-                f" {', '.join(route.unknowns)}",
-                retry_after_ms=UNUSABLE_ROUTE_RETRY_AFTER_MS,
-            )
+        # Before anything else about a route: a caller without a key learns
+        # nothing of it.
         sender = self._tenants.identify(request, route)
+        _check_usable(route)
         timeout_ms = _timeout_ms(route, request.deadline_ms)
         deadline_s = started_s + timeout_ms / MS_PER_S
         self._shutdown.check(deadline_s)
@@ -325,8 +324,10 @@
         view.in_flight += 1
         sent_s = self._clock.monotonic_s()
         self._estimates.record_sent(attempts.cost, view, sent_s)
+        attempts.is_sent = True
         try:
             answer = await self._sender.send(call, member, attempts.deadline_s)
+            attempts.is_sent = False
         finally:
             view.in_flight -= 1
             self._estimates.record_ended(attempts.cost, view)
@@ -375,6 +376,15 @@
             view.eject(now_s)
 
 
+def _check_usable(route: host_route.HostRoute) -> None:
+    if not route.services:
+        raise exceptions.UnusableRouteError(
+            f"route {route.name}: unknown to this release:"
+            f" {', '.join(route.unknowns)}",
+            retry_after_ms=UNUSABLE_ROUTE_RETRY_AFTER_MS,
+        )
+
+
 def _timeout_ms(route: host_route.HostRoute, deadline_ms: int) -> int:
     return min(route.timeout_ms, deadline_ms or route.timeout_ms)
 
--- a/tests/quotas/quota_fleet.py
+++ b/tests/quotas/quota_fleet.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import bisect
+import collections
 import itertools
 import random
 
@@ -34,6 +35,8 @@
 DEAD_S = 3.0
 """Times after which a broken link, a silent link and a suspect are noticed."""
 
+ATTEMPTS = 3
+
 _Status = member_status.MemberStatus
 
 
@@ -45,6 +48,9 @@
         runs_s: Times of the runs by tenant.
         retries_s: Times until refused requests may come again.
         messages: Number of messages between nodes.
+        is_down: Whether no attempt runs.
+        has_store: Whether starting nodes read the store; else others' tables.
+        held_s: Time after which an attempt is known not to have run.
     """
 
     def __init__(self, tasks, *, nodes, limits, delay_s):
@@ -58,10 +64,13 @@
             name: member_records.build(name, data_centre=f"dc{number % 4}")
             for number, name in enumerate(self.names)
         }
-        self.offered_s = {name: [] for name in limits}
-        self.runs_s = {name: [] for name in limits}
+        self.offered_s = collections.defaultdict(list)
+        self.runs_s = collections.defaultdict(list)
         self.retries_s = []
         self.messages = 0
+        self.is_down = False
+        self.has_store = True
+        self.held_s = 0.5
         self.members = {}
         self.exchanges = {}
         self._scopes = {}
@@ -104,12 +113,14 @@
     def _found(self, name):
         """Returns the records that a starting node gets.
 
-        Those of unreachable nodes come from the store, without their status.
+        Those of unreachable nodes come from the store, without their status, or
+        from the tables of other nodes.
         """
         joining = _Status.JOINING.value
         return [
             record
-            if self.network.reachable(name, record.node_id)
+            if not self.has_store
+            or self.network.reachable(name, record.node_id)
             else record._replace(incarnation=0, status=joining)
             for record in self.records.values()
         ]
@@ -188,13 +199,26 @@
         loop = asyncio.get_running_loop()
         self.offered_s[tenant].append(loop.time())
         try:
-            await exchange.take(tenant)
+            if not await self._charge(exchange, tenant):
+                return
         except exceptions.QuotaExceededError as error:
             self.retries_s.append(loop.time() + error.retry_after_ms / 1000)
             return
         delay_s = self._rng.uniform(0.0, QUEUE_S)
         bisect.insort(self.runs_s[tenant], loop.time() + delay_s)
 
+    async def _charge(self, exchange, tenant):
+        """Charges a request; returns whether an attempt of it runs."""
+        until_s = await exchange.take(tenant)
+        for left in reversed(range(ATTEMPTS)):
+            if not self.is_down:
+                return True
+            await asyncio.sleep(self.held_s)
+            if left and not exchange.is_current(until_s):
+                until_s = await exchange.take(tenant)
+        exchange.give_back(tenant, until_s)
+        return False
+
     def owner(self, tenant):
         """Returns the owner of a tenant's quota."""
         exchange = next(iter(self.exchanges.values()))
@@ -241,7 +265,10 @@
     async def main():
         async with anyio.create_task_group() as tasks:
             fleet = QuotaFleet(
-                tasks, nodes=nodes, limits=limits or LIMITS, delay_s=delay_s
+                tasks,
+                nodes=nodes,
+                limits=LIMITS if limits is None else limits,
+                delay_s=delay_s,
             )
             ask = fleet.network.ask
 
--- a/tests/quotas/test_quota_fleet.py
+++ b/tests/quotas/test_quota_fleet.py
@@ -4,6 +4,9 @@
 import random
 import unittest
 
+from galenatack.model import member_status
+from galenatack.quotas import quota_book
+from galenatack.quotas import quota_client
 from tests.quotas import quota_fleet
 
 TWO_CENTRES = slice(0, 2)
@@ -84,6 +87,29 @@
 
         quota_fleet.run(scenario)
 
+    def test_tokens_granted_to_callers_that_have_left_serve_others(self):
+        """They would be lost while the owner has them as used."""
+
+        async def scenario(fleet):
+            exchange = fleet.exchanges[fleet.names[3]]
+            # After the renewal, beside which nothing is asked for 0.1 s.
+            await asyncio.sleep(0.15)
+            for since_s in (0.005, 0.02):
+                tasks = [
+                    asyncio.create_task(exchange.take("large"))
+                    for _ in range(100)
+                ]
+                await asyncio.sleep(since_s)
+                for task in tasks:
+                    task.cancel()
+                await asyncio.sleep(0.02)
+                served = [exchange._client.take("large") for _ in range(200)]
+                # As many again are at most reserved for expected requests.
+                self.assertGreater(200 - served.count(None), 100)
+                await asyncio.sleep(3.0)
+
+        quota_fleet.run(scenario, delay_s=(0.01, 0.01))
+
     def test_refused_requests_do_not_come_again_together(self):
         """Callers that wait as told would otherwise come back as a burst."""
 
@@ -139,6 +165,24 @@
 
         quota_fleet.run(scenario)
 
+    def test_a_cut_off_side_whose_nodes_restart_keeps_to_its_part(self):
+        """The last node that knew the other side alive has forgotten it."""
+
+        async def scenario(fleet):
+            load_all(fleet, 3.0)
+            near, far = fleet.names[0::2], fleet.names[1::2]
+            await fleet.cut(near)
+            fleet.tell(near, near, member_status.MemberStatus.SERVING)
+            fleet.has_store = False
+            for name in near:
+                fleet.start(name)
+                await asyncio.sleep(0.5)
+            fleet.tell(far, far, member_status.MemberStatus.SERVING)
+            await asyncio.sleep(12.0)
+            self.check(fleet)
+
+        quota_fleet.run(scenario)
+
     def test_restarted_nodes_do_not_use_a_quota_twice(self):
         """A node forgets what it used, granted and lent."""
 
@@ -177,6 +221,51 @@
 
         quota_fleet.run(scenario)
 
+    def test_a_flood_of_refused_requests_does_not_flood_the_owners(self):
+        """Each node has several groups, and may ask 10 times a second each."""
+        limits = {f"t{number}": (10, 10) for number in range(40)}
+
+        async def scenario(fleet):
+            load_all(fleet, 7.5)
+            await asyncio.sleep(2.0)
+            before = fleet.messages
+            await asyncio.sleep(5.0)
+            asks_per_s = (fleet.messages - before) / 2 / 5.0
+            most = quota_book.GROUPS * len(fleet.names) / quota_client.MIN_ASK_S
+            self.assertLess(asks_per_s, most)
+            self.check(fleet)
+
+        quota_fleet.run(scenario, limits=limits)
+
+    def test_limits_that_arrive_at_a_running_fleet_hold_at_once(self):
+        """Nodes that have not counted each other would use whole quotas."""
+
+        async def scenario(fleet):
+            # Between two ticks of all nodes.
+            await asyncio.sleep(0.01)
+            fleet.limit(quota_fleet.LIMITS)
+            load_all(fleet, 50.0)
+            await asyncio.sleep(6.0)
+            self.check(fleet)
+
+        quota_fleet.run(scenario, limits={})
+
+    def test_an_outage_of_all_targets_saves_no_tokens(self):
+        """Charges that are given back would run on top of the refill."""
+        for held_s in (0.02, 0.09, 0.5, 1.4):
+
+            async def scenario(fleet, held_s=held_s):
+                fleet.held_s = held_s
+                load_all(fleet, 3.0)
+                await asyncio.sleep(5.0)
+                fleet.is_down = True
+                await asyncio.sleep(6.0)
+                fleet.is_down = False
+                await asyncio.sleep(8.0)
+                self.check(fleet)
+
+            quota_fleet.run(scenario)
+
     def test_the_bound_holds_through_random_troubles(self):
         """Cuts, deaths and restarts at any time, under three times the load."""
         for seed in range(4):
--- a/tests/tenants/test_tenant_admission.py
+++ b/tests/tenants/test_tenant_admission.py
@@ -10,6 +10,7 @@
 from galenatack.tenants import tenant_admission
 from galenatack.tenants import tenant_pass
 from galenatack.tenants import tenant_table
+from galenatack.traffic import request_attempts
 
 
 def make_tenant(name, *keys, priority=None):
@@ -40,6 +41,70 @@
         raise exceptions.KeysOutdatedError("old", retry_after_ms=1)
 
 
+class Quotas:
+    """Counts charges, which stay current until told otherwise."""
+
+    def __init__(self):
+        self.taken = 0
+        self.returned_s = []
+        self.current = True
+
+    async def take(self, tenant_name):
+        """Charges a request."""
+        del tenant_name
+        self.taken += 1
+        return float(self.taken)
+
+    def is_current(self, until_s):
+        """Returns whether the last charge may serve another attempt."""
+        return self.current and until_s == self.taken
+
+    def give_back(self, tenant_name, until_s):
+        """Takes a charge back."""
+        del tenant_name
+        self.returned_s.append(until_s)
+
+
+class TestCharges(unittest.IsolatedAsyncioTestCase):
+    def setUp(self):
+        table = tenant_table.TenantTable([make_tenant("blue", "k1")])
+        self.quotas = Quotas()
+        self.admission = tenant_admission.TenantAdmission(
+            in_force=lambda: table, quotas=self.quotas
+        )
+        request = make_request("k1")
+        self.attempts = request_attempts.RequestAttempts(
+            request=request,
+            route=make_route(),
+            service="s",
+            config_version=1,
+            deadline_s=1.0,
+            sender=self.admission.identify(request, make_route()),
+        )
+
+    async def test_an_attempt_with_an_old_charge_is_charged_again(self):
+        """The owner has refilled since, so that both would run."""
+        await self.admission.admit(self.attempts)
+        await self.admission.admit(self.attempts)
+        self.assertEqual(self.quotas.taken, 1)
+        self.quotas.current = False
+        await self.admission.admit(self.attempts)
+        self.assertEqual(self.quotas.taken, 2)
+        self.admission.settle(self.attempts)
+        self.admission.settle(self.attempts)
+        self.assertEqual(self.quotas.returned_s, [2.0])
+
+    async def test_an_attempt_without_a_result_keeps_its_charge(self):
+        """Its caller may have left while the target runs it."""
+        await self.admission.admit(self.attempts)
+        self.attempts.is_sent = True
+        self.admission.settle(self.attempts)
+        self.assertEqual(self.quotas.returned_s, [])
+        self.attempts.is_sent = False
+        self.admission.settle(self.attempts)
+        self.assertEqual(self.quotas.returned_s, [1.0])
+
+
 class TestTenantAdmission(unittest.TestCase):
     def setUp(self):
         self.table = tenant_table.TenantTable(
