--- a/bench/overload.py
+++ b/bench/overload.py
@@ -9,6 +9,7 @@
 
 from bench import overload_crowd
 from bench import overload_features
+from bench import overload_tally
 from bench import overload_world
 
 FACTORS = (0.5, 0.8, 1.0, 1.2, 1.5, 2.0, 3.0)
@@ -114,7 +115,7 @@
 
 
 def figures(
-    load: overload_world.Load, tally: overload_world.Tally
+    load: overload_world.Load, tally: overload_tally.Tally
 ) -> tuple[float, ...]:
     """Returns the figures of one run, in the order of the columns."""
     capacity = overload_world.capacity_per_s(load) * load.seconds
@@ -135,7 +136,7 @@
 
 
 def tenant_figures(
-    load: overload_world.Load, tally: overload_world.Tally
+    load: overload_world.Load, tally: overload_tally.Tally
 ) -> tuple[float, float]:
     """Returns what the hot and the least served other tenant got.
 
--- a/bench/uneven.py
+++ b/bench/uneven.py
@@ -4,6 +4,7 @@
 
 import click
 
+from bench import overload_tally
 from bench import overload_world
 from bench import uneven_work
 
@@ -61,7 +62,7 @@
             click.echo(f"| {name} | {by} | {' | '.join(cells)} |")
 
 
-def _cells(tallies: list[overload_world.Tally], kind: str) -> tuple[str, ...]:
+def _cells(tallies: list[overload_tally.Tally], kind: str) -> tuple[str, ...]:
     shares = [tally.share_in_time(kind) for tally in tallies]
     halves = [statistics.median(tally.latencies_ms[kind]) for tally in tallies]
     tails = [tally.p99_ms(kind) for tally in tallies]
