Let nodes of the overload model make offers

The product's router offers a call to gates, which decline it if the next gate is the better choice; the model still chose once. Its nodes now do as the router: a declined offer is no try, and a refusal ends the round. Result: test_overload, test_overload_cases and test_uneven_work (7 tests) pass unchanged.

--- a/bench/overload_node.py
+++ b/bench/overload_node.py
@@ -134,29 +134,37 @@
         route = _route(kind)
         cost = self._estimates.cost(request, route, SERVICE, trait.tenant)
         tried: set[str] = set()
+        declined: set[str] = set()
         refusal: call_result.CallResult | None = None
         while len(tried) < MAX_SENDS:
             left_ms = (deadline_s - loop.time()) * MS_PER_S
             try:
-                chosen = self._placement.choose(
+                offer = self._placement.offer(
                     [target.record for target in self._targets.values()],
                     route=route,
                     left_ms=left_ms,
                     tried=tried,
+                    asked=declined,
                     tenant=trait.tenant,
                     cost=cost,
                 )
             except exceptions.OverloadedError as error:
                 return refusal or local_replies.not_run(error)
-            tried.add(chosen.node_id)
             call = self._make_call(request, route, cost)._replace(
                 deadline_ms=max(1, int(left_ms)),
                 tenant=trait.tenant,
                 waited_ms=(loop.time() - first_s) * MS_PER_S,
+                max_wait_ms=offer.max_wait_ms,
             )
-            refusal = await self._send(chosen, call, trait, cost)
-            if refusal.outcome == "answer":
-                return refusal
+            result = await self._send(offer.member, call, trait, cost)
+            if result.outcome == "answer":
+                return result
+            if result.failure == exceptions.OfferDeclinedError.code:
+                declined.add(offer.member.node_id)
+                continue
+            refusal = result
+            tried.add(offer.member.node_id)
+            declined.clear()
         return refusal
 
     def _make_call(
