--- a/src/galenatack/admission/admission_queue.py
+++ b/src/galenatack/admission/admission_queue.py
@@ -33,10 +33,6 @@
 MIN_GRANT_DELAY_S = 0.001
 """Timer resolution; the pace may ask for a shorter delay."""
 
-LATE_WAIT_SHARE = 0.3
-"""Share of its remaining time that a late call may wait: if it is refused then,
-its caller still has time to come back."""
-
 MIN_ALLOWED_WAIT_MS = 150.0
 """A wait of this length is shorter than a refusal and a retry, so it is allowed
 even if the target latency leaves less; the deadline still applies."""
@@ -331,11 +327,6 @@
     ) -> float:
         now_s = self._clock.monotonic_s()
         allowed_ms = (terms.deadline_s - now_s) * MS_PER_S - expected_ms
-        is_late = terms.objective_left_ms < expected_ms
-        if terms.target_latency_ms and is_late:
-            # It waits behind all that can be in time, and takes no turn of
-            # theirs: a late answer is better than none.
-            return max(0.0, allowed_ms) * LATE_WAIT_SHARE
         if terms.target_latency_ms:
             latency_bound_ms = max(
                 terms.objective_left_ms * TARGET_LATENCY_SHARE - expected_ms,
--- a/src/galenatack/quotas/quota_exchange.py
+++ b/src/galenatack/quotas/quota_exchange.py
@@ -36,15 +36,6 @@
 
 _LOGGER = logging.getLogger(__name__)
 
-CALM_PRESSURE = 0.5
-"""Demand as a multiple of the rate below which requests run ahead. Until the
-owner has answered, which takes 0.1 s, ten times the usual demand uses half a
-second of the rate, less than the bound leaves beyond the quota."""
-
-MAX_AHEAD = 2
-"""Requests of one tenant that run ahead at a time, so that a node without a way
-to the owner lets few through before it uses its own share."""
-
 
 class QuotaExchange:
     """Admits requests of tenants within their quotas.
@@ -84,9 +75,6 @@
             book=book,
             nodes=lambda: self._count.count,
         )
-        self._ahead: collections.defaultdict[str, set[asyncio.Task]] = (
-            collections.defaultdict(set)
-        )
         self._waiters: dict[
             str, collections.deque[asyncio.Future[float | None]]
         ] = collections.defaultdict(collections.deque)
@@ -124,36 +112,12 @@
         tokens.add_request()
         until_s = self._client.take(tenant)
         if until_s is None and self._client.may_wait(tenant):
-            if self._may_run_ahead(tenant):
-                return self._run_ahead(tenant)
             until_s = await self._wait(tenant)
         if until_s is not None:
             return until_s
         tokens.note_refused()
         raise self._refusals.make(tenant)
 
-    def _may_run_ahead(self, tenant: str) -> bool:
-        """Returns whether a request may run before the owner has answered.
-
-        While the tenant is far below its quota, the answer is known: waiting
-        for it costs each request a round trip, often to another region.
-        """
-        pressure = self._client.tokens(tenant).calm_pressure()
-        return (
-            pressure is not None
-            and pressure < CALM_PRESSURE
-            and (len(self._ahead[tenant]) < MAX_AHEAD)
-        )
-
-    def _run_ahead(self, tenant: str) -> float:
-        """Asks the owner for the token of a request that runs meanwhile."""
-        task = asyncio.create_task(self._wait(tenant))
-        ahead = self._ahead[tenant]
-        ahead.add(task)
-        task.add_done_callback(ahead.discard)
-        # Its charge serves no other attempt.
-        return self._clock.monotonic_s()
-
     def is_current(self, until_s: float) -> bool:
         """Returns whether a charge may serve another attempt."""
         return self._clock.monotonic_s() < until_s
--- a/src/galenatack/quotas/tenant_tokens.py
+++ b/src/galenatack/quotas/tenant_tokens.py
@@ -30,9 +30,6 @@
 SHORT_S = 0.25
 """Time after a refusal by the owner in which no request waits for it again."""
 
-PRESSURE_S = 2.0
-"""Age up to which the pressure that an owner told is used."""
-
 
 class TenantTokens:
     """Uses tokens and tells what is needed.
@@ -61,12 +58,6 @@
         self._terms: quota_terms.QuotaTerms | None = None
         self.demand = demand.Demand(clock=clock)
         self.pressure = 0.0
-        self._told_s = -math.inf
-
-    def calm_pressure(self) -> float | None:
-        """Returns the pressure, None if it is not known well enough."""
-        age_s = self._clock.monotonic_s() - self._told_s
-        return self.pressure if age_s < PRESSURE_S else None
 
     def add_request(self) -> None:
         """Counts a request, whether it runs or not."""
@@ -175,7 +166,6 @@
             asked_s: Monotonic time of the question.
         """
         self.pressure = part.pressure
-        self._told_s = asked_s
         if part.reserved > 0:
             expires_s = asked_s + tenant_account.TOKEN_S
             self._held.append((expires_s, part.reserved))
