Refuse no call for what a gate said long ago

Cause: after the only target of a service hung once for a whole time-out, its node answered 503 ("would take 2098 ms of 2000 ms") for 30 s, until the trial gave up: no call was sent that could have shown that it is fast again. Change: a call is refused before it is sent only for a report of the last 0.5 s; the gate decides otherwise, by its queue.

--- a/src/galenatack/placement/gate_view.py
+++ b/src/galenatack/placement/gate_view.py
@@ -12,6 +12,11 @@
 """Time constant, a few service times, after which most of the other nodes'
 calls in a report have ended."""
 
+CURRENT_S = 0.5
+"""Age of a report up to which calls are refused for it. Without a bound, one
+answer that took as long as its route allows keeps all calls away for ever from
+the only target of a service."""
+
 MEAN_WAIT_S = 1.5
 """Time constant of the mean wait at a gate, toward which a report fades: slow
 or popular targets have queues when nothing is heard of them."""
@@ -138,6 +143,10 @@
         """Ends an ejection early because the gate is reachable again."""
         self._ejected_until_s = -math.inf
 
+    def is_current(self, now_s: float) -> bool:
+        """Returns whether a call may be refused for what is known of it."""
+        return now_s - self._reported_s < CURRENT_S
+
     def calls(self, now_s: float) -> float:
         """Returns the expected number of calls at the gate now."""
         age_s = max(0.0, now_s - self._reported_s)
--- a/src/galenatack/placement/target_placement.py
+++ b/src/galenatack/placement/target_placement.py
@@ -234,7 +234,8 @@
         usable = self._with_room(usable, route, now_s, tenant)
         call = _Call(route, tenant, cost)
         best, *others = self._ranked(usable, untried, call, now_s)
-        self._check_time(best.candidate, route, best.answer_ms, left_ms)
+        if best.candidate.view.is_current(now_s):
+            self._check_time(best.candidate, route, best.answer_ms, left_ms)
         member = best.candidate.member
         if not others or member.node_id in asked or len(asked) >= MAX_OFFERS:
             return offer_module.Offer(member)
@@ -277,7 +278,8 @@
             wait_ms, run_ms = self._times_ms(candidate, call, typical_ms, now_s)
             answer_ms = wait_ms + run_ms
             obstacle = self._obstacle(candidate, usable_ids, call, now_s)
-            if obstacle is None and answer_ms > left_ms:
+            is_refused = candidate.view.is_current(now_s)
+            if obstacle is None and is_refused and answer_ms > left_ms:
                 obstacle = verdict.Verdict.TOO_LATE
             found.append(
                 _assessment(
