Parse the bytes of a connection in the order in which they came

Cause: while memory is short, a full read is kept and reading pauses for a turn; if memory was enough again by then, the next read was parsed before the kept one. The tail of a legal body was parsed as a head (400, or another request if the client chooses the body). Change: what comes while bytes are kept goes behind them, and a turn goes on with them; a kept read counts 128 bytes more, so that tiny ones count.

--- a/src/galenatack/links/pipelined_connection.py
+++ b/src/galenatack/links/pipelined_connection.py
@@ -27,6 +27,9 @@
 MAX_UNSENT_BYTES = 1_000_000
 """Reading from a peer pauses while more bytes than this are unsent to it."""
 
+UNREAD_PIECE_BYTES = 128
+"""What one kept read takes beside its bytes, so that tiny ones count."""
+
 MAX_UNREAD_BYTES = 262_144
 """Bytes read ahead while `MAX_CONCURRENT_REQUESTS` requests run."""
 
@@ -201,10 +204,11 @@
         self.last_active_s = self._loop.time()
         if self._request_began_s is None:
             self._request_began_s = self.last_active_s
-        if self._is_full():
+        if self._unread or self._is_full():
+            # Bytes that were kept before go first.
             self._unread.append((self.last_active_s, data))
-            self._unread_bytes += nbytes
-            self._update_reading()
+            self._unread_bytes += nbytes + UNREAD_PIECE_BYTES
+            self._process_unread()
         else:
             self._feed(data, arrived_s=self.last_active_s)
         self._update_held()
@@ -374,7 +378,9 @@
 
     def _take_turn(self) -> None:
         self._has_yielded = False
-        self._update_reading()
+        # What made this connection wait may have ended meanwhile.
+        if not self._transport.is_closing():
+            self._process_unread()
 
     def _discard(self, data: bytes) -> None:
         """Drops bytes behind the last request, up to a limit."""
@@ -405,7 +411,7 @@
         """Parses bytes that were buffered while too many requests ran."""
         while self._unread and not self._is_full() and self._reader.is_open:
             arrived_s, data = self._unread.popleft()
-            self._unread_bytes -= len(data)
+            self._unread_bytes -= len(data) + UNREAD_PIECE_BYTES
             self._feed(data, arrived_s=arrived_s)
         self._update_reading()
 
