Bound fetched bodies until their calls end, and each fetch by its deadline

Cause: what had arrived of a body counted for nothing (20 bodies of 4 MiB held beside a limit of 32 MB); a node that does not answer kept all parts of the window until the deadline that it had named, and urgent bodies behind it ended long after theirs; calls with announced bodies were outside the account of clients; the time of a fetch did not count as waited. Change: bodies count from the begin of their fetch to the end of their call; a fetch ends at its deadline, a part after 2 s. Tests: both fail before (30.0 s instead of 0.3 s; a ninth body is taken).

--- a/src/galenatack/admission/target_gate.py
+++ b/src/galenatack/admission/target_gate.py
@@ -240,6 +240,7 @@
             result, ran_ms = await self._admit(request, announced, started_s)
         finally:
             self._accepted_calls -= 1
+            self._bodies.release(request.call_id)
         report = gate_report.GateReport(
             running=self._queue.running,
             queued=self._queue.queued,
@@ -300,7 +301,14 @@
             deadline_s=deadline_s,
         )
         # The gate has taken the call: it isn't declined any more.
-        return request._replace(body=body, max_wait_ms=None)
+        waited_ms = (
+            request.waited_ms
+            + request.deadline_ms
+            - ((deadline_s - self._clock.monotonic_s()) * MS_PER_S)
+        )
+        return request._replace(
+            body=body, max_wait_ms=None, waited_ms=waited_ms
+        )
 
     async def _admit(
         self,
--- a/src/galenatack/bodies/body_fetcher.py
+++ b/src/galenatack/bodies/body_fetcher.py
@@ -19,8 +19,13 @@
 MAX_BODY_BYTES = 4 * 1024 * 1024
 """Limit on one body, which a node takes from the number that a peer names."""
 
-MAX_BACKLOG_BYTES = 32_000_000
-"""Limit on the bodies that are fetched at a time."""
+MAX_HELD_BYTES = 32_000_000
+"""Limit on the bodies of all calls, from the begin of a fetch to the end of its
+call."""
+
+PART_TIMEOUT_S = 2.0
+"""Time for one part, that of a silent link: a node that does not answer keeps
+others from their parts no longer."""
 
 RETRY_AFTER_MS = 100
 
@@ -53,6 +58,7 @@
         fetched: Number of bodies that have arrived.
         failed: Number of bodies that have not.
         backlog_bytes: Bytes of announced bodies that have not arrived yet.
+        held_bytes: Bytes of the bodies of all calls that have not ended.
     """
 
     def __init__(
@@ -70,6 +76,8 @@
         self.fetched = 0
         self.failed = 0
         self.backlog_bytes = 0
+        self._held: dict[str, int] = {}
+        self.held_bytes = 0
 
     def wait_ms(self) -> float:
         """Returns how long a further body would wait for those before it."""
@@ -101,8 +109,10 @@
         )
         if not 0 < body.size_bytes <= MAX_BODY_BYTES:
             raise _unavailable(body, f"more than {MAX_BODY_BYTES} bytes")
-        if self.backlog_bytes + body.size_bytes > MAX_BACKLOG_BYTES:
-            raise _unavailable(body, "too many others are fetched")
+        if self.held_bytes + body.size_bytes > MAX_HELD_BYTES:
+            raise _unavailable(body, "too many others are held")
+        self._held[call_id] = body.size_bytes
+        self.held_bytes += body.size_bytes
         task = asyncio.create_task(self._fetch(body))
         self._tasks[body.call_id] = task
         try:
@@ -123,6 +133,10 @@
         self.fetched += 1
         return data
 
+    def release(self, call_id: str) -> None:
+        """Notes that a call has ended, and its body is not kept any more."""
+        self.held_bytes -= self._held.pop(call_id, 0)
+
     def cancel(self, call_id: str) -> bool:
         """Ends a fetch; returns False if the call's body is not fetched."""
         task = self._tasks.get(call_id)
@@ -138,8 +152,9 @@
         data = bytearray(body.size_bytes)
         unasked_bytes = body.size_bytes
         self.backlog_bytes += unasked_bytes
+        left_s = body.deadline_s - self._clock.monotonic_s()
         try:
-            async with asyncio.TaskGroup() as parts:
+            async with asyncio.timeout(left_s), asyncio.TaskGroup() as parts:
                 while unasked_bytes:
                     await self._window.acquire(body.order)
                     offset = body.size_bytes - unasked_bytes
@@ -148,6 +163,8 @@
                     self._start_part(parts, body, offset, size_bytes, data)
         except* exceptions.BodyUnavailableError as group:
             raise group.exceptions[0] from None
+        except* TimeoutError:
+            raise _unavailable(body, "not here by the deadline") from None
         finally:
             self.backlog_bytes -= unasked_bytes
         return bytes(data)
@@ -196,7 +213,7 @@
             reply = await self._peers.request(
                 body.node_id,
                 fetch_body.FetchBody(body.call_id, offset, size_bytes),
-                timeout_s=max(0.0, left_s),
+                timeout_s=max(0.0, min(left_s, PART_TIMEOUT_S)),
             )
         except exceptions.PeerError as error:
             raise _unavailable(body, str(error)) from error
--- a/src/galenatack/links/message_server.py
+++ b/src/galenatack/links/message_server.py
@@ -11,6 +11,7 @@
 from galenatack.links import envelope
 from galenatack.links import peer_link
 from galenatack.links import unknown_message
+from galenatack.messages import announced_call
 from galenatack.messages import busy
 from galenatack.messages import call
 from galenatack.messages import hello
@@ -126,7 +127,10 @@
             self._refuse(link, received, NOT_READY_RETRY_MS)
             return
         call_bytes = 0
-        if self._calls is not None and isinstance(received.message, call.Call):
+        is_call = isinstance(
+            received.message, call.Call | announced_call.AnnouncedCall
+        )
+        if self._calls is not None and is_call:
             call_bytes = self._calls.begin(received.message.request)
             if call_bytes is None:
                 self._refuse(link, received, BUSY_RETRY_MS)
--- a/tests/bodies/test_body_fetcher.py
+++ b/tests/bodies/test_body_fetcher.py
@@ -206,6 +206,68 @@
 
         virtual_loop.run(main)
 
+    def test_a_silent_node_keeps_no_others_from_their_bodies(self):
+        """Its parts would hold the window until a deadline that it names.
+
+        An urgent body behind it ended long after its own deadline.
+        """
+
+        async def main():
+            started_s = asyncio.get_running_loop().time()
+            link = SlowLink()
+            announced_bodies.AnnouncedBodies(peers=link)
+            fetcher = body_fetcher.BodyFetcher(
+                peers=link, clock=virtual_loop.LoopClock()
+            )
+            link.free_s = 60.0
+            ends = []
+
+            async def fetch(call_id, priority, deadline_s):
+                with self.assertRaises(exceptions.BodyUnavailableError):
+                    await fetcher.fetch(
+                        call_id,
+                        announced_body.AnnouncedBody("silent", 40_000),
+                        priority=priority,
+                        deadline_s=deadline_s,
+                    )
+                ends.append(asyncio.get_running_loop().time() - started_s)
+
+            await asyncio.gather(fetch("a", 5, 30.0), fetch("b", 0, 0.3))
+            return sorted(ends)
+
+        ends_s = virtual_loop.run(main)
+        self.assertAlmostEqual(ends_s[0], 0.3, delta=0.05)
+        self.assertLess(ends_s[1], 2.1)
+
+    def test_bodies_that_are_here_count_until_their_calls_end(self):
+        """Otherwise twenty of 4 MB are kept beside a limit of 32 MB."""
+
+        async def main():
+            link = SlowLink()
+            bodies = announced_bodies.AnnouncedBodies(peers=link)
+            fetcher = body_fetcher.BodyFetcher(
+                peers=link, clock=virtual_loop.LoopClock()
+            )
+            size_bytes = 4_000_000
+
+            async def fetch(call_id):
+                with bodies.announced(call_id, "gate", bytes(size_bytes)):
+                    await fetcher.fetch(
+                        call_id,
+                        announced_body.AnnouncedBody("sender", size_bytes),
+                        priority=0,
+                        deadline_s=999.0,
+                    )
+
+            for number in range(8):
+                await fetch(f"c{number}")
+            with self.assertRaises(exceptions.BodyUnavailableError):
+                await fetch("c8")
+            fetcher.release("c0")
+            await fetch("c9")
+
+        virtual_loop.run(main)
+
     def test_the_wait_follows_the_measured_rate(self):
         """Callers learn how long a further body would take to begin."""
         waits_ms = []
