Let calls with long bodies test a stalled target

Cause: they were refused for the stall before a test could begin, so that a service that gets only uploads stayed stalled until its target restarted.

--- a/src/galenatack/admission/admission_queue.py
+++ b/src/galenatack/admission/admission_queue.py
@@ -179,6 +179,9 @@
             exceptions.OfferDeclinedError: The wait would be longer than
                 `max_wait_ms`.
         """
+        if self._is_stalled() and self._is_idle():
+            # `acquire` decides whether the call tests the target.
+            return
         expected_ms = self._times.expected_ms(terms.route)
         wait_ms = max(ready_ms, self._wait_ms(terms, expected_ms))
         self._check_wait(terms, expected_ms, wait_ms, max_wait_ms)
--- a/tests/admission/test_stall_detector.py
+++ b/tests/admission/test_stall_detector.py
@@ -8,12 +8,18 @@
 from galenatack.admission import admission_queue
 from galenatack.admission import service_times
 from galenatack.admission import stall_detector
+from galenatack.model import admission_terms
 from tests.fakes import virtual_loop
 
 SLOTS = 4
 TIMEOUT_S = 3.0
 
 
+def _terms():
+    """Returns the terms of a call whose body is not here yet."""
+    return admission_terms.AdmissionTerms("c", "r", 1, 99.0, 400.0)
+
+
 class Rig:
     """A gate before a target that takes 50 ms, or never answers."""
 
@@ -116,3 +122,13 @@
             self.assertTrue(rig.stall.check(running, SLOTS))
 
         virtual_loop.run(main)
+
+    def test_a_call_with_a_long_body_may_test_a_stalled_target(self):
+        """A service that gets only uploads would stay stalled for ever."""
+
+        async def main():
+            rig = Rig()
+            rig.stall.is_stalled = True
+            rig.queue.check(_terms(), ready_ms=0.0, max_wait_ms=None)
+
+        virtual_loop.run(main)
