Charge a retry only when it is sent, and end offers whatever gates answer

Cause: the retry budget was charged before a target was chosen; a gate that declines a call without a limit was asked until the deadline; a reported wait beyond 64 bits made the next gate close the link.

--- a/src/galenatack/placement/target_placement.py
+++ b/src/galenatack/placement/target_placement.py
@@ -539,6 +539,8 @@
     limit_ms = _lateness_ratio(next_cost - fixed_cost) * target_latency_ms
     running_ms = _total_ms(best.candidate, best.answer_ms - best.wait_ms)
     wait_ms = max(0.0, limit_ms - running_ms)
+    # Reports of other nodes may be of any size.
+    wait_ms = min(wait_ms, route.timeout_ms)
     return int(wait_ms * (1.0 + OFFER_SLACK_SHARE) + OFFER_SLACK_MS)
 
 
--- a/src/galenatack/traffic/call_router.py
+++ b/src/galenatack/traffic/call_router.py
@@ -228,12 +228,20 @@
         groups: tuple[list[member_record.MemberRecord], ...],
     ) -> call_result.CallResult:
         """Offers a call to gates until one takes it or refuses it."""
-        if attempts.is_retry:
-            self._budget.try_spend(attempts.service)
+        is_uncharged = attempts.is_retry
         while True:
             offer = self._choose(attempts, groups)
+            if is_uncharged:
+                # Only what is sent: the choice may have found no target.
+                self._budget.try_spend(attempts.service)
+                is_uncharged = False
             result = await self._attempt(attempts, offer)
-            if result.failure != exceptions.OfferDeclinedError.code:
+            # A gate that declines a call without a limit has refused it.
+            is_declined = (
+                result.failure == exceptions.OfferDeclinedError.code
+                and offer.max_wait_ms is not None
+            )
+            if not is_declined:
                 attempts.add(offer.member.node_id, result)
                 return result
             attempts.declined.add(offer.member.node_id)
