Allow each call the wait for the next slot

Cause: with three slots a target, runs that wait for calls of their own hold their slots for 350 to 480 ms; a third of that, the wait for the next slot, was more than the 150 ms that the objective left, so that each gate without a free slot refused calls with nothing ahead of them, and three such refusals ended a request while services were 55 to 70 % busy. Change: a wait of 1.25 slot intervals is always allowed, within the deadline. The tests of the overload model pass.

--- a/src/galenatack/admission/admission_queue.py
+++ b/src/galenatack/admission/admission_queue.py
@@ -33,6 +33,11 @@
 MIN_GRANT_DELAY_S = 0.001
 """Timer resolution; the pace may ask for a shorter delay."""
 
+NEXT_SLOT_FACTOR = 1.25
+"""Waits for the next slot that are always allowed, within the deadline. With few
+slots and runs that wait for calls of their own, one such wait is longer than
+what the objective leaves; all gates that have no slot free would refuse."""
+
 MIN_ALLOWED_WAIT_MS = 150.0
 """A wait of this length is shorter than a refusal and a retry, so it is allowed
 even if the target latency leaves less; the deadline still applies."""
@@ -334,6 +339,8 @@
             latency_bound_ms = max(
                 terms.objective_left_ms * TARGET_LATENCY_SHARE - expected_ms,
                 MIN_ALLOWED_WAIT_MS,
+                # With nothing ahead of it, a call is next.
+                NEXT_SLOT_FACTOR * self._interval_ms(),
             )
             allowed_ms = min(allowed_ms, latency_bound_ms)
         return allowed_ms
