--- a/src/galenatack/admission/admission_queue.py
+++ b/src/galenatack/admission/admission_queue.py
@@ -34,7 +34,7 @@
 """Timer resolution; the pace may ask for a shorter delay."""
 
 NEXT_SLOT_FACTOR = 1.25
-"""Waits for the next slot that are always allowed, within the deadline. With few
+"""Waits for the next slot that are always allowed, in the deadline. With few
 slots and runs that wait for calls of their own, one such wait is longer than
 what the objective leaves; all gates that have no slot free would refuse."""
 
