Let the probe of a target pass its second check

Callers saw 503 "the target is down" from a node for as long as its target did not announce another start, although the target took connections again. Cause: after three failed connections one call in 0.4 s passes as a probe. The gate checks a call when it comes and again when it starts; the second check found the probe's own time stamp and refused it, so that no call ever reached the target. A crowd at a joining node makes connections to its target fail three times. Change: the call that became the probe passes again.

--- a/soak/node_process.py
+++ b/soak/node_process.py
@@ -166,6 +166,10 @@
         is_over = b"event=store-left " in later or b"event=store-lost " in later
         return bool(followed) and not is_over
 
+    def exit_status(self) -> int | None:
+        """Returns the exit status of the process; None while it runs."""
+        return self._process.poll()
+
     def exit_fault(self) -> str:
         """Returns a message if the process exited unexpectedly, or ""."""
         status = self._process.poll()
--- a/src/galenatack/admission/target_calls.py
+++ b/src/galenatack/admission/target_calls.py
@@ -56,23 +56,32 @@
         self._running: dict[str, running_call.RunningCall] = {}
         self._connect_failures = 0
         self._last_probe_s = 0.0
+        self._probe_id = ""
 
     def reset(self) -> None:
         """Forgets failed connections after the target has changed."""
         self._connect_failures = 0
 
-    def check_connected(self) -> None:
+    def check_connected(self, call_id: str) -> None:
         """Lets a call pass if the target takes connections, or as a probe.
 
+        A probe passes again when it is checked once more before its start.
+
+        Args:
+            call_id: The call.
+
         Raises:
             exceptions.TargetConnectError: The target is down.
         """
         if self._connect_failures < CONNECT_FAILURE_THRESHOLD:
             return
+        if call_id == self._probe_id:
+            return
         now_s = self._clock.monotonic_s()
         if now_s - self._last_probe_s < PROBE_INTERVAL_S:
             raise exceptions.TargetConnectError("the target is down")
         self._last_probe_s = now_s
+        self._probe_id = call_id
 
     def cancel(self, call_id: str) -> None:
         """Ends the wait for an answer, unless the call runs at most once."""
--- a/src/galenatack/admission/target_gate.py
+++ b/src/galenatack/admission/target_gate.py
@@ -404,7 +404,7 @@
             )
         if self._is_evacuated():
             raise exceptions.EvacuatedError("the data centre is evacuated")
-        self._calls.check_connected()
+        self._calls.check_connected(request.call_id)
         if request.is_retry and not self._runs.admits_retry():
             raise exceptions.RetryRefusedError(
                 "retries are too large a share of the target's runs",
--- a/tests/clients/besieged_node.py
+++ b/tests/clients/besieged_node.py
@@ -1,4 +1,4 @@
-"""A node process with a store and a target, and crowds of raw connections."""
+"""Node processes with a store and targets, and crowds of raw connections."""
 
 import asyncio
 import contextlib
@@ -23,6 +23,7 @@
 ANSWER_S = 30.0
 STEADY_S = 1.5
 MAX_SETTLE_S = 40.0
+END_S = 60.0
 KEPT_DESCRIPTORS = 200
 """Descriptors of a machine's limit that are kept for files."""
 
@@ -33,59 +34,88 @@
     Args:
         memory_mb: Memory of its machine, in its settings.
         max_fds: Descriptors of its machine, in its settings.
+        beside: A node whose store it shares; None for a store of its own. Its
+            target then has another service, so that all requests are served
+            by the target of `beside`.
+        on_listening: Coroutine function that is called with the node once it
+            takes connections, before its target announces itself.
 
     Attributes:
         target: Its target, in this process.
     """
 
-    def __init__(self, *, memory_mb=0, max_fds=0):
+    def __init__(
+        self, *, memory_mb=0, max_fds=0, beside=None, on_listening=None
+    ):
         self.memory_mb = memory_mb
         self.max_fds = max_fds
+        self._on_listening = on_listening
+        self._index = 0 if beside is None else beside._index + 1
+        self._service = "a" if beside is None else "b"
         self._base = os.getpid() % 200 + 30
-        self._store = node_table.SharedStore()
-        self._store.operator_writes(
-            "op", "config", operator_config.config(2, {"a"})
-        )
+        self.store_address = f"127.{self._base}.1.1:{STORE_PORT}"
+        self._has_store = beside is None
         self._stack = contextlib.AsyncExitStack()
         self._crowd = []
         self._pid = 0
         self._high_sockets = 0
 
     async def __aenter__(self):
+        try:
+            await self._open()
+        except BaseException:
+            await self.__aexit__()
+            raise
+        return self
+
+    async def _open(self):
         folder = self._stack.enter_context(tempfile.TemporaryDirectory())
-        store_address = f"127.{self._base}.1.1:{STORE_PORT}"
-        server = store_server.StoreServer(
-            address=store_address, store=self._store
-        )
-        await server.start()
-        self._stack.callback(server.close)
+        if self._has_store:
+            await self._start_store()
         self.process = node_process.NodeProcess(
-            index=0,
+            index=self._index,
             base=self._base,
             folder=pathlib.Path(folder),
             place=("dc", "region"),
-            service="a",
-            store_address=store_address,
+            service=self._service,
+            store_address=self.store_address,
         )
-        self._add_limits(pathlib.Path(folder) / "node-0.yaml")
+        self._add_limits(pathlib.Path(folder) / f"{self.process.name}.yaml")
         await self.process.open()
         self._stack.push_async_callback(self.process.close)
         self.target = fake_target.FakeTarget(
-            target_id="i-a",
-            service="a",
+            target_id=f"i-{self._service}",
+            service=self._service,
             address=self.process.address(node_process.TARGET_PORT),
         )
         await self.target.server.listen()
         self._stack.callback(self.target.server.close)
         self.process.start()
         self._pid = self.process.pid
+        if self._on_listening is not None:
+            await self._wait_listening()
+            await self._on_listening(self)
         await self._start()
-        return self
 
     async def __aexit__(self, *exc):
         self.leave()
         await self._stack.aclose()
 
+    async def _start_store(self):
+        store = node_table.SharedStore()
+        store.operator_writes("op", "config", operator_config.config(2, {"a"}))
+        server = store_server.StoreServer(
+            address=self.store_address, store=store
+        )
+        await server.start()
+        self._stack.callback(server.close)
+
+    async def _wait_listening(self):
+        async with asyncio.timeout(START_S):
+            while not await self.connect(1):
+                await asyncio.sleep(0.05)
+        self.leave()
+
     def _add_limits(self, file):
         document = yaml.safe_load(file.read_text())
         limits = {"memory_mb": self.memory_mb, "max_fds": self.max_fds}
@@ -186,6 +216,28 @@
                     await asyncio.sleep(0.2)
         return status
 
+    async def wait_closed(self, count):
+        """Waits until at most `count` sockets are open; returns their number.
+
+        Connections whose clients have left are closed in the end.
+        """
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(ANSWER_S):
+                while self.open_sockets() > count:
+                    await asyncio.sleep(0.2)
+        return self.open_sockets()
+
+    async def wait_ended(self):
+        """Waits until the process ends by itself; returns its exit status.
+
+        Raises:
+            TimeoutError: It does not end.
+        """
+        async with asyncio.timeout(END_S):
+            while (status := self.process.exit_status()) is None:
+                await asyncio.sleep(0.05)
+        return status
+
     def is_alive(self):
         """Returns whether the process that was started still runs."""
         return not self.process.exit_fault() and self.process.pid == self._pid
