Begin pipelined requests in turns, and count what they take

Callers got no answer for more than 30 s, beside a crowd of clients that pipeline small requests, leave and come back, and after it had left; the process took several times the memory of its machine. Cause: the limit of 16 requests a connection was only looked at between two reads, so that a read of 8 kB began some 90. All requests that arrived in one turn of the event loop began before the loop read again and learned that their clients had left. Each counted as 1 kB at most in the account of clients, which therefore shed nothing. Calls of other nodes had no bound if they were small. Change: requests that were parsed wait at their connection (counted) until it runs fewer than 16; links/request_turns lets the connections of a listener begin 16 requests in a turn of the loop, one each in turn. Those of a client that has left are forgotten. When memory is short, one 503 stands for all requests of a connection that have not begun: it closes the connection, and none of them runs. The exchange of a connection moves to a file of its own.

--- a/src/galenatack/clients/received_calls.py
+++ b/src/galenatack/clients/received_calls.py
@@ -27,7 +27,10 @@
         size_bytes = request_size.of_running(
             request.path, request.headers, request.body
         )
-        if not self._account.has_room(size_bytes):
+        held_bytes = self._held_bytes + size_bytes
+        # Clients can make room for small calls, but calls cannot.
+        is_full = held_bytes > self._account.bounds.held_bytes
+        if is_full or not self._account.has_room(size_bytes):
             self._account.record_shed("calls", client_bytes=size_bytes)
             return None
         self._add(size_bytes)
--- a/src/galenatack/links/pipelined_connection.py
+++ b/src/galenatack/links/pipelined_connection.py
@@ -13,16 +13,18 @@
 from galenatack.clients import request_size
 from galenatack.links import connection_limits
 from galenatack.links import connection_stats
-from galenatack.links import http_head
+from galenatack.links import exchange as exchange_module
 from galenatack.links import http_request
 from galenatack.links import http_response
 from galenatack.links import large_bodies as large_bodies_module
 from galenatack.links import request_reader
+from galenatack.links import request_turns
 
 _LOGGER = logging.getLogger(__name__)
 
 MAX_CONCURRENT_REQUESTS = 16
-"""Maximum concurrent requests of one connection; others wait unparsed."""
+"""Maximum concurrent requests of one connection. Others wait, unparsed but for
+those of the same piece."""
 
 MAX_UNSENT_BYTES = 1_000_000
 """Reading from a peer pauses while more bytes than this are unsent to it."""
@@ -58,7 +60,6 @@
 UNAVAILABLE = 503
 BAD_GATEWAY = 502
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
-_NO_BODY = frozenset((204, 304))
 
 Respond = collections.abc.Callable[
     [http_request.HttpRequest],
@@ -71,25 +72,6 @@
 is not known."""
 
 
-class _Exchange:
-    __slots__ = (
-        "is_head",
-        "keeps_alive",
-        "ready_s",
-        "response",
-        "target",
-        "task",
-    )
-
-    def __init__(self, *, target: str, is_head: bool, keeps_alive: bool):
-        self.target = target
-        self.is_head = is_head
-        self.keeps_alive = keeps_alive
-        self.task: asyncio.Task | None = None
-        self.response: http_response.HttpResponse | None = None
-        self.ready_s = 0.0
-
-
 class PipelinedConnection(asyncio.BufferedProtocol):
     """Reads requests ahead, runs them concurrently and answers in order.
 
@@ -104,6 +86,7 @@
         stats: Counts what happens to requests.
         account: Counts the memory that clients hold.
         slots: Limits the number of connections.
+        turns: Turns in which requests begin.
 
     Attributes:
         has_served: True once a whole request was received.
@@ -122,6 +105,7 @@
         stats: connection_stats.ConnectionStats,
         account: client_account.ClientAccount,
         slots: connection_slots.ConnectionSlots,
+        turns: request_turns.RequestTurns,
     ):
         self._respond = respond
         self._time_limit = time_limit
@@ -132,6 +116,7 @@
         self._stats = stats
         self._account = account
         self._slots = slots
+        self._turns = turns
         self._holding = connection_holding.ConnectionHolding(
             account=account, on_shed=self._shed
         )
@@ -149,7 +134,14 @@
         )
         self._unread_bytes = 0
         self._discarded_bytes = 0
-        self._pending: collections.deque[_Exchange] = collections.deque()
+        self._pending: collections.deque[exchange_module.Exchange] = (
+            collections.deque()
+        )
+        self._waiting: collections.deque[exchange_module.Exchange] = (
+            collections.deque()
+        )
+        self._waiting_bytes = 0
+        self._running = 0
         self._is_draining = False
         self._is_finishing = False
         self._is_writing_paused = False
@@ -289,7 +281,12 @@
 
     def _feed(self, data: bytes, *, arrived_s: float) -> None:
         self._fed_since_s = arrived_s
-        self._reader.feed(data)
+        for start in range(0, len(data), request_reader.MAX_PARSED_BYTES):
+            if self._is_full():
+                self._keep_unread(arrived_s, data[start:])
+                break
+            end = start + request_reader.MAX_PARSED_BYTES
+            self._reader.feed(data[start:end])
         if not self._reader.is_open:
             return
         if not self._reader.has_begun:
@@ -301,6 +298,11 @@
             if self._reader.body_bytes > large_bodies_module.FREE_BYTES:
                 self._large_bodies.claim(self, self._max_request_bytes())
 
+    def _keep_unread(self, arrived_s: float, data: bytes) -> None:
+        """Keeps bytes that are parsed before all others that were kept."""
+        self._unread.appendleft((arrived_s, data))
+        self._unread_bytes += len(data) + UNREAD_PIECE_BYTES
+
     def _max_request_bytes(self) -> int:
         """Returns the size that the body being received may reach."""
         limit_bytes = self._limits.max_body_bytes
@@ -352,13 +354,19 @@
             self._holding.update_closed()
             return
         self._holding.update(
-            waiting_bytes=self._reader.held_bytes + self._unread_bytes,
+            waiting_bytes=self._reader.held_bytes
+            + self._unread_bytes
+            + self._waiting_bytes,
             unsent_bytes=self.unsent_bytes,
         )
 
     def _shed(self) -> None:
-        """Frees memory: requests that have not begun to run are refused."""
+        """Frees memory: requests that have not begun to run are refused.
+
+        A refusal closes the connection, so one stands for all of them.
+        """
         if self._reader.is_open and self._holding.is_mostly_waiting:
+            self._drop_waiting()
             self._refuse(UNAVAILABLE)
         else:
             self.abort()
@@ -421,10 +429,9 @@
         began_s = self._request_began_s
         if began_s is None:
             began_s = self._fed_since_s
-        request = request._replace(receive_s=self._loop.time() - began_s)
-        exchange = _Exchange(
-            target=request.target,
-            is_head=request.method == "HEAD",
+        exchange = exchange_module.Exchange(
+            request,
+            began_s=began_s,
             keeps_alive=keeps_alive and not self._is_finishing,
         )
         self._request_began_s = None
@@ -433,20 +440,47 @@
         self.has_served = True
         if self._is_finishing:
             self._stop_reading()
-        running_bytes = request_size.of_running(
+        self._waiting.append(exchange)
+        self._waiting_bytes += request_size.of_waiting(
             request.target, request.headers, request.body
         )
+        self._turns.add(self)
+
+    def begin_next(self) -> bool:
+        """Begins the next request; returns whether a further one may begin."""
+        if not self._may_begin():
+            return False
+        exchange = self._waiting.popleft()
+        request, exchange.request = exchange.request, None
+        parts = (request.target, request.headers, request.body)
+        self._waiting_bytes -= request_size.of_waiting(*parts)
+        running_bytes = request_size.of_running(*parts)
         if not self._holding.begin(running_bytes):
             self._refuse_whole(exchange)
-            return
+            return False
+        request = request._replace(
+            receive_s=self._loop.time() - exchange.began_s
+        )
+        self._running += 1
         exchange.task = self._loop.create_task(self._answer(exchange, request))
         exchange.task.add_done_callback(
             lambda done: self._end_running(running_bytes)
         )
+        return self._may_begin()
+
+    def _may_begin(self) -> bool:
+        """Returns whether the next request may begin."""
+        if not self._waiting or self._transport.is_closing():
+            return False
+        limit = 1 if self._account.is_tight else MAX_CONCURRENT_REQUESTS
+        return self._running < limit
 
-    def _refuse_whole(self, exchange: _Exchange) -> None:
+    def _refuse_whole(self, exchange: exchange_module.Exchange) -> None:
         """Refuses a request that has no room to run, and reads no more."""
         self._stats.refusals[UNAVAILABLE] += 1
+        self._waiting.appendleft(exchange)
+        self._drop_waiting()
+        self._pending.append(exchange)
         exchange.keeps_alive = False
         exchange.response = http_response.HttpResponse(UNAVAILABLE)
         exchange.ready_s = self._loop.time()
@@ -454,9 +488,22 @@
         # The parser is still busy with the bytes behind the request.
         self._loop.call_soon(self._flush)
 
+    def _drop_waiting(self) -> None:
+        """Forgets the requests that have not begun, and what is behind them."""
+        if self._waiting:
+            first = self._waiting[0]
+            while self._pending.pop() is not first:
+                pass
+        self._waiting.clear()
+        self._waiting_bytes = 0
+        self._turns.remove(self)
+
     def _end_running(self, running_bytes: int) -> None:
+        self._running -= 1
         self._holding.end(running_bytes)
         self._update_held()
+        if self._waiting:
+            self._turns.add(self)
 
     def _send_continue(self) -> None:
         # While an earlier answer is pending, the peer would take this for it.
@@ -464,7 +511,9 @@
             self._transport.write(CONTINUE)
 
     async def _answer(
-        self, exchange: _Exchange, request: http_request.HttpRequest
+        self,
+        exchange: exchange_module.Exchange,
+        request: http_request.HttpRequest,
     ) -> None:
         try:
             exchange.response = await self._respond(request)
@@ -513,7 +562,7 @@
             self._large_bodies.release(self)
         self._process_unread()
 
-    def _note_held(self, exchange: _Exchange) -> None:
+    def _note_held(self, exchange: exchange_module.Exchange) -> None:
         """Counts and logs an answer that waited for those before it."""
         held_s = self.last_active_s - exchange.ready_s
         if held_s < HELD_S:
@@ -526,7 +575,7 @@
             held_s * MS_PER_S,
         )
 
-    def _send(self, exchange: _Exchange) -> bool:
+    def _send(self, exchange: exchange_module.Exchange) -> bool:
         """Sends an answer; returns False if it closes the connection."""
         # Requests that are pending or partly received are still answered.
         has_more = (
@@ -535,11 +584,11 @@
         if self._is_draining and not has_more:
             exchange.keeps_alive = False
         try:
-            encoded = _encode(exchange)
+            encoded = exchange.encode()
         except exceptions.MalformedHeadError as error:
             _LOGGER.error("event=answer-malformed error=%s", error)
             exchange.response = http_response.HttpResponse(BAD_GATEWAY)
-            encoded = _encode(exchange)
+            encoded = exchange.encode()
         self._transport.write(encoded)
         if exchange.keeps_alive:
             return True
@@ -552,7 +601,9 @@
         """Answers an invalid request, after the requests before it."""
         self._stats.refusals[status] += 1
         self._stop_reading()
-        exchange = _Exchange(target="", is_head=False, keeps_alive=False)
+        exchange = exchange_module.Exchange(
+            None, began_s=self._loop.time(), keeps_alive=False
+        )
         exchange.response = http_response.HttpResponse(status)
         exchange.ready_s = self._loop.time()
         self._pending.append(exchange)
@@ -574,22 +625,8 @@
         self._loop.call_later(LINGER_S, self._transport.close)
 
     def _cancel_pending(self) -> None:
+        self._drop_waiting()
         pending, self._pending = self._pending, collections.deque()
         for exchange in pending:
             if exchange.task is not None:
                 exchange.task.cancel()
-
-
-def _encode(exchange: _Exchange) -> bytes:
-    response = exchange.response
-    headers = [
-        (name.encode("latin-1"), value.encode("latin-1"))
-        for name, value in response.headers
-    ]
-    has_body = response.status not in _NO_BODY
-    if has_body:
-        headers.append((b"content-length", b"%d" % len(response.body)))
-    if not exchange.keeps_alive:
-        headers.append((b"connection", b"close"))
-    head = http_head.response(response.status, headers)
-    return head if exchange.is_head or not has_body else head + response.body
--- a/src/galenatack/links/pipelined_server.py
+++ b/src/galenatack/links/pipelined_server.py
@@ -15,6 +15,7 @@
 from galenatack.links import http_request
 from galenatack.links import large_bodies
 from galenatack.links import pipelined_connection
+from galenatack.links import request_turns
 
 BACKLOG = 1024
 
@@ -93,6 +94,7 @@
                 self._account.bounds.held_bytes // LARGE_SHARE,
             )
         )
+        self._turns = request_turns.RequestTurns()
         self.stats = connection_stats.ConnectionStats()
         self._accept_handles = accept_handles
         self._servers: list[asyncio.AbstractServer] = []
@@ -174,6 +176,7 @@
             stats=self.stats,
             account=self._account,
             slots=self._slots,
+            turns=self._turns,
         )
         if self._is_draining:
             connection.drain()
--- a/tests/clients/test_order_of_bytes.py
+++ b/tests/clients/test_order_of_bytes.py
@@ -12,6 +12,7 @@
 from galenatack.links import http_response
 from galenatack.links import large_bodies
 from galenatack.links import pipelined_connection
+from galenatack.links import request_turns
 
 READ_BYTES = 8192
 HEAD = b"POST /p HTTP/1.1\r\nhost: a\r\ncontent-length: 16000\r\n\r\n"
@@ -54,6 +55,7 @@
             slots=connection_slots.ConnectionSlots(
                 account=self.account, max_connections=100
             ),
+            turns=request_turns.RequestTurns(),
         )
         transport = mock.Mock()
         transport.is_closing.return_value = False
