Close connections to the target that no call reuses

After a crowd had left, a node kept descriptors to its target (64 in all were seen, 26 are its own), and the target its connections. Cause: a posting reuses a connection that was idle for 0.25 s at most, a read one of 1 s. Older ones stayed in the pool, beside the new one that the call opened, until the target closed them; the limit of the pool counts those in use only. Change: the pool closes a connection after the longest idle time at which a call takes it, also if no further call comes.

--- a/src/galenatack/links/connection_pool.py
+++ b/src/galenatack/links/connection_pool.py
@@ -27,6 +27,7 @@
         max_connections: Maximum number of connections; further calls wait.
         connect_timeout_s: Timeout for a new connection.
         max_answer_bytes: Maximum size of an answer body.
+        keep_idle_s: Idle time after which a connection is closed.
     """
 
     def __init__(
@@ -37,6 +38,7 @@
         max_connections: int,
         connect_timeout_s: float,
         max_answer_bytes: int,
+        keep_idle_s: float = math.inf,
     ):
         self._host = host
         self._port = port
@@ -45,7 +47,9 @@
         self._large_bodies = large_bodies.LargeBodies(
             max_bytes=MAX_LARGE_ANSWERS * max_answer_bytes
         )
+        self._keep_idle_s = keep_idle_s
         self._idle: list[target_connection.TargetConnection] = []
+        self._sweep_timer: asyncio.TimerHandle | None = None
         self._max_connections = max_connections
         self._limit: anyio.Semaphore | None = None
 
@@ -95,12 +99,16 @@
         if connection.is_usable:
             connection.released_s = steady_clock.now_s()
             self._idle.append(connection)
+            self._sweep_later()
         else:
             connection.close()
         self._limit.release()
 
     async def close(self) -> None:
         """Closes the idle connections."""
+        if self._sweep_timer is not None:
+            self._sweep_timer.cancel()
+            self._sweep_timer = None
         while self._idle:
             self._idle.pop().close()
 
@@ -110,16 +118,30 @@
     def _drop_stale(self) -> None:
         kept = []
         for connection in self._idle:
-            bound_s = connection.keep_alive_s
-            is_stale = bound_s is not None and (
-                self._idle_s(connection) > bound_s - KEEP_ALIVE_MARGIN_S
-            )
+            bound_s = self._keep_idle_s
+            if connection.keep_alive_s is not None:
+                server_s = connection.keep_alive_s - KEEP_ALIVE_MARGIN_S
+                bound_s = min(bound_s, server_s)
+            is_stale = self._idle_s(connection) > bound_s
             if is_stale or not connection.is_usable:
                 connection.close()
             else:
                 kept.append(connection)
         self._idle = kept
 
+    def _sweep_later(self) -> None:
+        """Closes stale connections also if no further call comes."""
+        if self._sweep_timer is None and self._keep_idle_s < math.inf:
+            self._sweep_timer = asyncio.get_running_loop().call_later(
+                self._keep_idle_s, self._sweep
+            )
+
+    def _sweep(self) -> None:
+        self._sweep_timer = None
+        self._drop_stale()
+        if self._idle:
+            self._sweep_later()
+
     def _idle_s(self, connection: target_connection.TargetConnection) -> float:
         return steady_clock.now_s() - connection.released_s
 
--- a/src/galenatack/links/http_client.py
+++ b/src/galenatack/links/http_client.py
@@ -17,6 +17,7 @@
             wait.
         connect_timeout_s: Timeout for a new connection.
         max_answer_bytes: Maximum size of an answer body.
+        keep_idle_s: Idle time after which a connection is closed.
     """
 
     def __init__(
@@ -26,6 +27,7 @@
         max_connections: int,
         connect_timeout_s: float,
         max_answer_bytes: int,
+        keep_idle_s: float = math.inf,
     ):
         host, _, port = address.rpartition(":")
         self._host_header = address.encode("ascii")
@@ -35,6 +37,7 @@
             max_connections=max_connections,
             connect_timeout_s=connect_timeout_s,
             max_answer_bytes=max_answer_bytes,
+            keep_idle_s=keep_idle_s,
         )
 
     async def request(
--- a/src/galenatack/links/translated_target.py
+++ b/src/galenatack/links/translated_target.py
@@ -79,6 +79,7 @@
             max_connections=max_connections,
             connect_timeout_s=CONNECT_TIMEOUT_S,
             max_answer_bytes=MAX_ANSWER_BYTES,
+            keep_idle_s=REPEATABLE_MAX_IDLE_S,
         )
         self._probes = http_client.HttpClient(
             address=address,
