Limit all bytes of a peer that has not said who it is

A crowd at the peer listener that sends heads without an end took a process to more memory than its machine has. Cause: a message before the Hello was limited to 64 KiB, but the HTTP head before it only by the library: 128 lines of 8 kB. Some 390 such connections are allowed. Change: until its Hello is accepted, a connection may send 80 KiB in all, head and pings included; then it is closed. A head and a Hello have 0.5 kB.

--- a/src/galenatack/links/peer_network.py
+++ b/src/galenatack/links/peer_network.py
@@ -123,7 +123,8 @@
         self._handshakes = handshake_limit.HandshakeLimit(
             connection_slots.ConnectionSlots(
                 account=account, max_connections=account.bounds.handshakes
-            )
+            ),
+            account=account,
         )
         self._on_lost: list[OnLost] = []
         self._tasks: anyio.abc.TaskGroup | None = None
