Free the memory of a connection when it is lost

A crowd that pipelines much more than a node runs, leaves and comes back took a process to more memory than its machine has. Cause: a connection and its holding in the account refer to each other, so that a lost connection stayed until the garbage collector ran, which is rare in a node, with up to 256 kB that were read ahead. The account counted it as gone. Change: a lost connection drops what was read ahead, and its holding forgets it.

--- a/src/galenatack/clients/connection_holding.py
+++ b/src/galenatack/clients/connection_holding.py
@@ -27,7 +27,7 @@
         on_shed: collections.abc.Callable[[], None],
     ):
         self._account = account
-        self._on_shed = on_shed
+        self._on_shed: collections.abc.Callable[[], None] | None = on_shed
         self.is_ending = False
         self.waiting_bytes = 0
         self._unsent_bytes = 0
@@ -77,4 +77,12 @@
 
     def shed(self) -> None:
         """Frees memory."""
-        self._on_shed()
+        if self._on_shed is not None:
+            self._on_shed()
+
+    def detach(self) -> None:
+        """Forgets a lost connection, which refers to this object as well.
+
+        Without this cycle, the memory of the connection is free at once.
+        """
+        self._on_shed = None
--- a/src/galenatack/links/pipelined_connection.py
+++ b/src/galenatack/links/pipelined_connection.py
@@ -219,7 +219,10 @@
         self._cancel_pending()
         self._large_bodies.release(self)
         self._reader.detach()
+        self._unread.clear()
+        self._unread_bytes = 0
         self._holding.update_closed()
+        self._holding.detach()
 
     def pause_writing(self) -> None:
         """Pauses reading while the peer does not read."""
--- a/tests/clients/test_leaving_crowds.py
+++ b/tests/clients/test_leaving_crowds.py
@@ -13,6 +13,8 @@
 CONNECTIONS = 60
 PIPELINED = 100
 ROUNDS = 10
+READ_AHEAD_BYTES = 200_000
+WORK_S = 0.3
 KEPT_SOCKETS = 16
 """Sockets that a node may have opened for itself meanwhile."""
 
@@ -54,6 +56,23 @@
         """Reads end when their clients leave, after they have begun."""
         self.check_crowd(small_request(b"idempotent") * PIPELINED)
 
+    def test_requests_that_are_not_read_yet(self):
+        """What a node has read ahead is free once its client has left."""
+
+        async def main():
+            async with besieged_node.BesiegedNode(memory_mb=MEMORY_MB) as node:
+                node.target.work_s = WORK_S
+                request = small_request(b"idempotent")
+                data = request * (READ_AHEAD_BYTES // len(request))
+                for _ in range(3 * ROUNDS):
+                    await node.send(await node.connect(CONNECTIONS), data)
+                    await asyncio.sleep(WORK_S)
+                    node.leave()
+                node.target.work_s = 0.0
+                await node.check(self)
+
+        asyncio.run(main())
+
     def test_calls_of_a_second_node(self):
         """What one node takes from a crowd, another one has to run."""
 
