Keep descriptors for a node's own sockets out of the shares of clients

Beside a crowd that keeps all connections busy, a node with 300 descriptors had 109 sockets open, 100 are allowed. Cause: the shares of clients add up to nine tenths of all sockets. The rest did not hold the 16 handles of the callers' listener, the other listeners, the connections to the target and the store, and connections that are closed in the same turn of the event loop in which others are accepted. Change: 64 sockets are kept before the shares are taken. On a machine with 4,100 descriptors callers get 1,534 connections instead of 1,560.

--- a/src/galenatack/clients/client_bounds.py
+++ b/src/galenatack/clients/client_bounds.py
@@ -26,6 +26,11 @@
 FILE_DESCRIPTORS = 200
 """Descriptors of a machine that are kept for files."""
 
+OWN_SOCKETS = 64
+"""The listeners of a node with the 16 handles of that for callers, its
+connections to the target and the store, and connections that were closed in
+the same turn of the event loop."""
+
 CALLER_SHARE = 0.4
 """Part of the other descriptors for connections of callers."""
 
@@ -73,7 +78,7 @@
         max_fds: Its limit on descriptors; 0 if it is unknown.
     """
     free_mb = (memory_mb or DEFAULT_MEMORY_MB) - OWN_MEMORY_MB
-    sockets = (max_fds or DEFAULT_MAX_FDS) - FILE_DESCRIPTORS
+    sockets = (max_fds or DEFAULT_MAX_FDS) - FILE_DESCRIPTORS - OWN_SOCKETS
     return ClientBounds(
         held_bytes=max(
             MIN_CLIENT_BYTES, int(free_mb * BYTES_PER_MB * CLIENT_SHARE)
