Give a new caller the connection of one that pipelines

An ordinary caller got no connection while a crowd pipelined requests on as many as a node takes. Cause: only connections without running requests made room for a new one, and those that never sent a request went first: the new connection of an ordinary caller went before its request had arrived. Change: if no connection has been silent for a second since it came, the one with most unanswered requests makes room, two at least. A connection that runs a single request is still never cut for a new one.

--- a/src/galenatack/clients/connection_slots.py
+++ b/src/galenatack/clients/connection_slots.py
@@ -5,6 +5,12 @@
 
 from galenatack.clients import client_account
 
+YOUNG_S = 1.0
+"""A client has sent its request after this time if it ever does."""
+
+MIN_PIPELINED = 2
+"""A connection with fewer requests is not closed while they run."""
+
 
 class SlotUser(typing.Protocol):
     """A connection.
@@ -18,8 +24,8 @@
     last_active_s: float
 
     @property
-    def is_running(self) -> bool:
-        """True if a request awaits its answer."""
+    def unanswered(self) -> int:
+        """Number of requests that await their answers."""
 
     def abort(self) -> None:
         """Closes the connection at once."""
@@ -28,8 +34,10 @@
 class ConnectionSlots:
     """Makes room for a new connection by closing one that is of less use.
 
-    Those that never brought a whole request go first, then those that are
-    idle; among equals, the one that has been silent for longest.
+    Those that never brought a whole request go first, but for those that have
+    just come; then the one with most unanswered requests, if it pipelines;
+    then those that have just come, and idle ones. Among equals, the one that
+    has been silent for longest goes.
 
     Args:
         account: Counts the connections that are closed.
@@ -54,7 +62,7 @@
             connections: Open connections; closed ones leave it at once.
 
         Returns:
-            False if all run requests: a new one cannot be taken.
+            False if all run one request: a new one cannot be taken.
         """
         if len(connections) < self._max_connections:
             return True
@@ -63,12 +71,31 @@
             connections=len(connections),
             limit=self._max_connections,
         )
-        idle = [item for item in connections if not item.is_running]
-        if not idle:
+        victim = _choose(connections)
+        if victim is None:
             return False
-        min(idle, key=_usefulness).abort()
+        victim.abort()
         return True
 
 
+def _choose(
+    connections: collections.abc.Collection[SlotUser],
+) -> SlotUser | None:
+    """Returns the connection to close; None if all run one request."""
+    idle = [item for item in connections if not item.unanswered]
+    newest_s = max(item.last_active_s for item in connections)
+    silent = [
+        item
+        for item in idle
+        if not item.has_served and item.last_active_s < newest_s - YOUNG_S
+    ]
+    if silent:
+        return min(silent, key=_usefulness)
+    busiest = max(connections, key=lambda item: item.unanswered)
+    if busiest.unanswered >= MIN_PIPELINED:
+        return busiest
+    return min(idle, key=_usefulness, default=None)
+
+
 def _usefulness(connection: SlotUser) -> tuple[bool, float]:
     return connection.has_served, connection.last_active_s
--- a/src/galenatack/links/handshake_limit.py
+++ b/src/galenatack/links/handshake_limit.py
@@ -22,7 +22,7 @@
     """An inbound connection; implements `connection_slots.SlotUser`."""
 
     has_served = False
-    is_running = False
+    unanswered = 0
 
     def __init__(
         self,
--- a/src/galenatack/links/pipelined_connection.py
+++ b/src/galenatack/links/pipelined_connection.py
@@ -159,9 +159,9 @@
         return not self._pending and self._request_began_s is None
 
     @property
-    def is_running(self) -> bool:
-        """True if a request awaits its answer."""
-        return bool(self._pending)
+    def unanswered(self) -> int:
+        """Number of requests that await their answers."""
+        return len(self._pending)
 
     @property
     def unsent_bytes(self) -> int:
--- a/tests/clients/test_client_account.py
+++ b/tests/clients/test_client_account.py
@@ -32,9 +32,9 @@
 
 
 class _Connection:
-    def __init__(self, connections, last_active_s, *, served, running=False):
+    def __init__(self, connections, last_active_s, *, served, unanswered=0):
         self.has_served = served
-        self.is_running = running
+        self.unanswered = unanswered
         self.last_active_s = last_active_s
         self._connections = connections
         connections.append(self)
@@ -160,7 +160,7 @@
         """Silent crowds push out no pooled connection of an ordinary caller."""
         connections = []
         pooled = _Connection(connections, 1.0, served=True)
-        busy = _Connection(connections, 0.0, served=True, running=True)
+        busy = _Connection(connections, 0.0, served=True, unanswered=1)
         _Connection(connections, 5.0, served=False)
         self.assertTrue(self.make_slots().make_room(connections))
         self.assertEqual(connections, [pooled, busy])
@@ -169,10 +169,19 @@
         """If all connections run requests, the new one is not taken."""
         connections = []
         for _ in range(3):
-            _Connection(connections, 0.0, served=True, running=True)
+            _Connection(connections, 0.0, served=True, unanswered=1)
         self.assertFalse(self.make_slots().make_room(connections))
         self.assertEqual(len(connections), 3)
 
+    def test_the_connection_with_most_requests_goes_if_none_is_idle(self):
+        """Clients that pipeline all the time would keep all others out."""
+        connections = []
+        single = _Connection(connections, 0.0, served=True, unanswered=1)
+        _Connection(connections, 1.0, served=True, unanswered=20)
+        pair = _Connection(connections, 0.0, served=True, unanswered=2)
+        self.assertTrue(self.make_slots().make_room(connections))
+        self.assertEqual(connections, [single, pair])
+
 
 if __name__ == "__main__":
     unittest.main()
