Take the options of all connection lines at once

A head of legal size with 1,400 connection lines kept a node busy for 18 ms. Cause: each line made a new set of the names that are not forwarded. Change: the lines are joined first.

--- a/src/galenatack/platform/_headers.py
+++ b/src/galenatack/platform/_headers.py
@@ -73,8 +73,9 @@
 def _without(
     headers: tuple[tuple[str, str], ...], names: frozenset[str]
 ) -> tuple[tuple[str, str], ...]:
-    for name, value in headers:
-        if name == "connection":
-            listed = {part.strip().lower() for part in value.split(",")}
-            names = names | (listed - {"close", "keep-alive"})
+    options = [value for name, value in headers if name == "connection"]
+    if options:
+        # All at once: a head may have a thousand such lines.
+        listed = {part.strip().lower() for part in ",".join(options).split(",")}
+        names = names | (listed - {"close", "keep-alive"})
     return tuple(pair for pair in headers if pair[0] not in names)
--- a/tests/platform/test_caller_dialect.py
+++ b/tests/platform/test_caller_dialect.py
@@ -29,6 +29,19 @@
         self.assertEqual(limit_s(600, ("host", "a"), deadline), 0.6)
         self.assertIsNone(limit_s(None, ("host", "a")))
 
+    def test_all_connection_lines_name_headers_that_are_not_forwarded(self):
+        """They are taken together: a head may have a thousand of them."""
+        kept = _headers.forwarded_request_headers(
+            (
+                ("connection", "A, close"),
+                ("connection", "b"),
+                ("a", "1"),
+                ("b", "2"),
+                ("c", "3"),
+            )
+        )
+        self.assertEqual(kept, (("c", "3"),))
+
     def test_a_host_with_its_root_label_is_not_an_unknown_host(self):
         """The name with and without the last dot is the same host."""
         hosts = []
