Refuse a body that is announced over the limit at its head

A client that announces a body far over the limit made a node keep all of it up to the limit, 4 MB, before it got 413, and was told to go on (100). Cause: the size was only compared with what had been received. Change: 413 at the end of the head. What still comes is dropped, up to twice the limit instead of 1 MB: a client that reads the answer only after it has sent a body a little over the limit gets it instead of a reset. Evidence: the new test of the reader got no refusal before. 42 tests of the reader, the connection, endless bytes, fuzzed callers and requests pass.

--- a/src/galenatack/links/pipelined_connection.py
+++ b/src/galenatack/links/pipelined_connection.py
@@ -35,8 +35,11 @@
 MAX_UNREAD_BYTES = 262_144
 """Bytes read ahead while `MAX_CONCURRENT_REQUESTS` requests run."""
 
-MAX_DISCARDED_BYTES = 1_000_000
-"""Limit on bytes that are read and dropped before a connection is closed."""
+MIN_DISCARDED_BYTES = 1_000_000
+DISCARDED_BODIES = 2
+"""Limit on bytes that are read and dropped before a connection is closed, in
+bodies of the largest size. A peer whose body is refused at its head reads the
+answer only after it has sent the rest."""
 
 MAX_TOTAL_UNSENT_BYTES = 48_000_000
 """Limit on the answers that wait on all connections of a listener. Beyond it,
@@ -396,7 +399,8 @@
     def _discard(self, data: bytes) -> None:
         """Drops bytes behind the last request, up to a limit."""
         self._discarded_bytes += len(data)
-        if self._discarded_bytes > MAX_DISCARDED_BYTES:
+        limit_bytes = DISCARDED_BODIES * self._limits.max_body_bytes
+        if self._discarded_bytes > max(MIN_DISCARDED_BYTES, limit_bytes):
             self._transport.abort()
 
     def _update_reading(self) -> None:
--- a/src/galenatack/links/request_reader.py
+++ b/src/galenatack/links/request_reader.py
@@ -189,11 +189,26 @@
     def on_headers_complete(self) -> None:
         """Parser callback: end of the head."""
         self.has_head = True
-        if self._offers_upgrade():
+        if not self.is_open:
+            return
+        self._check_announced_size()
+        if not self.is_open or self._offers_upgrade():
             return
         if any(name == "expect" for name, _ in self._headers):
             self._on_continue()
 
+    def _check_announced_size(self) -> None:
+        """Refuses a body that is too large before any of it is kept."""
+        for name, value in self._headers:
+            # The parser has refused other values, and numbers of 64 bits.
+            if name == "content-length" and value.isdecimal():
+                size_bytes = int(value)
+                if size_bytes > self._limits.max_body_bytes:
+                    self._refuse(
+                        BODY_TOO_LARGE, f"a body of {size_bytes} bytes"
+                    )
+                    return
+
     def on_body(self, body: bytes) -> None:
         """Parser callback: a part of the body."""
         if not self.is_open:
--- a/tests/links/test_request_reader.py
+++ b/tests/links/test_request_reader.py
@@ -41,6 +41,16 @@
             self.assertEqual(refusals, [])
             self.assertEqual(targets, [f"/{n}" for n in range(count)])
 
+    def test_a_body_announced_over_the_limit_is_refused_at_its_head(self):
+        """Its sender would make the node keep all bytes up to the limit."""
+        head = b"PUT /0 HTTP/1.1\r\nexpect: 100-continue\r\n"
+        for size, expected in ((1001, [413]), (1000, [])):
+            _, refusals = read(
+                head + b"content-length: %d\r\n\r\n" % size,
+                max_body_bytes=1000,
+            )
+            self.assertEqual(refusals, expected)
+
     def test_a_long_body_does_not_count_for_the_head_of_the_next_request(self):
         """The head of the next request is in the same read as the body."""
         put = (
