Tell clients that are refused for want of memory when to come back

Cause: the 503 of a connection that makes room had no Retry-After, so that its client came back at once and met the same want. Change: Retry-After of 0.5 s, in which a crowd has ended or was refused.

--- a/src/galenatack/links/pipelined_connection.py
+++ b/src/galenatack/links/pipelined_connection.py
@@ -58,10 +58,17 @@
 MAX_LOGGED_CHARACTERS = 100
 MS_PER_S = 1000
 
+RETRY_AFTER_S = "0.5"
+"""Time after which a client may come back that was refused for want of memory.
+The requests of a crowd end or are refused within about this time."""
+
 REQUEST_TIMEOUT = 408
 INTERNAL_ERROR = 500
 UNAVAILABLE = 503
 BAD_GATEWAY = 502
+_NO_ROOM = http_response.HttpResponse(
+    UNAVAILABLE, (("retry-after", RETRY_AFTER_S),)
+)
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 Respond = collections.abc.Callable[
@@ -373,7 +380,7 @@
         """
         if self._reader.is_open and self._holding.is_mostly_waiting:
             self._drop_waiting()
-            self._refuse(UNAVAILABLE)
+            self._refuse_with(_NO_ROOM)
         else:
             self.abort()
         self._update_held()
@@ -489,7 +496,7 @@
         self._drop_waiting()
         self._pending.append(exchange)
         exchange.keeps_alive = False
-        exchange.response = http_response.HttpResponse(UNAVAILABLE)
+        exchange.response = _NO_ROOM
         exchange.ready_s = self._loop.time()
         self._stop_reading()
         # The parser is still busy with the bytes behind the request.
@@ -606,12 +613,16 @@
 
     def _refuse(self, status: int) -> None:
         """Answers an invalid request, after the requests before it."""
-        self._stats.refusals[status] += 1
+        self._refuse_with(http_response.HttpResponse(status))
+
+    def _refuse_with(self, response: http_response.HttpResponse) -> None:
+        """Answers after the requests before it, and closes the connection."""
+        self._stats.refusals[response.status] += 1
         self._stop_reading()
         exchange = exchange_module.Exchange(
             None, began_s=self._loop.time(), keeps_alive=False
         )
-        exchange.response = http_response.HttpResponse(status)
+        exchange.response = response
         exchange.ready_s = self._loop.time()
         self._pending.append(exchange)
         self._flush()
