Refuse no request as late whose bytes wait to be parsed

A client that pipelines more requests than run at a time got 408 for one of them, although all its bytes had arrived. Cause: the time limits on a head and a body also ran while the rest of the request waited, read ahead, behind requests that run. Since reads are parsed in pieces, this took a head across two of them. Change: the limits hold again once the requests before it are answered.

--- a/src/galenatack/links/pipelined_connection.py
+++ b/src/galenatack/links/pipelined_connection.py
@@ -284,6 +284,8 @@
         """Closes an idle connection, or one that sends a head too slowly."""
         self._update_held()
         limits = self._limits
+        if self._is_read_later:
+            return
         if self._request_began_s is not None and not self._reader.has_head:
             if now_s - self._request_began_s > limits.header_timeout_s:
                 self._refuse_late("head", limits.header_timeout_s)
@@ -307,7 +309,8 @@
         elif self._request_began_s is None:
             self._request_began_s = arrived_s
         if self._reader.has_head and self._reader.has_begun:
-            self._start_request_timer()
+            if not self._is_read_later:
+                self._start_request_timer()
             if self._reader.body_bytes > large_bodies_module.FREE_BYTES:
                 self._large_bodies.claim(self, self._max_request_bytes())
 
@@ -357,6 +360,11 @@
             or self._waits_for_turn()
         )
 
+    @property
+    def _is_read_later(self) -> bool:
+        """True if the rest of a request may be here, behind those that run."""
+        return bool(self._unread and self._pending)
+
     def _waits_for_turn(self) -> bool:
         """Returns whether one request at a time is run, to save memory."""
         return bool(self._pending) and self._account.is_tight
--- a/tests/links/test_pipelined_connection.py
+++ b/tests/links/test_pipelined_connection.py
@@ -321,3 +321,24 @@
             writer.close()
 
         run(scenario)
+
+    def test_a_request_that_waits_unread_is_not_refused_as_late(self):
+        """Its client has sent all of it, but only a part of it is parsed."""
+
+        async def scenario(rig):
+            count = pipelined_connection.MAX_CONCURRENT_REQUESTS + 1
+            size = 250
+            requests = []
+            for number in range(count):
+                head = b"GET /n%d HTTP/1.1\r\nhost: a\r\nx: " % number
+                requests.append(head.ljust(size - 4, b"x") + b"\r\n\r\n")
+                rig.gates[f"/n{number}"] = asyncio.Event()
+            reader, writer = await rig.connect()
+            writer.write(b"".join(requests))
+            await asyncio.sleep(2.5)
+            for gate in rig.gates.values():
+                gate.set()
+            await reader.readuntil(b"/n%d" % (count - 1))
+            writer.close()
+
+        run(scenario, header_timeout_s=0.2)
