Tell the account of each request when it begins

Cause: since requests wait for a turn, a request that began was counted only at the next read or answer of its connection. Change: the account is told at once. Evidence: by reading; no crowd showed it.

--- a/src/galenatack/links/pipelined_connection.py
+++ b/src/galenatack/links/pipelined_connection.py
@@ -488,6 +488,7 @@
         exchange.task.add_done_callback(
             lambda done: self._end_running(running_bytes)
         )
+        self._update_held()
         return self._may_begin()
 
     def _may_begin(self) -> bool:
