Count the calls that go on after their clients have left

A crowd that posts bodies of 3.9 MB and leaves took a process to twice the memory of its machine. Cause: a posting at the target is not cut when its client leaves. The account of clients no longer counted it, and took further bodies in its place. Change: clients/abandoned_calls counts such a call until it ends.

--- a/src/galenatack/app/mesh_outbound.py
+++ b/src/galenatack/app/mesh_outbound.py
@@ -8,6 +8,7 @@
 from galenatack.app import mesh_rollouts
 from galenatack.app import mesh_tenants
 from galenatack.bodies import announced_bodies
+from galenatack.clients import abandoned_calls
 from galenatack.estimates import call_estimates
 from galenatack.homes import permitted_targets
 from galenatack.placement import known_conditions
@@ -83,6 +84,7 @@
             clock=base.clock,
             rng=base.rng,
             cold_rate_per_s=config.cold_rate_per_s,
+            abandoned=abandoned_calls.AbandonedCalls(account=base.account),
         ),
         returned=returned_requests.ReturnedRequests(clock=base.clock),
         conditions=conditions,
--- a/src/galenatack/traffic/call_sender.py
+++ b/src/galenatack/traffic/call_sender.py
@@ -8,6 +8,7 @@
 from galenatack import exceptions
 from galenatack.admission import target_gate
 from galenatack.bodies import announced_bodies
+from galenatack.clients import abandoned_calls
 from galenatack.interfaces import clock as clock_interface
 from galenatack.interfaces import peer_network
 from galenatack.interfaces import random_source
@@ -57,6 +58,8 @@
         rng: Source of randomness, for call ids.
         cold_rate_per_s: Returns the calls per second that a cold target of a
             service takes; 0 without a limit.
+        abandoned: Counts calls that go on without their callers; None if
+            their memory is not limited.
     """
 
     def __init__(
@@ -70,6 +73,7 @@
         clock: clock_interface.Clock,
         rng: random_source.RandomSource,
         cold_rate_per_s: collections.abc.Callable[[str], float] = lambda _: 0.0,
+        abandoned: abandoned_calls.AbandonedCalls | None = None,
     ):
         self._own = own
         self._peers = peers
@@ -78,6 +82,7 @@
         self._bodies = bodies
         self._clock = clock
         self._cold_rate_per_s = cold_rate_per_s
+        self._abandoned = abandoned
         self._call_prefix = f"{rng.getrandbits(CALL_ID_BITS):010x}"
         self._calls = 0
         self._tasks: set[asyncio.Task] = set()
@@ -152,6 +157,8 @@
             return await asyncio.shield(task)
         except asyncio.CancelledError:
             self._gate.cancel(call.call_id)
+            if self._abandoned is not None and not task.done():
+                self._abandoned.add(call, task)
             raise
 
     async def _send_remote(
--- a/tests/clients/test_leaving_crowds.py
+++ b/tests/clients/test_leaving_crowds.py
@@ -15,6 +15,7 @@
 ROUNDS = 10
 READ_AHEAD_BYTES = 200_000
 SHORT_BODY_BYTES = 60_000
+LONG_BODY_BYTES = 3_900_000
 WORK_S = 0.3
 LEAVE_S = 0.1
 KEPT_SOCKETS = 16
@@ -99,6 +100,12 @@
             connections=100,
         )
 
+    def test_bodies_of_postings_that_go_on(self):
+        """Long bodies are kept by the gate after their clients have left."""
+        self.check_slow_crowd(
+            request_with(LONG_BODY_BYTES), ROUNDS, leave_s=WORK_S
+        )
+
     def test_calls_of_a_second_node(self):
         """What one node takes from a crowd, another one has to run."""
 
