Keep a connection whose answers are owed when its peer sends on

Cause: bytes that are no longer read are dropped up to a limit; beyond it the connection was closed at once, whatever it owed. Change: beyond the limit the node reads no more until the answers are sent and the connection closes. If it owes nothing, it is closed at once as before.

--- a/src/galenatack/links/pipelined_connection.py
+++ b/src/galenatack/links/pipelined_connection.py
@@ -37,7 +37,7 @@
 
 MIN_DISCARDED_BYTES = 1_000_000
 DISCARDED_BODIES = 2
-"""Limit on bytes that are read and dropped before a connection is closed, in
+"""Limit on bytes that are read and dropped before a connection closes, in
 bodies of the largest size. A peer whose body is refused at its head reads the
 answer only after it has sent the rest."""
 
@@ -144,6 +144,7 @@
         )
         self._unread_bytes = 0
         self._discarded_bytes = 0
+        self._has_discarded_all = False
         self._pending: collections.deque[exchange_module.Exchange] = (
             collections.deque()
         )
@@ -415,7 +416,14 @@
         """Drops bytes behind the last request, up to a limit."""
         self._discarded_bytes += len(data)
         limit_bytes = DISCARDED_BODIES * self._limits.max_body_bytes
-        if self._discarded_bytes > max(MIN_DISCARDED_BYTES, limit_bytes):
+        if self._discarded_bytes <= max(MIN_DISCARDED_BYTES, limit_bytes):
+            return
+        if self._pending:
+            # To close the connection now would take the answers that it owes
+            # from its peer. It closes after them.
+            self._has_discarded_all = True
+            self._update_reading()
+        else:
             self._transport.abort()
 
     def _update_reading(self) -> None:
@@ -426,6 +434,7 @@
             self._is_writing_paused
             or self._has_yielded
             or not self._has_room
+            or self._has_discarded_all
             or self._unread_bytes > MAX_UNREAD_BYTES
             or (self._unread_bytes > 0 and self._waits_for_turn())
         )
--- a/tests/links/test_pipelined_connection.py
+++ b/tests/links/test_pipelined_connection.py
@@ -342,3 +342,21 @@
             writer.close()
 
         run(scenario, header_timeout_s=0.2)
+
+    def test_a_stopping_server_answers_a_peer_that_sends_on(self):
+        """What is no longer read must not take the answers that are owed."""
+
+        async def scenario(rig):
+            gate = rig.gates["/1"] = asyncio.Event()
+            reader, writer = await rig.connect()
+            writer.write(GET % b"1")
+            while not rig.received:
+                await asyncio.sleep(0.01)
+            rig.server.finish()
+            writer.write(bytes(20_000_000))
+            await asyncio.sleep(0.5)
+            gate.set()
+            await reader.readuntil(b"/1")
+            writer.close()
+
+        run(scenario)
