Print the log of a node that does not start in a test of crowds

Cause: one trial of two nodes ended with a time-out at their start, and the log was gone. Change: the end of the log is printed.

--- a/soak/node_process.py
+++ b/soak/node_process.py
@@ -26,6 +26,7 @@
 
 NS_PER_S = 1e9
 MAX_RESIDENT_KIB = 200 * 1024
+MAX_LOG_END = 4_000
 
 
 class NodeProcess:
@@ -191,6 +192,10 @@
         former, self._waited = self._waited, (self.pid, waited_s)
         return waited_s - former[1] if former[0] == self.pid else 0.0
 
+    def log_end(self) -> str:
+        """Returns the last lines of the log."""
+        return self._log.read_text(errors="replace")[-MAX_LOG_END:]
+
     def log_faults(self) -> list[str]:
         """Returns log lines that show an error or a traceback."""
         text = self._log.read_text(errors="replace")
--- a/tests/clients/besieged_node.py
+++ b/tests/clients/besieged_node.py
@@ -95,7 +95,11 @@
         if self._on_listening is not None:
             await self._wait_listening()
             await self._on_listening(self)
-        await self._start()
+        try:
+            await self._start()
+        except TimeoutError:
+            print(self.process.log_end())
+            raise
 
     async def __aexit__(self, *exc):
         self.leave()
