--- a/src/galenatack/links/request_turns.py
+++ b/src/galenatack/links/request_turns.py
@@ -5,8 +5,8 @@
 import typing
 
 MAX_BEGUN = 16
-"""Requests that begin in one turn of the event loop, some 13 ms of work. Between
-two turns the loop reads, and learns of clients that have left."""
+"""Requests that begin in one turn of the event loop, some 13 ms of work.
+Between two turns the loop reads, and learns of clients that have left."""
 
 
 class Waiter(typing.Protocol):
